--- /dev/null
+++ b/src/connection/http.h
@@ -0,0 +1,140 @@
+// aldervale: HTTP/1.1 edges by Boost.Beast
+//
+// The header is free of Beast so that few files pay for compiling it. The server calls one handler per request on the connection's
+// strand; the client keeps connections alive per endpoint.
+//
+// Usage, server:
+//   HttpServer server(ioc, {.m_HeadMax = 16384}, [](HttpRequest& req, HttpReply& reply) -> awaitable<void> {
+//       HttpResponse res{200, {{"Content-Type", "text/plain"}}, "ok\n"};
+//       co_await reply.Send(res);
+//   });
+//   Status s = server.Listen(endpoint);
+// Usage, client:
+//   HttpClient client;
+//   Result<HttpResponse> r = co_await client.Call(endpoint, req, deadline);
+//   Result<HttpStreamPtr> s = co_await client.Open(endpoint, req, deadline);      // then s->Read() until m_Done
+//
+// Index of this file:
+// [SECTION] Messages
+// [SECTION] Server
+// [SECTION] Client
+
+#pragma once
+#include "connection/link.h"
+
+namespace aldervale
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Messages
+//-----------------------------------------------------------------------------
+
+struct HttpField
+{
+    std::string m_Name;  //
+    std::string m_Value; //
+};
+
+using HttpFields = std::vector<HttpField>;
+
+std::string_view FindField(const HttpFields& fields, std::string_view name); // case-insensitive; empty if absent
+
+struct HttpRequest
+{
+    std::string m_Method = "GET"; //
+    std::string m_Target = "/";   // path and query
+    HttpFields  m_Fields;         //
+    std::string m_Body;           //
+
+    std::string_view Path() const;                        // target without query
+    std::string      Query(std::string_view name) const;  // value of ?name=, percent-decoded; empty if absent
+};
+
+struct HttpResponse
+{
+    unsigned    m_Status = 200; //
+    HttpFields  m_Fields;       //
+    std::string m_Body;         //
+};
+
+HttpResponse JsonResponse(unsigned status, const boost::json::value& body);
+HttpResponse ErrorResponse(const Error& e); // JSON error body with verdict, Aldervale-Verdict and Retry-After fields
+
+//-----------------------------------------------------------------------------
+// [SECTION] Server
+//-----------------------------------------------------------------------------
+
+struct HttpServerConfig
+{
+    size_t   m_HeadMax     = 16 * 1024;       // bytes of request line and fields; more: 431
+    size_t   m_BodyMax     = 4 * 1024 * 1024; // bytes; more: 413
+    Duration m_ReadTimeout = seconds(30);     // for a whole request head and body once its first byte arrived, and for idle connections
+    Duration m_SendTimeout = seconds(30);     // for one write to a caller that doesn't read
+};
+
+class HttpReply // one answer; either Send() once, or Start(), Write()..., Finish()
+{
+public:
+    virtual ~HttpReply()                                                               = default;
+    virtual awaitable<bool> Send(const HttpResponse& res)                              = 0; // false: the caller is gone
+    virtual awaitable<bool> Start(unsigned status, const HttpFields& fields)           = 0; // chunked
+    virtual awaitable<bool> Write(std::string_view bytes)                              = 0;
+    virtual awaitable<bool> Finish(const HttpFields& trailers)                         = 0;
+    virtual void            Abort()                                                    = 0; // close without the end mark: the caller sees a broken answer
+    virtual bool            CallerGone()                                               = 0; // the caller closed its side
+};
+
+using HttpHandler = std::function<awaitable<void>(HttpRequest&, HttpReply&)>;
+
+class HttpServer
+{
+public:
+    HttpServer(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler);
+    ~HttpServer();
+
+    Status Listen(const Endpoint& at);
+    void   StopAccepting(); // open connections finish their current request and close
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> m_Impl;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Client
+//-----------------------------------------------------------------------------
+
+class HttpStream // an answer whose head has arrived and whose body is read piece by piece
+{
+public:
+    struct Piece
+    {
+        std::string_view m_Bytes;        // valid until the next Read()
+        bool             m_Done = false; // the body is complete and its length was checked
+    };
+
+    virtual ~HttpStream()                                          = default;
+    virtual const HttpResponse&      Head() const                  = 0; // m_Body is empty
+    virtual awaitable<Result<Piece>> Read(TimePoint deadline)      = 0;
+    virtual const HttpFields&        Trailers() const              = 0; // after m_Done
+};
+using HttpStreamPtr = std::unique_ptr<HttpStream>;
+
+class HttpClient
+{
+public:
+    HttpClient();
+    ~HttpClient();
+
+    // Errors carry a verdict: NotRun when no byte of the request left this process, MayHaveRun after.
+    awaitable<Result<HttpResponse>>  Call(Endpoint to, const HttpRequest& req, TimePoint deadline);
+    awaitable<Result<HttpStreamPtr>> Open(Endpoint to, const HttpRequest& req, TimePoint deadline);
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace aldervale
--- /dev/null
+++ b/src/connection/http_server.cpp
@@ -0,0 +1,261 @@
+// HTTP server over Boost.Beast. See http.h.
+#include "connection/http.h"
+#include "process/log.h"
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace aldervale
+{
+
+namespace beast = boost::beast;
+namespace http  = boost::beast::http;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+using ServerStream = beast::basic_stream<tcp, asio::any_io_executor>;
+
+struct HttpServer::Impl
+{
+    asio::io_context&            m_Ioc;              //
+    HttpServerConfig             m_Config;           //
+    HttpHandler                  m_Handler;          //
+    std::mutex                   m_Mutex;            // guards m_Acceptor
+    std::optional<tcp::acceptor> m_Acceptor;         // none when not listening
+    std::atomic<bool>            m_Stopping{false};  // never goes back to false
+
+    Impl(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler) : m_Ioc(ioc), m_Config(cfg), m_Handler(std::move(handler)) {}
+};
+
+namespace
+{
+
+template <class MessageT> void CopyFields(const HttpFields& from, MessageT& to)
+{
+    for (const HttpField& f : from)
+        to.insert(f.m_Name, f.m_Value);
+}
+
+class BeastReply : public HttpReply
+{
+public:
+    BeastReply(ServerStream& stream, const HttpServerConfig& cfg, bool keep_alive) : m_Stream(stream), m_Config(cfg), m_KeepAlive(keep_alive) {}
+
+    awaitable<bool> Send(const HttpResponse& res) override
+    {
+        http::response<http::string_body> msg(http::int_to_status(res.m_Status), 11);
+        msg.result(res.m_Status);
+        CopyFields(res.m_Fields, msg);
+        msg.body() = res.m_Body;
+        msg.keep_alive(m_KeepAlive);
+        msg.prepare_payload();
+        m_Stream.expires_after(m_Config.m_SendTimeout);
+        m_Sent       = true;
+        auto [ec, n] = co_await http::async_write(m_Stream, msg, kNoThrow);
+        co_return Outcome(ec);
+    }
+
+    awaitable<bool> Start(unsigned status, const HttpFields& fields) override
+    {
+        http::response<http::empty_body> msg(http::int_to_status(status), 11);
+        msg.result(status);
+        CopyFields(fields, msg);
+        msg.keep_alive(m_KeepAlive);
+        msg.chunked(true);
+        http::response_serializer<http::empty_body> ser(msg);
+        m_Stream.expires_after(m_Config.m_SendTimeout);
+        m_Sent       = true;
+        auto [ec, n] = co_await http::async_write_header(m_Stream, ser, kNoThrow);
+        co_return Outcome(ec);
+    }
+
+    awaitable<bool> Write(std::string_view bytes) override
+    {
+        if (m_Broken || bytes.empty())
+            co_return !m_Broken;
+        m_Stream.expires_after(m_Config.m_SendTimeout);
+        const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
+        auto [ec, n]     = co_await asio::async_write(m_Stream, chunk, kNoThrow);
+        co_return Outcome(ec);
+    }
+
+    awaitable<bool> Finish(const HttpFields& trailers) override
+    {
+        if (m_Broken)
+            co_return false;
+        http::fields last;
+        CopyFields(trailers, last);
+        m_Stream.expires_after(m_Config.m_SendTimeout);
+        auto [ec, n] = co_await asio::async_write(m_Stream, http::make_chunk_last(last), kNoThrow);
+        co_return Outcome(ec);
+    }
+
+    void Abort() override
+    {
+        m_Broken = true;
+        boost::system::error_code ec;
+        m_Stream.socket().close(ec);
+    }
+
+    bool CallerGone() override
+    {
+        if (m_Broken)
+            return true;
+        char                      byte = 0;
+        boost::system::error_code ec;
+        m_Stream.socket().non_blocking(true, ec);
+        m_Stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        return ec && ec != asio::error::would_block && ec != asio::error::try_again;
+    }
+
+    bool Broken() const { return m_Broken; }
+    bool Sent() const { return m_Sent; }
+
+private:
+    bool Outcome(const boost::system::error_code& ec)
+    {
+        if (ec)
+            m_Broken = true;
+        return !ec;
+    }
+
+    ServerStream&           m_Stream;         //
+    const HttpServerConfig& m_Config;         //
+    bool                    m_KeepAlive;      //
+    bool                    m_Broken = false; // a write failed or Abort() was called
+    bool                    m_Sent   = false; // an answer was begun
+};
+
+HttpRequest ToRequest(http::request<http::string_body>&& msg)
+{
+    HttpRequest req;
+    req.m_Method = std::string(msg.method_string());
+    req.m_Target = std::string(msg.target());
+    req.m_Fields.reserve(8);
+    for (const auto& f : msg)
+        req.m_Fields.push_back({std::string(f.name_string()), std::string(f.value())});
+    req.m_Body = std::move(msg.body());
+    return req;
+}
+
+Error ReadError(const boost::system::error_code& ec)
+{
+    if (ec == http::error::header_limit)
+        return MakeError(ErrorCode_Invalid, "request head over its bound", "head");
+    if (ec == http::error::body_limit)
+        return MakeError(ErrorCode_Invalid, "request body over its bound", "body");
+    return MakeError(ErrorCode_Invalid, "malformed HTTP: " + ec.message(), "head");
+}
+
+unsigned ReadErrorStatus(const boost::system::error_code& ec)
+{
+    if (ec == http::error::header_limit)
+        return 431;
+    return ec == http::error::body_limit ? 413 : 400;
+}
+
+awaitable<void> ServeConnection(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
+{
+    boost::system::error_code opt_ec;
+    socket.set_option(tcp::no_delay(true), opt_ec);
+    ServerStream       stream(std::move(socket));
+    beast::flat_buffer buffer(impl->m_Config.m_HeadMax + impl->m_Config.m_BodyMax);
+    for (;;)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<uint32_t>(impl->m_Config.m_HeadMax));
+        parser.body_limit(impl->m_Config.m_BodyMax);
+        stream.expires_after(impl->m_Config.m_ReadTimeout);
+        auto [ec, n] = co_await http::async_read(stream, buffer, parser, kNoThrow);
+        if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::operation_aborted || ec == asio::error::connection_reset ||
+            ec == http::error::partial_message)
+            break;
+        if (ec)
+        {
+            BeastReply   bad(stream, impl->m_Config, false);
+            HttpResponse res = ErrorResponse(ReadError(ec));
+            res.m_Status     = ReadErrorStatus(ec);
+            co_await bad.Send(res);
+            break;
+        }
+        http::request<http::string_body> msg        = parser.release();
+        const bool                       keep_alive = msg.keep_alive() && !impl->m_Stopping.load();
+        HttpRequest                      req        = ToRequest(std::move(msg));
+        BeastReply                       reply(stream, impl->m_Config, keep_alive);
+        stream.expires_never();
+        co_await impl->m_Handler(req, reply);
+        if (!reply.Sent() || reply.Broken() || !keep_alive)
+            break;
+    }
+    boost::system::error_code ec;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+// A handler that throws loses its own connection only; it is a fault of ours and is logged as one.
+void LogEscaped(std::exception_ptr e)
+{
+    if (!e)
+        return;
+    try
+    {
+        std::rethrow_exception(e);
+    }
+    catch (const std::exception& ex)
+    {
+        LogEvent(Event_HandlerFailed, {{"what", ex.what()}});
+    }
+}
+
+awaitable<void> AcceptLoop(std::shared_ptr<HttpServer::Impl> impl)
+{
+    while (!impl->m_Stopping.load())
+    {
+        auto strand       = asio::make_strand(impl->m_Ioc);
+        auto [ec, socket] = co_await impl->m_Acceptor->async_accept(asio::any_io_executor(strand), kNoThrow);
+        if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
+            break;
+        if (ec) // out of descriptors, say: let others finish
+        {
+            asio::steady_timer pause(impl->m_Ioc, milliseconds(20));
+            co_await pause.async_wait(kNoThrow);
+            continue;
+        }
+        asio::co_spawn(strand, [impl, s = std::move(socket)]() mutable { return ServeConnection(impl, std::move(s)); }, LogEscaped);
+    }
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler)
+    : m_Impl(std::make_shared<Impl>(ioc, cfg, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    StopAccepting();
+}
+
+Status HttpServer::Listen(const Endpoint& at)
+{
+    auto strand   = asio::make_strand(m_Impl->m_Ioc);
+    auto acceptor = ListenTcp(strand, at);
+    if (!acceptor)
+        return acceptor.error();
+    m_Impl->m_Acceptor.emplace(std::move(acceptor.value()));
+    asio::co_spawn(strand, [impl = m_Impl] { return AcceptLoop(impl); }, asio::detached);
+    return Ok();
+}
+
+void HttpServer::StopAccepting()
+{
+    if (m_Impl->m_Stopping.exchange(true) || !m_Impl->m_Acceptor)
+        return;
+    asio::post(m_Impl->m_Acceptor->get_executor(),
+               [impl = m_Impl]
+               {
+                   boost::system::error_code ec;
+                   impl->m_Acceptor->close(ec);
+               });
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/process/daemon.cpp
@@ -0,0 +1,234 @@
+// Shared life of a daemon. See daemon.h.
+#include "process/daemon.h"
+#include "process/hash.h"
+#include "process/log.h"
+#include "process/metrics.h"
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr auto kDrainPoll = milliseconds(50);
+
+EventLevel ParseLevel(std::string_view name)
+{
+    if (name == "debug")
+        return EventLevel_Debug;
+    if (name == "warn")
+        return EventLevel_Warn;
+    return name == "error" ? EventLevel_Error : EventLevel_Info;
+}
+
+std::string DescribeType(const SettingValue& v)
+{
+    struct Visitor
+    {
+        std::string operator()(const SettingInt& x) const { return "integer " + std::to_string(x.m_Min) + ".." + std::to_string(x.m_Max) + ", default " + std::to_string(*x.m_Target); }
+        std::string operator()(const SettingReal& x) const { return "number, default " + std::to_string(*x.m_Target); }
+        std::string operator()(const SettingBool& x) const { return std::string("true or false, default ") + (*x.m_Target ? "true" : "false"); }
+        std::string operator()(const SettingText& x) const { return x.m_Required ? "string, required" : "string, default \"" + *x.m_Target + "\""; }
+        std::string operator()(const SettingAddress& x) const { return x.m_Required ? "IP:PORT, required" : "IP:PORT, default \"" + *x.m_Target + "\""; }
+        std::string operator()(const SettingList& x) const { return x.m_Addresses ? "array of IP:PORT" : "array of strings"; }
+    };
+    return std::visit(Visitor{}, v);
+}
+
+void PrintSettings(std::span<const SettingSpec> specs)
+{
+    std::cout << "\nSettings (TOML):\n";
+    for (const SettingSpec& s : specs)
+        std::cout << "  " << s.m_Key << ": " << s.m_Doc << " (" << DescribeType(s.m_Value) << ")\n";
+}
+
+} // namespace
+
+std::vector<SettingSpec> DescribeDaemon(DaemonSettings& s)
+{
+    return {
+        {"name", SettingText{&s.m_Name, {}, true}, "node name, the same as the declared Box"},
+        {"data_centre", SettingText{&s.m_DataCentre, {}, true}, "data centre this process runs in"},
+        {"ops_listen", SettingAddress{&s.m_OpsListen, true, false}, "address of /healthz, /readyz, /metrics, /statusz"},
+        {"log.format", SettingText{&s.m_LogFormat, {"json", "text"}, false}, "how log lines look"},
+        {"log.level", SettingText{&s.m_LogLevel, {"debug", "info", "warn", "error"}, false}, "lowest level written"},
+        {"threads", SettingInt{&s.m_Threads, 1, 64}, "I/O threads"},
+        {"drain_max_ms", SettingInt{&s.m_DrainMaxMs, 0, 3'600'000}, "longest drain after SIGTERM, ms"},
+    };
+}
+
+Daemon::Daemon(const DaemonSettings& s, std::string_view program)
+    : m_Settings(s), m_Program(program), m_Incarnation(RandomSeed() >> 1), m_Ioc(static_cast<int>(s.m_Threads)), m_Signals(m_Ioc, SIGTERM, SIGINT)
+{
+}
+
+awaitable<bool> Daemon::ServeOps(HttpRequest& req, HttpReply& reply)
+{
+    const std::string_view path = req.Path();
+    HttpResponse           res{200, {{"Content-Type", "text/plain"}}, "ok\n"};
+    if (path == "/readyz")
+    {
+        const bool ready = !Draining() && (!m_Hooks.m_Ready || m_Hooks.m_Ready());
+        res.m_Status     = ready ? 200 : 503;
+        res.m_Body       = ready ? "ready\n" : Draining() ? "draining\n" : "not ready\n";
+    }
+    else if (path == "/metrics")
+        res.m_Body = Metrics().Prometheus();
+    else if (path == "/statusz")
+    {
+        json::object o   = m_Hooks.m_Describe ? m_Hooks.m_Describe() : json::object();
+        o["name"]        = m_Settings.m_Name;
+        o["program"]     = m_Program;
+        o["version"]     = kVersion;
+        o["incarnation"] = m_Incarnation;
+        o["draining"]    = Draining();
+        res              = JsonResponse(200, o);
+    }
+    else if (path != "/healthz")
+        co_return false;
+    co_await reply.Send(res);
+    co_return true;
+}
+
+Status Daemon::Start()
+{
+    asio::co_spawn(m_Ioc, [this] { return WaitForSignal(); }, asio::detached);
+    if (m_Settings.m_OpsListen.empty())
+        return Ok();
+    const HttpHandler handler = [this](HttpRequest& req, HttpReply& reply) -> awaitable<void>
+    {
+        const bool served = co_await ServeOps(req, reply);
+        if (!served)
+        {
+            const HttpResponse res = ErrorResponse(MakeError(ErrorCode_NotFound, "no such page"));
+            co_await reply.Send(res);
+        }
+    };
+    m_Ops = std::make_unique<HttpServer>(m_Ioc, HttpServerConfig{}, handler);
+    return m_Ops->Listen(ParseEndpoint(m_Settings.m_OpsListen).value());
+}
+
+awaitable<void> Daemon::WaitForSignal()
+{
+    co_await m_Signals.async_wait(asio::as_tuple(use_awaitable));
+    co_await DrainAndStop();
+}
+
+awaitable<void> Daemon::DrainAndStop()
+{
+    LogEvent(Event_ProcessDraining);
+    m_Draining.store(true);
+    if (m_Hooks.m_Drain)
+        m_Hooks.m_Drain();
+    const TimePoint end = Now() + milliseconds(m_Settings.m_DrainMaxMs);
+    while (m_Hooks.m_Drained && !m_Hooks.m_Drained() && Now() < end)
+        co_await SleepFor(kDrainPoll);
+    LogEvent(Event_ProcessStopped, {{"drained", !m_Hooks.m_Drained || m_Hooks.m_Drained()}});
+    m_Ioc.stop();
+}
+
+int Daemon::Run()
+{
+    std::atomic<int>         code{0};
+    std::vector<std::thread> threads;
+    const auto               loop = [&]
+    {
+        try
+        {
+            m_Ioc.run();
+        }
+        catch (const std::exception& e)
+        {
+            LogEvent(Event_ProcessFailed, {{"what", e.what()}});
+            code.store(1);
+            m_Ioc.stop();
+        }
+    };
+    for (int64_t i = 1; i < m_Settings.m_Threads; i++)
+        threads.emplace_back(loop);
+    loop();
+    for (std::thread& t : threads)
+        t.join();
+    return code.load();
+}
+
+int RunDaemon(int argc, char** argv, std::string_view program, std::string_view summary, std::vector<SettingSpec> specs, DaemonSettings& settings,
+              const StartFunction& start)
+{
+    const std::vector<SettingSpec> shared = DescribeDaemon(settings);
+    specs.insert(specs.begin(), shared.begin(), shared.end());
+    cxxopts::Options options{std::string(program), std::string(summary)};
+    options.add_options()("s,settings", "settings file (TOML)", cxxopts::value<std::string>()->default_value(""))(
+        "set", "one setting as KEY=VALUE, over the file's", cxxopts::value<std::vector<std::string>>()->default_value({}))(
+        "check-settings", "check the settings and stop")("version", "print the version")("h,help", "print this page");
+    std::string              file;
+    std::vector<std::string> overrides;
+    bool                     check_only = false;
+    try
+    {
+        const auto args = options.parse(argc, argv);
+        if (args.count("help") > 0)
+        {
+            std::cout << options.help();
+            PrintSettings(specs);
+            return 0;
+        }
+        if (args.count("version") > 0)
+        {
+            std::cout << program << " " << kVersion << "\n";
+            return 0;
+        }
+        file       = args["settings"].as<std::string>();
+        overrides  = args.count("set") > 0 ? args["set"].as<std::vector<std::string>>() : std::vector<std::string>();
+        check_only = args.count("check-settings") > 0;
+    }
+    catch (const std::exception& e)
+    {
+        std::cerr << program << ": " << e.what() << "\n";
+        return 2;
+    }
+    const std::vector<SettingFault> faults = LoadSettings(file, overrides, specs);
+    for (const SettingFault& f : faults)
+        std::cerr << FormatFault(f) << "\n";
+    if (!faults.empty())
+        return 2;
+    if (check_only)
+    {
+        std::cout << "settings are good\n";
+        return 0;
+    }
+    LogSetup({settings.m_LogFormat == "text" ? LogFormat_Text : LogFormat_Json, ParseLevel(settings.m_LogLevel), std::string(program), settings.m_Name});
+    std::signal(SIGPIPE, SIG_IGN);
+    Daemon       daemon(settings, program);
+    const Status ops = daemon.Start();
+    const Status own = ops ? start(daemon) : ops;
+    if (!own)
+    {
+        LogEvent(Event_ProcessFailed, {{"what", own.error().m_Message}});
+        return 1;
+    }
+    LogEvent(Event_ProcessStarted, {{"version", kVersion}, {"incarnation", daemon.Incarnation()}});
+    return daemon.Run();
+}
+
+void Spawn(asio::io_context& ioc, awaitable<void> task)
+{
+    asio::co_spawn(asio::make_strand(ioc), std::move(task),
+                   [](std::exception_ptr e)
+                   {
+                       if (e)
+                           std::rethrow_exception(e);
+                   });
+}
+
+awaitable<void> SleepFor(Duration d)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, d);
+    co_await timer.async_wait(asio::as_tuple(use_awaitable));
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/process/daemon.h
@@ -0,0 +1,98 @@
+// aldervale: what every long-lived program shares: command line, settings, logs, threads, signals, operations page
+//
+// Usage:
+//   int main(int argc, char** argv)
+//   {
+//       AgentSettings s;
+//       DaemonSettings d;
+//       return RunDaemon(argc, argv, "aldervale-agent", "moves weights, gates traffic", DescribeAgent(s), d,
+//                        [&](Daemon& daemon) { return StartAgent(daemon, s); });
+//   }
+// Exit codes: 0 stopped as asked, 1 failure while running, 2 bad arguments or settings (nothing was started).
+//
+// Index of this file:
+// [SECTION] Settings shared by all daemons
+// [SECTION] Daemon
+
+#pragma once
+#include "connection/http.h"
+#include "process/settings.h"
+#include <boost/json.hpp>
+
+namespace aldervale
+{
+
+namespace json = boost::json;
+
+constexpr std::string_view kVersion = "0.1.0";
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings shared by all daemons
+//-----------------------------------------------------------------------------
+
+struct DaemonSettings
+{
+    std::string m_Name;                    // node name; for agents the Box name [name]
+    std::string m_DataCentre;              // [data_centre]
+    std::string m_OpsListen;               // health, metrics [ops_listen]; empty: none
+    std::string m_LogFormat    = "json";   // [log.format]
+    std::string m_LogLevel     = "info";   // [log.level]
+    int64_t     m_Threads      = 2;        // I/O threads [threads]
+    int64_t     m_DrainMaxMs   = 30'000;   // longest drain after SIGTERM [drain_max_ms]
+};
+
+std::vector<SettingSpec> DescribeDaemon(DaemonSettings& s);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Daemon
+//-----------------------------------------------------------------------------
+
+struct DaemonHooks
+{
+    std::function<bool()>         m_Ready;    // /readyz; also tells the balancer when to send callers elsewhere
+    std::function<void()>         m_Drain;    // SIGTERM: stop taking work; called once
+    std::function<bool()>         m_Drained;  // polled until true or m_DrainMaxMs
+    std::function<json::object()> m_Describe; // extra members of /statusz
+};
+
+class Daemon
+{
+public:
+    Daemon(const DaemonSettings& s, std::string_view program);
+
+    asio::io_context&     Ioc() { return m_Ioc; }
+    const DaemonSettings& Settings() const { return m_Settings; }
+    uint64_t              Incarnation() const { return m_Incarnation; } // differs at every start
+    bool                  Draining() const { return m_Draining.load(); }
+    void                  SetHooks(DaemonHooks hooks) { m_Hooks = std::move(hooks); } // before Run()
+    awaitable<bool>       ServeOps(HttpRequest& req, HttpReply& reply);               // answers /healthz, /readyz, /metrics, /statusz; false: another path
+
+    Status Start(); // listens on m_OpsListen
+    int    Run();   // until a signal; returns the exit code
+
+private:
+    awaitable<void> WaitForSignal();
+    awaitable<void> DrainAndStop();
+
+    DaemonSettings              m_Settings;      //
+    std::string                 m_Program;       //
+    uint64_t                    m_Incarnation;   //
+    asio::io_context            m_Ioc;           //
+    asio::signal_set            m_Signals;       //
+    DaemonHooks                 m_Hooks;         //
+    std::unique_ptr<HttpServer> m_Ops;           // null when no ops_listen
+    std::atomic<bool>           m_Draining{false}; // never goes back to false
+};
+
+using StartFunction = std::function<Status(Daemon&)>;
+
+int RunDaemon(int argc, char** argv, std::string_view program, std::string_view summary, std::vector<SettingSpec> specs, DaemonSettings& settings,
+              const StartFunction& start);
+
+// Runs a coroutine on its own strand; an escaping exception ends the process, as it is a fault of ours.
+void Spawn(asio::io_context& ioc, awaitable<void> task);
+
+// Suspends the calling coroutine.
+awaitable<void> SleepFor(Duration d);
+
+} // namespace aldervale
--- /dev/null
+++ b/src/process/events.h
@@ -0,0 +1,82 @@
+// aldervale: the catalogue of log events
+//
+// Every line that a process logs is one of these. Numbers never change meaning; a retired number is not used again.
+// docs/EVENTS.md is the operators' copy, and a test holds the two against each other.
+// To add one: append it to its block here and to docs/EVENTS.md, then call LogEvent(Event_Name, {...}).
+
+#pragma once
+#include <string_view>
+
+namespace aldervale
+{
+
+// X(number, name, level, text)
+#define ALDERVALE_EVENTS(X)                                                                                                                          \
+    X(1001, ProcessStarted, Info, "process started")                                                                                                 \
+    X(1002, ProcessDraining, Info, "termination asked for; draining")                                                                                \
+    X(1003, ProcessStopped, Info, "process stopped")                                                                                                 \
+    X(1004, ProcessFailed, Error, "process can't go on")                                                                                             \
+    X(1005, HandlerFailed, Error, "a request handler failed; its connection is closed")                                                             \
+    X(1101, LinkUp, Info, "link to a peer established")                                                                                              \
+    X(1102, LinkDown, Warn, "link to a peer lost")                                                                                                   \
+    X(1103, LinkRefused, Warn, "peer refused: bad frame or newer schema")                                                                            \
+    X(1104, FrameUnknownExchange, Debug, "frame for an unknown or finished exchange dropped")                                                        \
+    X(1201, ConfigInForce, Info, "configuration revision in force")                                                                                  \
+    X(1202, ConfigAccepted, Info, "configuration change accepted")                                                                                   \
+    X(1203, ConfigRefused, Warn, "configuration change refused")                                                                                     \
+    X(1204, StoreUnreachable, Warn, "table service can't be reached")                                                                                \
+    X(1205, StoreBack, Info, "table service reached again")                                                                                          \
+    X(1206, WriteSettled, Warn, "lost write answer settled by reading")                                                                              \
+    X(1207, ReadyGateOpen, Info, "newest configuration known; process is ready")                                                                     \
+    X(1301, LeaseTaken, Info, "controller lease taken")                                                                                              \
+    X(1302, LeaseLost, Warn, "controller lease lost or given up")                                                                                    \
+    X(1303, OrderSent, Info, "order sent")                                                                                                           \
+    X(1304, OrderRefused, Warn, "order refused: outdated fencing number")                                                                            \
+    X(1305, OrderDone, Info, "order carried out")                                                                                                    \
+    X(1306, RolloutHalted, Warn, "rollout halted: a wave is failing")                                                                                \
+    X(1307, RolloutRolledBack, Warn, "rollout rolled back to the previous version")                                                                  \
+    X(1401, VersionFetchStarted, Info, "fetch of a version started")                                                                                 \
+    X(1402, VersionVerified, Info, "all chunks of a version verified")                                                                               \
+    X(1403, VersionServable, Info, "version servable on this box")                                                                                   \
+    X(1404, VersionDropped, Info, "version dropped from this box")                                                                                   \
+    X(1405, ChunkCorrupt, Warn, "chunk failed its digest and was thrown away")                                                                       \
+    X(1406, PeerSetAside, Warn, "peer set aside after corrupt chunks")                                                                               \
+    X(1407, ManifestRefused, Error, "manifest doesn't match its digest or is malformed")                                                             \
+    X(1408, StagingFull, Error, "staging bound reached; version refused")                                                                            \
+    X(1409, EngineLoadFailed, Error, "engine refused or failed a load")                                                                              \
+    X(1410, OriginUnreachable, Warn, "weight store can't be reached")                                                                                \
+    X(1501, RequestRefused, Debug, "request refused")                                                                                                \
+    X(1502, RequestRetried, Debug, "request tried again on another box")                                                                             \
+    X(1503, AnswerBroken, Warn, "answer broken off before its end")                                                                                  \
+    X(1504, KeyReplayed, Info, "repeated key answered from the journal")                                                                             \
+    X(1505, KeyBeforeHorizon, Warn, "key older than the journal; may have run")                                                                      \
+    X(1506, BoxLeaving, Info, "box takes no new work")                                                                                               \
+    X(1601, AccountingFlushed, Debug, "accounting window flushed")                                                                                   \
+    X(1602, AccountingDelayed, Warn, "accounting window kept: table service can't be reached")
+
+enum EventLevel
+{
+    EventLevel_Debug,
+    EventLevel_Info,
+    EventLevel_Warn,
+    EventLevel_Error,
+};
+
+enum Event
+{
+#define X(num, name, level, text) Event_##name = num,
+    ALDERVALE_EVENTS(X)
+#undef X
+};
+
+struct EventInfo
+{
+    Event            m_Event; // number
+    std::string_view m_Name;  // identifier, such as "LeaseTaken"
+    EventLevel       m_Level; //
+    std::string_view m_Text;  // for people
+};
+
+const EventInfo& GetEventInfo(Event e); // asserts on a number that is not in the catalogue
+
+} // namespace aldervale
--- /dev/null
+++ b/src/process/pch.h
@@ -0,0 +1,22 @@
+// Precompiled header: the slow third-party headers that most files need. Beast is left out: only src/connection/http_*.cpp include it.
+#pragma once
+#include <algorithm>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <boost/outcome.hpp>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+#include "wire_generated.h"
--- /dev/null
+++ b/src/request/retry.h
@@ -0,0 +1,71 @@
+// aldervale: when a failed attempt may be made again
+//
+// Pure. A retry needs all of: the verdict allows it (NotRun always, MayHaveRun only for repeatable requests of which no byte of answer
+// reached the caller), time before the deadline, attempts left, and a token of the budget. The budget gains a part of a token with each
+// request, so that retries can't multiply an overload.
+
+#pragma once
+#include "process/clock.h"
+#include "request/verdict.h"
+#include <algorithm>
+#include <mutex>
+
+namespace aldervale
+{
+
+struct RetryConfig
+{
+    unsigned m_MaxAttempts = 3;                 // first one included
+    double   m_PerRequest  = 0.2;               // tokens gained with each request
+    double   m_BudgetMax   = 20;                // tokens that may gather
+    Duration m_MinLeft     = milliseconds(5);   // time before the deadline below which no attempt is begun
+};
+
+class RetryBudget // thread-safe
+{
+public:
+    explicit RetryBudget(const RetryConfig& cfg) : m_Config(cfg), m_Tokens(cfg.m_BudgetMax) {}
+
+    void OnRequest()
+    {
+        std::lock_guard lock(m_Mutex);
+        m_Tokens = std::min(m_Config.m_BudgetMax, m_Tokens + m_Config.m_PerRequest);
+    }
+
+    bool TryTake()
+    {
+        std::lock_guard lock(m_Mutex);
+        if (m_Tokens < 1)
+            return false;
+        m_Tokens -= 1;
+        return true;
+    }
+
+    const RetryConfig& Config() const { return m_Config; }
+
+private:
+    RetryConfig m_Config; //
+    std::mutex  m_Mutex;  // guards m_Tokens
+    double      m_Tokens; // 0 to m_BudgetMax
+};
+
+struct AttemptOutcome
+{
+    Verdict  m_Verdict    = Verdict_NotRun; //
+    bool     m_Repeatable = false;          // by the service's declaration
+    bool     m_AnswerBegun = false;         // a byte of the answer reached the caller
+    unsigned m_Attempts   = 1;              // made so far
+};
+
+inline bool MayRetry(const AttemptOutcome& o, TimePoint deadline, TimePoint now, RetryBudget& budget)
+{
+    if (o.m_AnswerBegun || o.m_Verdict == Verdict_Ran)
+        return false;
+    if (o.m_Verdict == Verdict_MayHaveRun && !o.m_Repeatable)
+        return false;
+    if (o.m_Attempts >= budget.Config().m_MaxAttempts || deadline - now < budget.Config().m_MinLeft)
+        return false;
+    return budget.TryTake();
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/version/exchange.cpp
@@ -0,0 +1,307 @@
+// Chunk exchange decisions. See exchange.h.
+#include "version/exchange.h"
+#include <algorithm>
+#include <boost/assert.hpp>
+
+namespace aldervale
+{
+
+Exchange::Exchange(ManifestPtr manifest, const ExchangeConfig& cfg, std::vector<std::string> members, std::string self, std::vector<uint32_t> present, TimePoint now)
+    : m_Manifest(std::move(manifest)), m_Config(cfg), m_Salt(Hash64(self)), m_StartedAt(now)
+{
+    const uint32_t n = m_Manifest->m_ChunkCount;
+    for (const size_t i : RendezvousOrder(m_Manifest->m_Digest, members))
+        m_Members.push_back(members[i]);
+    for (size_t i = 0; i < m_Members.size(); i++)
+        if (m_Members[i] == self)
+            m_Self = i;
+    m_Have.assign(n, false);
+    m_Flying.assign(n, 0);
+    m_Holders.assign(n, 0);
+    m_Order.resize(n);
+    for (uint32_t c = 0; c < n; c++)
+        m_Order[c] = TieBreak(c);
+    for (const uint32_t c : present)
+    {
+        BOOST_ASSERT_MSG(c < n, "present chunk out of range");
+        m_HaveCount += m_Have[c] ? 0 : 1;
+        m_Have[c] = true;
+    }
+}
+
+uint64_t Exchange::TieBreak(uint32_t chunk) const
+{
+    return (chunk + 1) * 0x9E3779B97F4A7C15ull ^ m_Salt * 0xC2B2AE3D27D4EB4Full; // Fibonacci hashing; salted by the box
+}
+
+//-----------------------------------------------------------------------------
+// Neighbours
+//-----------------------------------------------------------------------------
+
+void Exchange::OnPeerUp(const std::string& peer, bool same_data_centre)
+{
+    Peer& p            = m_Peers[peer];
+    p.m_SameDataCentre = same_data_centre;
+    if (p.m_Up)
+        return;
+    p.m_Up = true;
+    p.m_Have.assign(m_Manifest->m_ChunkCount, false);
+    p.m_PausedUntil = {};
+}
+
+void Exchange::OnPeerDown(const std::string& peer)
+{
+    const auto it = m_Peers.find(peer);
+    if (it == m_Peers.end() || !it->second.m_Up)
+        return;
+    Peer& p = it->second;
+    p.m_Up  = false;
+    if (p.m_Corrupt >= m_Config.m_CorruptMax)
+        return; // its chunks were taken off when it was set aside
+    for (uint32_t c = 0; c < p.m_Have.size(); c++)
+        m_Holders[c] -= p.m_Have[c] ? 1 : 0;
+}
+
+void Exchange::OnHave(const std::string& peer, std::span<const uint32_t> added, bool whole)
+{
+    const auto it = m_Peers.find(peer);
+    if (it == m_Peers.end() || !it->second.m_Up || it->second.m_Corrupt >= m_Config.m_CorruptMax)
+        return;
+    Peer&      p    = it->second;
+    const auto mark = [&](uint32_t c)
+    {
+        if (c >= p.m_Have.size() || p.m_Have[c])
+            return;
+        p.m_Have[c] = true;
+        m_Holders[c]++;
+    };
+    for (const uint32_t c : added)
+        mark(c);
+    for (uint32_t c = 0; whole && c < p.m_Have.size(); c++)
+        mark(c);
+}
+
+void Exchange::OnMemberGone(const std::string& member, bool gone)
+{
+    const auto it = std::find(m_Members.begin(), m_Members.end(), member);
+    if (it == m_Members.end())
+        return;
+    const size_t i = static_cast<size_t>(it - m_Members.begin());
+    if (gone && i != m_Self)
+        m_GoneMembers.insert(i);
+    else
+        m_GoneMembers.erase(i);
+}
+
+bool Exchange::Usable(const Peer& p, TimePoint now) const
+{
+    return p.m_Up && p.m_Corrupt < m_Config.m_CorruptMax && p.m_InFlight < m_Config.m_PerPeer && now >= p.m_PausedUntil;
+}
+
+unsigned Exchange::SetAside() const
+{
+    unsigned n = 0;
+    for (const auto& [name, p] : m_Peers)
+        n += p.m_Corrupt >= m_Config.m_CorruptMax ? 1 : 0;
+    return n;
+}
+
+//-----------------------------------------------------------------------------
+// Fetching
+//-----------------------------------------------------------------------------
+
+void Exchange::WakeAt(TimePoint t)
+{
+    if (!m_NextWake || t < *m_NextWake)
+        m_NextWake = t;
+}
+
+// Chunk c starts at member c mod n and goes on with the next; members known dead don't count, so the ones behind them move up.
+// Walking back from the own place gives the chunks of rank 0, 1, ... without looking at all chunks for each.
+std::optional<uint32_t> Exchange::BestFromOrigin(TimePoint now)
+{
+    std::optional<uint32_t> best;
+    const auto              consider = [&](uint32_t c)
+    {
+        const bool wanted = !m_Have[c] && m_Flying[c] == 0 && m_Holders[c] == 0;
+        if (wanted && (!best || m_Order[c] < m_Order[*best]))
+            best = c;
+    };
+    if (m_Config.m_Mode == ExchangeMode_OriginOnly || (m_Config.m_Mode == ExchangeMode_Chain && m_Self == 0))
+        for (uint32_t c = 0; c < m_Have.size(); c++)
+            consider(c);
+    if (m_Config.m_Mode != ExchangeMode_Spread || m_Self == SIZE_MAX)
+        return best;
+    const size_t n    = m_Members.size();
+    size_t       rank = 0;
+    for (size_t back = 0; back < n; back++)
+    {
+        const size_t first = (m_Self + n - back) % n;
+        const bool   gone  = m_GoneMembers.contains(first);
+        // `rank` is the number of live members from `first` up to, and without, the own place.
+        rank += back > 0 && !gone ? 1 : 0;
+        if (rank >= m_Config.m_OriginRanks)
+            break;
+        const TimePoint due = m_StartedAt + static_cast<int>(rank) * m_Config.m_TakeOver;
+        if (now < due)
+        {
+            WakeAt(due);
+            continue;
+        }
+        for (size_t c = first; c < m_Have.size(); c += n)
+            consider(static_cast<uint32_t>(c));
+    }
+    return best;
+}
+
+void Exchange::PickFromOrigin(std::vector<Fetch>& out, TimePoint now)
+{
+    if (now < m_OriginPausedUntil)
+    {
+        WakeAt(m_OriginPausedUntil);
+        return;
+    }
+    while (m_OriginFlying < m_Config.m_OriginSlots)
+    {
+        const std::optional<uint32_t> best = BestFromOrigin(now);
+        if (!best)
+            return;
+        m_OriginFlying++;
+        m_Flying[*best]++;
+        out.push_back({*best, {}, false});
+    }
+}
+
+void Exchange::PickFromPeers(std::vector<Fetch>& out, TimePoint now)
+{
+    if (m_Config.m_Mode == ExchangeMode_OriginOnly)
+        return;
+    while (m_DownloadsFlying < m_Config.m_DownloadSlots)
+    {
+        std::vector<std::pair<const std::string*, Peer*>> usable;
+        for (auto& [name, p] : m_Peers)
+        {
+            if (Usable(p, now))
+                usable.emplace_back(&name, &p);
+            else if (p.m_Up && now < p.m_PausedUntil)
+                WakeAt(p.m_PausedUntil);
+        }
+        std::optional<uint32_t> best;
+        const auto              better = [&](uint32_t a, uint32_t b) { return m_Holders[a] != m_Holders[b] ? m_Holders[a] < m_Holders[b] : m_Order[a] < m_Order[b]; };
+        for (uint32_t c = 0; c < m_Have.size(); c++)
+        {
+            if (m_Have[c] || m_Flying[c] > 0 || m_Holders[c] == 0 || (best && !better(c, *best)))
+                continue;
+            const bool offered = std::any_of(usable.begin(), usable.end(), [&](const auto& u) { return u.second->m_Have[c]; });
+            if (offered)
+                best = c;
+        }
+        if (!best)
+            return;
+        std::pair<const std::string*, Peer*> source{nullptr, nullptr};
+        const auto                           cost = [&](const auto& u)
+        { return std::tuple(!u.second->m_SameDataCentre, u.second->m_InFlight, Hash64(*u.first, m_Salt + *best)); };
+        for (const auto& u : usable)
+            if (u.second->m_Have[*best] && (source.second == nullptr || cost(u) < cost(source)))
+                source = u;
+        source.second->m_InFlight++;
+        m_DownloadsFlying++;
+        m_Flying[*best]++;
+        out.push_back({*best, *source.first, m_Holders[*best] == 1});
+    }
+}
+
+std::vector<Fetch> Exchange::Next(TimePoint now)
+{
+    std::vector<Fetch> out;
+    m_NextWake.reset();
+    if (Complete())
+        return out;
+    PickFromOrigin(out, now);
+    PickFromPeers(out, now);
+    return out;
+}
+
+void Exchange::OnChunk(uint32_t chunk, const std::string& peer, ChunkOutcome outcome, TimePoint now)
+{
+    BOOST_ASSERT_MSG(chunk < m_Have.size() && m_Flying[chunk] > 0, "OnChunk() for a chunk that was not in flight");
+    m_Flying[chunk]--;
+    const uint64_t length = PlaceOf(*m_Manifest, chunk).m_Length;
+    if (outcome == ChunkOutcome_Good && !m_Have[chunk])
+    {
+        m_Have[chunk] = true;
+        m_HaveCount++;
+    }
+    if (peer.empty())
+    {
+        m_OriginFlying--;
+        if (outcome == ChunkOutcome_Good)
+            m_BytesOrigin += length;
+        else
+            m_OriginPausedUntil = now + m_Config.m_OriginPause;
+        return;
+    }
+    m_DownloadsFlying--;
+    Peer& p = m_Peers[peer];
+    p.m_InFlight--;
+    switch (outcome)
+    {
+    case ChunkOutcome_Good:
+        m_BytesPeers += length;
+        return;
+    case ChunkOutcome_Corrupt:
+        p.m_Corrupt++;
+        if (p.m_Corrupt == m_Config.m_CorruptMax && p.m_Up)
+            for (uint32_t c = 0; c < p.m_Have.size(); c++)
+                m_Holders[c] -= p.m_Have[c] ? 1 : 0;
+        return;
+    case ChunkOutcome_Busy:
+        p.m_PausedUntil = now + m_Config.m_BusyPause;
+        return;
+    case ChunkOutcome_Missing:
+        if (p.m_Up && p.m_Corrupt < m_Config.m_CorruptMax && p.m_Have[chunk])
+        {
+            p.m_Have[chunk] = false;
+            m_Holders[chunk]--;
+        }
+        return;
+    case ChunkOutcome_Failed:
+        p.m_PausedUntil = now + m_Config.m_StallPause;
+        return;
+    }
+}
+
+std::vector<uint32_t> Exchange::HaveList() const
+{
+    std::vector<uint32_t> out;
+    for (uint32_t c = 0; c < m_Have.size(); c++)
+        if (m_Have[c])
+            out.push_back(c);
+    return out;
+}
+
+//-----------------------------------------------------------------------------
+// Serving
+//-----------------------------------------------------------------------------
+
+bool Exchange::AdmitUpload(uint64_t bytes, bool urgent)
+{
+    if (m_UploadsFlying >= m_Config.m_UploadSlots)
+        return false;
+    const double budget = m_Config.m_UploadBudget * static_cast<double>(m_Manifest->m_Size);
+    if (!urgent && static_cast<double>(m_BytesUploaded + bytes) > budget)
+        return false;
+    m_UploadsFlying++;
+    m_BytesUploaded += bytes;
+    return true;
+}
+
+void Exchange::OnUploadDone(uint64_t bytes, bool sent)
+{
+    BOOST_ASSERT_MSG(m_UploadsFlying > 0, "OnUploadDone() without AdmitUpload()");
+    m_UploadsFlying--;
+    if (!sent)
+        m_BytesUploaded -= bytes;
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/version/manifest.h
@@ -0,0 +1,73 @@
+// aldervale: manifests, the exact description of a model version or adapter
+//
+// A manifest lists shards; each shard is cut into chunks of m_ChunkSize (the last may be shorter) with a SHA-256 each. The digest of a
+// manifest is the SHA-256 of its JSON text, byte by byte; declarations pin it. Chunks are numbered over all shards in order.
+//
+// Usage:
+//   Result<Manifest> m = ParseManifest(text, expected_digest);
+//   ChunkPlace p = PlaceOf(m, index);                    // shard, offset, length
+//
+// Text form: {"model": "atlas", "version": "7", "base": "<digest>"?, "chunk_size": 262144,
+//             "shards": [{"name": "shard-0", "size": 67108864, "chunks": ["<sha256>", ...]}]}
+
+#pragma once
+#include "process/hash.h"
+#include "request/verdict.h"
+#include <memory>
+#include <vector>
+
+namespace aldervale
+{
+
+constexpr uint64_t kChunkSizeMin = 4 * 1024;        // bytes
+constexpr uint64_t kChunkSizeMax = 4 * 1024 * 1024; // bytes; half of kFrameMax
+constexpr size_t   kChunksMax    = 4 * 1024 * 1024; // of one manifest
+
+struct ManifestShard
+{
+    std::string         m_Name;       // file name, without '/'
+    uint64_t            m_Size = 0;   // bytes, over 0
+    std::vector<Digest> m_Chunks;     // invariant: m_Chunks.size() == ceil(m_Size / chunk size)
+    uint32_t            m_First = 0;  // number of its first chunk
+};
+
+struct Manifest
+{
+    std::string                m_Digest;        // hex SHA-256 of m_Text
+    std::string                m_Text;          // JSON
+    std::string                m_Model;         //
+    std::string                m_Version;       //
+    std::string                m_Base;          // adapters: digest of the manifest they go on; empty for versions
+    uint64_t                   m_ChunkSize = 0; // bytes
+    std::vector<ManifestShard> m_Shards;        // at least one
+    uint32_t                   m_ChunkCount = 0; // over all shards
+    uint64_t                   m_Size       = 0; // bytes over all shards
+};
+using ManifestPtr = std::shared_ptr<const Manifest>;
+
+struct ChunkPlace
+{
+    uint32_t m_Shard  = 0; // index into m_Shards
+    uint64_t m_Offset = 0; // bytes into the shard
+    uint64_t m_Length = 0; // bytes
+};
+
+Result<ManifestPtr> ParseManifest(std::string_view text, std::string_view expected_digest); // expected "": take any
+ChunkPlace          PlaceOf(const Manifest& m, uint32_t chunk);                             // asserts chunk < m_ChunkCount
+const Digest&       ChunkDigest(const Manifest& m, uint32_t chunk);
+
+// The part of a manifest that box `position` of a replica of `count` boxes holds: every count-th shard, renumbered. Its m_Digest gets
+// the suffix "~position-count"; slice 0 of 1 is the manifest itself.
+ManifestPtr      SliceManifest(const ManifestPtr& m, size_t position, size_t count);
+std::string      SliceDigest(std::string_view digest, size_t position, size_t count);
+std::string_view WholeDigest(std::string_view slice); // without the suffix
+
+struct ManifestInput // one shard's bytes, for MakeManifest()
+{
+    std::string              m_Name;  //
+    std::span<const uint8_t> m_Bytes; //
+};
+
+std::string MakeManifest(std::string_view model, std::string_view version, std::string_view base, uint64_t chunk_size, std::span<const ManifestInput> shards);
+
+} // namespace aldervale
--- /dev/null
+++ b/src/version/token_bucket.h
@@ -0,0 +1,75 @@
+// aldervale: a token bucket over bytes or requests; pure, the caller gives the time
+//
+// Usage:
+//   TokenBucket b(8 * 1024 * 1024, 256 * 1024, now);    // bytes a second, burst
+//   TimePoint go = b.Reserve(262144, now);              // always granted; wait until `go`, in order of asking
+
+#pragma once
+#include "process/clock.h"
+#include <algorithm>
+
+namespace aldervale
+{
+
+class TokenBucket
+{
+public:
+    TokenBucket(double rate, double burst, TimePoint now) : m_Rate(rate), m_Burst(burst), m_Tokens(burst), m_At(now) {}
+
+    // Takes n tokens, going into debt; returns when the debt is paid off. A rate of 0 means no limit.
+    TimePoint Reserve(double n, TimePoint now)
+    {
+        if (m_Rate <= 0)
+            return now;
+        Refill(now);
+        m_Tokens -= n;
+        return m_Tokens >= 0 ? now : now + FromSeconds(-m_Tokens / m_Rate);
+    }
+
+    // Takes n tokens only if they are there.
+    bool TryTake(double n, TimePoint now)
+    {
+        if (m_Rate <= 0)
+            return true;
+        Refill(now);
+        if (m_Tokens < n)
+            return false;
+        m_Tokens -= n;
+        return true;
+    }
+
+    // When n tokens will be there.
+    TimePoint AvailableAt(double n, TimePoint now)
+    {
+        if (m_Rate <= 0)
+            return now;
+        Refill(now);
+        return m_Tokens >= n ? now : now + FromSeconds((n - m_Tokens) / m_Rate);
+    }
+
+    void SetRate(double rate, double burst, TimePoint now)
+    {
+        Refill(now);
+        m_Rate   = rate;
+        m_Burst  = burst;
+        m_Tokens = std::min(m_Tokens, burst);
+    }
+
+    double Rate() const { return m_Rate; }
+
+private:
+    void Refill(TimePoint now)
+    {
+        if (now <= m_At)
+            return;
+        m_Tokens = std::min(m_Burst, m_Tokens + m_Rate * ToSeconds(now - m_At));
+        m_At     = now;
+    }
+
+    double    m_Rate;   // tokens a second; 0: no limit
+    double    m_Burst;  // tokens that may gather
+    double    m_Tokens; // below 0: debt
+    TimePoint m_At;     // time of the last refill; never falls
+};
+
+} // namespace aldervale
--- /dev/null
+++ b/src/version/transfer.cpp
@@ -0,0 +1,520 @@
+// One version on its way to, and out of, this box: the coroutines around Exchange. See transfer_internal.h.
+#include "process/log.h"
+#include "version/transfer_internal.h"
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr auto   kManifestTimeout  = milliseconds(3000); // one read from the origin
+constexpr auto   kManifestAsk      = milliseconds(500);  // one question to a neighbour
+constexpr auto   kManifestFallback = milliseconds(3000); // without an answer from neighbours, ask the origin after this
+constexpr auto   kRetryPause       = milliseconds(200);
+constexpr auto   kHaveEvery        = milliseconds(40);   // HaveUpdates are batched this long
+constexpr auto   kWatchEvery       = milliseconds(500);
+constexpr auto   kStuckAfter       = milliseconds(3000); // nothing moved for this long: look beyond the scope
+constexpr size_t kManifestReaders  = 3;                  // members of a scope that read the manifest from the origin at once
+constexpr size_t kOutsidePerDc     = 2;                  // boxes of each other data centre tried when stuck
+constexpr size_t kRemotePerDc      = 2;                  // boxes of each other data centre in the scope
+
+} // namespace
+
+Transfer::Transfer(std::shared_ptr<TransferShared> shared, std::string placement, std::string slice, size_t position, size_t count)
+    : m_Shared(std::move(shared)), m_Placement(std::move(placement)), m_Slice(std::move(slice)), m_Position(position), m_Count(count), m_StartedAt(Now()),
+      m_LastProgress(m_StartedAt)
+{
+}
+
+void Transfer::Start(std::function<void(Status)> done)
+{
+    {
+        std::lock_guard lock(m_Mutex);
+        m_Done = std::move(done);
+    }
+    Spawn(m_Shared->m_Daemon.Ioc(), [](std::shared_ptr<Transfer> self) -> awaitable<void> { co_await self->Run(); }(shared_from_this()));
+}
+
+void Transfer::Stop()
+{
+    std::lock_guard lock(m_Mutex);
+    m_Stopped = true;
+    m_Done    = nullptr;
+}
+
+void Transfer::Release()
+{
+    ManifestPtr m;
+    {
+        std::lock_guard lock(m_Mutex);
+        if (!m_Reserved)
+            return;
+        m_Reserved = false;
+        m          = m_Manifest;
+    }
+    m_Shared->m_Staging.Release(*m);
+}
+
+ManifestPtr Transfer::GetManifest() const
+{
+    std::lock_guard lock(m_Mutex);
+    return m_Manifest;
+}
+
+std::string Transfer::WholeText() const
+{
+    std::lock_guard lock(m_Mutex);
+    return m_WholeText;
+}
+
+void Transfer::Finish(Status s)
+{
+    std::function<void(Status)> done;
+    {
+        std::lock_guard lock(m_Mutex);
+        done = std::exchange(m_Done, nullptr);
+        if (s)
+        {
+            m_Verified = true;
+            m_Seconds  = ToSeconds(Now() - m_StartedAt);
+        }
+    }
+    if (done)
+        done(std::move(s));
+}
+
+//-----------------------------------------------------------------------------
+// Neighbours
+//-----------------------------------------------------------------------------
+
+// Boxes at the same position of their replicas: they hold the same slice.
+std::vector<std::string> Transfer::SliceMembers(bool whole_fleet) const
+{
+    const ConfigPtr          c    = m_Shared->m_Node.Config();
+    const std::string&       self = m_Shared->m_Daemon.Settings().m_Name;
+    std::vector<std::string> out;
+    const auto               p = c->m_Placements.find(m_Placement);
+    if (p == c->m_Placements.end())
+        return {self};
+    const std::vector<std::string> scope = ScopeMembers(*c, m_Placement, self);
+    const std::set<std::string>    in_scope(scope.begin(), scope.end());
+    for (const auto& [dc, n] : p->second.m_Spec.m_Replicas)
+    {
+        const std::vector<std::string> boxes = AssignBoxes(*c, m_Placement, dc);
+        for (size_t i = m_Position; i < boxes.size(); i += m_Count)
+            if (whole_fleet || in_scope.contains(boxes[i]))
+                out.push_back(boxes[i]);
+    }
+    if (std::find(out.begin(), out.end(), self) == out.end())
+        out.push_back(self);
+    return out;
+}
+
+void Transfer::DialNeighbours(bool outside_scope)
+{
+    const ConfigPtr    c    = m_Shared->m_Node.Config();
+    const std::string& self = m_Shared->m_Daemon.Settings().m_Name;
+    const std::string& dc   = m_Shared->m_Daemon.Settings().m_DataCentre;
+    const std::vector<std::string> members = SliceMembers(outside_scope);
+    std::map<std::string, size_t>  taken; // by data centre
+    for (const size_t i : RendezvousOrder(self + m_Slice, members))
+    {
+        const auto box = c->m_Boxes.find(members[i]);
+        if (members[i] == self || box == c->m_Boxes.end())
+            continue;
+        const std::string& box_dc = box->second.m_Spec.m_DataCentre;
+        const size_t       most   = box_dc == dc ? static_cast<size_t>(m_Shared->m_Settings.m_Neighbours) : outside_scope ? kOutsidePerDc : kRemotePerDc;
+        if (taken[box_dc]++ < most)
+            m_Shared->m_Node.KeepLink(ParseEndpoint(box->second.m_Spec.m_Address).value());
+    }
+    {
+        std::lock_guard lock(m_Mutex);
+        auto&           set = outside_scope ? m_Outside : m_Members;
+        set.insert(members.begin(), members.end());
+    }
+    for (const LinkPtr& link : m_Shared->m_Node.Links(wire::PeerRole::Agent))
+        AddNeighbour(link);
+}
+
+void Transfer::AddNeighbour(const LinkPtr& link)
+{
+    const LinkPeer peer = link->Peer();
+    {
+        std::lock_guard lock(m_Mutex);
+        if (m_Stopped || (!m_Members.contains(peer.m_Name) && !m_Outside.contains(peer.m_Name)))
+            return;
+        if (m_Exchange)
+            m_Exchange->OnPeerUp(peer.m_Name, peer.m_DataCentre == m_Shared->m_Daemon.Settings().m_DataCentre);
+    }
+    SendHave(link, true);
+}
+
+void Transfer::OnLinkUp(const LinkPtr& link)
+{
+    AddNeighbour(link);
+}
+
+void Transfer::OnLinkDown(const LinkPtr& link)
+{
+    const LinkPtr other = m_Shared->m_Node.FindLink(link->Peer().m_Name);
+    std::lock_guard lock(m_Mutex);
+    if (m_Exchange && !other)
+        m_Exchange->OnPeerDown(link->Peer().m_Name);
+}
+
+void Transfer::SendHave(const LinkPtr& link, bool reply)
+{
+    wire::HaveUpdateT msg;
+    {
+        std::lock_guard lock(m_Mutex);
+        msg.digest = m_Slice;
+        msg.reply  = reply;
+        msg.whole  = m_Exchange && m_Exchange->Complete();
+        if (m_Exchange && !msg.whole)
+            msg.added = m_Exchange->HaveList();
+    }
+    link->Send(EncodeFrame(0, msg));
+}
+
+void Transfer::OnHave(const LinkPtr& link, const wire::HaveUpdate& msg)
+{
+    const LinkPeer peer = link->Peer();
+    {
+        std::lock_guard lock(m_Mutex);
+        if (m_Exchange && (m_Members.contains(peer.m_Name) || m_Outside.contains(peer.m_Name)))
+        {
+            m_Exchange->OnPeerUp(peer.m_Name, peer.m_DataCentre == m_Shared->m_Daemon.Settings().m_DataCentre);
+            std::span<const uint32_t> added;
+            if (msg.added() != nullptr)
+                added = std::span(msg.added()->data(), msg.added()->size());
+            m_Exchange->OnHave(peer.m_Name, added, msg.whole());
+        }
+    }
+    if (msg.reply())
+        SendHave(link, false);
+    Pump();
+}
+
+awaitable<void> Transfer::HaveLoop()
+{
+    for (;;)
+    {
+        co_await SleepFor(kHaveEvery);
+        wire::HaveUpdateT     msg;
+        std::set<std::string> to;
+        {
+            std::lock_guard lock(m_Mutex);
+            if (m_Stopped)
+                co_return;
+            if (m_NewHave.empty())
+                continue;
+            msg.digest = m_Slice;
+            msg.whole  = m_Exchange->Complete();
+            if (!msg.whole)
+                msg.added = m_NewHave;
+            m_NewHave.clear();
+            to = m_Members;
+            to.insert(m_Outside.begin(), m_Outside.end());
+        }
+        const FrameBytes frame = EncodeFrame(0, msg);
+        for (const LinkPtr& link : m_Shared->m_Node.Links(wire::PeerRole::Agent))
+            if (to.contains(link->Peer().m_Name))
+                link->Send(frame);
+        if (msg.whole)
+            co_return;
+    }
+}
+
+// Wakes the exchange when time alone changes what it may do, and looks beyond the scope when nothing moves.
+awaitable<void> Transfer::WatchLoop()
+{
+    bool outside = false;
+    for (;;)
+    {
+        Duration pause = kWatchEvery;
+        bool     stuck = false;
+        {
+            std::lock_guard lock(m_Mutex);
+            if (m_Stopped || m_Exchange->Complete())
+                co_return;
+            if (const auto wake = m_Exchange->NextWake())
+                pause = std::clamp<Duration>(*wake - Now(), milliseconds(1), kWatchEvery);
+            stuck = Now() - m_LastProgress > kStuckAfter;
+        }
+        if (stuck && !outside)
+        {
+            outside = true;
+            DialNeighbours(true);
+        }
+        co_await SleepFor(pause);
+        Pump();
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Manifest
+//-----------------------------------------------------------------------------
+
+awaitable<ManifestPtr> Transfer::AskNeighbours()
+{
+    const auto           ex    = co_await asio::this_coro::executor;
+    std::vector<LinkPtr> links = m_Shared->m_Node.Links(wire::PeerRole::Agent);
+    for (const LinkPtr& link : links)
+    {
+        wire::ManifestGetT get;
+        get.digest             = std::string(WholeDigest(m_Slice));
+        const MailboxPtr box   = link->OpenExchange(ex);
+        const bool       sent  = link->Send(EncodeFrame(box->Id(), get));
+        std::optional<FrameBuf> answer;
+        if (sent)
+            answer = co_await box->Pop(Now() + kManifestAsk);
+        link->CloseExchange(box->Id());
+        const wire::ManifestData* data = answer ? answer->Get()->body_as_ManifestData() : nullptr;
+        if (data == nullptr || !data->found() || data->json() == nullptr)
+            continue;
+        auto parsed = ParseManifest(data->json()->string_view(), WholeDigest(m_Slice));
+        if (parsed)
+            co_return parsed.value();
+    }
+    co_return nullptr;
+}
+
+// A few members of the scope read it from the origin; the others ask their neighbours, and the origin only as a last resort.
+awaitable<ManifestPtr> Transfer::ObtainManifest()
+{
+    const std::vector<std::string> members = SliceMembers(false);
+    const std::vector<size_t>      order   = RendezvousOrder(m_Slice, members);
+    bool                           reader  = false;
+    for (size_t i = 0; i < std::min(order.size(), kManifestReaders); i++)
+        reader = reader || members[order[i]] == m_Shared->m_Daemon.Settings().m_Name;
+    for (;;)
+    {
+        {
+            std::lock_guard lock(m_Mutex);
+            if (m_Stopped)
+                co_return nullptr;
+        }
+        if (reader || Now() - m_StartedAt > kManifestFallback)
+        {
+            auto text = co_await m_Shared->m_Store.ReadManifest(std::string(WholeDigest(m_Slice)), Now() + kManifestTimeout);
+            if (text)
+            {
+                auto parsed = ParseManifest(text.value(), WholeDigest(m_Slice));
+                if (parsed)
+                    co_return parsed.value();
+                LogEvent(Event_ManifestRefused, {{"digest", m_Slice}, {"what", parsed.error().m_Message}});
+            }
+            else
+                LogEvent(Event_OriginUnreachable, {{"what", text.error().m_Message}});
+        }
+        ManifestPtr m = co_await AskNeighbours();
+        if (m)
+            co_return m;
+        co_await SleepFor(kRetryPause);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Fetching
+//-----------------------------------------------------------------------------
+
+awaitable<void> Transfer::Run()
+{
+    const auto self = shared_from_this();
+    DialNeighbours(false);
+    const ManifestPtr whole = co_await ObtainManifest();
+    if (!whole)
+        co_return;
+    const ManifestPtr m        = SliceManifest(whole, m_Position, m_Count);
+    const Status      reserved = m_Shared->m_Staging.Reserve(*m);
+    if (!reserved)
+    {
+        LogEvent(Event_StagingFull, {{"digest", m_Slice}, {"what", reserved.error().m_Message}});
+        Finish(reserved.error());
+        co_return;
+    }
+    std::vector<uint32_t> present;
+    for (uint32_t c = 0; c < m->m_ChunkCount; c++)
+        if (m_Shared->m_Staging.Has(ChunkDigest(*m, c)))
+            present.push_back(c);
+    bool stopped = false;
+    bool done    = false;
+    {
+        std::lock_guard lock(m_Mutex);
+        m_Manifest  = m;
+        m_WholeText = whole->m_Text;
+        m_Reserved  = true;
+        m_Exchange  = std::make_unique<Exchange>(m, m_Shared->m_Config, SliceMembers(false), m_Shared->m_Daemon.Settings().m_Name, present, Now());
+        stopped     = m_Stopped;
+        done        = m_Exchange->Complete();
+    }
+    if (stopped)
+    {
+        Release();
+        co_return;
+    }
+    for (const LinkPtr& link : m_Shared->m_Node.Links(wire::PeerRole::Agent))
+        AddNeighbour(link);
+    if (done)
+    {
+        Finish(Ok());
+        co_return;
+    }
+    Spawn(m_Shared->m_Daemon.Ioc(), [](TransferPtr t) -> awaitable<void> { co_await t->HaveLoop(); }(self));
+    Spawn(m_Shared->m_Daemon.Ioc(), [](TransferPtr t) -> awaitable<void> { co_await t->WatchLoop(); }(self));
+    Pump();
+}
+
+void Transfer::Pump()
+{
+    std::vector<Fetch> fetches;
+    ManifestPtr        m;
+    {
+        std::lock_guard lock(m_Mutex);
+        if (m_Stopped || !m_Exchange)
+            return;
+        fetches = m_Exchange->Next(Now());
+        m       = m_Manifest;
+    }
+    for (const Fetch& f : fetches)
+        Spawn(m_Shared->m_Daemon.Ioc(), [](TransferPtr t, Fetch fetch, ManifestPtr manifest) -> awaitable<void>
+              { co_await t->FetchChunk(std::move(fetch), std::move(manifest)); }(shared_from_this(), f, m));
+}
+
+awaitable<void> Transfer::FetchChunk(Fetch f, ManifestPtr m)
+{
+    ChunkOutcome outcome = ChunkOutcome_Failed;
+    if (f.m_Peer.empty())
+        outcome = co_await FetchFromOrigin(f, *m);
+    else
+        outcome = co_await FetchFromPeer(f, *m);
+    bool complete = false;
+    {
+        std::lock_guard lock(m_Mutex);
+        const unsigned  aside = m_Exchange->SetAside();
+        m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, outcome, Now());
+        if (m_Exchange->SetAside() != aside)
+            LogEvent(Event_PeerSetAside, {{"peer", f.m_Peer}, {"digest", m_Slice}});
+        if (outcome == ChunkOutcome_Good)
+        {
+            m_NewHave.push_back(f.m_Chunk);
+            m_LastProgress = Now();
+            complete       = m_Exchange->Complete() && !m_Verified;
+        }
+    }
+    if (complete)
+        Finish(Ok());
+    Pump();
+}
+
+bool Transfer::KeepOrCount(const Fetch& f, const Manifest& m, std::vector<uint8_t> bytes)
+{
+    if (m_Shared->m_Staging.Put(ChunkDigest(m, f.m_Chunk), std::move(bytes)))
+        return true;
+    LogEvent(Event_ChunkCorrupt, {{"digest", m_Slice}, {"chunk", f.m_Chunk}, {"from", f.m_Peer.empty() ? "origin" : f.m_Peer}});
+    return false;
+}
+
+awaitable<ChunkOutcome> Transfer::FetchFromPeer(const Fetch& f, const Manifest& m)
+{
+    const LinkPtr link = m_Shared->m_Node.FindLink(f.m_Peer);
+    if (!link)
+        co_return ChunkOutcome_Failed;
+    wire::ChunkGetT get;
+    get.digest               = m_Slice;
+    get.index                = f.m_Chunk;
+    get.urgent               = f.m_Urgent;
+    const auto       ex      = co_await asio::this_coro::executor;
+    const MailboxPtr box     = link->OpenExchange(ex);
+    const bool       sent    = link->Send(EncodeFrame(box->Id(), get));
+    std::optional<FrameBuf> answer;
+    if (sent)
+        answer = co_await box->Pop(Now() + m_Shared->m_Config.m_ChunkTimeout);
+    link->CloseExchange(box->Id());
+    if (!answer)
+        co_return ChunkOutcome_Failed;
+    if (const wire::ChunkRefused* refused = answer->Get()->body_as_ChunkRefused())
+        co_return refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing;
+    const wire::ChunkData* data = answer->Get()->body_as_ChunkData();
+    if (data == nullptr || data->bytes() == nullptr || data->index() != f.m_Chunk)
+        co_return ChunkOutcome_Corrupt;
+    const TimePoint paid = m_Shared->m_Link.Reserve(data->bytes()->size());
+    std::vector<uint8_t> bytes(data->bytes()->begin(), data->bytes()->end());
+    if (!KeepOrCount(f, m, std::move(bytes)))
+        co_return ChunkOutcome_Corrupt;
+    if (paid > Now())
+        co_await SleepFor(paid - Now());
+    co_return ChunkOutcome_Good;
+}
+
+awaitable<ChunkOutcome> Transfer::FetchFromOrigin(const Fetch& f, const Manifest& m)
+{
+    const ChunkPlace p     = PlaceOf(m, f.m_Chunk);
+    auto             bytes = co_await m_Shared->m_Store.ReadChunk(std::string(WholeDigest(m_Slice)), m.m_Shards[p.m_Shard].m_Name, p, Now() + seconds(20));
+    if (!bytes)
+    {
+        LogEvent(Event_OriginUnreachable, {{"what", bytes.error().m_Message}});
+        co_return ChunkOutcome_Failed;
+    }
+    const TimePoint paid = m_Shared->m_Link.Reserve(static_cast<double>(bytes.value().size()));
+    if (!KeepOrCount(f, m, std::move(bytes.value())))
+        co_return ChunkOutcome_Corrupt;
+    if (paid > Now())
+        co_await SleepFor(paid - Now());
+    co_return ChunkOutcome_Good;
+}
+
+//-----------------------------------------------------------------------------
+// Serving
+//-----------------------------------------------------------------------------
+
+void Transfer::OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& msg)
+{
+    wire::ChunkRefusedT refused;
+    refused.digest = m_Slice;
+    refused.index  = msg.index();
+    ChunkBytes bytes;
+    {
+        std::lock_guard lock(m_Mutex);
+        if (m_Exchange && m_Reserved && msg.index() < m_Manifest->m_ChunkCount && m_Exchange->Has(msg.index()))
+            bytes = m_Shared->m_Staging.Get(ChunkDigest(*m_Manifest, msg.index()));
+        if (bytes && !m_Exchange->AdmitUpload(bytes->size(), msg.urgent()))
+        {
+            refused.busy = true;
+            bytes        = nullptr;
+        }
+    }
+    if (!bytes)
+    {
+        link->Send(EncodeFrame(exchange, refused));
+        return;
+    }
+    Spawn(m_Shared->m_Daemon.Ioc(), [](TransferPtr t, LinkPtr l, uint64_t id, uint32_t index, ChunkBytes b) -> awaitable<void>
+          { co_await t->SendChunk(std::move(l), id, index, std::move(b)); }(shared_from_this(), link, exchange, msg.index(), bytes));
+}
+
+awaitable<void> Transfer::SendChunk(LinkPtr link, uint64_t exchange, uint32_t index, ChunkBytes bytes)
+{
+    const TimePoint go = m_Shared->m_Link.Reserve(static_cast<double>(bytes->size()));
+    if (go > Now())
+        co_await SleepFor(go - Now());
+    const bool sent = link->Send(EncodeChunk(exchange, m_Slice, index, *bytes));
+    std::lock_guard lock(m_Mutex);
+    m_Exchange->OnUploadDone(bytes->size(), sent);
+}
+
+void Transfer::Describe(wire::VersionStatusT& out) const
+{
+    std::lock_guard lock(m_Mutex);
+    out.seconds = static_cast<float>(m_Verified ? m_Seconds : ToSeconds(Now() - m_StartedAt));
+    if (!m_Exchange)
+        return;
+    out.chunks_have    = m_Exchange->HaveCount();
+    out.chunks_total   = m_Manifest->m_ChunkCount;
+    out.bytes_origin   = m_Exchange->BytesFromOrigin();
+    out.bytes_peers    = m_Exchange->BytesFromPeers();
+    out.bytes_uploaded = m_Exchange->BytesUploaded();
+}
+
+} // namespace aldervale
