--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -7,16 +7,16 @@
 {
 
 namespace beast = boost::beast;
-namespace http  = boost::beast::http;
+namespace http = boost::beast::http;
 
 namespace
 {
 
-constexpr auto   kNoThrow        = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kIdlePerEndpoint = 64;                // connections kept
-constexpr auto   kIdleMax        = seconds(10);        // well below the servers' idle timeout
-constexpr size_t kPieceSize      = 64 * 1024;          // bytes of body read at a time
-constexpr auto   kConnectMax     = milliseconds(2000); //
+constexpr auto   kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kIdlePerEndpoint = 64;            // connections kept
+constexpr auto   kIdleMax = seconds(10);           // well below the servers' idle timeout
+constexpr size_t kPieceSize = 64 * 1024;           // bytes of body read at a time
+constexpr auto   kConnectMax = milliseconds(2000); //
 
 using ClientStream = beast::basic_stream<tcp, asio::any_io_executor>;
 
@@ -64,7 +64,7 @@
                 continue;
             boost::system::error_code ec;
             const auto                protocol = idle.m_Socket.local_endpoint(ec).protocol();
-            const auto                handle   = idle.m_Socket.release(ec);
+            const auto                handle = idle.m_Socket.release(ec);
             return tcp::socket(ex, protocol, handle);
         }
         return std::nullopt;
@@ -85,7 +85,8 @@
 class BeastStream : public HttpStream
 {
 public:
-    BeastStream(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c) : m_Impl(std::move(impl)), m_Key(std::move(key)), m_Connection(std::move(c))
+    BeastStream(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c)
+        : m_Impl(std::move(impl)), m_Key(std::move(key)), m_Connection(std::move(c))
     {
         m_Parser.header_limit(64 * 1024);
         m_Parser.body_limit(boost::none);
@@ -113,9 +114,10 @@
         m_Connection->m_Stream.expires_at(deadline);
         m_Parser.get().body().data = m_Piece.data();
         m_Parser.get().body().size = m_Piece.size();
-        auto [ec, n]               = co_await http::async_read_some(m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, kNoThrow);
+        auto [ec, n] = co_await http::async_read_some(m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, kNoThrow);
         if (ec && ec != http::error::need_buffer)
-            co_return MakeError(ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable, "answer broken off: " + ec.message(), {}, Verdict_MayHaveRun);
+            co_return MakeError(ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable, "answer broken off: " + ec.message(), {},
+                                Verdict_MayHaveRun);
         const size_t got = m_Piece.size() - m_Parser.get().body().size;
         if (got == 0 && m_Parser.is_done())
             co_return Done();
@@ -153,7 +155,8 @@
 };
 
 // One attempt on one connection. `sent` tells whether a byte may have left.
-awaitable<Result<HttpStreamPtr>> OpenOn(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c, const HttpRequest& req, TimePoint deadline)
+awaitable<Result<HttpStreamPtr>> OpenOn(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c, const HttpRequest& req,
+                                        TimePoint deadline)
 {
     http::request<http::string_body> msg(http::verb::get, req.m_Target, 11);
     msg.method_string(req.m_Method);
@@ -167,31 +170,33 @@
     c->m_Stream.expires_at(deadline);
     ClientStream& stream = c->m_Stream;
     auto          answer = std::make_unique<BeastStream>(impl, key, std::move(c));
-    auto [ec, n]         = co_await http::async_write(stream, msg, kNoThrow);
+    auto [ec, n] = co_await http::async_write(stream, msg, kNoThrow);
     if (ec && n == 0)
         co_return MakeError(ErrorCode_Unavailable, "request not sent to " + key + ": " + ec.message(), {}, Verdict_NotRun);
     if (ec)
         co_return MakeError(ErrorCode_Unavailable, "request cut off to " + key + ": " + ec.message(), {}, Verdict_MayHaveRun);
     const boost::system::error_code head_ec = co_await answer->ReadHead(deadline);
     if (head_ec)
-        co_return MakeError(head_ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable, "no answer from " + key + ": " + head_ec.message(), {},
-                            Verdict_MayHaveRun);
+        co_return MakeError(head_ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable,
+                            "no answer from " + key + ": " + head_ec.message(), {}, Verdict_MayHaveRun);
     co_return HttpStreamPtr(std::move(answer));
 }
 
 } // namespace
 
-HttpClient::HttpClient() : m_Impl(std::make_shared<Impl>()) {}
+HttpClient::HttpClient() : m_Impl(std::make_shared<Impl>())
+{
+}
 HttpClient::~HttpClient() = default;
 
 awaitable<Result<HttpStreamPtr>> HttpClient::Open(Endpoint to, const HttpRequest& req, TimePoint deadline)
 {
-    const std::string          key  = to.ToString();
-    const auto                 ex   = co_await asio::this_coro::executor;
+    const std::string          key = to.ToString();
+    const auto                 ex = co_await asio::this_coro::executor;
     std::optional<tcp::socket> kept = m_Impl->TakeIdle(key, ex);
     if (!kept)
     {
-        const Duration left   = std::min<Duration>(deadline - Now(), kConnectMax);
+        const Duration left = std::min<Duration>(deadline - Now(), kConnectMax);
         auto           socket = co_await ConnectTcp(to, left);
         if (!socket)
             co_return socket.error();
@@ -208,7 +213,7 @@
     if (!opened)
         co_return opened.error();
     HttpStreamPtr stream = std::move(opened.value());
-    HttpResponse  res    = stream->Head();
+    HttpResponse  res = stream->Head();
     for (;;)
     {
         auto piece = co_await stream->Read(deadline);
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -8,7 +8,7 @@
 {
 
 namespace beast = boost::beast;
-namespace http  = boost::beast::http;
+namespace http = boost::beast::http;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
@@ -16,12 +16,12 @@
 
 struct HttpServer::Impl
 {
-    asio::io_context&            m_Ioc;              //
-    HttpServerConfig             m_Config;           //
-    HttpHandler                  m_Handler;          //
-    std::mutex                   m_Mutex;            // guards m_Acceptor
-    std::optional<tcp::acceptor> m_Acceptor;         // none when not listening
-    std::atomic<bool>            m_Stopping{false};  // never goes back to false
+    asio::io_context&            m_Ioc;             //
+    HttpServerConfig             m_Config;          //
+    HttpHandler                  m_Handler;         //
+    std::mutex                   m_Mutex;           // guards m_Acceptor
+    std::optional<tcp::acceptor> m_Acceptor;        // none when not listening
+    std::atomic<bool>            m_Stopping{false}; // never goes back to false
 
     Impl(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler) : m_Ioc(ioc), m_Config(cfg), m_Handler(std::move(handler)) {}
 };
@@ -49,7 +49,7 @@
         msg.keep_alive(m_KeepAlive);
         msg.prepare_payload();
         m_Stream.expires_after(m_Config.m_SendTimeout);
-        m_Sent       = true;
+        m_Sent = true;
         auto [ec, n] = co_await http::async_write(m_Stream, msg, kNoThrow);
         co_return Outcome(ec);
     }
@@ -63,7 +63,7 @@
         msg.chunked(true);
         http::response_serializer<http::empty_body> ser(msg);
         m_Stream.expires_after(m_Config.m_SendTimeout);
-        m_Sent       = true;
+        m_Sent = true;
         auto [ec, n] = co_await http::async_write_header(m_Stream, ser, kNoThrow);
         co_return Outcome(ec);
     }
@@ -74,7 +74,7 @@
             co_return !m_Broken;
         m_Stream.expires_after(m_Config.m_SendTimeout);
         const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
-        auto [ec, n]     = co_await asio::async_write(m_Stream, chunk, kNoThrow);
+        auto [ec, n] = co_await asio::async_write(m_Stream, chunk, kNoThrow);
         co_return Outcome(ec);
     }
 
@@ -122,7 +122,7 @@
     const HttpServerConfig& m_Config;         //
     bool                    m_KeepAlive;      //
     bool                    m_Broken = false; // a write failed or Abort() was called
-    bool                    m_Sent   = false; // an answer was begun
+    bool                    m_Sent = false;   // an answer was begun
 };
 
 HttpRequest ToRequest(http::request<http::string_body>&& msg)
@@ -166,20 +166,20 @@
         parser.body_limit(impl->m_Config.m_BodyMax);
         stream.expires_after(impl->m_Config.m_ReadTimeout);
         auto [ec, n] = co_await http::async_read(stream, buffer, parser, kNoThrow);
-        if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::operation_aborted || ec == asio::error::connection_reset ||
-            ec == http::error::partial_message)
+        if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::operation_aborted ||
+            ec == asio::error::connection_reset || ec == http::error::partial_message)
             break;
         if (ec)
         {
             BeastReply   bad(stream, impl->m_Config, false);
             HttpResponse res = ErrorResponse(ReadError(ec));
-            res.m_Status     = ReadErrorStatus(ec);
+            res.m_Status = ReadErrorStatus(ec);
             co_await bad.Send(res);
             break;
         }
-        http::request<http::string_body> msg        = parser.release();
+        http::request<http::string_body> msg = parser.release();
         const bool                       keep_alive = msg.keep_alive() && !impl->m_Stopping.load();
-        HttpRequest                      req        = ToRequest(std::move(msg));
+        HttpRequest                      req = ToRequest(std::move(msg));
         BeastReply                       reply(stream, impl->m_Config, keep_alive);
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
@@ -209,7 +209,7 @@
 {
     while (!impl->m_Stopping.load())
     {
-        auto strand       = asio::make_strand(impl->m_Ioc);
+        auto strand = asio::make_strand(impl->m_Ioc);
         auto [ec, socket] = co_await impl->m_Acceptor->async_accept(asio::any_io_executor(strand), kNoThrow);
         if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
             break;
@@ -219,7 +219,8 @@
             co_await pause.async_wait(kNoThrow);
             continue;
         }
-        asio::co_spawn(strand, [impl, s = std::move(socket)]() mutable { return ServeConnection(impl, std::move(s)); }, LogEscaped);
+        asio::co_spawn(
+            strand, [impl, s = std::move(socket)]() mutable { return ServeConnection(impl, std::move(s)); }, LogEscaped);
     }
 }
 
@@ -237,12 +238,13 @@
 
 Status HttpServer::Listen(const Endpoint& at)
 {
-    auto strand   = asio::make_strand(m_Impl->m_Ioc);
+    auto strand = asio::make_strand(m_Impl->m_Ioc);
     auto acceptor = ListenTcp(strand, at);
     if (!acceptor)
         return acceptor.error();
     m_Impl->m_Acceptor.emplace(std::move(acceptor.value()));
-    asio::co_spawn(strand, [impl = m_Impl] { return AcceptLoop(impl); }, asio::detached);
+    asio::co_spawn(
+        strand, [impl = m_Impl] { return AcceptLoop(impl); }, asio::detached);
     return Ok();
 }
 
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-constexpr size_t kReadSize     = 256 * 1024; // bytes asked of the socket at a time
-constexpr size_t kWriteGather  = 32;         // frames handed to one write
+constexpr size_t kReadSize = 256 * 1024; // bytes asked of the socket at a time
+constexpr size_t kWriteGather = 32;      // frames handed to one write
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
@@ -85,8 +85,10 @@
 {
     boost::system::error_code ec;
     m_Socket.set_option(tcp::no_delay(true), ec);
-    asio::co_spawn(m_Socket.get_executor(), [self = shared_from_this()] { return self->ReadLoop(); }, asio::detached);
-    asio::co_spawn(m_Socket.get_executor(), [self = shared_from_this()] { return self->WriteLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_Socket.get_executor(), [self = shared_from_this()] { return self->ReadLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_Socket.get_executor(), [self = shared_from_this()] { return self->WriteLoop(); }, asio::detached);
 }
 
 bool Link::Send(FrameBytes frame)
@@ -177,7 +179,7 @@
 
 void Link::Dispatch(const FrameBuf& frame)
 {
-    const uint64_t id  = frame.Get()->exchange();
+    const uint64_t id = frame.Get()->exchange();
     const bool     own = id != 0 && (id % 2 == 1) == (m_Side == LinkSide_Dialled);
     if (!own)
     {
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -89,11 +89,11 @@
 
 struct LinkPeer
 {
-    std::string    m_Name;                              // node name
-    std::string    m_DataCentre;                        //
-    std::string    m_Address;                           // ip:port it listens on, empty if it doesn't
-    wire::PeerRole m_Role        = wire::PeerRole::Agent; //
-    uint64_t       m_Incarnation = 0;                   // 0 until its Hello arrived
+    std::string    m_Name;                         // node name
+    std::string    m_DataCentre;                   //
+    std::string    m_Address;                      // ip:port it listens on, empty if it doesn't
+    wire::PeerRole m_Role = wire::PeerRole::Agent; //
+    uint64_t       m_Incarnation = 0;              // 0 until its Hello arrived
 };
 
 class Link : public std::enable_shared_from_this<Link>
@@ -103,7 +103,7 @@
 
     void       Start();
     bool       Send(FrameBytes frame); // any thread; false when the link is closed: the frame did not leave
-    uint64_t   NewExchangeId(); // unique within this process, never 0
+    uint64_t   NewExchangeId();        // unique within this process, never 0
     MailboxPtr OpenExchange(asio::any_io_executor ex);
     void       CloseExchange(uint64_t id);
     void       Close(); // any thread
@@ -130,18 +130,18 @@
     LinkHandlers       m_Handlers; //
     asio::steady_timer m_SendWake; // its cancellation wakes WriteLoop()
 
-    std::atomic<bool>          m_Closed{false};  // never goes back to false
-    std::atomic<Duration::rep> m_LastHeard;      // monotonic time of the last bytes read
-    std::atomic<uint64_t>      m_BytesIn{0};     //
-    std::atomic<uint64_t>      m_BytesOut{0};    //
-    std::atomic<uint64_t>      m_Dropped{0};     //
+    std::atomic<bool>          m_Closed{false}; // never goes back to false
+    std::atomic<Duration::rep> m_LastHeard;     // monotonic time of the last bytes read
+    std::atomic<uint64_t>      m_BytesIn{0};    //
+    std::atomic<uint64_t>      m_BytesOut{0};   //
+    std::atomic<uint64_t>      m_Dropped{0};    //
 
     mutable std::mutex                       m_Mutex;             // guards the members below
     std::unordered_map<uint64_t, MailboxPtr> m_Exchanges;         // exchanges that this side opened
     std::deque<FrameBytes>                   m_SendQueue;         //
     size_t                                   m_SendQueueSize = 0; // bytes in m_SendQueue
-    bool                                     m_Writing       = false;
-    LinkPeer                                 m_Peer;              //
+    bool                                     m_Writing = false;
+    LinkPeer                                 m_Peer; //
 };
 
 //-----------------------------------------------------------------------------
@@ -150,14 +150,15 @@
 
 struct Endpoint
 {
-    asio::ip::address m_Address;    // IP number
-    uint16_t          m_Port = 0;   //
+    asio::ip::address m_Address;  // IP number
+    uint16_t          m_Port = 0; //
     std::string       ToString() const;
     bool              operator==(const Endpoint&) const = default;
 };
 
 Result<Endpoint>               ParseEndpoint(std::string_view text); // "127.0.0.1:7000"; names are refused
-awaitable<Result<tcp::socket>> ConnectTcp(Endpoint to, Duration timeout, std::optional<asio::any_io_executor> owner = std::nullopt); // owner: executor of the socket
+awaitable<Result<tcp::socket>> ConnectTcp(Endpoint to, Duration timeout,
+                                          std::optional<asio::any_io_executor> owner = std::nullopt); // owner: executor of the socket
 Result<tcp::acceptor>          ListenTcp(asio::any_io_executor ex, const Endpoint& at);
 
 } // namespace aldervale
--- a/src/platform/box_list.h
+++ b/src/platform/box_list.h
@@ -9,8 +9,8 @@
 class BoxListSource
 {
 public:
-    virtual ~BoxListSource()                                      = default;
-    virtual awaitable<Result<BoxList>> Read(TimePoint deadline)   = 0;
+    virtual ~BoxListSource() = default;
+    virtual awaitable<Result<BoxList>> Read(TimePoint deadline) = 0;
 };
 
 std::unique_ptr<BoxListSource> MakeHttpBoxList(Endpoint at);
--- a/src/platform/table_service_http.cpp
+++ b/src/platform/table_service_http.cpp
@@ -19,7 +19,8 @@
     TableScan scan;
     scan.m_Latest = v.at("latest").to_number<uint64_t>();
     for (const json::value& row : v.at("rows").as_array())
-        scan.m_Rows.push_back({std::string(row.at("key").as_string()), std::string(row.at("value").as_string()), row.at("version").to_number<uint64_t>()});
+        scan.m_Rows.push_back(
+            {std::string(row.at("key").as_string()), std::string(row.at("value").as_string()), row.at("version").to_number<uint64_t>()});
     return scan;
 }
 
@@ -43,7 +44,7 @@
     {
         HttpRequest req;
         req.m_Target = "/v1/scan?prefix=" + prefix + "&after=" + std::to_string(after);
-        auto res     = co_await m_Client.Call(m_At, req, deadline);
+        auto res = co_await m_Client.Call(m_At, req, deadline);
         if (!res)
             co_return res.error();
         if (res.value().m_Status != 200)
@@ -56,8 +57,8 @@
         HttpRequest req;
         req.m_Method = "POST";
         req.m_Target = "/v1/txn";
-        req.m_Body   = SerializeTxn(txn);
-        auto res     = co_await m_Client.Call(m_At, req, deadline);
+        req.m_Body = SerializeTxn(txn);
+        auto res = co_await m_Client.Call(m_At, req, deadline);
         if (!res)
             co_return TxnResult{res.error().m_Verdict == Verdict_NotRun ? TxnOutcome_Refused : TxnOutcome_Unknown, 0};
         if (res.value().m_Status == 409)
--- a/src/process/burn_report.cpp
+++ b/src/process/burn_report.cpp
@@ -49,15 +49,15 @@
 // One bar a window, the line at burn 1 marked.
 std::string Plot(const json::array& windows)
 {
-    constexpr double kWidth  = 260;
-    constexpr double kHeight = 18;
+    constexpr double   kWidth = 260;
+    constexpr double   kHeight = 18;
     std::ostringstream out;
     out << "<svg width=\"" << kWidth + 70 << "\" height=\"" << kHeight * static_cast<double>(windows.size()) << "\" role=\"img\">";
     double y = 0;
     for (const json::value& w : windows)
     {
         const double burn = w.at("burn").to_number<double>();
-        const double bar  = std::min(1.0, burn / kBurnShown) * kWidth;
+        const double bar = std::min(1.0, burn / kBurnShown) * kWidth;
         out << "<text x=\"0\" y=\"" << y + 13 << "\" font-size=\"11\">" << w.at("minutes").to_number<int64_t>() << " min</text>";
         out << "<rect x=\"60\" y=\"" << y + 3 << "\" width=\"" << std::max(1.0, bar) << "\" height=\"12\" fill=\"" << Colour(burn) << "\"/>";
         y += kHeight;
@@ -80,9 +80,11 @@
             for (const json::value& w : row.at("windows").as_array())
                 out << std::setw(10) << (std::to_string(w.at("minutes").to_number<int64_t>()) + "min");
         if (!header)
-            out << std::setw(12) << "good" << std::setw(10) << "bad" << "\n";
+            out << std::setw(12) << "good" << std::setw(10) << "bad"
+                << "\n";
         header = true;
-        out << std::left << std::setw(16) << std::string(row.at("service").as_string()) << std::setw(20) << std::string(row.at("account").as_string()) << std::right;
+        out << std::left << std::setw(16) << std::string(row.at("service").as_string()) << std::setw(20) << std::string(row.at("account").as_string())
+            << std::right;
         for (const json::value& w : row.at("windows").as_array())
             out << std::setw(10) << Number(w.at("burn").to_number<double>(), 2);
         const json::value& longest = row.at("windows").as_array().back();
@@ -97,7 +99,8 @@
 {
     std::ostringstream out;
     out << "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Service-level burn</title>"
-           "<style>body{font:14px sans-serif;margin:2em;color:#222}table{border-collapse:collapse}td,th{padding:.4em .8em;border-bottom:1px solid #ddd;"
+           "<style>body{font:14px sans-serif;margin:2em;color:#222}table{border-collapse:collapse}td,th{padding:.4em .8em;border-bottom:1px solid "
+           "#ddd;"
            "text-align:left;vertical-align:top}td.n{text-align:right;font-variant-numeric:tabular-nums}</style>"
            "<h1>Service-level burn</h1><p>Made "
         << Escape(made_at) << " from " << burn.at("routers").to_number<int64_t>()
@@ -106,8 +109,10 @@
     for (const json::value& row : burn.at("rows").as_array())
     {
         const json::array& windows = row.at("windows").as_array();
-        out << "<tr><td>" << Escape(std::string_view(row.at("service").as_string())) << "</td><td>" << Escape(std::string_view(row.at("account").as_string())) << "</td>";
-        out << "<td class=n>" << windows.back().at("good").to_number<uint64_t>() << "</td><td class=n>" << windows.back().at("bad").to_number<uint64_t>() << "</td><td>";
+        out << "<tr><td>" << Escape(std::string_view(row.at("service").as_string())) << "</td><td>"
+            << Escape(std::string_view(row.at("account").as_string())) << "</td>";
+        out << "<td class=n>" << windows.back().at("good").to_number<uint64_t>() << "</td><td class=n>"
+            << windows.back().at("bad").to_number<uint64_t>() << "</td><td>";
         out << Plot(windows) << "</td><td class=n>";
         for (const json::value& w : windows)
             out << Number(w.at("burn").to_number<double>(), 2) << "<br>";
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -29,11 +29,17 @@
 {
     struct Visitor
     {
-        std::string operator()(const SettingInt& x) const { return "integer " + std::to_string(x.m_Min) + ".." + std::to_string(x.m_Max) + ", default " + std::to_string(*x.m_Target); }
+        std::string operator()(const SettingInt& x) const
+        {
+            return "integer " + std::to_string(x.m_Min) + ".." + std::to_string(x.m_Max) + ", default " + std::to_string(*x.m_Target);
+        }
         std::string operator()(const SettingReal& x) const { return "number, default " + std::to_string(*x.m_Target); }
         std::string operator()(const SettingBool& x) const { return std::string("true or false, default ") + (*x.m_Target ? "true" : "false"); }
         std::string operator()(const SettingText& x) const { return x.m_Required ? "string, required" : "string, default \"" + *x.m_Target + "\""; }
-        std::string operator()(const SettingAddress& x) const { return x.m_Required ? "IP:PORT, required" : "IP:PORT, default \"" + *x.m_Target + "\""; }
+        std::string operator()(const SettingAddress& x) const
+        {
+            return x.m_Required ? "IP:PORT, required" : "IP:PORT, default \"" + *x.m_Target + "\"";
+        }
         std::string operator()(const SettingList& x) const { return x.m_Addresses ? "array of IP:PORT" : "array of strings"; }
     };
     return std::visit(Visitor{}, v);
@@ -73,20 +79,20 @@
     if (path == "/readyz")
     {
         const bool ready = !Draining() && (!m_Hooks.m_Ready || m_Hooks.m_Ready());
-        res.m_Status     = ready ? 200 : 503;
-        res.m_Body       = ready ? "ready\n" : Draining() ? "draining\n" : "not ready\n";
+        res.m_Status = ready ? 200 : 503;
+        res.m_Body = ready ? "ready\n" : Draining() ? "draining\n" : "not ready\n";
     }
     else if (path == "/metrics")
         res.m_Body = Metrics().Prometheus();
     else if (path == "/statusz")
     {
-        json::object o   = m_Hooks.m_Describe ? m_Hooks.m_Describe() : json::object();
-        o["name"]        = m_Settings.m_Name;
-        o["program"]     = m_Program;
-        o["version"]     = kVersion;
+        json::object o = m_Hooks.m_Describe ? m_Hooks.m_Describe() : json::object();
+        o["name"] = m_Settings.m_Name;
+        o["program"] = m_Program;
+        o["version"] = kVersion;
         o["incarnation"] = m_Incarnation;
-        o["draining"]    = Draining();
-        res              = JsonResponse(200, o);
+        o["draining"] = Draining();
+        res = JsonResponse(200, o);
     }
     else if (path != "/healthz")
         co_return false;
@@ -96,7 +102,8 @@
 
 Status Daemon::Start()
 {
-    asio::co_spawn(m_Ioc, [this] { return WaitForSignal(); }, asio::detached);
+    asio::co_spawn(
+        m_Ioc, [this] { return WaitForSignal(); }, asio::detached);
     if (m_Settings.m_OpsListen.empty())
         return Ok();
     const HttpHandler handler = [this](HttpRequest& req, HttpReply& reply) -> awaitable<void>
@@ -182,8 +189,8 @@
             std::cout << program << " " << kVersion << "\n";
             return 0;
         }
-        file       = args["settings"].as<std::string>();
-        overrides  = args.count("set") > 0 ? args["set"].as<std::vector<std::string>>() : std::vector<std::string>();
+        file = args["settings"].as<std::string>();
+        overrides = args.count("set") > 0 ? args["set"].as<std::vector<std::string>>() : std::vector<std::string>();
         check_only = args.count("check-settings") > 0;
     }
     catch (const std::exception& e)
@@ -201,7 +208,8 @@
         std::cout << "settings are good\n";
         return 0;
     }
-    LogSetup({settings.m_LogFormat == "text" ? LogFormat_Text : LogFormat_Json, ParseLevel(settings.m_LogLevel), std::string(program), settings.m_Name});
+    LogSetup(
+        {settings.m_LogFormat == "text" ? LogFormat_Text : LogFormat_Json, ParseLevel(settings.m_LogLevel), std::string(program), settings.m_Name});
     std::signal(SIGPIPE, SIG_IGN);
     Daemon       daemon(settings, program);
     const Status ops = daemon.Start();
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -32,13 +32,13 @@
 
 struct DaemonSettings
 {
-    std::string m_Name;                    // node name; for agents the Box name [name]
-    std::string m_DataCentre;              // [data_centre]
-    std::string m_OpsListen;               // health, metrics [ops_listen]; empty: none
-    std::string m_LogFormat    = "json";   // [log.format]
-    std::string m_LogLevel     = "info";   // [log.level]
-    int64_t     m_Threads      = 2;        // I/O threads [threads]
-    int64_t     m_DrainMaxMs   = 30'000;   // longest drain after SIGTERM [drain_max_ms]
+    std::string m_Name;                // node name; for agents the Box name [name]
+    std::string m_DataCentre;          // [data_centre]
+    std::string m_OpsListen;           // health, metrics [ops_listen]; empty: none
+    std::string m_LogFormat = "json";  // [log.format]
+    std::string m_LogLevel = "info";   // [log.level]
+    int64_t     m_Threads = 2;         // I/O threads [threads]
+    int64_t     m_DrainMaxMs = 30'000; // longest drain after SIGTERM [drain_max_ms]
 };
 
 std::vector<SettingSpec> DescribeDaemon(DaemonSettings& s);
@@ -65,7 +65,7 @@
     uint64_t              Incarnation() const { return m_Incarnation; } // differs at every start
     bool                  Draining() const { return m_Draining.load(); }
     void                  SetHooks(DaemonHooks hooks) { m_Hooks = std::move(hooks); } // before Run()
-    awaitable<bool>       ServeOps(HttpRequest& req, HttpReply& reply);               // answers /healthz, /readyz, /metrics, /statusz; false: another path
+    awaitable<bool>       ServeOps(HttpRequest& req, HttpReply& reply); // answers /healthz, /readyz, /metrics, /statusz; false: another path
 
     Status Start(); // listens on m_OpsListen
     int    Run();   // until a signal; returns the exit code
@@ -74,13 +74,13 @@
     awaitable<void> WaitForSignal();
     awaitable<void> DrainAndStop();
 
-    DaemonSettings              m_Settings;      //
-    std::string                 m_Program;       //
-    uint64_t                    m_Incarnation;   //
-    asio::io_context            m_Ioc;           //
-    asio::signal_set            m_Signals;       //
-    DaemonHooks                 m_Hooks;         //
-    std::unique_ptr<HttpServer> m_Ops;           // null when no ops_listen
+    DaemonSettings              m_Settings;        //
+    std::string                 m_Program;         //
+    uint64_t                    m_Incarnation;     //
+    asio::io_context            m_Ioc;             //
+    asio::signal_set            m_Signals;         //
+    DaemonHooks                 m_Hooks;           //
+    std::unique_ptr<HttpServer> m_Ops;             // null when no ops_listen
     std::atomic<bool>           m_Draining{false}; // never goes back to false
 };
 
--- a/src/process/declarations.h
+++ b/src/process/declarations.h
@@ -14,7 +14,7 @@
 namespace aldervale
 {
 
-Result<std::vector<json::object>> ReadDeclarations(const std::string& folder);                       // as POST /aldervale/v1/apply takes them
+Result<std::vector<json::object>> ReadDeclarations(const std::string& folder); // as POST /aldervale/v1/apply takes them
 Result<std::vector<json::object>> ParseDeclarations(std::string_view text, std::string_view file);
 
 } // namespace aldervale
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -16,7 +16,7 @@
     X(1002, ProcessDraining, Info, "termination asked for; draining")                                                                                \
     X(1003, ProcessStopped, Info, "process stopped")                                                                                                 \
     X(1004, ProcessFailed, Error, "process can't go on")                                                                                             \
-    X(1005, HandlerFailed, Error, "a request handler failed; its connection is closed")                                                             \
+    X(1005, HandlerFailed, Error, "a request handler failed; its connection is closed")                                                              \
     X(1101, LinkUp, Info, "link to a peer established")                                                                                              \
     X(1102, LinkDown, Warn, "link to a peer lost")                                                                                                   \
     X(1103, LinkRefused, Warn, "peer refused: bad frame or newer schema")                                                                            \
--- a/src/process/lease.h
+++ b/src/process/lease.h
@@ -20,19 +20,19 @@
 
 struct LeaseConfig
 {
-    std::string m_Holder;                       // this process and incarnation
-    Duration    m_Length = milliseconds(4000);  // [settings lease.length_ms]
-    Duration    m_Margin = milliseconds(500);   // the holder stops acting this much before the end [settings lease.margin_ms]
-    Duration    m_Renew  = milliseconds(1000);  // renewal interval
-    Duration    m_Poll   = milliseconds(1000);  // how often a contender reads the row
+    std::string m_Holder;                      // this process and incarnation
+    Duration    m_Length = milliseconds(4000); // [settings lease.length_ms]
+    Duration    m_Margin = milliseconds(500);  // the holder stops acting this much before the end [settings lease.margin_ms]
+    Duration    m_Renew = milliseconds(1000);  // renewal interval
+    Duration    m_Poll = milliseconds(1000);   // how often a contender reads the row
 };
 
 struct LeaseRow
 {
-    std::string m_Holder;        // empty: given up
-    uint64_t    m_Fencing = 0;   // grows by one with every new holder
-    uint64_t    m_Version = 0;   // version of the row in the store, 0 if it doesn't exist
-    std::string m_WriteId;       // of the write that made it
+    std::string m_Holder;      // empty: given up
+    uint64_t    m_Fencing = 0; // grows by one with every new holder
+    uint64_t    m_Version = 0; // version of the row in the store, 0 if it doesn't exist
+    std::string m_WriteId;     // of the write that made it
 };
 
 enum LeaseAction
@@ -63,26 +63,26 @@
     explicit Lease(LeaseConfig cfg) : m_Config(std::move(cfg)) {}
 
     LeaseStep Next(TimePoint now);
-    void      OnRow(const LeaseRow& row, TimePoint now);        // read answer
-    void      OnReadFailed(TimePoint now);                      //
+    void      OnRow(const LeaseRow& row, TimePoint now); // read answer
+    void      OnReadFailed(TimePoint now);               //
     void      OnWrite(LeaseWrite outcome, const LeaseStep& step, uint64_t new_version);
     void      GiveUp(); // stop renewing at once; the caller writes an empty holder if it can
 
-    bool     Holds(TimePoint now) const { return m_HeldFencing != 0 && now < m_HeldUntil; }
-    uint64_t Fencing() const { return m_HeldFencing; } // of the lease held or last held; meaningful while Holds()
+    bool      Holds(TimePoint now) const { return m_HeldFencing != 0 && now < m_HeldUntil; }
+    uint64_t  Fencing() const { return m_HeldFencing; } // of the lease held or last held; meaningful while Holds()
     TimePoint HeldUntil() const { return m_HeldUntil; }
-    uint64_t Seen() const { return m_Row.m_Fencing; }  // highest fencing number read
+    uint64_t  Seen() const { return m_Row.m_Fencing; } // highest fencing number read
 
 private:
-    LeaseConfig m_Config;           //
-    LeaseRow    m_Row;              // last row read or written
-    bool        m_Known = false;    // m_Row is from the store
-    TimePoint   m_ChangedAt{};      // when m_Row was first seen with this version
-    TimePoint   m_NextAt{};         // next read or renewal
-    uint64_t    m_HeldFencing = 0;  // 0: not held; never falls otherwise
-    TimePoint   m_HeldUntil{};      // margin already taken off
-    std::optional<LeaseStep> m_Pending; // a write without an answer
-    uint64_t    m_WriteCount = 0;   // makes write ids unique
+    LeaseConfig              m_Config;          //
+    LeaseRow                 m_Row;             // last row read or written
+    bool                     m_Known = false;   // m_Row is from the store
+    TimePoint                m_ChangedAt{};     // when m_Row was first seen with this version
+    TimePoint                m_NextAt{};        // next read or renewal
+    uint64_t                 m_HeldFencing = 0; // 0: not held; never falls otherwise
+    TimePoint                m_HeldUntil{};     // margin already taken off
+    std::optional<LeaseStep> m_Pending;         // a write without an answer
+    uint64_t                 m_WriteCount = 0;  // makes write ids unique
 };
 
 } // namespace aldervale
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -53,13 +53,13 @@
 std::string FormatJson(const EventInfo& info, const LogConfig& cfg, double now_s, std::initializer_list<LogField> fields)
 {
     boost::json::object line;
-    line["t"]       = now_s;
-    line["event"]   = static_cast<int>(info.m_Event);
-    line["name"]    = info.m_Name;
-    line["level"]   = kLevelNames[info.m_Level];
-    line["text"]    = info.m_Text;
+    line["t"] = now_s;
+    line["event"] = static_cast<int>(info.m_Event);
+    line["name"] = info.m_Name;
+    line["level"] = kLevelNames[info.m_Level];
+    line["text"] = info.m_Text;
     line["program"] = cfg.m_Program;
-    line["node"]    = cfg.m_Name;
+    line["node"] = cfg.m_Name;
     for (const LogField& f : fields)
         line[f.m_Key] = f.m_Value;
     return boost::json::serialize(line);
@@ -88,9 +88,9 @@
 void LogSetup(const LogConfig& cfg)
 {
     LogState& state = State();
-    state.m_Config  = cfg;
-    auto layout     = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-    auto appender   = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    state.m_Config = cfg;
+    auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     state.m_Logger = log4cxx::Logger::getLogger("aldervale");
     state.m_Logger->setLevel(ToLog4cxx(cfg.m_Level));
@@ -105,8 +105,8 @@
     if (info.m_Level < state.m_Config.m_Level)
         return;
     const double now_s = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-    std::string  line  = state.m_Config.m_Format == LogFormat_Json ? FormatJson(info, state.m_Config, now_s, fields)
-                                                                   : FormatText(info, state.m_Config, now_s, fields);
+    std::string  line =
+        state.m_Config.m_Format == LogFormat_Json ? FormatJson(info, state.m_Config, now_s, fields) : FormatText(info, state.m_Config, now_s, fields);
     state.m_Logger->forcedLog(ToLog4cxx(info.m_Level), line, log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -23,10 +23,10 @@
 
 struct LogConfig
 {
-    LogFormat   m_Format = LogFormat_Json;      // [settings log.format]
-    EventLevel  m_Level  = EventLevel_Info;     // lowest level written [settings log.level]
-    std::string m_Program;                      // program name in each line
-    std::string m_Name;                         // node name in each line
+    LogFormat   m_Format = LogFormat_Json; // [settings log.format]
+    EventLevel  m_Level = EventLevel_Info; // lowest level written [settings log.level]
+    std::string m_Program;                 // program name in each line
+    std::string m_Name;                    // node name in each line
 };
 
 struct LogField
@@ -40,7 +40,7 @@
     boost::json::value m_Value; // any JSON value
 };
 
-void LogSetup(const LogConfig& cfg);                                        // once, before the first event
-void LogEvent(Event e, std::initializer_list<LogField> fields = {});        // dropped silently before LogSetup(), as in unit tests
+void LogSetup(const LogConfig& cfg);                                 // once, before the first event
+void LogEvent(Event e, std::initializer_list<LogField> fields = {}); // dropped silently before LogSetup(), as in unit tests
 
 } // namespace aldervale
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -32,9 +32,9 @@
 
 struct BoxListEntry
 {
-    std::string m_Name;                       //
-    ListState   m_State = ListState_Live;     //
-    uint64_t    m_Boot  = 0;                  // platform's count of starts of this box; 0: not told
+    std::string m_Name;                   //
+    ListState   m_State = ListState_Live; //
+    uint64_t    m_Boot = 0;               // platform's count of starts of this box; 0: not told
 };
 
 struct BoxList
@@ -43,7 +43,7 @@
     std::map<std::string, BoxListEntry> m_Entries;     // by box name
 };
 
-Result<BoxList> ParseBoxList(std::string_view text);      // {"version": 7, "boxes": [{"name": "box-1", "state": "live", "boot": 1}]}
+Result<BoxList> ParseBoxList(std::string_view text); // {"version": 7, "boxes": [{"name": "box-1", "state": "live", "boot": 1}]}
 std::string     SerializeBoxList(const BoxList& list);
 
 struct MembershipConfig
@@ -56,10 +56,10 @@
 public:
     explicit Membership(MembershipConfig cfg) : m_Config(cfg) {}
 
-    void OnList(BoxList list, TimePoint now);                                                      // ignored unless newer
-    void OnHello(const std::string& name, uint64_t incarnation, TimePoint now);                    //
-    void OnHeartbeat(const std::string& name, uint64_t incarnation, bool leaving, TimePoint now);  // of an older incarnation: ignored
-    void OnLinkLost(const std::string& name, uint64_t incarnation);                                //
+    void OnList(BoxList list, TimePoint now);                                                     // ignored unless newer
+    void OnHello(const std::string& name, uint64_t incarnation, TimePoint now);                   //
+    void OnHeartbeat(const std::string& name, uint64_t incarnation, bool leaving, TimePoint now); // of an older incarnation: ignored
+    void OnLinkLost(const std::string& name, uint64_t incarnation);                               //
 
     bool                     Usable(const std::string& name, TimePoint now) const; // may get new work
     bool                     Gone(const std::string& name) const;                  // the platform's list shows it gone
@@ -70,12 +70,12 @@
 private:
     struct Seen
     {
-        uint64_t  m_Incarnation = 0;     // of the process that talks to us
-        TimePoint m_LastHeard{};         //
-        bool      m_Linked  = false;     //
-        bool      m_Leaving = false;     // its own word
-        uint64_t  m_JoinedAtList = 0;    // list version known when this incarnation replaced another one
-        bool      m_Replaced = false;    // an earlier incarnation was known
+        uint64_t  m_Incarnation = 0;  // of the process that talks to us
+        TimePoint m_LastHeard{};      //
+        bool      m_Linked = false;   //
+        bool      m_Leaving = false;  // its own word
+        uint64_t  m_JoinedAtList = 0; // list version known when this incarnation replaced another one
+        bool      m_Replaced = false; // an earlier incarnation was known
     };
 
     MembershipConfig            m_Config; //
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -42,9 +42,9 @@
 public:
     HistogramMetric();
     ~HistogramMetric();
-    void        Record(double seconds);      // any thread
-    double      Quantile(double q) const;    // seconds; upper edge of the bin that holds it; 0 when empty
-    uint64_t    Count() const;               //
+    void        Record(double seconds);   // any thread
+    double      Quantile(double q) const; // seconds; upper edge of the bin that holds it; 0 when empty
+    uint64_t    Count() const;            //
     std::string Prometheus(std::string_view name, std::string_view labels) const;
 
 private:
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-constexpr auto kNoThrow    = asio::as_tuple(asio::use_awaitable);
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr auto kConnectMax = milliseconds(1000);
-constexpr auto kPullEvery  = milliseconds(200); // a pull without an answer is repeated after this
+constexpr auto kPullEvery = milliseconds(200); // a pull without an answer is repeated after this
 
 uint32_t AgeToMs(Duration age)
 {
@@ -25,11 +25,12 @@
     struct PeerView
     {
         uint64_t m_Revision = 0; // from its last heartbeat
-        bool     m_Heard    = false;
+        bool     m_Heard = false;
     };
 
     Impl(Daemon& daemon, NodeConfig cfg, NodeHandlers handlers)
-        : m_Daemon(daemon), m_Ioc(daemon.Ioc()), m_Config(std::move(cfg)), m_Handlers(std::move(handlers)), m_Snapshot(std::make_shared<ConfigSnapshot>())
+        : m_Daemon(daemon), m_Ioc(daemon.Ioc()), m_Config(std::move(cfg)), m_Handlers(std::move(handlers)),
+          m_Snapshot(std::make_shared<ConfigSnapshot>())
     {
     }
 
@@ -58,18 +59,18 @@
     NodeHandlers                 m_Handlers; //
     std::optional<tcp::acceptor> m_Acceptor; // none when only dialling
 
-    mutable std::mutex          m_Mutex;            // guards the members below
-    std::set<LinkPtr>           m_Links;            // open links
-    std::map<LinkPtr, PeerView> m_Views;            // same keys as m_Links, after the first heartbeat
-    std::set<std::string>       m_Dialled;          // endpoints that KeepLink() keeps
+    mutable std::mutex             m_Mutex;         // guards the members below
+    std::set<LinkPtr>              m_Links;         // open links
+    std::map<LinkPtr, PeerView>    m_Views;         // same keys as m_Links, after the first heartbeat
+    std::set<std::string>          m_Dialled;       // endpoints that KeepLink() keeps
     std::map<std::string, LinkPtr> m_ByDial;        // open links by the endpoint dialled
-    ConfigPtr                   m_Snapshot;         // its revision never falls
-    TimePoint                   m_ConfirmedAt{};    // when the store agreed with m_Snapshot; {} if never
-    TimePoint                   m_PulledAt{};       // last ConfigPull sent
-    uint64_t                    m_PulledRevision = 0;
-    LeaseView                   m_Lease;            // m_Fencing never falls
-    Membership                  m_Membership{MembershipConfig{}}; //
-    uint64_t                    m_ClosedBytes = 0;  // bytes of closed links
+    ConfigPtr                      m_Snapshot;      // its revision never falls
+    TimePoint                      m_ConfirmedAt{}; // when the store agreed with m_Snapshot; {} if never
+    TimePoint                      m_PulledAt{};    // last ConfigPull sent
+    uint64_t                       m_PulledRevision = 0;
+    LeaseView                      m_Lease;                          // m_Fencing never falls
+    Membership                     m_Membership{MembershipConfig{}}; //
+    uint64_t                       m_ClosedBytes = 0;                // bytes of closed links
 };
 
 //-----------------------------------------------------------------------------
@@ -93,12 +94,12 @@
     }
     link->Start();
     wire::HelloT hello;
-    hello.name        = m_Daemon.Settings().m_Name;
-    hello.role        = m_Config.m_Role;
+    hello.name = m_Daemon.Settings().m_Name;
+    hello.role = m_Config.m_Role;
     hello.data_centre = m_Daemon.Settings().m_DataCentre;
     hello.incarnation = m_Daemon.Incarnation();
-    hello.schema      = kFrameSchema;
-    hello.address     = m_Config.m_Listen ? m_Config.m_Listen->ToString() : "";
+    hello.schema = kFrameSchema;
+    hello.address = m_Config.m_Listen ? m_Config.m_Listen->ToString() : "";
     link->Send(EncodeFrame(0, hello));
     link->Send(MakeHeartbeat());
     return link;
@@ -122,7 +123,7 @@
 
 awaitable<void> Node::Impl::DialLoop(Endpoint to)
 {
-    const std::string key   = to.ToString();
+    const std::string key = to.ToString();
     Duration          pause = m_Config.m_RedialMin;
     for (;;)
     {
@@ -140,7 +141,7 @@
             continue;
         }
         const TimePoint since = Now();
-        LinkPtr         link  = Adopt(std::move(socket.value()), LinkSide_Dialled);
+        LinkPtr         link = Adopt(std::move(socket.value()), LinkSide_Dialled);
         {
             std::lock_guard lock(m_Mutex);
             m_ByDial[key] = link;
@@ -245,8 +246,8 @@
         {
             wire::ListUpdateT update;
             update.version = m_Membership.ListVersion();
-            update.json    = SerializeBoxList(m_Membership.List());
-            push_list      = EncodeFrame(0, update);
+            update.json = SerializeBoxList(m_Membership.List());
+            push_list = EncodeFrame(0, update);
         }
     }
     if (push_list)
@@ -261,11 +262,11 @@
     wire::ConfigPullT pull;
     {
         std::lock_guard lock(m_Mutex);
-        const bool asked = revision <= m_PulledRevision && Now() - m_PulledAt < kPullEvery;
+        const bool      asked = revision <= m_PulledRevision && Now() - m_PulledAt < kPullEvery;
         if (revision <= m_Snapshot->m_Revision || asked)
             return;
-        m_PulledRevision   = revision;
-        m_PulledAt         = Now();
+        m_PulledRevision = revision;
+        m_PulledAt = Now();
         pull.from_revision = m_Snapshot->m_Revision;
     }
     link->Send(EncodeFrame(0, pull));
@@ -285,9 +286,9 @@
         return;
     wire::ConfigDeltaT msg;
     msg.from_revision = pull.from_revision();
-    msg.to_revision   = snapshot->m_Revision;
-    msg.age_ms        = age == Duration::max() ? UINT32_MAX : AgeToMs(age);
-    msg.json          = DeltaToJson(DeltaSince(*snapshot, pull.from_revision()));
+    msg.to_revision = snapshot->m_Revision;
+    msg.age_ms = age == Duration::max() ? UINT32_MAX : AgeToMs(age);
+    msg.json = DeltaToJson(DeltaSince(*snapshot, pull.from_revision()));
     link->Send(EncodeFrame(0, msg));
 }
 
@@ -358,10 +359,10 @@
         hb.state = m_Handlers.m_AgentState();
     std::lock_guard lock(m_Mutex);
     hb.config_revision = m_Snapshot->m_Revision;
-    hb.config_age_ms   = m_ConfirmedAt == TimePoint{} ? UINT32_MAX : AgeToMs(Now() - m_ConfirmedAt);
-    hb.lease_fencing   = m_Lease.m_Fencing;
-    hb.lease_holder    = m_Lease.m_Holder;
-    hb.list_version    = m_Membership.ListVersion();
+    hb.config_age_ms = m_ConfirmedAt == TimePoint{} ? UINT32_MAX : AgeToMs(Now() - m_ConfirmedAt);
+    hb.lease_fencing = m_Lease.m_Fencing;
+    hb.lease_holder = m_Lease.m_Holder;
+    hb.list_version = m_Membership.ListVersion();
     return EncodeFrame(0, hb);
 }
 
@@ -404,7 +405,18 @@
     Spawn(daemon.Ioc(), m_Impl->HeartbeatLoop());
 }
 
-Node::~Node() = default;
+// Called after the io_context has stopped: closes what is open and breaks the cycle between the links and their handlers.
+Node::~Node()
+{
+    std::lock_guard           lock(m_Impl->m_Mutex);
+    boost::system::error_code ec;
+    if (m_Impl->m_Acceptor)
+        m_Impl->m_Acceptor->close(ec);
+    m_Impl->m_Links.clear();
+    m_Impl->m_Views.clear();
+    m_Impl->m_ByDial.clear();
+    m_Impl->m_Handlers = {};
+}
 
 Status Node::Listen()
 {
@@ -412,7 +424,8 @@
     if (!acceptor)
         return acceptor.error();
     m_Impl->m_Acceptor.emplace(std::move(acceptor.value()));
-    asio::co_spawn(m_Impl->m_Acceptor->get_executor(), [impl = m_Impl] { return impl->AcceptLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_Impl->m_Acceptor->get_executor(), [impl = m_Impl] { return impl->AcceptLoop(); }, asio::detached);
     return Ok();
 }
 
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -30,22 +30,22 @@
 
 struct NodeConfig
 {
-    wire::PeerRole          m_Role = wire::PeerRole::Agent;          //
-    std::optional<Endpoint> m_Listen;                                // none: only dials
-    Duration                m_HeartbeatEvery = milliseconds(500);    //
-    Duration                m_DeadAfter      = milliseconds(2000);   // a silent link is closed
-    Duration                m_RedialMin      = milliseconds(100);    // doubles up to m_RedialMax
-    Duration                m_RedialMax      = milliseconds(3000);   //
+    wire::PeerRole          m_Role = wire::PeerRole::Agent;       //
+    std::optional<Endpoint> m_Listen;                             // none: only dials
+    Duration                m_HeartbeatEvery = milliseconds(500); //
+    Duration                m_DeadAfter = milliseconds(2000);     // a silent link is closed
+    Duration                m_RedialMin = milliseconds(100);      // doubles up to m_RedialMax
+    Duration                m_RedialMax = milliseconds(3000);     //
 };
 
 struct NodeHandlers
 {
-    std::function<void(const LinkPtr&, const FrameBuf&)> m_OnFrame;  // what the node itself doesn't handle
-    std::function<void(const LinkPtr&)>                  m_OnLinkUp; // after the peer's Hello
-    std::function<void(const LinkPtr&)>                  m_OnLinkDown;
+    std::function<void(const LinkPtr&, const FrameBuf&)>        m_OnFrame;  // what the node itself doesn't handle
+    std::function<void(const LinkPtr&)>                         m_OnLinkUp; // after the peer's Hello
+    std::function<void(const LinkPtr&)>                         m_OnLinkDown;
     std::function<void(const LinkPtr&, const wire::Heartbeat&)> m_OnHeartbeat;
-    std::function<void(ConfigPtr)>                       m_OnConfig; // a newer revision is in force
-    std::function<std::unique_ptr<wire::AgentStateT>()>  m_AgentState; // agents only: goes into heartbeats
+    std::function<void(ConfigPtr)>                              m_OnConfig;   // a newer revision is in force
+    std::function<std::unique_ptr<wire::AgentStateT>()>         m_AgentState; // agents only: goes into heartbeats
 };
 
 struct LeaseView // what spreads about a data centre's controller
@@ -65,26 +65,26 @@
     ~Node();
 
     Status Listen();
-    void   KeepLink(const Endpoint& to);   // once per endpoint; idempotent
-    void   DropLink(const Endpoint& to);   // no longer dialled; an open link is closed
-    void   AnnounceNow();                  // heartbeats on all links at once, such as after a change of state
+    void   KeepLink(const Endpoint& to); // once per endpoint; idempotent
+    void   DropLink(const Endpoint& to); // no longer dialled; an open link is closed
+    void   AnnounceNow();                // heartbeats on all links at once, such as after a change of state
 
-    ConfigPtr Config() const;              // never null; revision 0 until something is known
+    ConfigPtr Config() const;                                                               // never null; revision 0 until something is known
     bool      OfferConfig(const ConfigDelta& delta, std::optional<Duration> confirmed_age); // true if it came into force
-    void      ConfirmConfig(uint64_t revision, Duration age); // the store agreed with `revision` that long ago
-    Duration  ConfirmedAge() const;        // Duration::max() if never
-    void      OfferList(BoxList list);     //
+    void      ConfirmConfig(uint64_t revision, Duration age);                               // the store agreed with `revision` that long ago
+    Duration  ConfirmedAge() const;                                                         // Duration::max() if never
+    void      OfferList(BoxList list);                                                      //
     void      OfferLease(uint64_t fencing, std::string_view holder);
     LeaseView Lease() const;
 
     std::vector<LinkPtr> Links(wire::PeerRole role) const;
     std::vector<LinkPtr> AllLinks() const;
-    LinkPtr              FindLink(std::string_view name) const; // nullptr if none
-    size_t               PeersAtOrBelow(uint64_t revision, std::string_view data_centre) const; // routers of that data centre whose heartbeats said so
-    bool                 Usable(const std::string& name) const;
+    LinkPtr              FindLink(std::string_view name) const;                   // nullptr if none
+    size_t PeersAtOrBelow(uint64_t revision, std::string_view data_centre) const; // routers of that data centre whose heartbeats said so
+    bool   Usable(const std::string& name) const;
     std::vector<std::string> GoneBoxes() const;
-    uint64_t             ListVersion() const;
-    uint64_t             ControlBytes() const; // in and out over all links, ever
+    uint64_t                 ListVersion() const;
+    uint64_t                 ControlBytes() const; // in and out over all links, ever
 
     struct Impl;
 
--- a/src/process/pch.h
+++ b/src/process/pch.h
@@ -1,5 +1,6 @@
 // Precompiled header: the slow third-party headers that most files need. Beast is left out: only src/connection/http_*.cpp include it.
 #pragma once
+#include "wire_generated.h"
 #include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
@@ -19,4 +20,3 @@
 #include <unordered_map>
 #include <variant>
 #include <vector>
-#include "wire_generated.h"
--- a/src/process/resource_api.h
+++ b/src/process/resource_api.h
@@ -27,9 +27,9 @@
 
 struct Operator
 {
-    std::string  m_Name;                           // appears in the audit line of what it changes
-    OperatorRole m_Role = OperatorRole_Read;       //
-    std::string  m_TokenSha256;                    // hex
+    std::string  m_Name;                     // appears in the audit line of what it changes
+    OperatorRole m_Role = OperatorRole_Read; //
+    std::string  m_TokenSha256;              // hex
 };
 
 Result<Operator> ParseOperator(std::string_view text); // "NAME:ROLE:SHA256", as in [operators]
@@ -37,12 +37,13 @@
 class ResourceApi
 {
 public:
-    ResourceApi(Daemon& daemon, Node& node, StoreSync& sync, TableService& table, Usage& usage, ReplicaTable& replicas, std::vector<Operator> operators);
+    ResourceApi(Daemon& daemon, Node& node, StoreSync& sync, TableService& table, Usage& usage, ReplicaTable& replicas,
+                std::vector<Operator> operators);
     ~ResourceApi();
 
-    void            Start();                                               // flushing of accounting
-    awaitable<bool> Handle(HttpRequest& req, HttpReply& reply);            // false: not below /aldervale/
-    bool            OnFrame(const LinkPtr& link, const FrameBuf& frame);   // questions from other routers
+    void            Start();                                             // flushing of accounting
+    awaitable<bool> Handle(HttpRequest& req, HttpReply& reply);          // false: not below /aldervale/
+    bool            OnFrame(const LinkPtr& link, const FrameBuf& frame); // questions from other routers
 
     struct Impl;
 
--- a/src/process/resources.h
+++ b/src/process/resources.h
@@ -58,13 +58,13 @@
 
 struct Resource
 {
-    ResourceKey  m_Key;              //
-    json::object m_Spec;             // as declared
-    uint64_t     m_Revision = 0;     // configuration revision that wrote it last
-    bool         m_Deleted  = false; // a tombstone: kept so that deltas carry the deletion
-    std::string  m_Set;              // the declaration set that owns it, for pruning; empty: none
-    std::string  m_By;               // operator who wrote it last
-    int64_t      m_AtMs = 0;         // wall clock at that write, for people only
+    ResourceKey  m_Key;             //
+    json::object m_Spec;            // as declared
+    uint64_t     m_Revision = 0;    // configuration revision that wrote it last
+    bool         m_Deleted = false; // a tombstone: kept so that deltas carry the deletion
+    std::string  m_Set;             // the declaration set that owns it, for pruning; empty: none
+    std::string  m_By;              // operator who wrote it last
+    int64_t      m_AtMs = 0;        // wall clock at that write, for people only
 };
 
 json::object     ToJson(const Resource& r);
@@ -106,11 +106,11 @@
 
 struct BoxSpec
 {
-    std::string m_DataCentre;              // name of a DataCentre
-    std::string m_Address;                 // IP:PORT of the agent's or router's link
-    BoxRole     m_Role = BoxRole_Backend;  //
+    std::string m_DataCentre;                   // name of a DataCentre
+    std::string m_Address;                      // IP:PORT of the agent's or router's link
+    BoxRole     m_Role = BoxRole_Backend;       //
     BackendType m_Backend = BackendType_Engine; // what runs on a backend server box
-    bool        m_Drained = false;         // takes no new work until declared otherwise
+    bool        m_Drained = false;              // takes no new work until declared otherwise
 };
 
 struct ModelSpec
@@ -136,32 +136,32 @@
 
 struct ServiceSpec
 {
-    std::string              m_Path;                                // path prefix, such as "/v1/chat"; unique
-    ServiceType              m_Type       = ServiceType_Model;      //
-    std::string              m_Model;                               // model services: name of a Model
-    std::vector<std::string> m_Boxes;                               // plain services: replicas in home order
-    std::vector<std::string> m_NonRepeatable;                       // methods that may run at most once and need an Idempotency-Key
-    std::vector<std::string> m_Retired;                             // homes that take no new keys; must precede their removal
-    uint32_t                 m_DeadlineMs = 30'000;                 // longest time a request may take
-    double                   m_SloMs      = 1000;                   // latency that counts as good, ms; for streams the first token
-    double                   m_SloTarget  = 0.99;                   // share of requests that must be good
+    std::string              m_Path;                     // path prefix, such as "/v1/chat"; unique
+    ServiceType              m_Type = ServiceType_Model; //
+    std::string              m_Model;                    // model services: name of a Model
+    std::vector<std::string> m_Boxes;                    // plain services: replicas in home order
+    std::vector<std::string> m_NonRepeatable;            // methods that may run at most once and need an Idempotency-Key
+    std::vector<std::string> m_Retired;                  // homes that take no new keys; must precede their removal
+    uint32_t                 m_DeadlineMs = 30'000;      // longest time a request may take
+    double                   m_SloMs = 1000;             // latency that counts as good, ms; for streams the first token
+    double                   m_SloTarget = 0.99;         // share of requests that must be good
 };
 
 struct ClientAccountSpec
 {
-    std::string m_TokenSha256;      // hex; the token itself is nowhere
-    double      m_LimitRps = 0;     // requests a second over all routers; required
-    double      m_Burst    = 0;     // requests; default: one second's worth
-    int64_t     m_Priority = 5;     // 0 (offline work) to 9, handed to engines
-    double      m_Weight   = 1;     // share in fair queueing
+    std::string m_TokenSha256;  // hex; the token itself is nowhere
+    double      m_LimitRps = 0; // requests a second over all routers; required
+    double      m_Burst = 0;    // requests; default: one second's worth
+    int64_t     m_Priority = 5; // 0 (offline work) to 9, handed to engines
+    double      m_Weight = 1;   // share in fair queueing
 };
 
 struct RolloutSpec
 {
-    std::string m_Placement;           // name of a Placement
-    int64_t     m_MaxUnavailable = 1;  // boxes of one data centre out of service at once
-    bool        m_Paused         = false;
-    int64_t     m_HaltAfterFailed = 2; // failed boxes that halt the rollout and roll it back
+    std::string m_Placement;          // name of a Placement
+    int64_t     m_MaxUnavailable = 1; // boxes of one data centre out of service at once
+    bool        m_Paused = false;
+    int64_t     m_HaltAfterFailed = 2; // failures over all boxes that halt the rollout and roll it back
 };
 
 Result<DataCentreSpec>    ParseDataCentre(const Resource& r);
@@ -179,14 +179,14 @@
 
 template <class SpecT> struct Declared
 {
-    SpecT    m_Spec;           //
-    uint64_t m_Revision = 0;   // revision that wrote the resource last
+    SpecT    m_Spec;         //
+    uint64_t m_Revision = 0; // revision that wrote the resource last
 };
 
 struct ConfigSnapshot
 {
-    uint64_t                         m_Revision = 0; // 0: nothing known yet
-    std::map<ResourceKey, Resource>  m_Resources;    // tombstones included
+    uint64_t                        m_Revision = 0; // 0: nothing known yet
+    std::map<ResourceKey, Resource> m_Resources;    // tombstones included
 
     std::map<std::string, Declared<DataCentreSpec>, std::less<>>    m_DataCentres; // the typed views hold no tombstones
     std::map<std::string, Declared<BoxSpec>, std::less<>>           m_Boxes;
@@ -203,7 +203,7 @@
 
 // The service whose path is the longest prefix of `path`, nullptr if none.
 const Declared<ServiceSpec>* FindService(const ConfigSnapshot& c, std::string_view path, std::string* name = nullptr);
-const PlacementSpec*         FindPlacement(const ConfigSnapshot& c, std::string_view model); // nullptr if none
+const PlacementSpec*         FindPlacement(const ConfigSnapshot& c, std::string_view model);  // nullptr if none
 std::string                  RegionOf(const ConfigSnapshot& c, std::string_view data_centre); // "" if unknown
 std::string                  ServedDigest(const ConfigSnapshot& c, std::string_view model);   // manifest that the placement declares, "" if none
 
@@ -219,15 +219,15 @@
 struct ConfigDelta // resources written after m_From, up to and with m_To
 {
     uint64_t              m_From = 0; // revision it applies to, or any newer one below m_To
-    uint64_t              m_To   = 0; //
+    uint64_t              m_To = 0;   //
     std::vector<Resource> m_Written;  // tombstones included
 };
 
-ConfigPtr          ApplyDelta(const ConfigSnapshot& base, const ConfigDelta& delta); // nullptr unless m_From <= base revision < m_To
-ConfigDelta        DeltaSince(const ConfigSnapshot& c, uint64_t from);
-std::string        DeltaToJson(const ConfigDelta& d);
+ConfigPtr           ApplyDelta(const ConfigSnapshot& base, const ConfigDelta& delta); // nullptr unless m_From <= base revision < m_To
+ConfigDelta         DeltaSince(const ConfigSnapshot& c, uint64_t from);
+std::string         DeltaToJson(const ConfigDelta& d);
 Result<ConfigDelta> DeltaFromJson(std::string_view text);
-std::vector<Error> ValidateConfig(const ConfigSnapshot& c); // empty when it may be accepted
+std::vector<Error>  ValidateConfig(const ConfigSnapshot& c); // empty when it may be accepted
 // Faults in going from one snapshot to the next that neither has alone, such as removing a home that still takes keys.
 std::vector<Error> ValidateTransition(const ConfigSnapshot& from, const ConfigSnapshot& to, std::span<const std::string> homes_gone);
 
--- a/src/process/resources_validate.cpp
+++ b/src/process/resources_validate.cpp
@@ -143,7 +143,8 @@
     {
         const auto [it, fresh] = by_token.emplace(account.m_Spec.m_TokenSha256, name);
         if (!fresh)
-            faults.Add(c.m_Resources.at({Kind_ClientAccount, name}), "spec.token_sha256", "ClientAccount '" + it->second + "' has this token already");
+            faults.Add(c.m_Resources.at({Kind_ClientAccount, name}), "spec.token_sha256",
+                       "ClientAccount '" + it->second + "' has this token already");
     }
 }
 
@@ -182,7 +183,8 @@
             faults.Add(r, "spec.boxes", "the number of homes of a service with calls that may not be repeated can't change");
         for (size_t i = 0; i < std::min(old.m_Spec.m_Boxes.size(), it->second.m_Spec.m_Boxes.size()); i++)
             if (old.m_Spec.m_Boxes[i] != it->second.m_Spec.m_Boxes[i] && !Contains(homes_gone, old.m_Spec.m_Boxes[i]))
-                faults.Add(r, "spec.boxes", "home '" + old.m_Spec.m_Boxes[i] + "' may still run keys: retire it first, or wait until the platform lists it as gone");
+                faults.Add(r, "spec.boxes",
+                           "home '" + old.m_Spec.m_Boxes[i] + "' may still run keys: retire it first, or wait until the platform lists it as gone");
     }
     return std::move(faults.m_List);
 }
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -29,9 +29,9 @@
 
 struct SettingInt
 {
-    int64_t* m_Target;      // written when the whole file is good
-    int64_t  m_Min;         // inclusive
-    int64_t  m_Max;         // inclusive
+    int64_t* m_Target; // written when the whole file is good
+    int64_t  m_Min;    // inclusive
+    int64_t  m_Max;    // inclusive
 };
 
 struct SettingReal
@@ -48,15 +48,15 @@
 
 struct SettingText
 {
-    std::string*                  m_Target;            //
-    std::vector<std::string_view> m_Choices   = {};    // allowed values; empty: any
-    bool                          m_Required  = false; // a default of "" isn't good enough
+    std::string*                  m_Target;           //
+    std::vector<std::string_view> m_Choices = {};     // allowed values; empty: any
+    bool                          m_Required = false; // a default of "" isn't good enough
 };
 
 struct SettingAddress // IP:PORT; two settings of one file that listen may not be equal
 {
     std::string* m_Target;           //
-    bool         m_Listens  = false; // the process binds it
+    bool         m_Listens = false;  // the process binds it
     bool         m_Required = false; //
 };
 
@@ -90,6 +90,6 @@
 // `overrides` are KEY=VALUE pairs from the command line, VALUE in TOML syntax (bare words are taken as strings).
 std::vector<SettingFault> LoadSettings(const std::string& file, std::span<const std::string> overrides, std::span<const SettingSpec> specs);
 std::vector<SettingFault> CheckSettingsText(std::string_view text, std::string_view name, std::span<const SettingSpec> specs); // also applies
-std::string               FormatFault(const SettingFault& f);                                                                 // "agent.toml:3: key 'x': ..."
+std::string               FormatFault(const SettingFault& f); // "agent.toml:3: key 'x': ..."
 
 } // namespace aldervale
--- a/src/process/spec_reader.cpp
+++ b/src/process/spec_reader.cpp
@@ -1,6 +1,6 @@
 // Reading JSON specs. See spec_reader_internal.h.
-#include "process/spec_reader_internal.h"
 #include "connection/link.h"
+#include "process/spec_reader_internal.h"
 
 namespace aldervale
 {
--- a/src/programs/router.cpp
+++ b/src/programs/router.cpp
@@ -20,22 +20,22 @@
     std::vector<std::string> m_Operators;         // NAME:ROLE:SHA256 [operators]
     int64_t                  m_BodyMax = 4 << 20; // [http.body_max]
     int64_t                  m_HeadMax = 16384;   // [http.head_max]
-    int64_t                  m_Subset  = 64;      // backend server boxes linked for model services [route.subset]
+    int64_t                  m_Subset = 64;       // backend server boxes linked for model services [route.subset]
     RouterServeSettings      m_Serve;             //
 };
 
 struct Router // lives as long as the process
 {
-    RouterSettings                 m_Settings; //
-    Usage                          m_Usage;    //
-    std::unique_ptr<TableService>  m_Table;    //
-    std::unique_ptr<BoxListSource> m_List;     //
-    std::unique_ptr<WeightStore>   m_Store;    //
-    std::unique_ptr<Node>          m_Node;     //
-    std::unique_ptr<RouterServe>   m_Serve;    //
-    std::unique_ptr<StoreSync>     m_Sync;     //
-    std::unique_ptr<ResourceApi>   m_Api;      //
-    std::unique_ptr<HttpServer>    m_Http;     //
+    RouterSettings                 m_Settings;     //
+    Usage                          m_Usage;        //
+    std::unique_ptr<TableService>  m_Table;        //
+    std::unique_ptr<BoxListSource> m_List;         //
+    std::unique_ptr<WeightStore>   m_Store;        //
+    std::unique_ptr<Node>          m_Node;         //
+    std::unique_ptr<RouterServe>   m_Serve;        //
+    std::unique_ptr<StoreSync>     m_Sync;         //
+    std::unique_ptr<ResourceApi>   m_Api;          //
+    std::unique_ptr<HttpServer>    m_Http;         //
     std::atomic<bool>              m_Ready{false}; // the newest configuration was learned; never goes back
 
     std::mutex            m_Mutex;  // guards m_Linked
@@ -97,7 +97,7 @@
 
 void FollowConfig(Router& router, Daemon& daemon)
 {
-    const ConfigPtr             c      = router.m_Node->Config();
+    const ConfigPtr             c = router.m_Node->Config();
     const std::set<std::string> wanted = WantedLinks(router, daemon.Settings(), *c);
     std::lock_guard             lock(router.m_Mutex);
     for (const std::string& at : wanted)
@@ -120,11 +120,12 @@
 {
     if (router.m_Ready.load())
         return true;
-    const ConfigPtr c     = router.m_Node->Config();
+    const ConfigPtr c = router.m_Node->Config();
     bool            ready = router.m_Sync->StoreSeen() && c->m_Revision > 0;
     size_t          peers = 0;
     for (const auto& [name, b] : c->m_Boxes)
-        peers += b.m_Spec.m_Role == BoxRole_Entry && b.m_Spec.m_DataCentre == daemon.Settings().m_DataCentre && name != daemon.Settings().m_Name ? 1 : 0;
+        peers +=
+            b.m_Spec.m_Role == BoxRole_Entry && b.m_Spec.m_DataCentre == daemon.Settings().m_DataCentre && name != daemon.Settings().m_Name ? 1 : 0;
     ready = ready || (c->m_Revision > 0 && peers > 0 && router.m_Node->PeersAtOrBelow(c->m_Revision, daemon.Settings().m_DataCentre) * 2 > peers);
     if (ready && !router.m_Ready.exchange(true))
         LogEvent(Event_ReadyGateOpen, {{"revision", c->m_Revision}});
@@ -150,17 +151,17 @@
         if (!router.m_Serve->OnFrame(link, frame))
             router.m_Api->OnFrame(link, frame);
     };
-    h.m_OnLinkUp    = [&router](const LinkPtr& link) { router.m_Serve->OnLinkUp(link); };
-    h.m_OnLinkDown  = [&router](const LinkPtr& link) { router.m_Serve->OnLinkDown(link); };
+    h.m_OnLinkUp = [&router](const LinkPtr& link) { router.m_Serve->OnLinkUp(link); };
+    h.m_OnLinkDown = [&router](const LinkPtr& link) { router.m_Serve->OnLinkDown(link); };
     h.m_OnHeartbeat = [&router](const LinkPtr& link, const wire::Heartbeat& hb) { router.m_Serve->OnHeartbeat(link, hb); };
-    h.m_OnConfig    = [&router, &daemon](const ConfigPtr&) { FollowConfig(router, daemon); };
+    h.m_OnConfig = [&router, &daemon](const ConfigPtr&) { FollowConfig(router, daemon); };
     return h;
 }
 
 Status StartRouter(Daemon& daemon, Router& router)
 {
-    const RouterSettings&  s = router.m_Settings;
-    std::vector<Operator>  operators;
+    const RouterSettings& s = router.m_Settings;
+    std::vector<Operator> operators;
     for (const std::string& text : s.m_Operators)
     {
         auto op = ParseOperator(text);
@@ -169,17 +170,19 @@
         operators.push_back(op.value());
     }
     router.m_Table = MakeHttpTableService(ParseEndpoint(s.m_TableService).value());
-    router.m_List  = MakeHttpBoxList(ParseEndpoint(s.m_BoxList).value());
+    router.m_List = MakeHttpBoxList(ParseEndpoint(s.m_BoxList).value());
     router.m_Store = MakeHttpWeightStore(ParseEndpoint(s.m_WeightStore).value());
     NodeConfig cfg;
-    cfg.m_Role     = wire::PeerRole::Router;
-    cfg.m_Listen   = ParseEndpoint(s.m_Listen).value();
-    router.m_Node  = std::make_unique<Node>(daemon, cfg, MakeHandlers(router, daemon));
+    cfg.m_Role = wire::PeerRole::Router;
+    cfg.m_Listen = ParseEndpoint(s.m_Listen).value();
+    router.m_Node = std::make_unique<Node>(daemon, cfg, MakeHandlers(router, daemon));
     router.m_Serve = std::make_unique<RouterServe>(daemon, s.m_Serve, *router.m_Node, router.m_Usage);
     router.m_Serve->SetReady([&router, &daemon] { return CheckReady(router, daemon); });
     router.m_Sync = std::make_unique<StoreSync>(daemon, *router.m_Node, *router.m_Table, *router.m_List, StoreSyncConfig{},
-                                                [&router](std::string digest) -> awaitable<Status> { co_return co_await CheckManifest(*router.m_Store, std::move(digest)); });
-    router.m_Api  = std::make_unique<ResourceApi>(daemon, *router.m_Node, *router.m_Sync, *router.m_Table, router.m_Usage, router.m_Serve->Replicas(), operators);
+                                                [&router](std::string digest) -> awaitable<Status>
+                                                { co_return co_await CheckManifest(*router.m_Store, std::move(digest)); });
+    router.m_Api =
+        std::make_unique<ResourceApi>(daemon, *router.m_Node, *router.m_Sync, *router.m_Table, router.m_Usage, router.m_Serve->Replicas(), operators);
     router.m_Serve->Start();
     router.m_Sync->Start();
     router.m_Api->Start();
@@ -190,8 +193,8 @@
         router.m_Node->KeepLink(ParseEndpoint(peer).value());
 
     HttpServerConfig http;
-    http.m_BodyMax            = static_cast<size_t>(s.m_BodyMax);
-    http.m_HeadMax            = static_cast<size_t>(s.m_HeadMax);
+    http.m_BodyMax = static_cast<size_t>(s.m_BodyMax);
+    http.m_HeadMax = static_cast<size_t>(s.m_HeadMax);
     const HttpHandler handler = [&router, &daemon](HttpRequest& req, HttpReply& reply) -> awaitable<void>
     {
         bool served = co_await router.m_Api->Handle(req, reply);
@@ -203,8 +206,8 @@
     router.m_Http = std::make_unique<HttpServer>(daemon.Ioc(), http, handler);
 
     DaemonHooks hooks;
-    hooks.m_Ready    = [&router, &daemon] { return CheckReady(router, daemon); };
-    hooks.m_Drained  = [&router, since = std::make_shared<TimePoint>()]
+    hooks.m_Ready = [&router, &daemon] { return CheckReady(router, daemon); };
+    hooks.m_Drained = [&router, since = std::make_shared<TimePoint>()]
     {
         // The balancer needs a moment to read the health page; only then is silence the end.
         if (*since == TimePoint{})
@@ -214,12 +217,9 @@
     hooks.m_Describe = [&router]
     {
         const Duration age = router.m_Node->ConfirmedAge();
-        return json::object{{"revision", router.m_Node->Config()->m_Revision},
-                            {"confirmed_age_ms", age == Duration::max() ? -1 : ToMs(age)},
-                            {"store_reachable", router.m_Sync->StoreReachable()},
-                            {"lease_fencing", router.m_Node->Lease().m_Fencing},
-                            {"list_version", router.m_Node->ListVersion()},
-                            {"in_flight", router.m_Serve->InFlight()},
+        return json::object{{"revision", router.m_Node->Config()->m_Revision},    {"confirmed_age_ms", age == Duration::max() ? -1 : ToMs(age)},
+                            {"store_reachable", router.m_Sync->StoreReachable()}, {"lease_fencing", router.m_Node->Lease().m_Fencing},
+                            {"list_version", router.m_Node->ListVersion()},       {"in_flight", router.m_Serve->InFlight()},
                             {"link_bytes", router.m_Node->ControlBytes()}};
     };
     daemon.SetHooks(std::move(hooks));
@@ -232,6 +232,7 @@
 {
     Router         router;
     DaemonSettings daemon;
-    return RunDaemon(argc, argv, "aldervale-router", "Takes callers' requests on an entry box, routes them, serves the resource API and spreads the configuration",
+    return RunDaemon(argc, argv, "aldervale-router",
+                     "Takes callers' requests on an entry box, routes them, serves the resource API and spreads the configuration",
                      DescribeRouter(router.m_Settings), daemon, [&](Daemon& d) { return StartRouter(d, router); });
 }
--- a/src/request/fair_queue.h
+++ b/src/request/fair_queue.h
@@ -21,9 +21,9 @@
 
 struct FairQueueConfig
 {
-    size_t   m_MaxWaiting           = 2000; // over all accounts
-    size_t   m_MaxWaitingPerAccount = 400;  //
-    unsigned m_OfflineEvery         = 10;   // places between two that are reserved for offline work
+    size_t   m_MaxWaiting = 2000;          // over all accounts
+    size_t   m_MaxWaitingPerAccount = 400; //
+    unsigned m_OfflineEvery = 10;          // places between two that are reserved for offline work
 };
 
 class FairQueue
@@ -31,19 +31,19 @@
 public:
     explicit FairQueue(const FairQueueConfig& cfg) : m_Config(cfg) {}
 
-    bool TryStart(size_t capacity);                                                         // room, and nobody waits: counts as running
-    bool Push(uint64_t id, const std::string& account, double weight, bool offline);        // false: over a bound
-    bool Remove(uint64_t id);                                                               // gave up waiting; false: it was popped already
-    std::optional<uint64_t> Pop(size_t capacity);                                           // next to start, counts as running; nothing: no room or nobody
-    void   OnEnd();                                                                         // one running request ended
-    size_t Running() const { return m_Running; }
-    size_t Waiting() const { return m_Online.size() + m_Offline.size(); }
+    bool                    TryStart(size_t capacity);                                                  // room, and nobody waits: counts as running
+    bool                    Push(uint64_t id, const std::string& account, double weight, bool offline); // false: over a bound
+    bool                    Remove(uint64_t id);  // gave up waiting; false: it was popped already
+    std::optional<uint64_t> Pop(size_t capacity); // next to start, counts as running; nothing: no room or nobody
+    void                    OnEnd();              // one running request ended
+    size_t                  Running() const { return m_Running; }
+    size_t                  Waiting() const { return m_Online.size() + m_Offline.size(); }
 
 private:
     struct Place // order of starting
     {
-        double   m_Tag = 0;   // virtual start time
-        uint64_t m_Seq = 0;   // ties: first come
+        double   m_Tag = 0; // virtual start time
+        uint64_t m_Seq = 0; // ties: first come
         auto     operator<=>(const Place&) const = default;
     };
 
@@ -61,15 +61,15 @@
 
     std::map<Place, Entry>& QueueToServe();
 
-    FairQueueConfig                m_Config;         //
-    std::map<Place, Entry>         m_Online;         //
-    std::map<Place, Entry>         m_Offline;        //
-    std::map<std::string, Account> m_Accounts;       // those that wait, and those ahead of virtual time
-    std::map<uint64_t, std::pair<bool, Place>> m_ById; // offline?, place
-    double                         m_Virtual = 0;    // tag of the newest start; never falls
-    uint64_t                       m_Seq     = 0;    //
-    unsigned                       m_SinceOffline = 0; // starts since offline work last got one
-    size_t                         m_Running = 0;    //
+    FairQueueConfig                            m_Config;           //
+    std::map<Place, Entry>                     m_Online;           //
+    std::map<Place, Entry>                     m_Offline;          //
+    std::map<std::string, Account>             m_Accounts;         // those that wait, and those ahead of virtual time
+    std::map<uint64_t, std::pair<bool, Place>> m_ById;             // offline?, place
+    double                                     m_Virtual = 0;      // tag of the newest start; never falls
+    uint64_t                                   m_Seq = 0;          //
+    unsigned                                   m_SinceOffline = 0; // starts since offline work last got one
+    size_t                                     m_Running = 0;      //
 };
 
 } // namespace aldervale
--- a/src/request/homes.h
+++ b/src/request/homes.h
@@ -9,8 +9,8 @@
 namespace aldervale
 {
 
-std::string HomeOf(const ServiceSpec& s, std::string_view key);  // box name; the service must have boxes
-uint64_t    HomesEpoch(const ServiceSpec& s);                    // changes with the list of homes
+std::string HomeOf(const ServiceSpec& s, std::string_view key); // box name; the service must have boxes
+uint64_t    HomesEpoch(const ServiceSpec& s);                   // changes with the list of homes
 bool        NeedsKey(const ServiceSpec& s, std::string_view method);
 
 } // namespace aldervale
--- a/src/request/key_journal.cpp
+++ b/src/request/key_journal.cpp
@@ -53,16 +53,18 @@
     for (size_t i = 0; i < 6; i++)
         b[i] = static_cast<uint8_t>(wall_ms >> (40 - 8 * i));
     for (size_t i = 0; i < 2; i++)
-        b[6 + i] = static_cast<uint8_t>(random_high >> (8 * i));
+        b[6 + i] = static_cast<uint8_t>(random_high >> (8 - 8 * i));
     for (size_t i = 0; i < 8; i++)
-        b[8 + i] = static_cast<uint8_t>(random_low >> (8 * i));
+        b[8 + i] = static_cast<uint8_t>(random_low >> (56 - 8 * i));
     b[6] = static_cast<uint8_t>((b[6] & 0x0F) | 0x70);
     b[8] = static_cast<uint8_t>((b[8] & 0x3F) | 0x80);
     const std::string hex = ToHex(b);
     return hex.substr(0, 8) + "-" + hex.substr(8, 4) + "-" + hex.substr(12, 4) + "-" + hex.substr(16, 4) + "-" + hex.substr(20);
 }
 
-KeyJournal::KeyJournal(const JournalConfig& cfg, int64_t started_wall_ms) : m_Config(cfg), m_HorizonMs(started_wall_ms + cfg.m_SkewMs) {}
+KeyJournal::KeyJournal(const JournalConfig& cfg, int64_t started_wall_ms) : m_Config(cfg), m_HorizonMs(started_wall_ms + cfg.m_SkewMs)
+{
+}
 
 KeyJournal::Shard& KeyJournal::ShardOf(const std::string& id)
 {
@@ -74,7 +76,7 @@
     const std::optional<int64_t> minted = MintedAtMs(key);
     if (!minted)
         return {JournalType_BadKey, nullptr};
-    const std::string id    = EntryId(scope, key);
+    const std::string id = EntryId(scope, key);
     Shard&            shard = ShardOf(id);
     std::lock_guard   lock(shard.m_Mutex);
     const auto        it = shard.m_Entries.find(id);
@@ -99,7 +101,7 @@
 
 void KeyJournal::Finish(std::string_view scope, std::string_view key, StoredResult result)
 {
-    const std::string id    = EntryId(scope, key);
+    const std::string id = EntryId(scope, key);
     Shard&            shard = ShardOf(id);
     std::lock_guard   lock(shard.m_Mutex);
     const auto        it = shard.m_Entries.find(id);
@@ -113,7 +115,7 @@
 
 void KeyJournal::Forget(std::string_view scope, std::string_view key)
 {
-    const std::string id    = EntryId(scope, key);
+    const std::string id = EntryId(scope, key);
     Shard&            shard = ShardOf(id);
     std::lock_guard   lock(shard.m_Mutex);
     const auto        it = shard.m_Entries.find(id);
--- a/src/request/key_journal.h
+++ b/src/request/key_journal.h
@@ -52,7 +52,7 @@
 struct StoredResult
 {
     Verdict                  m_Verdict = Verdict_MayHaveRun; // Ran with an answer, or MayHaveRun without
-    unsigned                 m_Status  = 0;                  // HTTP status of the answer
+    unsigned                 m_Status = 0;                   // HTTP status of the answer
     std::vector<StoredField> m_Fields;                       //
     std::string              m_Body;                         //
 };
@@ -78,9 +78,9 @@
 
 struct JournalConfig
 {
-    int64_t m_SkewMs     = 2000;             // largest difference between two clocks [settings journal.skew_ms]
-    size_t  m_MaxEntries = 200'000;          // the oldest finished one is forgotten beyond this [settings journal.max_entries]
-    size_t  m_MaxBytes   = 16 * 1024 * 1024; // of stored bodies [settings journal.max_bytes]
+    int64_t m_SkewMs = 2000;               // largest difference between two clocks [settings journal.skew_ms]
+    size_t  m_MaxEntries = 200'000;        // the oldest finished one is forgotten beyond this [settings journal.max_entries]
+    size_t  m_MaxBytes = 16 * 1024 * 1024; // of stored bodies [settings journal.max_bytes]
 };
 
 class KeyJournal
@@ -100,16 +100,16 @@
     struct Entry
     {
         uint64_t        m_Fingerprint = 0; // of method, target and body
-        int64_t         m_MintedMs    = 0; //
+        int64_t         m_MintedMs = 0;    //
         StoredResultPtr m_Result;          // null while it runs
     };
 
     struct Shard
     {
-        std::mutex                   m_Mutex;       // guards the members below
-        std::map<std::string, Entry> m_Entries;     // by scope and key
-        std::deque<std::string>      m_Finished;    // oldest first; the ones to forget
-        size_t                       m_Bytes = 0;   // of stored bodies
+        std::mutex                   m_Mutex;     // guards the members below
+        std::map<std::string, Entry> m_Entries;   // by scope and key
+        std::deque<std::string>      m_Finished;  // oldest first; the ones to forget
+        size_t                       m_Bytes = 0; // of stored bodies
     };
 
     static constexpr size_t kShards = 16;
@@ -117,10 +117,10 @@
     Shard& ShardOf(const std::string& id);
     void   EvictLocked(Shard& s);
 
-    JournalConfig              m_Config;       //
-    std::array<Shard, kShards> m_Shards;       //
-    std::atomic<int64_t>       m_HorizonMs;    // never falls
-    std::atomic<size_t>        m_Entries{0};   //
+    JournalConfig              m_Config;     //
+    std::array<Shard, kShards> m_Shards;     //
+    std::atomic<int64_t>       m_HorizonMs;  // never falls
+    std::atomic<size_t>        m_Entries{0}; //
 };
 
 } // namespace aldervale
--- a/src/request/limits.h
+++ b/src/request/limits.h
@@ -24,17 +24,17 @@
 
 struct LimitsConfig
 {
-    Duration m_Window     = milliseconds(250);  // how often demand is measured and told
-    Duration m_PeerMemory = seconds(600);       // how long a silent peer's demand still counts
-    double   m_Floor      = 0.02;               // e as a share of the limit
-    double   m_Smooth     = 0.5;                // weight of the newest window in the demand
-    double   m_BurstShare = 0.1;                // seconds' worth of the own share that may gather, at most the declared burst's share
+    Duration m_Window = milliseconds(250); // how often demand is measured and told
+    Duration m_PeerMemory = seconds(600);  // how long a silent peer's demand still counts
+    double   m_Floor = 0.02;               // e as a share of the limit
+    double   m_Smooth = 0.5;               // weight of the newest window in the demand
+    double   m_BurstShare = 0.1;           // seconds' worth of the own share that may gather, at most the declared burst's share
 };
 
 struct AccountRate
 {
-    std::string m_Account;    //
-    double      m_Rate = 0;   // requests a second offered
+    std::string m_Account;  //
+    double      m_Rate = 0; // requests a second offered
 };
 
 class AccountLimits
@@ -56,13 +56,13 @@
 
     struct Account
     {
-        uint64_t                          m_Offered = 0;    // since the last Tick()
-        double                            m_Rate    = 0;    // smoothed, a second
-        std::map<std::string, PeerDemand> m_Peers;          // by router
+        uint64_t                          m_Offered = 0;      // since the last Tick()
+        double                            m_Rate = 0;         // smoothed, a second
+        std::map<std::string, PeerDemand> m_Peers;            // by router
         TokenBucket                       m_Bucket{0, 0, {}}; //
-        double                            m_Limit = 0;      // as declared when the bucket was set
-        double                            m_Burst = 0;      //
-        bool                              m_Started = false; // the bucket is set
+        double                            m_Limit = 0;        // as declared when the bucket was set
+        double                            m_Burst = 0;        //
+        bool                              m_Started = false;  // the bucket is set
     };
 
     struct Shard
@@ -77,12 +77,12 @@
     double ShareLocked(const Account& a, TimePoint now) const;
     void   SetRateLocked(Account& a, TimePoint now);
 
-    LimitsConfig               m_Config;        //
-    std::array<Shard, kShards> m_Shards;        //
-    std::mutex                 m_PeersMutex;    // guards m_KnownPeers
-    std::map<std::string, TimePoint> m_KnownPeers; // routers heard from, and when
-    std::atomic<size_t>        m_PeerCount{0};  // size of m_KnownPeers
-    TimePoint                  m_LastTick{};    // touched only by Tick()
+    LimitsConfig                     m_Config;       //
+    std::array<Shard, kShards>       m_Shards;       //
+    std::mutex                       m_PeersMutex;   // guards m_KnownPeers
+    std::map<std::string, TimePoint> m_KnownPeers;   // routers heard from, and when
+    std::atomic<size_t>              m_PeerCount{0}; // size of m_KnownPeers
+    TimePoint                        m_LastTick{};   // touched only by Tick()
 };
 
 } // namespace aldervale
--- a/src/request/replica_table.h
+++ b/src/request/replica_table.h
@@ -19,11 +19,11 @@
 
 struct ReplicaQuery
 {
-    std::string           m_Digest;      // model services: version that must be active; empty: any
-    std::string           m_Adapter;     // adapter digest that must be loaded; empty: none
-    std::set<std::string> m_Boxes;       // plain services: boxes to choose from; empty: any
-    std::set<std::string> m_Tried;       // not again
-    uint64_t              m_Prefix = 0;  // hash of the prompt's prefix; 0: none
+    std::string           m_Digest;     // model services: version that must be active; empty: any
+    std::string           m_Adapter;    // adapter digest that must be loaded; empty: none
+    std::set<std::string> m_Boxes;      // plain services: boxes to choose from; empty: any
+    std::set<std::string> m_Tried;      // not again
+    uint64_t              m_Prefix = 0; // hash of the prompt's prefix; 0: none
 };
 
 struct Chosen
@@ -52,26 +52,26 @@
 private:
     struct Replica
     {
-        LinkPtr               m_Link;             // newest; null when lost
-        std::string           m_DataCentre;       //
-        std::string           m_Active;           // slice digest it serves
-        bool                  m_GroupClosed = false; // another box of its replica is in doubt
-        bool                  m_Leaving = false;  //
-        std::set<std::string> m_Adapters;         // digests loaded
-        double                m_Reported = 0;     // running and queued by its last report
-        TimePoint             m_ReportAt{};       // when that was true
-        std::set<uint64_t>    m_Warm;             // prefixes by its last report
-        std::map<uint64_t, TimePoint> m_Sent;     // prefixes that this router sent there lately
-        unsigned              m_InFlight = 0;     // of this router
-        double                m_Failures = 0;     // decays by half every m_FailureHalf
-        TimePoint             m_FailureAt{};      //
-        TimePoint             m_UsableSince{};    // when the active version changed last
-        json::array           m_Versions;         // for Describe()
-        json::object          m_State;            // for Describe()
+        LinkPtr                       m_Link;                // newest; null when lost
+        std::string                   m_DataCentre;          //
+        std::string                   m_Active;              // slice digest it serves
+        bool                          m_GroupClosed = false; // another box of its replica is in doubt
+        bool                          m_Leaving = false;     //
+        std::set<std::string>         m_Adapters;            // digests loaded
+        double                        m_Reported = 0;        // running and queued by its last report
+        TimePoint                     m_ReportAt{};          // when that was true
+        std::set<uint64_t>            m_Warm;                // prefixes by its last report
+        std::map<uint64_t, TimePoint> m_Sent;                // prefixes that this router sent there lately
+        unsigned                      m_InFlight = 0;        // of this router
+        double                        m_Failures = 0;        // decays by half every m_FailureHalf
+        TimePoint                     m_FailureAt{};         //
+        TimePoint                     m_UsableSince{};       // when the active version changed last
+        json::array                   m_Versions;            // for Describe()
+        json::object                  m_State;               // for Describe()
     };
 
-    bool        Matches(const std::string& name, const Replica& r, const ReplicaQuery& q) const;
-    ReplicaView ViewOf(const Replica& r, const ReplicaQuery& q, const std::string& own_region, const ConfigSnapshot& c, TimePoint now) const;
+    bool          Matches(const std::string& name, const Replica& r, const ReplicaQuery& q) const;
+    ReplicaView   ViewOf(const Replica& r, const ReplicaQuery& q, const std::string& own_region, const ConfigSnapshot& c, TimePoint now) const;
     static double DecayedFailures(const Replica& r, TimePoint now);
 
     const RouteConfig m_Config;     //
--- a/src/request/router_serve.cpp
+++ b/src/request/router_serve.cpp
@@ -14,10 +14,10 @@
 namespace
 {
 
-constexpr auto     kCallerPoll      = milliseconds(100);   // how often a waiting request looks whether its caller left
-constexpr uint32_t kRetryAfterMs    = 1000;                // told to callers when nothing better is known
-constexpr size_t   kBufferMax       = 1024 * 1024;         // answers up to this are sent whole, with a length
-constexpr uint32_t kKeyedProbeMs    = 1000;                // deadline of a probe
+constexpr auto     kCallerPoll = milliseconds(100); // how often a waiting request looks whether its caller left
+constexpr uint32_t kRetryAfterMs = 1000;            // told to callers when nothing better is known
+constexpr size_t   kBufferMax = 1024 * 1024;        // answers up to this are sent whole, with a length
+constexpr uint32_t kKeyedProbeMs = 1000;            // deadline of a probe
 
 using Fields = std::vector<std::unique_ptr<wire::FieldT>>;
 
@@ -25,7 +25,9 @@
 {
     constexpr std::string_view kForwarded[] = {"Content-Type", "Accept", "Accept-Language", "User-Agent", "X-Request-Id", "Traceparent"};
     return std::any_of(std::begin(kForwarded), std::end(kForwarded),
-                       [&](std::string_view f) { return FindField({{std::string(name), "1"}}, f) == "1"; });
+                       [&](std::string_view f) {
+                           return FindField({{std::string(name), "1"}}, f) == "1";
+                       });
 }
 
 bool IsEventStream(const HttpFields& fields)
@@ -65,7 +67,8 @@
 std::vector<SettingSpec> DescribeRouterServe(RouterServeSettings& s)
 {
     return {
-        {"route.policy", SettingText{&s.m_Policy, {"cost", "random", "round-robin", "least-requests"}, false}, "cost; the others are baselines for measurements"},
+        {"route.policy", SettingText{&s.m_Policy, {"cost", "random", "round-robin", "least-requests"}, false},
+         "cost; the others are baselines for measurements"},
         {"route.choices", SettingInt{&s.m_Choices, 1, 64}, "random candidates compared per request"},
         {"route.warm_bonus", SettingReal{&s.m_WarmBonus, 0, 1000}, "requests' worth of a warm prefix"},
         {"route.per_replica", SettingInt{&s.m_PerReplica, 1, 10'000}, "requests at one replica over all routers before they wait here"},
@@ -83,28 +86,28 @@
 {
     explicit Waiter(asio::any_io_executor ex) : m_Executor(ex), m_Timer(ex) {}
 
-    asio::any_io_executor m_Executor;        // the request's strand; m_Timer is touched only there
-    asio::steady_timer    m_Timer;           // its cancellation wakes the request
-    std::atomic<bool>     m_Granted{false};  //
+    asio::any_io_executor m_Executor;       // the request's strand; m_Timer is touched only there
+    asio::steady_timer    m_Timer;          // its cancellation wakes the request
+    std::atomic<bool>     m_Granted{false}; //
 };
 using WaiterPtr = std::shared_ptr<Waiter>;
 
 struct RequestState // lives as long as one caller's request
 {
-    HttpRequest&             m_Req;                //
-    HttpReply&               m_Reply;              //
-    ConfigPtr                m_Config;             // the one snapshot it is served under
-    std::string              m_ServiceName;        //
-    const ServiceSpec*       m_Service = nullptr;  // in m_Config
-    std::string              m_AccountName;        //
-    const ClientAccountSpec* m_Account = nullptr;  // in m_Config
-    std::string              m_Key;                // keyed calls only
-    bool                     m_Keyed = false;      //
-    TimePoint                m_Started{};          //
-    TimePoint                m_Deadline{};         //
-    RequestRecord            m_Record;             //
-    bool                     m_Begun = false;      // a byte of the answer went to the caller
-    TimePoint                m_FirstByte{};        // when
+    HttpRequest&             m_Req;               //
+    HttpReply&               m_Reply;             //
+    ConfigPtr                m_Config;            // the one snapshot it is served under
+    std::string              m_ServiceName;       //
+    const ServiceSpec*       m_Service = nullptr; // in m_Config
+    std::string              m_AccountName;       //
+    const ClientAccountSpec* m_Account = nullptr; // in m_Config
+    std::string              m_Key;               // keyed calls only
+    bool                     m_Keyed = false;     //
+    TimePoint                m_Started{};         //
+    TimePoint                m_Deadline{};        //
+    RequestRecord            m_Record;            //
+    bool                     m_Begun = false;     // a byte of the answer went to the caller
+    TimePoint                m_FirstByte{};       // when
 };
 
 struct AttemptResult
@@ -131,49 +134,49 @@
     static RouteConfig MakeRouteConfig(const RouterServeSettings& s)
     {
         RouteConfig cfg;
-        cfg.m_Policy    = ParseRoutePolicy(s.m_Policy).value_or(RoutePolicy_Cost);
-        cfg.m_Choices   = static_cast<unsigned>(s.m_Choices);
+        cfg.m_Policy = ParseRoutePolicy(s.m_Policy).value_or(RoutePolicy_Cost);
+        cfg.m_Choices = static_cast<unsigned>(s.m_Choices);
         cfg.m_WarmBonus = s.m_WarmBonus;
         return cfg;
     }
 
-    std::optional<Error>   Identify(RequestState& st) const;
-    awaitable<void>        Serve(RequestState& st);
-    awaitable<void>        ServeKeyed(RequestState& st, const Error* refused);
-    awaitable<void>        ServeOpen(RequestState& st);
-    awaitable<AttemptResult> Attempt(RequestState& st, const Chosen& to, wire::ServeCallT& call);
-    awaitable<AttemptResult> Relay(RequestState& st, const LinkPtr& link, const MailboxPtr& box);
+    std::optional<Error>            Identify(RequestState& st) const;
+    awaitable<void>                 Serve(RequestState& st);
+    awaitable<void>                 ServeKeyed(RequestState& st, const Error* refused);
+    awaitable<void>                 ServeOpen(RequestState& st);
+    awaitable<AttemptResult>        Attempt(RequestState& st, const Chosen& to, wire::ServeCallT& call);
+    awaitable<AttemptResult>        Relay(RequestState& st, const LinkPtr& link, const MailboxPtr& box);
     awaitable<std::optional<Error>> Enter(RequestState& st);
-    void                   Leave(const std::string& service);
-    void                   GrantNext(const std::string& service);
-    size_t                 Capacity(const std::string& service) const;
-    ReplicaQuery           MakeQuery(const RequestState& st) const;
-    wire::ServeCallT       MakeCall(const RequestState& st, const ReplicaQuery& q) const;
-    awaitable<void>        Fail(RequestState& st, const Error& e);
-    void                   Account(RequestState& st);
-    awaitable<void>        DemandLoop();
+    void                            Leave(const std::string& service);
+    void                            GrantNext(const std::string& service);
+    size_t                          Capacity(const std::string& service) const;
+    ReplicaQuery                    MakeQuery(const RequestState& st) const;
+    wire::ServeCallT                MakeCall(const RequestState& st, const ReplicaQuery& q) const;
+    awaitable<void>                 Fail(RequestState& st, const Error& e);
+    void                            Account(RequestState& st);
+    awaitable<void>                 DemandLoop();
 
     struct ServiceQueue
     {
         FairQueue                     m_Queue{FairQueueConfig{}}; //
         std::map<uint64_t, WaiterPtr> m_Waiters;                  // by id in m_Queue
-        size_t                        m_Capacity   = 1;           // as of m_CapacityAt
+        size_t                        m_Capacity = 1;             // as of m_CapacityAt
         TimePoint                     m_CapacityAt{};             //
     };
 
-    Daemon&               m_Daemon;       //
-    RouterServeSettings   m_Settings;     //
-    Node&                 m_Node;         //
-    Usage&                m_Usage;        //
-    AccountLimits         m_Limits;       //
-    RetryBudget           m_Budget;       //
-    ReplicaTable          m_Replicas;     //
-    uint64_t              m_LimitsSalt;   //
-    std::function<bool()> m_Ready;        // set once before Start()
-    std::atomic<uint64_t> m_InFlight{0};  //
-
-    mutable std::mutex                  m_QueueMutex;  // guards the members below
-    std::map<std::string, ServiceQueue> m_Queues;      // by service
+    Daemon&               m_Daemon;      //
+    RouterServeSettings   m_Settings;    //
+    Node&                 m_Node;        //
+    Usage&                m_Usage;       //
+    AccountLimits         m_Limits;      //
+    RetryBudget           m_Budget;      //
+    ReplicaTable          m_Replicas;    //
+    uint64_t              m_LimitsSalt;  //
+    std::function<bool()> m_Ready;       // set once before Start()
+    std::atomic<uint64_t> m_InFlight{0}; //
+
+    mutable std::mutex                  m_QueueMutex; // guards the members below
+    std::map<std::string, ServiceQueue> m_Queues;     // by service
     uint64_t                            m_NextWaiter = 1;
 };
 
@@ -183,24 +186,24 @@
 
 std::optional<Error> RouterServe::Impl::Identify(RequestState& st) const
 {
-    const HttpRequest&         req     = st.m_Req;
+    const HttpRequest&         req = st.m_Req;
     const auto*                service = FindService(*st.m_Config, req.Path(), &st.m_ServiceName);
     constexpr std::string_view kBearer = "Bearer ";
-    const std::string_view     auth    = FindField(req.m_Fields, "Authorization");
+    const std::string_view     auth = FindField(req.m_Fields, "Authorization");
     if (!auth.starts_with(kBearer))
         return MakeError(ErrorCode_Denied, "expected Authorization: Bearer TOKEN", "Authorization");
-    const std::string digest  = ToHex(Sha256(auth.substr(kBearer.size())));
+    const std::string digest = ToHex(Sha256(auth.substr(kBearer.size())));
     const auto        account = st.m_Config->m_AccountByToken.find(digest);
     if (account == st.m_Config->m_AccountByToken.end())
         return MakeError(ErrorCode_Denied, "unknown token", "Authorization");
     st.m_AccountName = account->second;
-    st.m_Account     = &st.m_Config->m_Accounts.find(account->second)->second.m_Spec;
+    st.m_Account = &st.m_Config->m_Accounts.find(account->second)->second.m_Spec;
     if (service == nullptr)
         return MakeError(ErrorCode_NotFound, "no service at this path", "path");
-    st.m_Service         = &service->m_Spec;
-    st.m_Keyed           = NeedsKey(*st.m_Service, req.m_Method);
-    st.m_Key             = std::string(FindField(req.m_Fields, "Idempotency-Key"));
-    uint32_t deadline_ms = st.m_Service->m_DeadlineMs;
+    st.m_Service = &service->m_Spec;
+    st.m_Keyed = NeedsKey(*st.m_Service, req.m_Method);
+    st.m_Key = std::string(FindField(req.m_Fields, "Idempotency-Key"));
+    uint32_t          deadline_ms = st.m_Service->m_DeadlineMs;
     const std::string asked(FindField(req.m_Fields, "Aldervale-Deadline-Ms"));
     if (!asked.empty())
     {
@@ -221,7 +224,7 @@
 
 size_t RouterServe::Impl::Capacity(const std::string& service) const
 {
-    const ConfigPtr c  = m_Node.Config();
+    const ConfigPtr c = m_Node.Config();
     const auto      it = c->m_Services.find(service);
     if (it == c->m_Services.end())
         return 1;
@@ -231,21 +234,21 @@
     else
         q.m_Boxes.insert(it->second.m_Spec.m_Boxes.begin(), it->second.m_Spec.m_Boxes.end());
     const size_t replicas = m_Replicas.CountUsable(q, [this](const std::string& box) { return m_Node.Usable(box); });
-    const size_t routers  = 1 + m_Node.Links(wire::PeerRole::Router).size();
+    const size_t routers = 1 + m_Node.Links(wire::PeerRole::Router).size();
     return std::max<size_t>(4, replicas * static_cast<size_t>(m_Settings.m_PerReplica) * 5 / 4 / routers);
 }
 
 // Waits for room. An error means that nothing was sent to anybody.
 awaitable<std::optional<Error>> RouterServe::Impl::Enter(RequestState& st)
 {
-    WaiterPtr      waiter;
-    uint64_t       id      = 0;
-    size_t         refresh = 0;
-    const auto     ex      = co_await asio::this_coro::executor;
+    WaiterPtr  waiter;
+    uint64_t   id = 0;
+    size_t     refresh = 0;
+    const auto ex = co_await asio::this_coro::executor;
     {
         std::lock_guard lock(m_QueueMutex);
         ServiceQueue&   sq = m_Queues[st.m_ServiceName];
-        refresh            = Now() - sq.m_CapacityAt > milliseconds(100) ? 1 : 0;
+        refresh = Now() - sq.m_CapacityAt > milliseconds(100) ? 1 : 0;
         if (refresh != 0)
             sq.m_CapacityAt = Now();
     }
@@ -260,11 +263,11 @@
         id = m_NextWaiter++;
         if (!sq.m_Queue.Push(id, st.m_AccountName, st.m_Account->m_Weight, st.m_Account->m_Priority == 0))
         {
-            Error e          = MakeError(ErrorCode_Limited, "too many requests wait here");
+            Error e = MakeError(ErrorCode_Limited, "too many requests wait here");
             e.m_RetryAfterMs = kRetryAfterMs;
             co_return e;
         }
-        waiter           = std::make_shared<Waiter>(ex);
+        waiter = std::make_shared<Waiter>(ex);
         sq.m_Waiters[id] = waiter;
     }
     GrantNext(st.m_ServiceName);
@@ -278,7 +281,7 @@
     sq.m_Waiters.erase(id);
     if (sq.m_Queue.Remove(id))
     {
-        Error e          = MakeError(ErrorCode_Timeout, "no room before the deadline");
+        Error e = MakeError(ErrorCode_Timeout, "no room before the deadline");
         e.m_RetryAfterMs = kRetryAfterMs;
         co_return e;
     }
@@ -327,7 +330,7 @@
     if (adapter != st.m_Config->m_Adapters.end())
         q.m_Adapter = adapter->second.m_Spec.m_Manifest;
     constexpr std::string_view kPrompt = "\"prompt\":";
-    const size_t               at      = st.m_Req.m_Body.find(kPrompt);
+    const size_t               at = st.m_Req.m_Body.find(kPrompt);
     if (at != std::string::npos)
     {
         // The engine hashes the decoded prompt; for prompts without escapes in their first bytes this is the same text.
@@ -344,25 +347,25 @@
 wire::ServeCallT RouterServe::Impl::MakeCall(const RequestState& st, const ReplicaQuery& q) const
 {
     wire::ServeCallT call;
-    call.service     = st.m_ServiceName;
-    call.account     = st.m_AccountName;
-    call.digest      = q.m_Digest;
-    call.adapter     = q.m_Adapter;
-    call.method      = st.m_Req.m_Method;
-    call.target      = st.m_Req.m_Target;
-    call.key         = st.m_Key;
-    call.keyed       = st.m_Keyed;
+    call.service = st.m_ServiceName;
+    call.account = st.m_AccountName;
+    call.digest = q.m_Digest;
+    call.adapter = q.m_Adapter;
+    call.method = st.m_Req.m_Method;
+    call.target = st.m_Req.m_Target;
+    call.key = st.m_Key;
+    call.keyed = st.m_Keyed;
     call.homes_epoch = st.m_Keyed ? HomesEpoch(*st.m_Service) : 0;
     call.deadline_ms = static_cast<uint32_t>(std::max<int64_t>(1, ToMs(st.m_Deadline - Now())));
-    call.priority    = static_cast<uint8_t>(st.m_Account->m_Priority);
-    call.window      = static_cast<uint32_t>(m_Settings.m_WindowKib) * 1024;
+    call.priority = static_cast<uint8_t>(st.m_Account->m_Priority);
+    call.window = static_cast<uint32_t>(m_Settings.m_WindowKib) * 1024;
     call.body.assign(st.m_Req.m_Body.begin(), st.m_Req.m_Body.end());
     for (const HttpField& f : st.m_Req.m_Fields)
     {
         if (!ForwardsToBackend(f.m_Name))
             continue;
-        auto field   = std::make_unique<wire::FieldT>();
-        field->name  = f.m_Name;
+        auto field = std::make_unique<wire::FieldT>();
+        field->name = f.m_Name;
         field->value = f.m_Value;
         call.fields.push_back(std::move(field));
     }
@@ -372,7 +375,7 @@
 awaitable<AttemptResult> RouterServe::Impl::Attempt(RequestState& st, const Chosen& to, wire::ServeCallT& call)
 {
     AttemptResult    result;
-    const auto       ex  = co_await asio::this_coro::executor;
+    const auto       ex = co_await asio::this_coro::executor;
     const MailboxPtr box = to.m_Link->OpenExchange(ex);
     if (!to.m_Link->Send(EncodeFrame(box->Id(), call)))
     {
@@ -393,9 +396,9 @@
 {
     AttemptResult result;
     HttpResponse  res;
-    uint64_t      received  = 0;
+    uint64_t      received = 0;
     bool          streaming = false;
-    bool          headed    = false;
+    bool          headed = false;
     for (;;)
     {
         const std::optional<FrameBuf> frame = co_await box->Pop(std::min(st.m_Deadline, Now() + kCallerPoll));
@@ -405,13 +408,16 @@
             if (!box->Closed() && Now() < st.m_Deadline && !gone)
                 continue;
             result.m_Error = MakeError(Now() >= st.m_Deadline ? ErrorCode_Timeout : ErrorCode_Unavailable,
-                                       gone ? "caller left" : box->Closed() ? "link to the box was lost" : "no answer before the deadline", {}, Verdict_MayHaveRun);
+                                       gone            ? "caller left"
+                                       : box->Closed() ? "link to the box was lost"
+                                                       : "no answer before the deadline",
+                                       {}, Verdict_MayHaveRun);
             co_return result;
         }
         const wire::Frame& f = *frame->Get();
         if (const wire::ServeHead* head = f.body_as_ServeHead())
         {
-            headed       = true;
+            headed = true;
             res.m_Status = head->status();
             res.m_Fields = ToFields(head->fields());
             if (head->replayed())
@@ -443,7 +449,7 @@
                 res.m_Body.append(bytes);
             if (res.m_Body.size() > kBufferMax)
             {
-                streaming  = true;
+                streaming = true;
                 st.m_Begun = true;
                 co_await st.m_Reply.Start(res.m_Status, res.m_Fields);
                 co_await st.m_Reply.Write(res.m_Body);
@@ -468,9 +474,9 @@
         if (!end->complete() || !headed || end->length() != received)
         {
             const std::string reason = end->reason() != nullptr ? end->reason()->str() : "answer is not whole";
-            const ErrorCode   code   = end->error() != nullptr ? ParseErrorCode(end->error()->string_view()) : ErrorCode_Corrupt;
-            const Verdict     v      = end->complete() ? Verdict_MayHaveRun : static_cast<Verdict>(end->verdict());
-            result.m_Error           = MakeError(code, reason, {}, v);
+            const ErrorCode   code = end->error() != nullptr ? ParseErrorCode(end->error()->string_view()) : ErrorCode_Corrupt;
+            const Verdict     v = end->complete() ? Verdict_MayHaveRun : static_cast<Verdict>(end->verdict());
+            result.m_Error = MakeError(code, reason, {}, v);
             co_return result;
         }
         st.m_Record.m_BytesOut = received;
@@ -510,18 +516,18 @@
 
 awaitable<void> RouterServe::Impl::ServeOpen(RequestState& st)
 {
-    ReplicaQuery  q       = MakeQuery(st);
+    ReplicaQuery  q = MakeQuery(st);
     AttemptResult last;
-    last.m_Error          = MakeError(ErrorCode_Unavailable, "no backend server can take this request now");
-    const auto    usable  = [this](const std::string& box) { return m_Node.Usable(box); };
+    last.m_Error = MakeError(ErrorCode_Unavailable, "no backend server can take this request now");
+    const auto usable = [this](const std::string& box) { return m_Node.Usable(box); };
     for (unsigned attempt = 1;; attempt++)
     {
         const std::optional<Chosen> to = m_Replicas.Choose(q, *st.m_Config, usable, Now());
         if (!to)
             break;
         wire::ServeCallT call = MakeCall(st, q);
-        call.attempt          = static_cast<uint8_t>(attempt);
-        last                  = co_await Attempt(st, *to, call);
+        call.attempt = static_cast<uint8_t>(attempt);
+        last = co_await Attempt(st, *to, call);
         m_Replicas.OnEnd(to->m_Box, !last.m_Done && last.m_Error.m_Code != ErrorCode_Limited, Now());
         if (last.m_Done)
         {
@@ -541,15 +547,16 @@
 awaitable<void> RouterServe::Impl::ServeKeyed(RequestState& st, const Error* refused)
 {
     const std::string           home = HomeOf(*st.m_Service, st.m_Key);
-    const std::optional<Chosen> to   = m_Replicas.Take(home);
+    const std::optional<Chosen> to = m_Replicas.Take(home);
     if (!to)
     {
-        const Error lost = MakeError(ErrorCode_Unavailable, "the key's home " + home + " can't be reached; repeat the call with the same key", {}, Verdict_MayHaveRun);
+        const Error lost = MakeError(ErrorCode_Unavailable, "the key's home " + home + " can't be reached; repeat the call with the same key", {},
+                                     Verdict_MayHaveRun);
         co_await Fail(st, lost);
         co_return;
     }
     wire::ServeCallT call = MakeCall(st, ReplicaQuery{});
-    call.probe            = refused != nullptr;
+    call.probe = refused != nullptr;
     if (call.probe)
         call.deadline_ms = std::min(call.deadline_ms, kKeyedProbeMs);
     AttemptResult result = co_await Attempt(st, *to, call);
@@ -579,7 +586,7 @@
     }
     else if (const auto wait = m_Limits.Admit(st.m_AccountName, *st.m_Account, Now()))
     {
-        refused                 = MakeError(ErrorCode_Limited, "client account is over its limit");
+        refused = MakeError(ErrorCode_Limited, "client account is over its limit");
         refused->m_RetryAfterMs = static_cast<unsigned>(std::max<int64_t>(1, ToMs(*wait)));
     }
     if (!refused)
@@ -604,23 +611,23 @@
 
 void RouterServe::Impl::Account(RequestState& st)
 {
-    static HistogramMetric& all   = Metrics().GetHistogram("aldervale_request_seconds");
+    static HistogramMetric& all = Metrics().GetHistogram("aldervale_request_seconds");
     static HistogramMetric& first = Metrics().GetHistogram("aldervale_first_byte_seconds");
-    static Counter&         ran   = Metrics().GetCounter("aldervale_requests_total", "verdict=\"ran\"");
+    static Counter&         ran = Metrics().GetCounter("aldervale_requests_total", "verdict=\"ran\"");
     static Counter&         not_run = Metrics().GetCounter("aldervale_requests_total", "verdict=\"not-run\"");
-    static Counter&         may   = Metrics().GetCounter("aldervale_requests_total", "verdict=\"may-have-run\"");
-    const TimePoint         now   = Now();
+    static Counter&         may = Metrics().GetCounter("aldervale_requests_total", "verdict=\"may-have-run\"");
+    const TimePoint         now = Now();
     (st.m_Record.m_Verdict == Verdict_Ran ? ran : st.m_Record.m_Verdict == Verdict_NotRun ? not_run : may).Add(1);
     all.Record(ToSeconds(now - st.m_Started));
     if (st.m_FirstByte != TimePoint{})
         first.Record(ToSeconds(st.m_FirstByte - st.m_Started));
     if (st.m_Service == nullptr)
         return;
-    const TimePoint felt   = st.m_FirstByte != TimePoint{} && st.m_Begun ? st.m_FirstByte : now;
-    st.m_Record.m_Service  = st.m_ServiceName;
-    st.m_Record.m_Account  = st.m_AccountName;
-    st.m_Record.m_BytesIn  = st.m_Req.m_Body.size();
-    st.m_Record.m_Good     = st.m_Record.m_Verdict == Verdict_Ran && ToSeconds(felt - st.m_Started) * 1000 <= st.m_Service->m_SloMs;
+    const TimePoint felt = st.m_FirstByte != TimePoint{} && st.m_Begun ? st.m_FirstByte : now;
+    st.m_Record.m_Service = st.m_ServiceName;
+    st.m_Record.m_Account = st.m_AccountName;
+    st.m_Record.m_BytesIn = st.m_Req.m_Body.size();
+    st.m_Record.m_Good = st.m_Record.m_Verdict == Verdict_Ran && ToSeconds(felt - st.m_Started) * 1000 <= st.m_Service->m_SloMs;
     m_Usage.Record(st.m_Record, now);
 }
 
@@ -634,9 +641,9 @@
         msg.window_ms = 250;
         for (const AccountRate& r : rates)
         {
-            auto a     = std::make_unique<wire::AccountDemandT>();
+            auto a = std::make_unique<wire::AccountDemandT>();
             a->account = r.m_Account;
-            a->rate    = static_cast<float>(r.m_Rate);
+            a->rate = static_cast<float>(r.m_Rate);
             msg.accounts.push_back(std::move(a));
         }
         const FrameBytes frame = EncodeFrame(0, msg);
@@ -649,7 +656,10 @@
 // RouterServe
 //-----------------------------------------------------------------------------
 
-RouterServe::RouterServe(Daemon& daemon, const RouterServeSettings& s, Node& node, Usage& usage) : m_Impl(std::make_shared<Impl>(daemon, s, node, usage)) {}
+RouterServe::RouterServe(Daemon& daemon, const RouterServeSettings& s, Node& node, Usage& usage)
+    : m_Impl(std::make_shared<Impl>(daemon, s, node, usage))
+{
+}
 RouterServe::~RouterServe() = default;
 
 void RouterServe::Start()
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -18,7 +18,7 @@
 struct Waiting // a request that waits for its place in the batch
 {
     int64_t  m_Priority = 0; // higher first
-    uint64_t m_Order    = 0; // then in order of arrival
+    uint64_t m_Order = 0;    // then in order of arrival
     bool     operator<(const Waiting& o) const { return m_Priority != o.m_Priority ? m_Priority > o.m_Priority : m_Order < o.m_Order; }
 };
 
@@ -38,18 +38,18 @@
     HttpClient        m_Client; //
     uint64_t          m_Boot;   // differs at every start
 
-    std::mutex            m_Mutex;            // guards the members below
-    std::string           m_Loaded;           // slice digest; empty: none, or loading
-    std::set<std::string> m_Adapters;         //
-    uint64_t              m_Fencing = 0;      //
-    std::set<Waiting>     m_Queue;            //
-    int64_t               m_Running = 0;      // in the batch
-    uint64_t              m_NextOrder = 1;    //
-    std::list<uint64_t>   m_Cache;            // prefixes, most recently used first
-    std::deque<CacheEvent> m_Events;          // with gaps
-    std::deque<std::pair<TimePoint, std::pair<int64_t, int64_t>>> m_LoadHistory; // running, queued
-    uint64_t              m_Served = 0, m_Tokens = 0, m_Cancelled = 0, m_CacheHits = 0, m_CacheAsked = 0;
-    uint64_t              m_MixedOrPartial = 0, m_StaleObeyed = 0, m_StaleRefused = 0, m_Loads = 0, m_WrongVersion = 0;
+    std::mutex                                                    m_Mutex;         // guards the members below
+    std::string                                                   m_Loaded;        // slice digest; empty: none, or loading
+    std::set<std::string>                                         m_Adapters;      //
+    uint64_t                                                      m_Fencing = 0;   //
+    std::set<Waiting>                                             m_Queue;         //
+    int64_t                                                       m_Running = 0;   // in the batch
+    uint64_t                                                      m_NextOrder = 1; //
+    std::list<uint64_t>                                           m_Cache;         // prefixes, most recently used first
+    std::deque<CacheEvent>                                        m_Events;        // with gaps
+    std::deque<std::pair<TimePoint, std::pair<int64_t, int64_t>>> m_LoadHistory;   // running, queued
+    uint64_t                                                      m_Served = 0, m_Tokens = 0, m_Cancelled = 0, m_CacheHits = 0, m_CacheAsked = 0;
+    uint64_t m_MixedOrPartial = 0, m_StaleObeyed = 0, m_StaleRefused = 0, m_Loads = 0, m_WrongVersion = 0;
 
     void NoteLoadLocked()
     {
@@ -60,7 +60,7 @@
 
     bool TouchCacheLocked(uint64_t prefix) // true: it was cached
     {
-        const auto it  = std::find(m_Cache.begin(), m_Cache.end(), prefix);
+        const auto it = std::find(m_Cache.begin(), m_Cache.end(), prefix);
         const bool hit = it != m_Cache.end();
         if (hit)
             m_Cache.erase(it);
@@ -89,7 +89,7 @@
         return std::nullopt;
     url.remove_prefix(kScheme.size());
     const size_t slash = url.find('/');
-    auto         at    = ParseEndpoint(url.substr(0, slash));
+    auto         at = ParseEndpoint(url.substr(0, slash));
     if (!at || slash == std::string_view::npos)
         return std::nullopt;
     return Source{at.value(), std::string(url.substr(slash))};
@@ -122,14 +122,14 @@
 {
     HttpRequest req;
     req.m_Target = src.m_Prefix + "/manifest";
-    auto res     = co_await e->m_Client.Call(src.m_At, req, Now() + seconds(60));
+    auto res = co_await e->m_Client.Call(src.m_At, req, Now() + seconds(60));
     if (!res || res.value().m_Status != 200)
         co_return false;
     auto whole = ParseManifest(res.value().m_Body, WholeDigest(slice));
     if (!whole)
         co_return false;
     size_t position = 0;
-    size_t count    = 1;
+    size_t count = 1;
     if (WholeDigest(slice) != slice && std::sscanf(slice.c_str() + WholeDigest(slice).size(), "~%zu-%zu", &position, &count) != 2)
         co_return false;
     const ManifestPtr m = SliceManifest(whole.value(), position, count);
@@ -145,9 +145,9 @@
 awaitable<void> Load(EnginePtr e, HttpRequest& req, HttpReply& reply)
 {
     json::error_code  ec;
-    const json::value v      = json::parse(req.m_Body, ec);
+    const json::value v = json::parse(req.m_Body, ec);
     const auto        source = ec ? std::nullopt : ParseSource(std::string_view(v.at("source").as_string()));
-    HttpResponse      res    = ErrorResponse(MakeError(ErrorCode_Invalid, "bad load order", "body"));
+    HttpResponse      res = ErrorResponse(MakeError(ErrorCode_Invalid, "bad load order", "body"));
     if (!source)
     {
         co_await reply.Send(res);
@@ -156,13 +156,13 @@
     const std::string digest(v.at("digest").as_string());
     const uint64_t    fencing = v.at("fencing").to_number<uint64_t>();
     const bool        adapter = v.as_object().contains("base");
-    bool              stale   = false;
+    bool              stale = false;
     {
         std::lock_guard lock(e->m_Mutex);
         stale = fencing < e->m_Fencing;
         e->m_StaleRefused += stale && e->m_Config.m_CheckFencing ? 1 : 0;
         e->m_StaleObeyed += stale && !e->m_Config.m_CheckFencing ? 1 : 0;
-        stale        = stale && e->m_Config.m_CheckFencing;
+        stale = stale && e->m_Config.m_CheckFencing;
         e->m_Fencing = std::max(e->m_Fencing, fencing);
         if (!stale && !adapter)
         {
@@ -189,7 +189,8 @@
         else
             e->m_Loaded = digest;
     }
-    res = whole ? JsonResponse(200, json::object{{"digest", digest}}) : ErrorResponse(MakeError(ErrorCode_Corrupt, "weights are not what the manifest says"));
+    res = whole ? JsonResponse(200, json::object{{"digest", digest}})
+                : ErrorResponse(MakeError(ErrorCode_Corrupt, "weights are not what the manifest says"));
     co_await reply.Send(res);
 }
 
@@ -199,9 +200,9 @@
 
 struct Completion
 {
-    std::string m_Prompt;          //
-    int64_t     m_MaxTokens = 16;  //
-    bool        m_Stream    = true;
+    std::string m_Prompt;         //
+    int64_t     m_MaxTokens = 16; //
+    bool        m_Stream = true;
 };
 
 std::optional<Completion> ParseCompletion(std::string_view body)
@@ -345,7 +346,8 @@
     }
     if (!c || !right)
     {
-        HttpResponse res = ErrorResponse(MakeError(c ? ErrorCode_Stale : ErrorCode_Invalid, c ? "another version is loaded" : "expected a prompt", c ? "" : "prompt"));
+        HttpResponse res = ErrorResponse(
+            MakeError(c ? ErrorCode_Stale : ErrorCode_Invalid, c ? "another version is loaded" : "expected a prompt", c ? "" : "prompt"));
         co_await reply.Send(res);
         co_return;
     }
@@ -363,8 +365,8 @@
 
 json::object Report(const EnginePtr& e)
 {
-    std::lock_guard lock(e->m_Mutex);
-    const TimePoint seen = Now() - milliseconds(e->m_Config.m_LoadLagMs);
+    std::lock_guard             lock(e->m_Mutex);
+    const TimePoint             seen = Now() - milliseconds(e->m_Config.m_LoadLagMs);
     std::pair<int64_t, int64_t> load{0, 0};
     for (const auto& [at, l] : e->m_LoadHistory)
         if (at <= seen)
@@ -373,19 +375,29 @@
     for (auto it = e->m_Events.rbegin(); it != e->m_Events.rend(); ++it)
         if (it->m_At <= seen)
             warm.push_back(it->m_Prefix);
-    json::object o{{"boot", e->m_Boot}, {"loaded", e->m_Loaded}, {"running", load.first}, {"queued", load.second}, {"age_ms", e->m_Config.m_LoadLagMs}};
+    json::object o{
+        {"boot", e->m_Boot}, {"loaded", e->m_Loaded}, {"running", load.first}, {"queued", load.second}, {"age_ms", e->m_Config.m_LoadLagMs}};
     o["kv_free"] = std::max(0.0, 1.0 - static_cast<double>(e->m_Running) / static_cast<double>(e->m_Config.m_MaxBatch));
-    o["warm"]    = warm;
+    o["warm"] = warm;
     return o;
 }
 
 json::object Stats(const EnginePtr& e)
 {
     std::lock_guard lock(e->m_Mutex);
-    return {{"loaded", e->m_Loaded},     {"served", e->m_Served},          {"tokens", e->m_Tokens},
-            {"cancelled", e->m_Cancelled}, {"cache_hits", e->m_CacheHits}, {"cache_asked", e->m_CacheAsked},
-            {"loads", e->m_Loads},       {"mixed_or_partial", e->m_MixedOrPartial}, {"stale_obeyed", e->m_StaleObeyed},
-            {"stale_refused", e->m_StaleRefused}, {"wrong_version", e->m_WrongVersion}, {"running", e->m_Running}, {"queued", e->m_Queue.size()}};
+    return {{"loaded", e->m_Loaded},
+            {"served", e->m_Served},
+            {"tokens", e->m_Tokens},
+            {"cancelled", e->m_Cancelled},
+            {"cache_hits", e->m_CacheHits},
+            {"cache_asked", e->m_CacheAsked},
+            {"loads", e->m_Loads},
+            {"mixed_or_partial", e->m_MixedOrPartial},
+            {"stale_obeyed", e->m_StaleObeyed},
+            {"stale_refused", e->m_StaleRefused},
+            {"wrong_version", e->m_WrongVersion},
+            {"running", e->m_Running},
+            {"queued", e->m_Queue.size()}};
 }
 
 awaitable<void> Serve(EnginePtr e, HttpRequest& req, HttpReply& reply)
@@ -413,7 +425,8 @@
 std::unique_ptr<HttpServer> MakeEngineStandin(asio::io_context& ioc, const EngineConfig& cfg)
 {
     auto engine = std::make_shared<EngineState>(ioc, cfg);
-    return std::make_unique<HttpServer>(ioc, HttpServerConfig{}, [engine](HttpRequest& req, HttpReply& reply) -> awaitable<void> { co_await Serve(engine, req, reply); });
+    return std::make_unique<HttpServer>(ioc, HttpServerConfig{},
+                                        [engine](HttpRequest& req, HttpReply& reply) -> awaitable<void> { co_await Serve(engine, req, reply); });
 }
 
 } // namespace aldervale
--- a/src/standin/plain.cpp
+++ b/src/standin/plain.cpp
@@ -17,7 +17,7 @@
     std::mutex                      m_Mutex;     // guards the members below
     std::map<std::string, uint64_t> m_Runs;      // by key
     uint64_t                        m_Reads = 0; //
-    uint64_t                        m_Done  = 0; // runs, keyed or not
+    uint64_t                        m_Done = 0;  // runs, keyed or not
 
     json::object Stats()
     {
@@ -65,7 +65,8 @@
 std::unique_ptr<HttpServer> MakePlainStandin(asio::io_context& ioc, const PlainConfig& cfg)
 {
     auto plain = std::make_shared<Plain>(cfg);
-    return std::make_unique<HttpServer>(ioc, HttpServerConfig{}, [plain](HttpRequest& req, HttpReply& reply) -> awaitable<void> { co_await Serve(plain, req, reply); });
+    return std::make_unique<HttpServer>(ioc, HttpServerConfig{},
+                                        [plain](HttpRequest& req, HttpReply& reply) -> awaitable<void> { co_await Serve(plain, req, reply); });
 }
 
 } // namespace aldervale
--- a/src/version/activation.cpp
+++ b/src/version/activation.cpp
@@ -18,7 +18,7 @@
         return OrderOutcome_Stale;
     if (o.m_Fencing == m_Fencing && o.m_Id <= m_LastOrder)
         return OrderOutcome_Done; // repeated, or overtaken by a later order of the same controller
-    m_Fencing   = o.m_Fencing;
+    m_Fencing = o.m_Fencing;
     m_LastOrder = o.m_Id;
     switch (o.m_Kind)
     {
@@ -39,7 +39,7 @@
 {
     if (fencing <= m_Fencing)
         return;
-    m_Fencing   = fencing;
+    m_Fencing = fencing;
     m_LastOrder = 0;
 }
 
@@ -48,7 +48,8 @@
     HeldVersion& v = m_Versions[o.m_Digest];
     if (v.m_State != VersionState_Absent && v.m_State != VersionState_Failed)
         return;
-    v = {VersionState_Fetching, o.m_Base, {}};
+    v.m_State = VersionState_Fetching;
+    v.m_Base = o.m_Base;
     m_Actions.push_back({ActivationAction_Fetch, o.m_Digest, o.m_Base, m_Fencing});
 }
 
@@ -111,10 +112,17 @@
         m_Versions[m_Active].m_State = VersionState_Verified;
     m_Active.clear();
     m_Versions[m_Pending].m_State = VersionState_Loading;
-    m_LoadSent                    = true;
+    m_LoadSent = true;
     m_Actions.push_back({ActivationAction_EngineLoad, m_Pending, {}, m_Fencing});
 }
 
+void Activation::Fail(HeldVersion& v, std::string_view error)
+{
+    v.m_State = VersionState_Failed;
+    v.m_Error = std::string(error);
+    v.m_Failures++;
+}
+
 void Activation::DeactivateAdapters()
 {
     for (auto& [digest, v] : m_Versions)
@@ -128,13 +136,13 @@
     if (it == m_Versions.end() || it->second.m_State != VersionState_Fetching)
         return;
     it->second.m_State = VersionState_Verified;
-    const auto want    = std::find(m_WantActive.begin(), m_WantActive.end(), digest);
+    const auto want = std::find(m_WantActive.begin(), m_WantActive.end(), digest);
     if (want == m_WantActive.end())
         return;
     m_WantActive.erase(want);
     Order again;
     again.m_Digest = digest;
-    again.m_Base   = it->second.m_Base;
+    again.m_Base = it->second.m_Base;
     Commit(again);
 }
 
@@ -143,8 +151,7 @@
     const auto it = m_Versions.find(digest);
     if (it == m_Versions.end() || it->second.m_State != VersionState_Fetching)
         return;
-    it->second.m_State = VersionState_Failed;
-    it->second.m_Error = std::string(error);
+    Fail(it->second, error);
     std::erase(m_WantActive, digest);
 }
 
@@ -176,8 +183,7 @@
     const auto it = m_Versions.find(digest);
     if (it == m_Versions.end() || it->second.m_State != VersionState_Loading)
         return;
-    it->second.m_State = VersionState_Failed;
-    it->second.m_Error = std::string(error);
+    Fail(it->second, error);
     if (m_Pending != digest)
         return;
     m_Pending.clear();
--- a/src/version/activation.h
+++ b/src/version/activation.h
@@ -45,11 +45,11 @@
 
 struct Order
 {
-    uint64_t    m_Fencing = 0;                    // of the controller's lease
-    uint64_t    m_Id      = 0;                    // unique; a repeated order is answered again, not carried out again
-    OrderKind   m_Kind    = OrderKind_Prepare;    //
-    std::string m_Digest;                         // slice digest of a version or adapter
-    std::string m_Base;                           // adapters: digest of the active version that they go on
+    uint64_t    m_Fencing = 0;              // of the controller's lease
+    uint64_t    m_Id = 0;                   // unique; a repeated order is answered again, not carried out again
+    OrderKind   m_Kind = OrderKind_Prepare; //
+    std::string m_Digest;                   // slice digest of a version or adapter
+    std::string m_Base;                     // adapters: digest of the active version that they go on
 };
 
 enum OrderOutcome
@@ -80,7 +80,8 @@
 {
     VersionState m_State = VersionState_Absent; //
     std::string  m_Base;                        // adapters: digest they go on; empty for versions
-    std::string  m_Error;                       // why it failed
+    std::string  m_Error;                       // why it failed last
+    unsigned     m_Failures = 0;                // since this box holds it; halts a rollout
 };
 
 class Activation
@@ -93,16 +94,16 @@
     void OnFetchFailed(const std::string& digest, std::string_view error);
     void OnLoaded(const std::string& digest, const std::string& confirmed); // `confirmed`: what the engine says it loaded
     void OnLoadFailed(const std::string& digest, std::string_view error);
-    void OnEngineLost();                                                    // the engine restarted: nothing is loaded any more
+    void OnEngineLost(); // the engine restarted: nothing is loaded any more
 
     bool RequestBegin(const std::string& digest, const std::string& adapter); // false: not servable; true: counts as running
     void RequestEnd();
 
-    std::vector<ActivationAction> TakeActions();
-    bool                          MayServe(const std::string& digest, const std::string& adapter = {}) const;
-    uint64_t                      Fencing() const { return m_Fencing; }
-    uint64_t                      Running() const { return m_Running; }
-    const std::string&            Active() const { return m_Active; }
+    std::vector<ActivationAction>             TakeActions();
+    bool                                      MayServe(const std::string& digest, const std::string& adapter = {}) const;
+    uint64_t                                  Fencing() const { return m_Fencing; }
+    uint64_t                                  Running() const { return m_Running; }
+    const std::string&                        Active() const { return m_Active; }
     const std::map<std::string, HeldVersion>& Versions() const { return m_Versions; }
 
 private:
@@ -110,17 +111,18 @@
     void Commit(const Order& o);
     void Unload(const Order& o);
     void StartPendingLoad(); // when nothing runs any more
+    void Fail(HeldVersion& v, std::string_view error);
     void DeactivateAdapters();
 
-    std::map<std::string, HeldVersion> m_Versions;     // by slice digest; Absent ones are not kept
-    std::string                        m_Active;       // version that the engine serves; empty: none
-    std::string                        m_Pending;      // version waiting for running requests to end, or loading; empty: none
+    std::map<std::string, HeldVersion> m_Versions;         // by slice digest; Absent ones are not kept
+    std::string                        m_Active;           // version that the engine serves; empty: none
+    std::string                        m_Pending;          // version waiting for running requests to end, or loading; empty: none
     bool                               m_LoadSent = false; // the engine was asked to load m_Pending
-    std::vector<std::string>           m_WantActive;   // digests committed while still fetching
-    uint64_t                           m_Fencing = 0;  // never falls
-    uint64_t                           m_LastOrder = 0; // id of the last order carried out under m_Fencing
-    uint64_t                           m_Running = 0;  // requests handed to the engine
-    std::vector<ActivationAction>      m_Actions;      // not yet taken
+    std::vector<std::string>           m_WantActive;       // digests committed while still fetching
+    uint64_t                           m_Fencing = 0;      // never falls
+    uint64_t                           m_LastOrder = 0;    // id of the last order carried out under m_Fencing
+    uint64_t                           m_Running = 0;      // requests handed to the engine
+    std::vector<ActivationAction>      m_Actions;          // not yet taken
 };
 
 } // namespace aldervale
--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -6,8 +6,8 @@
 namespace aldervale
 {
 
-Exchange::Exchange(ManifestPtr manifest, const ExchangeConfig& cfg, std::vector<std::string> members, std::string self, std::vector<uint32_t> present, TimePoint now)
-    : m_Manifest(std::move(manifest)), m_Config(cfg), m_Salt(Hash64(self)), m_StartedAt(now)
+Exchange::Exchange(ManifestPtr manifest, const ExchangeConfig& cfg, std::vector<std::string> members, std::string self, std::vector<uint32_t> present)
+    : m_Manifest(std::move(manifest)), m_Config(cfg), m_Salt(Hash64(self))
 {
     const uint32_t n = m_Manifest->m_ChunkCount;
     for (const size_t i : RendezvousOrder(m_Manifest->m_Digest, members))
@@ -18,6 +18,7 @@
     m_Have.assign(n, false);
     m_Flying.assign(n, 0);
     m_Holders.assign(n, 0);
+    m_Willing.assign(n, 0);
     m_Order.resize(n);
     for (uint32_t c = 0; c < n; c++)
         m_Order[c] = TieBreak(c);
@@ -38,15 +39,54 @@
 // Neighbours
 //-----------------------------------------------------------------------------
 
+void Exchange::AddHave(Peer& p, uint32_t chunk)
+{
+    if (p.m_Have[chunk])
+        return;
+    p.m_Have[chunk] = true;
+    m_Holders[chunk]++;
+    m_Willing[chunk] += p.m_Spent ? 0 : 1;
+}
+
+void Exchange::RemoveHave(Peer& p, uint32_t chunk)
+{
+    if (!p.m_Have[chunk])
+        return;
+    p.m_Have[chunk] = false;
+    m_Holders[chunk]--;
+    m_Willing[chunk] -= p.m_Spent ? 0 : 1;
+}
+
+void Exchange::RemoveAllHave(Peer& p)
+{
+    for (uint32_t c = 0; c < p.m_Have.size(); c++)
+        RemoveHave(p, c);
+}
+
+void Exchange::MarkSpent(Peer& p)
+{
+    if (p.m_Spent)
+        return;
+    for (uint32_t c = 0; c < p.m_Have.size(); c++)
+        m_Willing[c] -= p.m_Have[c] ? 1 : 0;
+    p.m_Spent = true;
+}
+
+bool Exchange::Askable(const Peer& p, uint32_t chunk) const
+{
+    return p.m_Have[chunk] && (!p.m_Spent || m_Willing[chunk] == 0);
+}
+
 void Exchange::OnPeerUp(const std::string& peer, bool same_data_centre)
 {
-    Peer& p            = m_Peers[peer];
+    Peer& p = m_Peers[peer];
     p.m_SameDataCentre = same_data_centre;
     if (p.m_Up)
         return;
     p.m_Up = true;
     p.m_Have.assign(m_Manifest->m_ChunkCount, false);
     p.m_PausedUntil = {};
+    p.m_Spent = false;
 }
 
 void Exchange::OnPeerDown(const std::string& peer)
@@ -54,31 +94,21 @@
     const auto it = m_Peers.find(peer);
     if (it == m_Peers.end() || !it->second.m_Up)
         return;
-    Peer& p = it->second;
-    p.m_Up  = false;
-    if (p.m_Corrupt >= m_Config.m_CorruptMax)
-        return; // its chunks were taken off when it was set aside
-    for (uint32_t c = 0; c < p.m_Have.size(); c++)
-        m_Holders[c] -= p.m_Have[c] ? 1 : 0;
+    RemoveAllHave(it->second);
+    it->second.m_Up = false;
 }
 
 void Exchange::OnHave(const std::string& peer, std::span<const uint32_t> added, bool whole)
 {
     const auto it = m_Peers.find(peer);
-    if (it == m_Peers.end() || !it->second.m_Up || it->second.m_Corrupt >= m_Config.m_CorruptMax)
+    if (it == m_Peers.end() || !it->second.m_Up || it->second.m_Aside)
         return;
-    Peer&      p    = it->second;
-    const auto mark = [&](uint32_t c)
-    {
-        if (c >= p.m_Have.size() || p.m_Have[c])
-            return;
-        p.m_Have[c] = true;
-        m_Holders[c]++;
-    };
+    Peer& p = it->second;
     for (const uint32_t c : added)
-        mark(c);
+        if (c < p.m_Have.size())
+            AddHave(p, c);
     for (uint32_t c = 0; whole && c < p.m_Have.size(); c++)
-        mark(c);
+        AddHave(p, c);
 }
 
 void Exchange::OnMemberGone(const std::string& member, bool gone)
@@ -95,14 +125,14 @@
 
 bool Exchange::Usable(const Peer& p, TimePoint now) const
 {
-    return p.m_Up && p.m_Corrupt < m_Config.m_CorruptMax && p.m_InFlight < m_Config.m_PerPeer && now >= p.m_PausedUntil;
+    return p.m_Up && !p.m_Aside && p.m_InFlight < m_Config.m_PerPeer && now >= p.m_PausedUntil;
 }
 
 unsigned Exchange::SetAside() const
 {
     unsigned n = 0;
     for (const auto& [name, p] : m_Peers)
-        n += p.m_Corrupt >= m_Config.m_CorruptMax ? 1 : 0;
+        n += p.m_Aside ? 1 : 0;
     return n;
 }
 
@@ -132,17 +162,23 @@
             consider(c);
     if (m_Config.m_Mode != ExchangeMode_Spread || m_Self == SIZE_MAX)
         return best;
-    const size_t n    = m_Members.size();
-    size_t       rank = 0;
-    for (size_t back = 0; back < n; back++)
+    const size_t n = m_Members.size();
+    for (size_t c = m_Self; c < m_Have.size(); c += n)
+        consider(static_cast<uint32_t>(c));
+    if (best || m_OriginFlying > 0)
+        return best;
+    // All members have the same number of chunks to fetch first and share the origin's link, so they end at about the same time: from
+    // when the own ones are done, the wait before stepping in for others is counted. A slow origin thus delays it by itself.
+    if (!m_OwnOriginDoneAt)
+        m_OwnOriginDoneAt = now;
+    size_t rank = 0;
+    for (size_t back = 1; back < n; back++)
     {
         const size_t first = (m_Self + n - back) % n;
-        const bool   gone  = m_GoneMembers.contains(first);
-        // `rank` is the number of live members from `first` up to, and without, the own place.
-        rank += back > 0 && !gone ? 1 : 0;
+        rank += m_GoneMembers.contains(first) ? 0 : 1; // live members from `first` up to, and without, the own place
         if (rank >= m_Config.m_OriginRanks)
             break;
-        const TimePoint due = m_StartedAt + static_cast<int>(rank) * m_Config.m_TakeOver;
+        const TimePoint due = *m_OwnOriginDoneAt + static_cast<int>(rank) * m_Config.m_TakeOver;
         if (now < due)
         {
             WakeAt(due);
@@ -187,12 +223,13 @@
                 WakeAt(p.m_PausedUntil);
         }
         std::optional<uint32_t> best;
-        const auto              better = [&](uint32_t a, uint32_t b) { return m_Holders[a] != m_Holders[b] ? m_Holders[a] < m_Holders[b] : m_Order[a] < m_Order[b]; };
+        const auto              better = [&](uint32_t a, uint32_t b)
+        { return m_Holders[a] != m_Holders[b] ? m_Holders[a] < m_Holders[b] : m_Order[a] < m_Order[b]; };
         for (uint32_t c = 0; c < m_Have.size(); c++)
         {
             if (m_Have[c] || m_Flying[c] > 0 || m_Holders[c] == 0 || (best && !better(c, *best)))
                 continue;
-            const bool offered = std::any_of(usable.begin(), usable.end(), [&](const auto& u) { return u.second->m_Have[c]; });
+            const bool offered = std::any_of(usable.begin(), usable.end(), [&](const auto& u) { return Askable(*u.second, c); });
             if (offered)
                 best = c;
         }
@@ -202,12 +239,12 @@
         const auto                           cost = [&](const auto& u)
         { return std::tuple(!u.second->m_SameDataCentre, u.second->m_InFlight, Hash64(*u.first, m_Salt + *best)); };
         for (const auto& u : usable)
-            if (u.second->m_Have[*best] && (source.second == nullptr || cost(u) < cost(source)))
+            if (Askable(*u.second, *best) && (source.second == nullptr || cost(u) < cost(source)))
                 source = u;
         source.second->m_InFlight++;
         m_DownloadsFlying++;
         m_Flying[*best]++;
-        out.push_back({*best, *source.first, m_Holders[*best] == 1});
+        out.push_back({*best, *source.first, m_Willing[*best] == 0});
     }
 }
 
@@ -247,23 +284,26 @@
     switch (outcome)
     {
     case ChunkOutcome_Good:
+        p.m_Good++;
         m_BytesPeers += length;
         return;
     case ChunkOutcome_Corrupt:
         p.m_Corrupt++;
-        if (p.m_Corrupt == m_Config.m_CorruptMax && p.m_Up)
-            for (uint32_t c = 0; c < p.m_Have.size(); c++)
-                m_Holders[c] -= p.m_Have[c] ? 1 : 0;
+        if (p.m_Corrupt >= m_Config.m_CorruptMax && p.m_Corrupt > m_Config.m_CorruptShare * (p.m_Corrupt + p.m_Good))
+        {
+            RemoveAllHave(p);
+            p.m_Aside = true;
+        }
         return;
     case ChunkOutcome_Busy:
         p.m_PausedUntil = now + m_Config.m_BusyPause;
         return;
+    case ChunkOutcome_Spent:
+        MarkSpent(p);
+        return;
     case ChunkOutcome_Missing:
-        if (p.m_Up && p.m_Corrupt < m_Config.m_CorruptMax && p.m_Have[chunk])
-        {
-            p.m_Have[chunk] = false;
-            m_Holders[chunk]--;
-        }
+        if (p.m_Up)
+            RemoveHave(p, chunk);
         return;
     case ChunkOutcome_Failed:
         p.m_PausedUntil = now + m_Config.m_StallPause;
@@ -284,16 +324,16 @@
 // Serving
 //-----------------------------------------------------------------------------
 
-bool Exchange::AdmitUpload(uint64_t bytes, bool urgent)
+ChunkOutcome Exchange::AdmitUpload(uint64_t bytes, bool urgent)
 {
-    if (m_UploadsFlying >= m_Config.m_UploadSlots)
-        return false;
     const double budget = m_Config.m_UploadBudget * static_cast<double>(m_Manifest->m_Size);
     if (!urgent && static_cast<double>(m_BytesUploaded + bytes) > budget)
-        return false;
+        return ChunkOutcome_Spent;
+    if (m_UploadsFlying >= m_Config.m_UploadSlots)
+        return ChunkOutcome_Busy;
     m_UploadsFlying++;
     m_BytesUploaded += bytes;
-    return true;
+    return ChunkOutcome_Good;
 }
 
 void Exchange::OnUploadDone(uint64_t bytes, bool sent)
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -4,17 +4,18 @@
 //
 // How it decides:
 //   - Each chunk has its fetchers from the origin in an order that every box computes alike: the members of the scope, permuted by
-//     hash, take the chunks in turn, so that each member fetches the same number. The next in order steps in after m_TakeOver if
-//     the chunk is still nowhere among the neighbours, but never beyond m_OriginRanks members a chunk: that is the hard cap on copies.
+//     hash, take the chunks in turn, so that each member fetches the same number. The next in order steps in m_TakeOver after its own
+//     share is done, if the chunk is still nowhere among the neighbours, but never beyond m_OriginRanks members a chunk: that is the
+//     hard cap on copies.
 //   - All else comes from neighbours, rarest chunk first, ties by a hash of box and chunk so that neighbours ask for different ones;
 //     a neighbour in the own data centre goes before one elsewhere, then the one with the fewest requests of ours.
-//   - A neighbour that refuses as busy is left alone for m_BusyPause; one that sends corrupt bytes m_CorruptMax times is set aside
-//     for good; one that doesn't answer within m_ChunkTimeout is left alone for m_StallPause.
-//   - Uploads: at most m_UploadSlots at once, and no more than m_UploadBudget copies, but for a request marked urgent, which says
-//     that the asker knows no other source.
+//   - A neighbour that refuses as busy is left alone for m_BusyPause; one that doesn't answer within m_ChunkTimeout for m_StallPause.
+//     One that sent m_CorruptMax corrupt chunks, and more than a fifth of all it sent, is set aside for good.
+//   - Uploads: at most m_UploadSlots at once, and no more than m_UploadBudget copies, but for a request marked urgent: every holder
+//     that the asker knows is over its budget.
 //
 // Usage:
-//   Exchange x(manifest, cfg, scope_members, self, present_chunks, now);
+//   Exchange x(manifest, cfg, scope_members, self, present_chunks);
 //   x.OnHave(peer, chunks); for (const Fetch& f : x.Next(now)) Start(f);
 //   x.OnChunk(index, source, ChunkOutcome_Good, now);
 //
@@ -45,19 +46,20 @@
 
 struct ExchangeConfig
 {
-    ExchangeMode m_Mode          = ExchangeMode_Spread;  //
-    unsigned     m_DownloadSlots = 3;                    // requests to neighbours in flight
-    unsigned     m_OriginSlots   = 1;                    // requests to the origin in flight
-    unsigned     m_UploadSlots   = 3;                    // uploads in flight, more are refused as busy
-    unsigned     m_PerPeer       = 1;                    // requests in flight to one neighbour
-    double       m_UploadBudget  = 1.05;                 // copies of the version this box uploads unless asked urgently
-    unsigned     m_OriginRanks   = 3;                    // members that may fetch one chunk from the origin: hard cap on copies
-    Duration     m_TakeOver      = milliseconds(4000);   // wait before the next in order steps in
-    Duration     m_BusyPause     = milliseconds(30);     // after a busy answer
-    Duration     m_StallPause    = milliseconds(3000);   // after a request without an answer
-    Duration     m_ChunkTimeout  = milliseconds(4000);   // of one request
-    unsigned     m_CorruptMax    = 2;                    // corrupt chunks before a neighbour is set aside
-    Duration     m_OriginPause   = milliseconds(500);    // after a failed read from the origin
+    ExchangeMode m_Mode = ExchangeMode_Spread;        //
+    unsigned     m_DownloadSlots = 3;                 // requests to neighbours in flight
+    unsigned     m_OriginSlots = 1;                   // requests to the origin in flight
+    unsigned     m_UploadSlots = 3;                   // uploads in flight, more are refused as busy
+    unsigned     m_PerPeer = 1;                       // requests in flight to one neighbour
+    double       m_UploadBudget = 1.05;               // copies of the version this box uploads unless asked urgently
+    unsigned     m_OriginRanks = 3;                   // members that may fetch one chunk from the origin: hard cap on copies
+    Duration     m_TakeOver = milliseconds(1500);     // wait per rank before the next in order steps in, from when its own share is done
+    Duration     m_BusyPause = milliseconds(30);      // after a busy answer
+    Duration     m_StallPause = milliseconds(3000);   // after a request without an answer
+    Duration     m_ChunkTimeout = milliseconds(4000); // of one request
+    unsigned     m_CorruptMax = 3;                    // corrupt chunks before a neighbour may be set aside
+    double       m_CorruptShare = 0.2;                // share of corrupt chunks above which it is
+    Duration     m_OriginPause = milliseconds(500);   // after a failed read from the origin
 };
 
 //-----------------------------------------------------------------------------
@@ -75,7 +77,8 @@
 {
     ChunkOutcome_Good,
     ChunkOutcome_Corrupt,
-    ChunkOutcome_Busy,    // the neighbour is at its bound
+    ChunkOutcome_Busy,    // the neighbour has too many uploads now
+    ChunkOutcome_Spent,   // the neighbour is over its upload budget: only urgent requests from here on
     ChunkOutcome_Missing, // the neighbour doesn't have it
     ChunkOutcome_Failed,  // no answer, or the connection broke
 };
@@ -83,73 +86,82 @@
 class Exchange
 {
 public:
-    Exchange(ManifestPtr manifest, const ExchangeConfig& cfg, std::vector<std::string> members, std::string self, std::vector<uint32_t> present, TimePoint now);
+    Exchange(ManifestPtr manifest, const ExchangeConfig& cfg, std::vector<std::string> members, std::string self, std::vector<uint32_t> present);
 
     // Neighbours
     void OnPeerUp(const std::string& peer, bool same_data_centre);
-    void OnPeerDown(const std::string& peer);                                        // its chunks no longer count
+    void OnPeerDown(const std::string& peer);                                          // its chunks no longer count
     void OnHave(const std::string& peer, std::span<const uint32_t> added, bool whole); // unknown peers and chunks are ignored
-    void OnMemberGone(const std::string& member, bool gone);                         // a member of the scope is known dead, or back
+    void OnMemberGone(const std::string& member, bool gone);                           // a member of the scope is known dead, or back
 
     // Fetching
-    std::vector<Fetch> Next(TimePoint now);                                          // what to start now; each stays in flight until OnChunk()
-    void OnChunk(uint32_t chunk, const std::string& peer, ChunkOutcome outcome, TimePoint now);
-    bool Complete() const { return m_HaveCount == m_Manifest->m_ChunkCount; }
-    bool Has(uint32_t chunk) const { return m_Have[chunk]; }
-    uint32_t HaveCount() const { return m_HaveCount; }
+    std::vector<Fetch>       Next(TimePoint now); // what to start now; each stays in flight until OnChunk()
+    void                     OnChunk(uint32_t chunk, const std::string& peer, ChunkOutcome outcome, TimePoint now);
+    bool                     Complete() const { return m_HaveCount == m_Manifest->m_ChunkCount; }
+    bool                     Has(uint32_t chunk) const { return m_Have[chunk]; }
+    uint32_t                 HaveCount() const { return m_HaveCount; }
     std::optional<TimePoint> NextWake() const { return m_NextWake; } // when Next() may have more to say without an event
 
     // Serving
-    bool AdmitUpload(uint64_t bytes, bool urgent); // true: counts as in flight until OnUploadDone()
-    void OnUploadDone(uint64_t bytes, bool sent);
+    ChunkOutcome AdmitUpload(uint64_t bytes, bool urgent); // Good: counts as in flight until OnUploadDone(); else Busy or Spent
+    void         OnUploadDone(uint64_t bytes, bool sent);
 
     // Figures
-    uint64_t BytesFromOrigin() const { return m_BytesOrigin; }
-    uint64_t BytesFromPeers() const { return m_BytesPeers; }
-    uint64_t BytesUploaded() const { return m_BytesUploaded; }
-    unsigned SetAside() const;
-    const Manifest& GetManifest() const { return *m_Manifest; }
+    uint64_t              BytesFromOrigin() const { return m_BytesOrigin; }
+    uint64_t              BytesFromPeers() const { return m_BytesPeers; }
+    uint64_t              BytesUploaded() const { return m_BytesUploaded; }
+    unsigned              SetAside() const;
+    const Manifest&       GetManifest() const { return *m_Manifest; }
     std::vector<uint32_t> HaveList() const;
 
 private:
     struct Peer
     {
-        std::vector<bool> m_Have;             // by chunk
-        unsigned          m_InFlight = 0;     // requests of ours
-        unsigned          m_Corrupt  = 0;     // corrupt chunks so far
+        std::vector<bool> m_Have;          // by chunk
+        unsigned          m_InFlight = 0;  // requests of ours
+        unsigned          m_Corrupt = 0;   // corrupt chunks so far
+        unsigned          m_Good = 0;      // good ones
+        bool              m_Aside = false; // set aside for good; its m_Have is empty
+        bool              m_Spent = false; // over its upload budget
         bool              m_SameDataCentre = true;
-        bool              m_Up       = false; // a peer that went down keeps its m_Corrupt
-        TimePoint         m_PausedUntil{};    //
+        bool              m_Up = false;    // one that went down keeps its counts, and its m_Have is empty
+        TimePoint         m_PausedUntil{}; //
     };
 
     std::optional<uint32_t> BestFromOrigin(TimePoint now); // also moves m_NextWake
-    bool     Usable(const Peer& p, TimePoint now) const;
-    uint64_t TieBreak(uint32_t chunk) const;
-    void     PickFromPeers(std::vector<Fetch>& out, TimePoint now);
-    void     PickFromOrigin(std::vector<Fetch>& out, TimePoint now);
-    void     WakeAt(TimePoint t);
-
-    ManifestPtr                     m_Manifest;        //
-    ExchangeConfig                  m_Config;          //
-    std::vector<std::string>        m_Members;         // scope members, permuted by hash; the same in every box
-    size_t                          m_Self = SIZE_MAX; // own index in m_Members
-    std::set<size_t>                m_GoneMembers;     // indices known dead
-    uint64_t                        m_Salt;            // hash of the own name
-    TimePoint                       m_StartedAt;       //
-    std::map<std::string, Peer>     m_Peers;           //
-    std::vector<bool>               m_Have;            // verified chunks
-    uint32_t                        m_HaveCount = 0;   // invariant: number of true in m_Have
-    std::vector<uint8_t>            m_Flying;          // requests in flight by chunk
-    std::vector<uint16_t>           m_Holders;         // neighbours (up, not set aside) that have the chunk
-    std::vector<uint64_t>           m_Order;           // TieBreak() by chunk
-    unsigned                        m_DownloadsFlying = 0;
-    unsigned                        m_OriginFlying    = 0;
-    unsigned                        m_UploadsFlying   = 0;
-    TimePoint                       m_OriginPausedUntil{};
-    std::optional<TimePoint>        m_NextWake;        //
-    uint64_t                        m_BytesOrigin   = 0; // verified
-    uint64_t                        m_BytesPeers    = 0; // verified
-    uint64_t                        m_BytesUploaded = 0;
+    bool                    Usable(const Peer& p, TimePoint now) const;
+    void                    AddHave(Peer& p, uint32_t chunk);
+    void                    RemoveHave(Peer& p, uint32_t chunk);
+    void                    RemoveAllHave(Peer& p);
+    void                    MarkSpent(Peer& p);
+    bool                    Askable(const Peer& p, uint32_t chunk) const; // has it, and is willing or everybody's budget is spent
+    uint64_t                TieBreak(uint32_t chunk) const;
+    void                    PickFromPeers(std::vector<Fetch>& out, TimePoint now);
+    void                    PickFromOrigin(std::vector<Fetch>& out, TimePoint now);
+    void                    WakeAt(TimePoint t);
+
+    ManifestPtr                 m_Manifest;        //
+    ExchangeConfig              m_Config;          //
+    std::vector<std::string>    m_Members;         // scope members, permuted by hash; the same in every box
+    size_t                      m_Self = SIZE_MAX; // own index in m_Members
+    std::set<size_t>            m_GoneMembers;     // indices known dead
+    uint64_t                    m_Salt;            // hash of the own name
+    std::optional<TimePoint>    m_OwnOriginDoneAt; // when the own share of the origin's chunks was fetched
+    std::map<std::string, Peer> m_Peers;           //
+    std::vector<bool>           m_Have;            // verified chunks
+    uint32_t                    m_HaveCount = 0;   // invariant: number of true in m_Have
+    std::vector<uint8_t>        m_Flying;          // requests in flight by chunk
+    std::vector<uint16_t>       m_Holders;         // neighbours that have the chunk
+    std::vector<uint16_t>       m_Willing;         // those of them within their upload budget; invariant: <= m_Holders
+    std::vector<uint64_t>       m_Order;           // TieBreak() by chunk
+    unsigned                    m_DownloadsFlying = 0;
+    unsigned                    m_OriginFlying = 0;
+    unsigned                    m_UploadsFlying = 0;
+    TimePoint                   m_OriginPausedUntil{};
+    std::optional<TimePoint>    m_NextWake;        //
+    uint64_t                    m_BytesOrigin = 0; // verified
+    uint64_t                    m_BytesPeers = 0;  // verified
+    uint64_t                    m_BytesUploaded = 0;
 };
 
 } // namespace aldervale
--- a/src/version/manifest.h
+++ b/src/version/manifest.h
@@ -21,33 +21,33 @@
 
 constexpr uint64_t kChunkSizeMin = 4 * 1024;        // bytes
 constexpr uint64_t kChunkSizeMax = 4 * 1024 * 1024; // bytes; half of kFrameMax
-constexpr size_t   kChunksMax    = 4 * 1024 * 1024; // of one manifest
+constexpr size_t   kChunksMax = 4 * 1024 * 1024;    // of one manifest
 
 struct ManifestShard
 {
-    std::string         m_Name;       // file name, without '/'
-    uint64_t            m_Size = 0;   // bytes, over 0
-    std::vector<Digest> m_Chunks;     // invariant: m_Chunks.size() == ceil(m_Size / chunk size)
-    uint32_t            m_First = 0;  // number of its first chunk
+    std::string         m_Name;      // file name, without '/'
+    uint64_t            m_Size = 0;  // bytes, over 0
+    std::vector<Digest> m_Chunks;    // invariant: m_Chunks.size() == ceil(m_Size / chunk size)
+    uint32_t            m_First = 0; // number of its first chunk
 };
 
 struct Manifest
 {
-    std::string                m_Digest;        // hex SHA-256 of m_Text
-    std::string                m_Text;          // JSON
-    std::string                m_Model;         //
-    std::string                m_Version;       //
-    std::string                m_Base;          // adapters: digest of the manifest they go on; empty for versions
-    uint64_t                   m_ChunkSize = 0; // bytes
-    std::vector<ManifestShard> m_Shards;        // at least one
+    std::string                m_Digest;         // hex SHA-256 of m_Text
+    std::string                m_Text;           // JSON
+    std::string                m_Model;          //
+    std::string                m_Version;        //
+    std::string                m_Base;           // adapters: digest of the manifest they go on; empty for versions
+    uint64_t                   m_ChunkSize = 0;  // bytes
+    std::vector<ManifestShard> m_Shards;         // at least one
     uint32_t                   m_ChunkCount = 0; // over all shards
-    uint64_t                   m_Size       = 0; // bytes over all shards
+    uint64_t                   m_Size = 0;       // bytes over all shards
 };
 using ManifestPtr = std::shared_ptr<const Manifest>;
 
 struct ChunkPlace
 {
-    uint32_t m_Shard  = 0; // index into m_Shards
+    uint32_t m_Shard = 0;  // index into m_Shards
     uint64_t m_Offset = 0; // bytes into the shard
     uint64_t m_Length = 0; // bytes
 };
@@ -68,6 +68,7 @@
     std::span<const uint8_t> m_Bytes; //
 };
 
-std::string MakeManifest(std::string_view model, std::string_view version, std::string_view base, uint64_t chunk_size, std::span<const ManifestInput> shards);
+std::string MakeManifest(std::string_view model, std::string_view version, std::string_view base, uint64_t chunk_size,
+                         std::span<const ManifestInput> shards);
 
 } // namespace aldervale
--- a/src/version/rollout.h
+++ b/src/version/rollout.h
@@ -20,39 +20,39 @@
 
 struct BoxObservation // newest heartbeat of one box
 {
-    std::string                        m_Name;                  //
-    bool                               m_Reachable  = false;    // heard lately, not leaving
-    std::string                        m_Active;                // slice digest it serves
-    std::map<std::string, HeldVersion> m_Versions;              // by slice digest
+    std::string                        m_Name;              //
+    bool                               m_Reachable = false; // heard lately, not leaving
+    std::string                        m_Active;            // slice digest it serves
+    std::map<std::string, HeldVersion> m_Versions;          // by slice digest
 };
 
 struct RolloutInput
 {
-    std::string                 m_Wanted;                // manifest digest that is declared
-    std::string                 m_Previous;              // manifest digest served before; empty: none
-    std::vector<std::string>    m_Adapters;              // manifest digests that go on m_Wanted
-    std::vector<BoxObservation> m_Boxes;                 // in placement order
-    size_t                      m_BoxesPerReplica = 1;   //
-    size_t                      m_MaxUnavailable  = 1;   // boxes
-    size_t                      m_HaltAfterFailed = 2;   // boxes
-    bool                        m_Paused          = false;
-    bool                        m_Halted          = false; // m_Wanted was halted before
+    std::string                 m_Wanted;              // manifest digest that is declared
+    std::string                 m_Previous;            // manifest digest served before; empty: none
+    std::vector<std::string>    m_Adapters;            // manifest digests that go on m_Wanted
+    std::vector<BoxObservation> m_Boxes;               // in placement order
+    size_t                      m_BoxesPerReplica = 1; //
+    size_t                      m_MaxUnavailable = 1;  // boxes
+    size_t                      m_HaltAfterFailed = 2; // failures of m_Wanted over all boxes; one box may fail more than once
+    bool                        m_Paused = false;
+    bool                        m_Halted = false; // m_Wanted was halted before
 };
 
 struct PlannedOrder
 {
-    std::string m_Box;                        //
-    OrderKind   m_Kind = OrderKind_Prepare;   //
-    std::string m_Digest;                     // slice digest
-    std::string m_Base;                       // adapters only
+    std::string m_Box;                      //
+    OrderKind   m_Kind = OrderKind_Prepare; //
+    std::string m_Digest;                   // slice digest
+    std::string m_Base;                     // adapters only
 };
 
 struct RolloutPlan
 {
-    std::vector<PlannedOrder> m_Orders;       //
-    bool                      m_Halt = false; // m_Wanted failed often enough; remember it as halted
+    std::vector<PlannedOrder> m_Orders;            //
+    bool                      m_Halt = false;      // m_Wanted failed often enough; remember it as halted
     size_t                    m_ServableBoxes = 0; // boxes that serve the target
-    std::string               m_Target;       // what the orders lead to: m_Wanted, or m_Previous after a halt
+    std::string               m_Target;            // what the orders lead to: m_Wanted, or m_Previous after a halt
 };
 
 RolloutPlan PlanRollout(const RolloutInput& in);
--- a/src/version/staging.cpp
+++ b/src/version/staging.cpp
@@ -10,7 +10,7 @@
     std::map<Digest, uint64_t> missing;
     for (uint32_t i = 0; i < m.m_ChunkCount; i++)
     {
-        const Digest&   d     = ChunkDigest(m, i);
+        const Digest&   d = ChunkDigest(m, i);
         Shard&          shard = ShardOf(d);
         std::lock_guard shard_lock(shard.m_Mutex);
         if (!shard.m_Slots.contains(d))
@@ -20,11 +20,12 @@
     for (const auto& [d, n] : missing)
         bytes += n;
     if (m_Reserved + bytes > m_Max)
-        return MakeError(ErrorCode_Limited, "staging bound reached: " + std::to_string(bytes) + " bytes wanted, " + std::to_string(m_Max - m_Reserved) + " free");
+        return MakeError(ErrorCode_Limited,
+                         "staging bound reached: " + std::to_string(bytes) + " bytes wanted, " + std::to_string(m_Max - m_Reserved) + " free");
     m_Reserved += bytes;
     for (uint32_t i = 0; i < m.m_ChunkCount; i++)
     {
-        const Digest&   d     = ChunkDigest(m, i);
+        const Digest&   d = ChunkDigest(m, i);
         Shard&          shard = ShardOf(d);
         std::lock_guard shard_lock(shard.m_Mutex);
         shard.m_Slots[d].m_Users++;
@@ -37,7 +38,7 @@
     std::lock_guard lock(m_ReserveMutex);
     for (uint32_t i = 0; i < m.m_ChunkCount; i++)
     {
-        const Digest&   d     = ChunkDigest(m, i);
+        const Digest&   d = ChunkDigest(m, i);
         Shard&          shard = ShardOf(d);
         std::lock_guard shard_lock(shard.m_Mutex);
         const auto      it = shard.m_Slots.find(d);
--- a/src/version/staging.h
+++ b/src/version/staging.h
@@ -52,10 +52,10 @@
     Shard&       ShardOf(const Digest& d) { return m_Shards[d[0] % kShards]; }
     const Shard& ShardOf(const Digest& d) const { return m_Shards[d[0] % kShards]; }
 
-    std::array<Shard, kShards> m_Shards;        //
-    uint64_t                   m_Max;           // bytes
-    mutable std::mutex         m_ReserveMutex;  // guards m_Reserved and serializes Reserve() and Release()
-    uint64_t                   m_Reserved = 0;  // bytes of all slots, filled or not; invariant: <= m_Max
+    std::array<Shard, kShards> m_Shards;       //
+    uint64_t                   m_Max;          // bytes
+    mutable std::mutex         m_ReserveMutex; // guards m_Reserved and serializes Reserve() and Release()
+    uint64_t                   m_Reserved = 0; // bytes of all slots, filled or not; invariant: <= m_Max
 };
 
 } // namespace aldervale
--- a/src/version/transfer.cpp
+++ b/src/version/transfer.cpp
@@ -8,22 +8,22 @@
 namespace
 {
 
-constexpr auto   kManifestTimeout  = milliseconds(3000); // one read from the origin
-constexpr auto   kManifestAsk      = milliseconds(500);  // one question to a neighbour
+constexpr auto   kManifestTimeout = milliseconds(3000);  // one read from the origin
+constexpr auto   kManifestAsk = milliseconds(500);       // one question to a neighbour
 constexpr auto   kManifestFallback = milliseconds(3000); // without an answer from neighbours, ask the origin after this
-constexpr auto   kRetryPause       = milliseconds(200);
-constexpr auto   kHaveEvery        = milliseconds(40);   // HaveUpdates are batched this long
-constexpr auto   kWatchEvery       = milliseconds(500);
-constexpr auto   kStuckAfter       = milliseconds(3000); // nothing moved for this long: look beyond the scope
-constexpr size_t kManifestReaders  = 3;                  // members of a scope that read the manifest from the origin at once
-constexpr size_t kOutsidePerDc     = 2;                  // boxes of each other data centre tried when stuck
-constexpr size_t kRemotePerDc      = 2;                  // boxes of each other data centre in the scope
+constexpr auto   kRetryPause = milliseconds(200);
+constexpr auto   kHaveEvery = milliseconds(40); // HaveUpdates are batched this long
+constexpr auto   kWatchEvery = milliseconds(500);
+constexpr auto   kStuckAfter = milliseconds(3000); // nothing moved for this long: look beyond the scope
+constexpr size_t kManifestReaders = 3;             // members of a scope that read the manifest from the origin at once
+constexpr size_t kOutsidePerDc = 2;                // boxes of each other data centre tried when stuck
+constexpr size_t kRemotePerDc = 2;                 // boxes of each other data centre in the scope
 
 } // namespace
 
 Transfer::Transfer(std::shared_ptr<TransferShared> shared, std::string placement, std::string slice, size_t position, size_t count)
-    : m_Shared(std::move(shared)), m_Placement(std::move(placement)), m_Slice(std::move(slice)), m_Position(position), m_Count(count), m_StartedAt(Now()),
-      m_LastProgress(m_StartedAt)
+    : m_Shared(std::move(shared)), m_Placement(std::move(placement)), m_Slice(std::move(slice)), m_Position(position), m_Count(count),
+      m_StartedAt(Now()), m_LastProgress(m_StartedAt)
 {
 }
 
@@ -40,7 +40,7 @@
 {
     std::lock_guard lock(m_Mutex);
     m_Stopped = true;
-    m_Done    = nullptr;
+    m_Done = nullptr;
 }
 
 void Transfer::Release()
@@ -51,7 +51,7 @@
         if (!m_Reserved)
             return;
         m_Reserved = false;
-        m          = m_Manifest;
+        m = m_Manifest;
     }
     m_Shared->m_Staging.Release(*m);
 }
@@ -77,7 +77,7 @@
         if (s)
         {
             m_Verified = true;
-            m_Seconds  = ToSeconds(Now() - m_StartedAt);
+            m_Seconds = ToSeconds(Now() - m_StartedAt);
         }
     }
     if (done)
@@ -91,7 +91,7 @@
 // Boxes at the same position of their replicas: they hold the same slice.
 std::vector<std::string> Transfer::SliceMembers(bool whole_fleet) const
 {
-    const ConfigPtr          c    = m_Shared->m_Node.Config();
+    const ConfigPtr          c = m_Shared->m_Node.Config();
     const std::string&       self = m_Shared->m_Daemon.Settings().m_Name;
     std::vector<std::string> out;
     const auto               p = c->m_Placements.find(m_Placement);
@@ -113,9 +113,9 @@
 
 void Transfer::DialNeighbours(bool outside_scope)
 {
-    const ConfigPtr    c    = m_Shared->m_Node.Config();
-    const std::string& self = m_Shared->m_Daemon.Settings().m_Name;
-    const std::string& dc   = m_Shared->m_Daemon.Settings().m_DataCentre;
+    const ConfigPtr                c = m_Shared->m_Node.Config();
+    const std::string&             self = m_Shared->m_Daemon.Settings().m_Name;
+    const std::string&             dc = m_Shared->m_Daemon.Settings().m_DataCentre;
     const std::vector<std::string> members = SliceMembers(outside_scope);
     std::map<std::string, size_t>  taken; // by data centre
     for (const size_t i : RendezvousOrder(self + m_Slice, members))
@@ -124,7 +124,7 @@
         if (members[i] == self || box == c->m_Boxes.end())
             continue;
         const std::string& box_dc = box->second.m_Spec.m_DataCentre;
-        const size_t       most   = box_dc == dc ? static_cast<size_t>(m_Shared->m_Settings.m_Neighbours) : outside_scope ? kOutsidePerDc : kRemotePerDc;
+        const size_t most = box_dc == dc ? static_cast<size_t>(m_Shared->m_Settings.m_Neighbours) : outside_scope ? kOutsidePerDc : kRemotePerDc;
         if (taken[box_dc]++ < most)
             m_Shared->m_Node.KeepLink(ParseEndpoint(box->second.m_Spec.m_Address).value());
     }
@@ -157,7 +157,7 @@
 
 void Transfer::OnLinkDown(const LinkPtr& link)
 {
-    const LinkPtr other = m_Shared->m_Node.FindLink(link->Peer().m_Name);
+    const LinkPtr   other = m_Shared->m_Node.FindLink(link->Peer().m_Name);
     std::lock_guard lock(m_Mutex);
     if (m_Exchange && !other)
         m_Exchange->OnPeerDown(link->Peer().m_Name);
@@ -169,8 +169,8 @@
     {
         std::lock_guard lock(m_Mutex);
         msg.digest = m_Slice;
-        msg.reply  = reply;
-        msg.whole  = m_Exchange && m_Exchange->Complete();
+        msg.reply = reply;
+        msg.whole = m_Exchange && m_Exchange->Complete();
         if (m_Exchange && !msg.whole)
             msg.added = m_Exchange->HaveList();
     }
@@ -210,7 +210,7 @@
             if (m_NewHave.empty())
                 continue;
             msg.digest = m_Slice;
-            msg.whole  = m_Exchange->Complete();
+            msg.whole = m_Exchange->Complete();
             if (!msg.whole)
                 msg.added = m_NewHave;
             m_NewHave.clear();
@@ -258,14 +258,14 @@
 
 awaitable<ManifestPtr> Transfer::AskNeighbours()
 {
-    const auto           ex    = co_await asio::this_coro::executor;
+    const auto           ex = co_await asio::this_coro::executor;
     std::vector<LinkPtr> links = m_Shared->m_Node.Links(wire::PeerRole::Agent);
     for (const LinkPtr& link : links)
     {
         wire::ManifestGetT get;
-        get.digest             = std::string(WholeDigest(m_Slice));
-        const MailboxPtr box   = link->OpenExchange(ex);
-        const bool       sent  = link->Send(EncodeFrame(box->Id(), get));
+        get.digest = std::string(WholeDigest(m_Slice));
+        const MailboxPtr        box = link->OpenExchange(ex);
+        const bool              sent = link->Send(EncodeFrame(box->Id(), get));
         std::optional<FrameBuf> answer;
         if (sent)
             answer = co_await box->Pop(Now() + kManifestAsk);
@@ -284,8 +284,8 @@
 awaitable<ManifestPtr> Transfer::ObtainManifest()
 {
     const std::vector<std::string> members = SliceMembers(false);
-    const std::vector<size_t>      order   = RendezvousOrder(m_Slice, members);
-    bool                           reader  = false;
+    const std::vector<size_t>      order = RendezvousOrder(m_Slice, members);
+    bool                           reader = false;
     for (size_t i = 0; i < std::min(order.size(), kManifestReaders); i++)
         reader = reader || members[order[i]] == m_Shared->m_Daemon.Settings().m_Name;
     for (;;)
@@ -326,7 +326,7 @@
     const ManifestPtr whole = co_await ObtainManifest();
     if (!whole)
         co_return;
-    const ManifestPtr m        = SliceManifest(whole, m_Position, m_Count);
+    const ManifestPtr m = SliceManifest(whole, m_Position, m_Count);
     const Status      reserved = m_Shared->m_Staging.Reserve(*m);
     if (!reserved)
     {
@@ -339,15 +339,15 @@
         if (m_Shared->m_Staging.Has(ChunkDigest(*m, c)))
             present.push_back(c);
     bool stopped = false;
-    bool done    = false;
+    bool done = false;
     {
         std::lock_guard lock(m_Mutex);
-        m_Manifest  = m;
+        m_Manifest = m;
         m_WholeText = whole->m_Text;
-        m_Reserved  = true;
-        m_Exchange  = std::make_unique<Exchange>(m, m_Shared->m_Config, SliceMembers(false), m_Shared->m_Daemon.Settings().m_Name, present, Now());
-        stopped     = m_Stopped;
-        done        = m_Exchange->Complete();
+        m_Reserved = true;
+        m_Exchange = std::make_unique<Exchange>(m, m_Shared->m_Config, SliceMembers(false), m_Shared->m_Daemon.Settings().m_Name, present);
+        stopped = m_Stopped;
+        done = m_Exchange->Complete();
     }
     if (stopped)
     {
@@ -375,10 +375,11 @@
         if (m_Stopped || !m_Exchange)
             return;
         fetches = m_Exchange->Next(Now());
-        m       = m_Manifest;
+        m = m_Manifest;
     }
     for (const Fetch& f : fetches)
-        Spawn(m_Shared->m_Daemon.Ioc(), [](TransferPtr t, Fetch fetch, ManifestPtr manifest) -> awaitable<void>
+        Spawn(m_Shared->m_Daemon.Ioc(),
+              [](TransferPtr t, Fetch fetch, ManifestPtr manifest) -> awaitable<void>
               { co_await t->FetchChunk(std::move(fetch), std::move(manifest)); }(shared_from_this(), f, m));
 }
 
@@ -400,7 +401,7 @@
         {
             m_NewHave.push_back(f.m_Chunk);
             m_LastProgress = Now();
-            complete       = m_Exchange->Complete() && !m_Verified;
+            complete = m_Exchange->Complete() && !m_Verified;
         }
     }
     if (complete)
@@ -422,12 +423,12 @@
     if (!link)
         co_return ChunkOutcome_Failed;
     wire::ChunkGetT get;
-    get.digest               = m_Slice;
-    get.index                = f.m_Chunk;
-    get.urgent               = f.m_Urgent;
-    const auto       ex      = co_await asio::this_coro::executor;
-    const MailboxPtr box     = link->OpenExchange(ex);
-    const bool       sent    = link->Send(EncodeFrame(box->Id(), get));
+    get.digest = m_Slice;
+    get.index = f.m_Chunk;
+    get.urgent = f.m_Urgent;
+    const auto              ex = co_await asio::this_coro::executor;
+    const MailboxPtr        box = link->OpenExchange(ex);
+    const bool              sent = link->Send(EncodeFrame(box->Id(), get));
     std::optional<FrameBuf> answer;
     if (sent)
         answer = co_await box->Pop(Now() + m_Shared->m_Config.m_ChunkTimeout);
@@ -435,11 +436,11 @@
     if (!answer)
         co_return ChunkOutcome_Failed;
     if (const wire::ChunkRefused* refused = answer->Get()->body_as_ChunkRefused())
-        co_return refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing;
+        co_return refused->spent() ? ChunkOutcome_Spent : refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing;
     const wire::ChunkData* data = answer->Get()->body_as_ChunkData();
     if (data == nullptr || data->bytes() == nullptr || data->index() != f.m_Chunk)
         co_return ChunkOutcome_Corrupt;
-    const TimePoint paid = m_Shared->m_Link.Reserve(data->bytes()->size());
+    const TimePoint      paid = m_Shared->m_Link.Reserve(data->bytes()->size());
     std::vector<uint8_t> bytes(data->bytes()->begin(), data->bytes()->end());
     if (!KeepOrCount(f, m, std::move(bytes)))
         co_return ChunkOutcome_Corrupt;
@@ -450,8 +451,8 @@
 
 awaitable<ChunkOutcome> Transfer::FetchFromOrigin(const Fetch& f, const Manifest& m)
 {
-    const ChunkPlace p     = PlaceOf(m, f.m_Chunk);
-    auto             bytes = co_await m_Shared->m_Store.ReadChunk(std::string(WholeDigest(m_Slice)), m.m_Shards[p.m_Shard].m_Name, p, Now() + seconds(20));
+    const ChunkPlace p = PlaceOf(m, f.m_Chunk);
+    auto bytes = co_await m_Shared->m_Store.ReadChunk(std::string(WholeDigest(m_Slice)), m.m_Shards[p.m_Shard].m_Name, p, Now() + seconds(20));
     if (!bytes)
     {
         LogEvent(Event_OriginUnreachable, {{"what", bytes.error().m_Message}});
@@ -473,24 +474,25 @@
 {
     wire::ChunkRefusedT refused;
     refused.digest = m_Slice;
-    refused.index  = msg.index();
+    refused.index = msg.index();
     ChunkBytes bytes;
     {
         std::lock_guard lock(m_Mutex);
         if (m_Exchange && m_Reserved && msg.index() < m_Manifest->m_ChunkCount && m_Exchange->Has(msg.index()))
             bytes = m_Shared->m_Staging.Get(ChunkDigest(*m_Manifest, msg.index()));
-        if (bytes && !m_Exchange->AdmitUpload(bytes->size(), msg.urgent()))
-        {
-            refused.busy = true;
-            bytes        = nullptr;
-        }
+        const ChunkOutcome admitted = bytes ? m_Exchange->AdmitUpload(bytes->size(), msg.urgent()) : ChunkOutcome_Missing;
+        refused.busy = admitted == ChunkOutcome_Busy;
+        refused.spent = admitted == ChunkOutcome_Spent;
+        if (admitted != ChunkOutcome_Good)
+            bytes = nullptr;
     }
     if (!bytes)
     {
         link->Send(EncodeFrame(exchange, refused));
         return;
     }
-    Spawn(m_Shared->m_Daemon.Ioc(), [](TransferPtr t, LinkPtr l, uint64_t id, uint32_t index, ChunkBytes b) -> awaitable<void>
+    Spawn(m_Shared->m_Daemon.Ioc(),
+          [](TransferPtr t, LinkPtr l, uint64_t id, uint32_t index, ChunkBytes b) -> awaitable<void>
           { co_await t->SendChunk(std::move(l), id, index, std::move(b)); }(shared_from_this(), link, exchange, msg.index(), bytes));
 }
 
@@ -499,7 +501,7 @@
     const TimePoint go = m_Shared->m_Link.Reserve(static_cast<double>(bytes->size()));
     if (go > Now())
         co_await SleepFor(go - Now());
-    const bool sent = link->Send(EncodeChunk(exchange, m_Slice, index, *bytes));
+    const bool      sent = link->Send(EncodeChunk(exchange, m_Slice, index, *bytes));
     std::lock_guard lock(m_Mutex);
     m_Exchange->OnUploadDone(bytes->size(), sent);
 }
@@ -510,10 +512,10 @@
     out.seconds = static_cast<float>(m_Verified ? m_Seconds : ToSeconds(Now() - m_StartedAt));
     if (!m_Exchange)
         return;
-    out.chunks_have    = m_Exchange->HaveCount();
-    out.chunks_total   = m_Manifest->m_ChunkCount;
-    out.bytes_origin   = m_Exchange->BytesFromOrigin();
-    out.bytes_peers    = m_Exchange->BytesFromPeers();
+    out.chunks_have = m_Exchange->HaveCount();
+    out.chunks_total = m_Manifest->m_ChunkCount;
+    out.bytes_origin = m_Exchange->BytesFromOrigin();
+    out.bytes_peers = m_Exchange->BytesFromPeers();
     out.bytes_uploaded = m_Exchange->BytesUploaded();
 }
 
--- a/src/version/transfer_internal.h
+++ b/src/version/transfer_internal.h
@@ -50,22 +50,22 @@
     void        Release(); // gives the staging reservation back
 
 private:
-    awaitable<void>        Run();
-    awaitable<ManifestPtr> ObtainManifest();
-    awaitable<ManifestPtr> AskNeighbours();
-    awaitable<void>        FetchChunk(Fetch f, ManifestPtr m);
-    awaitable<ChunkOutcome> FetchFromPeer(const Fetch& f, const Manifest& m);
-    awaitable<ChunkOutcome> FetchFromOrigin(const Fetch& f, const Manifest& m);
-    awaitable<void>        SendChunk(LinkPtr link, uint64_t exchange, uint32_t index, ChunkBytes bytes);
-    awaitable<void>        HaveLoop();
-    awaitable<void>        WatchLoop();
-    bool                   KeepOrCount(const Fetch& f, const Manifest& m, std::vector<uint8_t> bytes);
-    void                   Pump();
-    void                   DialNeighbours(bool outside_scope);
-    void                   AddNeighbour(const LinkPtr& link);
-    void                   SendHave(const LinkPtr& link, bool reply);
+    awaitable<void>          Run();
+    awaitable<ManifestPtr>   ObtainManifest();
+    awaitable<ManifestPtr>   AskNeighbours();
+    awaitable<void>          FetchChunk(Fetch f, ManifestPtr m);
+    awaitable<ChunkOutcome>  FetchFromPeer(const Fetch& f, const Manifest& m);
+    awaitable<ChunkOutcome>  FetchFromOrigin(const Fetch& f, const Manifest& m);
+    awaitable<void>          SendChunk(LinkPtr link, uint64_t exchange, uint32_t index, ChunkBytes bytes);
+    awaitable<void>          HaveLoop();
+    awaitable<void>          WatchLoop();
+    bool                     KeepOrCount(const Fetch& f, const Manifest& m, std::vector<uint8_t> bytes);
+    void                     Pump();
+    void                     DialNeighbours(bool outside_scope);
+    void                     AddNeighbour(const LinkPtr& link);
+    void                     SendHave(const LinkPtr& link, bool reply);
     std::vector<std::string> SliceMembers(bool whole_fleet) const;
-    void                   Finish(Status s);
+    void                     Finish(Status s);
 
     std::shared_ptr<TransferShared> m_Shared;    //
     const std::string               m_Placement; // name of the placement that asks for it
@@ -74,19 +74,19 @@
     const size_t                    m_Count;     // boxes of a replica
     const TimePoint                 m_StartedAt; //
 
-    mutable std::mutex                 m_Mutex;           // guards the members below
-    std::unique_ptr<Exchange>          m_Exchange;        // null until the manifest is known
-    ManifestPtr                        m_Manifest;        // of the slice
-    std::string                        m_WholeText;       //
-    std::set<std::string>              m_Members;         // boxes that hold or want the same slice, in scope
-    std::set<std::string>              m_Outside;         // boxes beyond the scope, used only when nothing moves
-    std::vector<uint32_t>              m_NewHave;         // verified since the last HaveUpdate
-    std::function<void(Status)>        m_Done;            // empty once called
-    bool                               m_Stopped  = false;
-    bool                               m_Reserved = false;
-    bool                               m_Verified = false;
-    double                             m_Seconds  = 0;    // from start to verified
-    TimePoint                          m_LastProgress;    //
+    mutable std::mutex          m_Mutex;     // guards the members below
+    std::unique_ptr<Exchange>   m_Exchange;  // null until the manifest is known
+    ManifestPtr                 m_Manifest;  // of the slice
+    std::string                 m_WholeText; //
+    std::set<std::string>       m_Members;   // boxes that hold or want the same slice, in scope
+    std::set<std::string>       m_Outside;   // boxes beyond the scope, used only when nothing moves
+    std::vector<uint32_t>       m_NewHave;   // verified since the last HaveUpdate
+    std::function<void(Status)> m_Done;      // empty once called
+    bool                        m_Stopped = false;
+    bool                        m_Reserved = false;
+    bool                        m_Verified = false;
+    double                      m_Seconds = 0;  // from start to verified
+    TimePoint                   m_LastProgress; //
 };
 using TransferPtr = std::shared_ptr<Transfer>;
 
