--- a/src/connection/frame.cpp
+++ b/src/connection/frame.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-constexpr size_t   kCompactAt = 1024 * 1024;  // bytes of consumed buffer before it is moved down
-constexpr unsigned kVerifierDepth = 16;       // nesting allowed in a frame
-constexpr unsigned kVerifierTables = 200'000; // tables allowed in a frame
+constexpr size_t   kCompactAt      = 1024 * 1024; // bytes of consumed buffer before it is moved down
+constexpr unsigned kVerifierDepth  = 16;          // nesting allowed in a frame
+constexpr unsigned kVerifierTables = 200'000;     // tables allowed in a frame
 
 uint32_t ReadPrefix(const uint8_t* p)
 {
@@ -60,8 +60,8 @@
         return m_Status = FrameStatus_TooLong;
     if (avail < kFramePrefixLen + len)
         return FrameStatus_NeedMore;
-    const uint8_t*    begin = m_Buf.data() + m_Head + kFramePrefixLen;
-    auto              bytes = std::make_shared<const std::vector<uint8_t>>(begin, begin + len);
+    const uint8_t*    begin  = m_Buf.data() + m_Head + kFramePrefixLen;
+    auto              bytes  = std::make_shared<const std::vector<uint8_t>>(begin, begin + len);
     const FrameStatus status = CheckFrame(*bytes);
     if (status != FrameStatus_Ok)
         return m_Status = status;
--- a/src/connection/frame.h
+++ b/src/connection/frame.h
@@ -26,9 +26,9 @@
 namespace aldervale
 {
 
-constexpr uint16_t kFrameSchema = 1;            // grows when an older reader must refuse the frame
-constexpr size_t   kFrameMax = 8 * 1024 * 1024; // bytes of one frame without its length prefix
-constexpr size_t   kFramePrefixLen = 4;         // bytes
+constexpr uint16_t kFrameSchema    = 1;               // grows when an older reader must refuse the frame
+constexpr size_t   kFrameMax       = 8 * 1024 * 1024; // bytes of one frame without its length prefix
+constexpr size_t   kFramePrefixLen = 4;               // bytes
 
 //-----------------------------------------------------------------------------
 // [SECTION] FrameBuf: one verified frame and the bytes it lives in; cheap to copy
@@ -62,7 +62,7 @@
 
 private:
     std::vector<uint8_t> m_Buf;                     // bytes not yet returned, from m_Head on
-    size_t               m_Head = 0;                // invariant: m_Head <= m_Buf.size()
+    size_t               m_Head   = 0;              // invariant: m_Head <= m_Buf.size()
     FrameStatus          m_Status = FrameStatus_Ok; // sticky failure, or Ok
 };
 
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -66,22 +66,22 @@
 
 struct HttpServerConfig
 {
-    size_t   m_HeadMax = 16 * 1024;       // bytes of request line and fields; more: 431
-    size_t   m_BodyMax = 4 * 1024 * 1024; // bytes; more: 413
-    Duration m_ReadTimeout = seconds(30); // for a whole request head and body once its first byte arrived, and for idle connections
-    Duration m_SendTimeout = seconds(30); // for one write to a caller that doesn't read
+    size_t   m_HeadMax     = 16 * 1024;       // bytes of request line and fields; more: 431
+    size_t   m_BodyMax     = 4 * 1024 * 1024; // bytes; more: 413
+    Duration m_ReadTimeout = seconds(30);     // for a whole request head and body once its first byte arrived, and for idle connections
+    Duration m_SendTimeout = seconds(30);     // for one write to a caller that doesn't read
 };
 
 class HttpReply // one answer; either Send() once, or Start(), Write()..., Finish()
 {
 public:
-    virtual ~HttpReply() = default;
-    virtual awaitable<bool> Send(const HttpResponse& res) = 0;                    // false: the caller is gone
+    virtual ~HttpReply()                                                     = default;
+    virtual awaitable<bool> Send(const HttpResponse& res)                    = 0; // false: the caller is gone
     virtual awaitable<bool> Start(unsigned status, const HttpFields& fields) = 0; // chunked
-    virtual awaitable<bool> Write(std::string_view bytes) = 0;
-    virtual awaitable<bool> Finish(const HttpFields& trailers) = 0;
-    virtual void            Abort() = 0;      // close without the end mark: the caller sees a broken answer
-    virtual bool            CallerGone() = 0; // the caller closed its side
+    virtual awaitable<bool> Write(std::string_view bytes)                    = 0;
+    virtual awaitable<bool> Finish(const HttpFields& trailers)               = 0;
+    virtual void            Abort()                                          = 0; // close without the end mark: the caller sees a broken answer
+    virtual bool            CallerGone()                                     = 0; // the caller closed its side
 };
 
 using HttpHandler = std::function<awaitable<void>(HttpRequest&, HttpReply&)>;
@@ -114,10 +114,10 @@
         bool             m_Done = false; // the body is complete and its length was checked
     };
 
-    virtual ~HttpStream() = default;
-    virtual const HttpResponse&      Head() const = 0; // m_Body is empty
+    virtual ~HttpStream()                                     = default;
+    virtual const HttpResponse&      Head() const             = 0; // m_Body is empty
     virtual awaitable<Result<Piece>> Read(TimePoint deadline) = 0;
-    virtual const HttpFields&        Trailers() const = 0; // after m_Done
+    virtual const HttpFields&        Trailers() const         = 0; // after m_Done
 };
 using HttpStreamPtr = std::unique_ptr<HttpStream>;
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -7,22 +7,24 @@
 {
 
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
+namespace http  = boost::beast::http;
 
 namespace
 {
 
-constexpr auto   kNoThrow = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kIdlePerEndpoint = 64;            // connections kept
-constexpr auto   kIdleMax = seconds(10);           // well below the servers' idle timeout
-constexpr size_t kPieceSize = 64 * 1024;           // bytes of body read at a time
-constexpr auto   kConnectMax = milliseconds(2000); //
+constexpr auto   kNoThrow         = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kIdlePerEndpoint = 64;                 // connections kept
+constexpr auto   kIdleMax         = seconds(10);        // well below the servers' idle timeout
+constexpr size_t kPieceSize       = 64 * 1024;          // bytes of body read at a time
+constexpr size_t kBufferSmall     = 16 * 1024;          // Beast reads no more at once than the buffer has room for, and starts at 512
+constexpr size_t kBufferLarge     = 256 * 1024;         // for long and chunked bodies
+constexpr auto   kConnectMax      = milliseconds(2000); //
 
 using ClientStream = beast::basic_stream<tcp, asio::any_io_executor>;
 
 struct Connection
 {
-    explicit Connection(tcp::socket s) : m_Stream(std::move(s)) {}
+    explicit Connection(tcp::socket s) : m_Stream(std::move(s)) { m_Buffer.reserve(kBufferSmall); }
 
     ClientStream       m_Stream; // on the strand of the coroutine that uses it
     beast::flat_buffer m_Buffer; //
@@ -64,7 +66,7 @@
                 continue;
             boost::system::error_code ec;
             const auto                protocol = idle.m_Socket.local_endpoint(ec).protocol();
-            const auto                handle = idle.m_Socket.release(ec);
+            const auto                handle   = idle.m_Socket.release(ec);
             return tcp::socket(ex, protocol, handle);
         }
         return std::nullopt;
@@ -99,6 +101,12 @@
         auto [ec, n] = co_await http::async_read_header(m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, kNoThrow);
         if (ec)
             co_return ec;
+        if (m_Parser.content_length().value_or(0) > kPieceSize ||
+            (m_Parser.chunked() && !m_Parser.get()[http::field::content_type].starts_with("text/")))
+        {
+            m_Connection->m_Buffer.reserve(kBufferLarge);
+            m_Piece.resize(kBufferLarge);
+        }
         m_Head.m_Status = m_Parser.get().result_int();
         CopyHead();
         co_return ec;
@@ -114,7 +122,7 @@
         m_Connection->m_Stream.expires_at(deadline);
         m_Parser.get().body().data = m_Piece.data();
         m_Parser.get().body().size = m_Piece.size();
-        auto [ec, n] = co_await http::async_read_some(m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, kNoThrow);
+        auto [ec, n]               = co_await http::async_read_some(m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, kNoThrow);
         if (ec && ec != http::error::need_buffer)
             co_return MakeError(ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable, "answer broken off: " + ec.message(), {},
                                 Verdict_MayHaveRun);
@@ -170,7 +178,7 @@
     c->m_Stream.expires_at(deadline);
     ClientStream& stream = c->m_Stream;
     auto          answer = std::make_unique<BeastStream>(impl, key, std::move(c));
-    auto [ec, n] = co_await http::async_write(stream, msg, kNoThrow);
+    auto [ec, n]         = co_await http::async_write(stream, msg, kNoThrow);
     if (ec && n == 0)
         co_return MakeError(ErrorCode_Unavailable, "request not sent to " + key + ": " + ec.message(), {}, Verdict_NotRun);
     if (ec)
@@ -191,12 +199,12 @@
 
 awaitable<Result<HttpStreamPtr>> HttpClient::Open(Endpoint to, const HttpRequest& req, TimePoint deadline)
 {
-    const std::string          key = to.ToString();
-    const auto                 ex = co_await asio::this_coro::executor;
+    const std::string          key  = to.ToString();
+    const auto                 ex   = co_await asio::this_coro::executor;
     std::optional<tcp::socket> kept = m_Impl->TakeIdle(key, ex);
     if (!kept)
     {
-        const Duration left = std::min<Duration>(deadline - Now(), kConnectMax);
+        const Duration left   = std::min<Duration>(deadline - Now(), kConnectMax);
         auto           socket = co_await ConnectTcp(to, left);
         if (!socket)
             co_return socket.error();
@@ -213,7 +221,7 @@
     if (!opened)
         co_return opened.error();
     HttpStreamPtr stream = std::move(opened.value());
-    HttpResponse  res = stream->Head();
+    HttpResponse  res    = stream->Head();
     for (;;)
     {
         auto piece = co_await stream->Read(deadline);
--- a/src/connection/http_message.cpp
+++ b/src/connection/http_message.cpp
@@ -53,9 +53,9 @@
     std::string_view rest = std::string_view(m_Target).substr(mark + 1);
     while (!rest.empty())
     {
-        const size_t     amp = rest.find('&');
+        const size_t     amp  = rest.find('&');
         std::string_view pair = rest.substr(0, amp);
-        const size_t     eq = pair.find('=');
+        const size_t     eq   = pair.find('=');
         if (pair.substr(0, eq) == name)
             return eq == std::string_view::npos ? std::string() : PercentDecode(pair.substr(eq + 1));
         rest = amp == std::string_view::npos ? std::string_view() : rest.substr(amp + 1);
@@ -71,7 +71,7 @@
 HttpResponse ErrorResponse(const Error& e)
 {
     boost::json::object err;
-    err["code"] = ErrorCodeName(e.m_Code);
+    err["code"]    = ErrorCodeName(e.m_Code);
     err["message"] = e.m_Message;
     err["verdict"] = VerdictName(e.m_Verdict);
     if (!e.m_Field.empty())
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -8,7 +8,7 @@
 {
 
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
+namespace http  = boost::beast::http;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
@@ -49,7 +49,7 @@
         msg.keep_alive(m_KeepAlive);
         msg.prepare_payload();
         m_Stream.expires_after(m_Config.m_SendTimeout);
-        m_Sent = true;
+        m_Sent       = true;
         auto [ec, n] = co_await http::async_write(m_Stream, msg, kNoThrow);
         co_return Outcome(ec);
     }
@@ -63,7 +63,7 @@
         msg.chunked(true);
         http::response_serializer<http::empty_body> ser(msg);
         m_Stream.expires_after(m_Config.m_SendTimeout);
-        m_Sent = true;
+        m_Sent       = true;
         auto [ec, n] = co_await http::async_write_header(m_Stream, ser, kNoThrow);
         co_return Outcome(ec);
     }
@@ -74,7 +74,7 @@
             co_return !m_Broken;
         m_Stream.expires_after(m_Config.m_SendTimeout);
         const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
-        auto [ec, n] = co_await asio::async_write(m_Stream, chunk, kNoThrow);
+        auto [ec, n]     = co_await asio::async_write(m_Stream, chunk, kNoThrow);
         co_return Outcome(ec);
     }
 
@@ -122,7 +122,7 @@
     const HttpServerConfig& m_Config;         //
     bool                    m_KeepAlive;      //
     bool                    m_Broken = false; // a write failed or Abort() was called
-    bool                    m_Sent = false;   // an answer was begun
+    bool                    m_Sent   = false; // an answer was begun
 };
 
 HttpRequest ToRequest(http::request<http::string_body>&& msg)
@@ -159,6 +159,7 @@
     socket.set_option(tcp::no_delay(true), opt_ec);
     ServerStream       stream(std::move(socket));
     beast::flat_buffer buffer(impl->m_Config.m_HeadMax + impl->m_Config.m_BodyMax);
+    buffer.reserve(std::min<size_t>(8 * 1024, impl->m_Config.m_HeadMax)); // Beast reads no more at once than there is room for
     for (;;)
     {
         http::request_parser<http::string_body> parser;
@@ -173,13 +174,13 @@
         {
             BeastReply   bad(stream, impl->m_Config, false);
             HttpResponse res = ErrorResponse(ReadError(ec));
-            res.m_Status = ReadErrorStatus(ec);
+            res.m_Status     = ReadErrorStatus(ec);
             co_await bad.Send(res);
             break;
         }
-        http::request<http::string_body> msg = parser.release();
+        http::request<http::string_body> msg        = parser.release();
         const bool                       keep_alive = msg.keep_alive() && !impl->m_Stopping.load();
-        HttpRequest                      req = ToRequest(std::move(msg));
+        HttpRequest                      req        = ToRequest(std::move(msg));
         BeastReply                       reply(stream, impl->m_Config, keep_alive);
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
@@ -209,7 +210,7 @@
 {
     while (!impl->m_Stopping.load())
     {
-        auto strand = asio::make_strand(impl->m_Ioc);
+        auto strand       = asio::make_strand(impl->m_Ioc);
         auto [ec, socket] = co_await impl->m_Acceptor->async_accept(asio::any_io_executor(strand), kNoThrow);
         if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
             break;
@@ -238,7 +239,7 @@
 
 Status HttpServer::Listen(const Endpoint& at)
 {
-    auto strand = asio::make_strand(m_Impl->m_Ioc);
+    auto strand   = asio::make_strand(m_Impl->m_Ioc);
     auto acceptor = ListenTcp(strand, at);
     if (!acceptor)
         return acceptor.error();
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-constexpr size_t kReadSize = 256 * 1024; // bytes asked of the socket at a time
-constexpr size_t kWriteGather = 32;      // frames handed to one write
+constexpr size_t kReadSize    = 256 * 1024; // bytes asked of the socket at a time
+constexpr size_t kWriteGather = 32;         // frames handed to one write
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
@@ -122,7 +122,7 @@
 
 MailboxPtr Link::OpenExchange(asio::any_io_executor ex)
 {
-    auto box = std::make_shared<Mailbox>(ex, NewExchangeId());
+    auto box    = std::make_shared<Mailbox>(ex, NewExchangeId());
     bool closed = false;
     {
         std::lock_guard lock(m_Mutex);
@@ -179,7 +179,7 @@
 
 void Link::Dispatch(const FrameBuf& frame)
 {
-    const uint64_t id = frame.Get()->exchange();
+    const uint64_t id  = frame.Get()->exchange();
     const bool     own = id != 0 && (id % 2 == 1) == (m_Side == LinkSide_Dialled);
     if (!own)
     {
@@ -303,7 +303,7 @@
             if (!wait_ec)
                 socket.close(wait_ec);
         });
-    auto [ec] = co_await socket.async_connect(tcp::endpoint(to.m_Address, to.m_Port), kNoThrow);
+    auto [ec]          = co_await socket.async_connect(tcp::endpoint(to.m_Address, to.m_Port), kNoThrow);
     const bool in_time = timer.cancel() > 0;
     if (!in_time) // the wait handler may be queued with a reference to the socket: let it run first
         co_await asio::post(ex, asio::use_awaitable);
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -89,11 +89,11 @@
 
 struct LinkPeer
 {
-    std::string    m_Name;                         // node name
-    std::string    m_DataCentre;                   //
-    std::string    m_Address;                      // ip:port it listens on, empty if it doesn't
-    wire::PeerRole m_Role = wire::PeerRole::Agent; //
-    uint64_t       m_Incarnation = 0;              // 0 until its Hello arrived
+    std::string    m_Name;                                // node name
+    std::string    m_DataCentre;                          //
+    std::string    m_Address;                             // ip:port it listens on, empty if it doesn't
+    wire::PeerRole m_Role        = wire::PeerRole::Agent; //
+    uint64_t       m_Incarnation = 0;                     // 0 until its Hello arrived
 };
 
 class Link : public std::enable_shared_from_this<Link>
@@ -140,7 +140,7 @@
     std::unordered_map<uint64_t, MailboxPtr> m_Exchanges;         // exchanges that this side opened
     std::deque<FrameBytes>                   m_SendQueue;         //
     size_t                                   m_SendQueueSize = 0; // bytes in m_SendQueue
-    bool                                     m_Writing = false;
+    bool                                     m_Writing       = false;
     LinkPeer                                 m_Peer; //
 };
 
--- a/src/platform/box_list.h
+++ b/src/platform/box_list.h
@@ -9,7 +9,7 @@
 class BoxListSource
 {
 public:
-    virtual ~BoxListSource() = default;
+    virtual ~BoxListSource()                                    = default;
     virtual awaitable<Result<BoxList>> Read(TimePoint deadline) = 0;
 };
 
--- a/src/platform/engine.h
+++ b/src/platform/engine.h
@@ -15,9 +15,9 @@
     uint64_t              m_Boot = 0;     // differs after a restart of the engine: nothing is loaded any more
     std::string           m_Loaded;       // digest it serves; empty: none
     unsigned              m_Running = 0;  // requests in the batch
-    unsigned              m_Queued = 0;   // requests waiting
-    double                m_KvFree = 1;   // share of KV cache memory free
-    unsigned              m_AgeMs = 0;    // how old these figures are
+    unsigned              m_Queued  = 0;  // requests waiting
+    double                m_KvFree  = 1;  // share of KV cache memory free
+    unsigned              m_AgeMs   = 0;  // how old these figures are
     std::vector<uint64_t> m_WarmPrefixes; // hashes of prefixes that were cached lately; late and gappy
 };
 
@@ -32,9 +32,9 @@
 class Engine
 {
 public:
-    virtual ~Engine() = default;
+    virtual ~Engine()                                                                  = default;
     virtual awaitable<Result<std::string>>   Load(EngineLoad load, TimePoint deadline) = 0; // digest that the engine confirms
-    virtual awaitable<Result<EngineReport>>  Report(TimePoint deadline) = 0;
+    virtual awaitable<Result<EngineReport>>  Report(TimePoint deadline)                = 0;
     virtual awaitable<Result<HttpStreamPtr>> Open(HttpRequest req, TimePoint deadline) = 0; // a caller's request
 };
 
--- a/src/platform/engine_http.cpp
+++ b/src/platform/engine_http.cpp
@@ -19,10 +19,10 @@
 EngineReport ParseReport(const json::object& o)
 {
     EngineReport r;
-    r.m_Boot = CountOf(o, "boot");
+    r.m_Boot    = CountOf(o, "boot");
     r.m_Running = static_cast<unsigned>(CountOf(o, "running"));
-    r.m_Queued = static_cast<unsigned>(CountOf(o, "queued"));
-    r.m_AgeMs = static_cast<unsigned>(CountOf(o, "age_ms"));
+    r.m_Queued  = static_cast<unsigned>(CountOf(o, "queued"));
+    r.m_AgeMs   = static_cast<unsigned>(CountOf(o, "age_ms"));
     if (const json::value* v = o.if_contains("loaded"); v != nullptr && v->is_string())
         r.m_Loaded = std::string(v->as_string());
     if (const json::value* v = o.if_contains("kv_free"); v != nullptr && v->is_number())
@@ -47,8 +47,8 @@
             body["base"] = load.m_Base;
         req.m_Method = "POST";
         req.m_Target = "/v1/load";
-        req.m_Body = json::serialize(body);
-        auto res = co_await m_Client.Call(m_At, req, deadline);
+        req.m_Body   = json::serialize(body);
+        auto res     = co_await m_Client.Call(m_At, req, deadline);
         if (!res)
             co_return res.error();
         if (res.value().m_Status == 409)
@@ -66,7 +66,7 @@
     {
         HttpRequest req;
         req.m_Target = "/v1/report";
-        auto res = co_await m_Client.Call(m_At, req, deadline);
+        auto res     = co_await m_Client.Call(m_At, req, deadline);
         if (!res)
             co_return res.error();
         json::error_code  ec;
--- a/src/platform/table_service.h
+++ b/src/platform/table_service.h
@@ -57,18 +57,18 @@
 class TableService
 {
 public:
-    virtual ~TableService() = default;
+    virtual ~TableService()                                                                           = default;
     virtual awaitable<Result<TableScan>> Scan(std::string prefix, uint64_t after, TimePoint deadline) = 0;
-    virtual awaitable<TxnResult>         Commit(TableTxn txn, TimePoint deadline) = 0;
+    virtual awaitable<TxnResult>         Commit(TableTxn txn, TimePoint deadline)                     = 0;
 };
 
 std::unique_ptr<TableService> MakeHttpTableService(Endpoint at);
 
 // Row keys, in one place.
-constexpr std::string_view kRowConfigPrefix = "config/";
-constexpr std::string_view kRowConfigHead = "config/head";
+constexpr std::string_view kRowConfigPrefix   = "config/";
+constexpr std::string_view kRowConfigHead     = "config/head";
 constexpr std::string_view kRowResourcePrefix = "config/res/";
-constexpr std::string_view kRowLeasePrefix = "lease/controller/";
-constexpr std::string_view kRowUsagePrefix = "usage/";
+constexpr std::string_view kRowLeasePrefix    = "lease/controller/";
+constexpr std::string_view kRowUsagePrefix    = "usage/";
 
 } // namespace aldervale
--- a/src/platform/table_service_http.cpp
+++ b/src/platform/table_service_http.cpp
@@ -44,7 +44,7 @@
     {
         HttpRequest req;
         req.m_Target = "/v1/scan?prefix=" + prefix + "&after=" + std::to_string(after);
-        auto res = co_await m_Client.Call(m_At, req, deadline);
+        auto res     = co_await m_Client.Call(m_At, req, deadline);
         if (!res)
             co_return res.error();
         if (res.value().m_Status != 200)
@@ -57,8 +57,8 @@
         HttpRequest req;
         req.m_Method = "POST";
         req.m_Target = "/v1/txn";
-        req.m_Body = SerializeTxn(txn);
-        auto res = co_await m_Client.Call(m_At, req, deadline);
+        req.m_Body   = SerializeTxn(txn);
+        auto res     = co_await m_Client.Call(m_At, req, deadline);
         if (!res)
             co_return TxnResult{res.error().m_Verdict == Verdict_NotRun ? TxnOutcome_Refused : TxnOutcome_Unknown, 0};
         if (res.value().m_Status == 409)
--- a/src/platform/weight_store_http.cpp
+++ b/src/platform/weight_store_http.cpp
@@ -16,7 +16,7 @@
     {
         HttpRequest req;
         req.m_Target = "/v1/weights/" + digest + "/manifest";
-        auto res = co_await m_Client.Call(m_At, req, deadline);
+        auto res     = co_await m_Client.Call(m_At, req, deadline);
         if (!res)
             co_return res.error();
         if (res.value().m_Status == 404)
--- a/src/process/burn_report.cpp
+++ b/src/process/burn_report.cpp
@@ -49,7 +49,7 @@
 // One bar a window, the line at burn 1 marked.
 std::string Plot(const json::array& windows)
 {
-    constexpr double   kWidth = 260;
+    constexpr double   kWidth  = 260;
     constexpr double   kHeight = 18;
     std::ostringstream out;
     out << "<svg width=\"" << kWidth + 70 << "\" height=\"" << kHeight * static_cast<double>(windows.size()) << "\" role=\"img\">";
@@ -57,7 +57,7 @@
     for (const json::value& w : windows)
     {
         const double burn = w.at("burn").to_number<double>();
-        const double bar = std::min(1.0, burn / kBurnShown) * kWidth;
+        const double bar  = std::min(1.0, burn / kBurnShown) * kWidth;
         out << "<text x=\"0\" y=\"" << y + 13 << "\" font-size=\"11\">" << w.at("minutes").to_number<int64_t>() << " min</text>";
         out << "<rect x=\"60\" y=\"" << y + 3 << "\" width=\"" << std::max(1.0, bar) << "\" height=\"12\" fill=\"" << Colour(burn) << "\"/>";
         y += kHeight;
--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -10,9 +10,9 @@
 namespace aldervale
 {
 
-using Clock = std::chrono::steady_clock;
+using Clock     = std::chrono::steady_clock;
 using TimePoint = Clock::time_point;
-using Duration = Clock::duration;
+using Duration  = Clock::duration;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -79,20 +79,20 @@
     if (path == "/readyz")
     {
         const bool ready = !Draining() && (!m_Hooks.m_Ready || m_Hooks.m_Ready());
-        res.m_Status = ready ? 200 : 503;
-        res.m_Body = ready ? "ready\n" : Draining() ? "draining\n" : "not ready\n";
+        res.m_Status     = ready ? 200 : 503;
+        res.m_Body       = ready ? "ready\n" : Draining() ? "draining\n" : "not ready\n";
     }
     else if (path == "/metrics")
         res.m_Body = Metrics().Prometheus();
     else if (path == "/statusz")
     {
-        json::object o = m_Hooks.m_Describe ? m_Hooks.m_Describe() : json::object();
-        o["name"] = m_Settings.m_Name;
-        o["program"] = m_Program;
-        o["version"] = kVersion;
+        json::object o   = m_Hooks.m_Describe ? m_Hooks.m_Describe() : json::object();
+        o["name"]        = m_Settings.m_Name;
+        o["program"]     = m_Program;
+        o["version"]     = kVersion;
         o["incarnation"] = m_Incarnation;
-        o["draining"] = Draining();
-        res = JsonResponse(200, o);
+        o["draining"]    = Draining();
+        res              = JsonResponse(200, o);
     }
     else if (path != "/healthz")
         co_return false;
@@ -189,8 +189,8 @@
             std::cout << program << " " << kVersion << "\n";
             return 0;
         }
-        file = args["settings"].as<std::string>();
-        overrides = args.count("set") > 0 ? args["set"].as<std::vector<std::string>>() : std::vector<std::string>();
+        file       = args["settings"].as<std::string>();
+        overrides  = args.count("set") > 0 ? args["set"].as<std::vector<std::string>>() : std::vector<std::string>();
         check_only = args.count("check-settings") > 0;
     }
     catch (const std::exception& e)
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -35,9 +35,9 @@
     std::string m_Name;                // node name; for agents the Box name [name]
     std::string m_DataCentre;          // [data_centre]
     std::string m_OpsListen;           // health, metrics [ops_listen]; empty: none
-    std::string m_LogFormat = "json";  // [log.format]
-    std::string m_LogLevel = "info";   // [log.level]
-    int64_t     m_Threads = 2;         // I/O threads [threads]
+    std::string m_LogFormat  = "json"; // [log.format]
+    std::string m_LogLevel   = "info"; // [log.level]
+    int64_t     m_Threads    = 2;      // I/O threads [threads]
     int64_t     m_DrainMaxMs = 30'000; // longest drain after SIGTERM [drain_max_ms]
 };
 
--- a/src/process/declarations.cpp
+++ b/src/process/declarations.cpp
@@ -47,7 +47,7 @@
 Result<std::vector<json::object>> ParseDeclarations(std::string_view text, std::string_view file)
 {
     toml::parse_result parsed = toml::parse(text, file);
-    const auto         fault = [&](unsigned line, std::string_view what)
+    const auto         fault  = [&](unsigned line, std::string_view what)
     { return MakeError(ErrorCode_Invalid, what, std::string(file) + ":" + std::to_string(line)); };
     if (!parsed)
         return fault(parsed.error().source().begin.line, parsed.error().description());
@@ -61,7 +61,7 @@
         {
             if (!item.is_table())
                 return fault(item.source().begin.line, "expected [[resource]] tables");
-            json::object o = ToJsonObject(*item.as_table());
+            json::object o       = ToJsonObject(*item.as_table());
             const auto   checked = ResourceFromJson(o);
             if (!checked)
                 return fault(item.source().begin.line, checked.error().m_Field + ": " + checked.error().m_Message);
--- a/src/process/lease.h
+++ b/src/process/lease.h
@@ -23,8 +23,8 @@
     std::string m_Holder;                      // this process and incarnation
     Duration    m_Length = milliseconds(4000); // [settings lease.length_ms]
     Duration    m_Margin = milliseconds(500);  // the holder stops acting this much before the end [settings lease.margin_ms]
-    Duration    m_Renew = milliseconds(1000);  // renewal interval
-    Duration    m_Poll = milliseconds(1000);   // how often a contender reads the row
+    Duration    m_Renew  = milliseconds(1000); // renewal interval
+    Duration    m_Poll   = milliseconds(1000); // how often a contender reads the row
 };
 
 struct LeaseRow
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -53,13 +53,13 @@
 std::string FormatJson(const EventInfo& info, const LogConfig& cfg, double now_s, std::initializer_list<LogField> fields)
 {
     boost::json::object line;
-    line["t"] = now_s;
-    line["event"] = static_cast<int>(info.m_Event);
-    line["name"] = info.m_Name;
-    line["level"] = kLevelNames[info.m_Level];
-    line["text"] = info.m_Text;
+    line["t"]       = now_s;
+    line["event"]   = static_cast<int>(info.m_Event);
+    line["name"]    = info.m_Name;
+    line["level"]   = kLevelNames[info.m_Level];
+    line["text"]    = info.m_Text;
     line["program"] = cfg.m_Program;
-    line["node"] = cfg.m_Name;
+    line["node"]    = cfg.m_Name;
     for (const LogField& f : fields)
         line[f.m_Key] = f.m_Value;
     return boost::json::serialize(line);
@@ -88,9 +88,9 @@
 void LogSetup(const LogConfig& cfg)
 {
     LogState& state = State();
-    state.m_Config = cfg;
-    auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    state.m_Config  = cfg;
+    auto layout     = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+    auto appender   = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     state.m_Logger = log4cxx::Logger::getLogger("aldervale");
     state.m_Logger->setLevel(ToLog4cxx(cfg.m_Level));
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -23,10 +23,10 @@
 
 struct LogConfig
 {
-    LogFormat   m_Format = LogFormat_Json; // [settings log.format]
-    EventLevel  m_Level = EventLevel_Info; // lowest level written [settings log.level]
-    std::string m_Program;                 // program name in each line
-    std::string m_Name;                    // node name in each line
+    LogFormat   m_Format = LogFormat_Json;  // [settings log.format]
+    EventLevel  m_Level  = EventLevel_Info; // lowest level written [settings log.level]
+    std::string m_Program;                  // program name in each line
+    std::string m_Name;                     // node name in each line
 };
 
 struct LogField
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -16,17 +16,17 @@
     if (ec || !v.is_object())
         return MakeError(ErrorCode_Corrupt, "box list is no JSON object");
     const json::value* version = v.as_object().if_contains("version");
-    const json::value* boxes = v.as_object().if_contains("boxes");
+    const json::value* boxes   = v.as_object().if_contains("boxes");
     if (version == nullptr || boxes == nullptr || !version->is_int64() || !boxes->is_array())
         return MakeError(ErrorCode_Corrupt, "box list lacks version or boxes");
     BoxList list;
     list.m_Version = static_cast<uint64_t>(version->as_int64());
     for (const json::value& item : boxes->as_array())
     {
-        const json::object* o = item.if_object();
-        const json::value*  name = o != nullptr ? o->if_contains("name") : nullptr;
+        const json::object* o     = item.if_object();
+        const json::value*  name  = o != nullptr ? o->if_contains("name") : nullptr;
         const json::value*  state = o != nullptr ? o->if_contains("state") : nullptr;
-        const json::value*  boot = o != nullptr ? o->if_contains("boot") : nullptr;
+        const json::value*  boot  = o != nullptr ? o->if_contains("boot") : nullptr;
         if (name == nullptr || state == nullptr || !name->is_string() || !state->is_string())
             return MakeError(ErrorCode_Corrupt, "box list entry lacks name or state");
         BoxListEntry entry{std::string(name->as_string()), ListState_Live,
@@ -34,7 +34,7 @@
         const auto   word = std::find(std::begin(kStateNames), std::end(kStateNames), std::string_view(state->as_string()));
         if (word == std::end(kStateNames))
             return MakeError(ErrorCode_Corrupt, "box list entry has an unknown state");
-        entry.m_State = static_cast<ListState>(word - std::begin(kStateNames));
+        entry.m_State                = static_cast<ListState>(word - std::begin(kStateNames));
         list.m_Entries[entry.m_Name] = entry;
     }
     return list;
@@ -59,13 +59,13 @@
     Seen& s = m_Seen[name];
     if (s.m_Incarnation != incarnation)
     {
-        s.m_Replaced = s.m_Incarnation != 0;
+        s.m_Replaced     = s.m_Incarnation != 0;
         s.m_JoinedAtList = m_List.m_Version;
-        s.m_Leaving = false;
+        s.m_Leaving      = false;
     }
     s.m_Incarnation = incarnation;
-    s.m_LastHeard = now;
-    s.m_Linked = true;
+    s.m_LastHeard   = now;
+    s.m_Linked      = true;
 }
 
 void Membership::OnHeartbeat(const std::string& name, uint64_t incarnation, bool leaving, TimePoint now)
@@ -74,7 +74,7 @@
     if (it == m_Seen.end() || it->second.m_Incarnation != incarnation)
         return;
     it->second.m_LastHeard = now;
-    it->second.m_Leaving = leaving;
+    it->second.m_Leaving   = leaving;
 }
 
 void Membership::OnLinkLost(const std::string& name, uint64_t incarnation)
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -34,7 +34,7 @@
 {
     std::string m_Name;                   //
     ListState   m_State = ListState_Live; //
-    uint64_t    m_Boot = 0;               // platform's count of starts of this box; 0: not told
+    uint64_t    m_Boot  = 0;              // platform's count of starts of this box; 0: not told
 };
 
 struct BoxList
@@ -70,12 +70,12 @@
 private:
     struct Seen
     {
-        uint64_t  m_Incarnation = 0;  // of the process that talks to us
-        TimePoint m_LastHeard{};      //
-        bool      m_Linked = false;   //
-        bool      m_Leaving = false;  // its own word
-        uint64_t  m_JoinedAtList = 0; // list version known when this incarnation replaced another one
-        bool      m_Replaced = false; // an earlier incarnation was known
+        uint64_t  m_Incarnation = 0;      // of the process that talks to us
+        TimePoint m_LastHeard{};          //
+        bool      m_Linked       = false; //
+        bool      m_Leaving      = false; // its own word
+        uint64_t  m_JoinedAtList = 0;     // list version known when this incarnation replaced another one
+        bool      m_Replaced     = false; // an earlier incarnation was known
     };
 
     MembershipConfig            m_Config; //
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -15,10 +15,10 @@
 namespace
 {
 
-constexpr unsigned kBins = 112;      // 16 a decade
-constexpr double   kLowest = 1e-5;   // seconds
+constexpr unsigned kBins    = 112;   // 16 a decade
+constexpr double   kLowest  = 1e-5;  // seconds
 constexpr double   kHighest = 100.0; // seconds
-constexpr size_t   kShards = 8;      // each under its own lock
+constexpr size_t   kShards  = 8;     // each under its own lock
 
 using Axis = bh::axis::regular<double, bh::axis::transform::log>;
 using Hist = decltype(bh::make_histogram(Axis(kBins, kLowest, kHighest)));
@@ -31,7 +31,7 @@
     {
         mutable std::mutex m_Mutex;                                                     // guards the members below
         Hist               m_Hist = bh::make_histogram(Axis(kBins, kLowest, kHighest)); //
-        double             m_Sum = 0;                                                   // seconds
+        double             m_Sum  = 0;                                                  // seconds
     };
 
     std::array<Shard, kShards> m_Shards; // a thread always uses the same one
@@ -58,7 +58,7 @@
 void HistogramMetric::Record(double seconds)
 {
     const size_t    shard = std::hash<std::thread::id>{}(std::this_thread::get_id()) % kShards;
-    Impl::Shard&    s = m_Impl->m_Shards[shard];
+    Impl::Shard&    s     = m_Impl->m_Shards[shard];
     std::lock_guard lock(s.m_Mutex);
     s.m_Hist(seconds);
     s.m_Sum += seconds;
@@ -71,9 +71,9 @@
 
 double HistogramMetric::Quantile(double q) const
 {
-    const Hist   all = m_Impl->Merged();
+    const Hist   all   = m_Impl->Merged();
     const double total = bh::algorithm::sum(all);
-    double       seen = 0;
+    double       seen  = 0;
     if (total <= 0)
         return 0;
     for (int i = -1; i <= static_cast<int>(kBins); i++)
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -9,9 +9,15 @@
 namespace
 {
 
-constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr auto kNoThrow    = asio::as_tuple(asio::use_awaitable);
 constexpr auto kConnectMax = milliseconds(1000);
-constexpr auto kPullEvery = milliseconds(200); // a pull without an answer is repeated after this
+constexpr auto kPullEvery  = milliseconds(200); // a pull without an answer is repeated after this
+
+enum AnnounceTo
+{
+    AnnounceTo_All,
+    AnnounceTo_NotAgentPeers,
+};
 
 uint32_t AgeToMs(Duration age)
 {
@@ -25,7 +31,7 @@
     struct PeerView
     {
         uint64_t m_Revision = 0; // from its last heartbeat
-        bool     m_Heard = false;
+        bool     m_Heard    = false;
     };
 
     Impl(Daemon& daemon, NodeConfig cfg, NodeHandlers handlers)
@@ -45,9 +51,10 @@
     void         OnClose(const LinkPtr& link);
     void         PullIfNewer(const LinkPtr& link, uint64_t revision);
     void         ConfirmLocked(uint64_t revision, Duration age);
-    FrameBytes   MakeHeartbeat();
+    FrameBytes   MakeHeartbeat(bool with_state);
+    bool         AgentPeer(const LinkPtr& link) const; // both sides are agents: they need little of each other
     bool         OfferConfig(const ConfigDelta& delta, std::optional<Duration> age);
-    void         Announce();
+    void         Announce(AnnounceTo to);
 
     awaitable<void> AcceptLoop();
     awaitable<void> HeartbeatLoop();
@@ -94,14 +101,14 @@
     }
     link->Start();
     wire::HelloT hello;
-    hello.name = m_Daemon.Settings().m_Name;
-    hello.role = m_Config.m_Role;
+    hello.name        = m_Daemon.Settings().m_Name;
+    hello.role        = m_Config.m_Role;
     hello.data_centre = m_Daemon.Settings().m_DataCentre;
     hello.incarnation = m_Daemon.Incarnation();
-    hello.schema = kFrameSchema;
-    hello.address = m_Config.m_Listen ? m_Config.m_Listen->ToString() : "";
+    hello.schema      = kFrameSchema;
+    hello.address     = m_Config.m_Listen ? m_Config.m_Listen->ToString() : "";
     link->Send(EncodeFrame(0, hello));
-    link->Send(MakeHeartbeat());
+    link->Send(MakeHeartbeat(true));
     return link;
 }
 
@@ -123,7 +130,7 @@
 
 awaitable<void> Node::Impl::DialLoop(Endpoint to)
 {
-    const std::string key = to.ToString();
+    const std::string key   = to.ToString();
     Duration          pause = m_Config.m_RedialMin;
     for (;;)
     {
@@ -141,7 +148,7 @@
             continue;
         }
         const TimePoint since = Now();
-        LinkPtr         link = Adopt(std::move(socket.value()), LinkSide_Dialled);
+        LinkPtr         link  = Adopt(std::move(socket.value()), LinkSide_Dialled);
         {
             std::lock_guard lock(m_Mutex);
             m_ByDial[key] = link;
@@ -246,8 +253,8 @@
         {
             wire::ListUpdateT update;
             update.version = m_Membership.ListVersion();
-            update.json = SerializeBoxList(m_Membership.List());
-            push_list = EncodeFrame(0, update);
+            update.json    = SerializeBoxList(m_Membership.List());
+            push_list      = EncodeFrame(0, update);
         }
     }
     if (push_list)
@@ -265,8 +272,8 @@
         const bool      asked = revision <= m_PulledRevision && Now() - m_PulledAt < kPullEvery;
         if (revision <= m_Snapshot->m_Revision || asked)
             return;
-        m_PulledRevision = revision;
-        m_PulledAt = Now();
+        m_PulledRevision   = revision;
+        m_PulledAt         = Now();
         pull.from_revision = m_Snapshot->m_Revision;
     }
     link->Send(EncodeFrame(0, pull));
@@ -286,9 +293,9 @@
         return;
     wire::ConfigDeltaT msg;
     msg.from_revision = pull.from_revision();
-    msg.to_revision = snapshot->m_Revision;
-    msg.age_ms = age == Duration::max() ? UINT32_MAX : AgeToMs(age);
-    msg.json = DeltaToJson(DeltaSince(*snapshot, pull.from_revision()));
+    msg.to_revision   = snapshot->m_Revision;
+    msg.age_ms        = age == Duration::max() ? UINT32_MAX : AgeToMs(age);
+    msg.json          = DeltaToJson(DeltaSince(*snapshot, pull.from_revision()));
     link->Send(EncodeFrame(0, msg));
 }
 
@@ -341,7 +348,7 @@
     if (!next)
         return false;
     LogEvent(Event_ConfigInForce, {{"revision", next->m_Revision}});
-    Announce();
+    Announce(AnnounceTo_All);
     if (m_Handlers.m_OnConfig)
         m_Handlers.m_OnConfig(next);
     return true;
@@ -351,44 +358,56 @@
 // Heartbeats
 //-----------------------------------------------------------------------------
 
-FrameBytes Node::Impl::MakeHeartbeat()
+bool Node::Impl::AgentPeer(const LinkPtr& link) const
+{
+    return m_Config.m_Role == wire::PeerRole::Agent && link->Peer().m_Role == wire::PeerRole::Agent;
+}
+
+FrameBytes Node::Impl::MakeHeartbeat(bool with_state)
 {
     wire::HeartbeatT hb;
     hb.incarnation = m_Daemon.Incarnation();
-    if (m_Handlers.m_AgentState)
+    if (m_Handlers.m_AgentState && with_state)
         hb.state = m_Handlers.m_AgentState();
     std::lock_guard lock(m_Mutex);
     hb.config_revision = m_Snapshot->m_Revision;
-    hb.config_age_ms = m_ConfirmedAt == TimePoint{} ? UINT32_MAX : AgeToMs(Now() - m_ConfirmedAt);
-    hb.lease_fencing = m_Lease.m_Fencing;
-    hb.lease_holder = m_Lease.m_Holder;
-    hb.list_version = m_Membership.ListVersion();
+    hb.config_age_ms   = m_ConfirmedAt == TimePoint{} ? UINT32_MAX : AgeToMs(Now() - m_ConfirmedAt);
+    hb.lease_fencing   = m_Lease.m_Fencing;
+    hb.lease_holder    = m_Lease.m_Holder;
+    hb.list_version    = m_Membership.ListVersion();
     return EncodeFrame(0, hb);
 }
 
-void Node::Impl::Announce()
+void Node::Impl::Announce(AnnounceTo to)
 {
-    const FrameBytes     hb = MakeHeartbeat();
+    const FrameBytes     full = MakeHeartbeat(true);
+    const FrameBytes     bare = MakeHeartbeat(m_Handlers.m_GroupMember && m_Handlers.m_GroupMember());
     std::vector<LinkPtr> links;
     {
         std::lock_guard lock(m_Mutex);
         links.assign(m_Links.begin(), m_Links.end());
     }
     for (const LinkPtr& link : links)
-        link->Send(hb);
+    {
+        const bool peer = AgentPeer(link);
+        if (!peer || to == AnnounceTo_All)
+            link->Send(peer ? bare : full);
+    }
 }
 
 awaitable<void> Node::Impl::HeartbeatLoop()
 {
+    unsigned beat = 0;
     for (;;)
     {
         co_await SleepFor(m_Config.m_HeartbeatEvery);
-        Announce();
+        const bool group = m_Handlers.m_GroupMember && m_Handlers.m_GroupMember();
+        Announce(group || ++beat % m_Config.m_AgentPeerEvery == 0 ? AnnounceTo_All : AnnounceTo_NotAgentPeers);
         std::vector<LinkPtr> silent;
         {
             std::lock_guard lock(m_Mutex);
             for (const LinkPtr& link : m_Links)
-                if (Now() - link->LastHeard() > m_Config.m_DeadAfter)
+                if (Now() - link->LastHeard() > m_Config.m_DeadAfter * (AgentPeer(link) ? m_Config.m_AgentPeerEvery : 1))
                     silent.push_back(link);
         }
         for (const LinkPtr& link : silent)
@@ -455,7 +474,7 @@
 
 void Node::AnnounceNow()
 {
-    m_Impl->Announce();
+    m_Impl->Announce(AnnounceTo_NotAgentPeers);
 }
 
 ConfigPtr Node::Config() const
@@ -495,7 +514,7 @@
             return;
         m_Impl->m_Lease = {fencing, std::string(holder)};
     }
-    m_Impl->Announce();
+    m_Impl->Announce(AnnounceTo_All);
 }
 
 LeaseView Node::Lease() const
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -30,12 +30,13 @@
 
 struct NodeConfig
 {
-    wire::PeerRole          m_Role = wire::PeerRole::Agent;       //
-    std::optional<Endpoint> m_Listen;                             // none: only dials
-    Duration                m_HeartbeatEvery = milliseconds(500); //
-    Duration                m_DeadAfter = milliseconds(2000);     // a silent link is closed
-    Duration                m_RedialMin = milliseconds(100);      // doubles up to m_RedialMax
-    Duration                m_RedialMax = milliseconds(3000);     //
+    wire::PeerRole          m_Role = wire::PeerRole::Agent;        //
+    std::optional<Endpoint> m_Listen;                              // none: only dials
+    Duration                m_HeartbeatEvery = milliseconds(500);  //
+    unsigned                m_AgentPeerEvery = 4;                  // between agents only every so many heartbeats
+    Duration                m_DeadAfter      = milliseconds(2000); // a silent link is closed
+    Duration                m_RedialMin      = milliseconds(100);  // doubles up to m_RedialMax
+    Duration                m_RedialMax      = milliseconds(3000); //
 };
 
 struct NodeHandlers
@@ -46,6 +47,7 @@
     std::function<void(const LinkPtr&, const wire::Heartbeat&)> m_OnHeartbeat;
     std::function<void(ConfigPtr)>                              m_OnConfig;   // a newer revision is in force
     std::function<std::unique_ptr<wire::AgentStateT>()>         m_AgentState; // agents only: goes into heartbeats
+    std::function<bool()> m_GroupMember; // agents only: this box is part of a replica over several boxes, whose members watch each other
 };
 
 struct LeaseView // what spreads about a data centre's controller
--- a/src/process/resource_api.cpp
+++ b/src/process/resource_api.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-constexpr std::string_view kRoot = "/aldervale/v1/";
-constexpr auto             kCommitMax = seconds(10);  // longest wait for the table service
-constexpr auto             kAskMax = seconds(1);      // for another router's answer
+constexpr std::string_view kRoot       = "/aldervale/v1/";
+constexpr auto             kCommitMax  = seconds(10); // longest wait for the table service
+constexpr auto             kAskMax     = seconds(1);  // for another router's answer
 constexpr auto             kFlushEvery = seconds(10); // accounting
 constexpr int64_t          kWatchMaxMs = 25'000;
 
@@ -72,7 +72,7 @@
         auto r = ResourceFromJson(item);
         if (!r)
         {
-            Error e = r.error();
+            Error e   = r.error();
             e.m_Field = "resources[" + std::to_string(i) + "]." + e.m_Field;
             return e;
         }
@@ -107,7 +107,7 @@
     Operator               op;
     const std::string_view role = text.substr(a + 1, b - a - 1);
     Digest                 d{};
-    op.m_Name = std::string(text.substr(0, a));
+    op.m_Name        = std::string(text.substr(0, a));
     op.m_TokenSha256 = std::string(text.substr(b + 1));
     if (!FromHex(op.m_TokenSha256, d))
         return MakeError(ErrorCode_Invalid, "expected a SHA-256 after the role", "operators");
@@ -151,8 +151,8 @@
 Result<Operator> ResourceApi::Impl::Identify(const HttpRequest& req) const
 {
     constexpr std::string_view kBearer = "Bearer ";
-    const std::string_view     auth = FindField(req.m_Fields, "Authorization");
-    const std::string          digest = auth.starts_with(kBearer) ? ToHex(Sha256(auth.substr(kBearer.size()))) : std::string();
+    const std::string_view     auth    = FindField(req.m_Fields, "Authorization");
+    const std::string          digest  = auth.starts_with(kBearer) ? ToHex(Sha256(auth.substr(kBearer.size()))) : std::string();
     for (const Operator& op : m_Operators)
         if (op.m_TokenSha256 == digest)
             return op;
@@ -182,7 +182,7 @@
 
 HttpResponse ResourceApi::Impl::GetOne(const ResourceKey& key) const
 {
-    const ConfigPtr c = m_Node.Config();
+    const ConfigPtr c  = m_Node.Config();
     const auto      it = c->m_Resources.find(key);
     if (it == c->m_Resources.end() || it->second.m_Deleted)
         return FaultResponse(MakeError(ErrorCode_NotFound, "no such resource"));
@@ -192,7 +192,7 @@
 awaitable<HttpResponse> ResourceApi::Impl::Commit(ChangeRequest change, const Operator& op)
 {
     change.m_By = op.m_Name;
-    auto done = co_await m_Sync.Commit(std::move(change), Now() + kCommitMax);
+    auto done   = co_await m_Sync.Commit(std::move(change), Now() + kCommitMax);
     co_return done ? DoneResponse(done.value()) : FaultResponse(done.error());
 }
 
@@ -201,7 +201,7 @@
     ChangeRequest     change;
     Resource          r;
     const std::string match(FindField(req.m_Fields, "If-Match"));
-    r.m_Key = key;
+    r.m_Key     = key;
     r.m_Deleted = req.m_Method == "DELETE";
     if (!match.empty())
         change.m_IfRevision[key] = std::strtoull(match.c_str(), nullptr, 10);
@@ -213,7 +213,7 @@
             co_return FaultResponse(MakeError(ErrorCode_Invalid, "expected a JSON object", "body"));
         v.as_object()["kind"] = KindName(key.m_Kind);
         v.as_object()["name"] = key.m_Name;
-        auto parsed = ResourceFromJson(v);
+        auto parsed           = ResourceFromJson(v);
         if (!parsed)
             co_return FaultResponse(parsed.error());
         r = std::move(parsed.value());
@@ -230,8 +230,8 @@
     if (it == c->m_Resources.end() || it->second.m_Deleted)
         co_return FaultResponse(MakeError(ErrorCode_NotFound, "no such box"));
     ChangeRequest change;
-    Resource      r = it->second;
-    r.m_Spec["drained"] = drained;
+    Resource      r          = it->second;
+    r.m_Spec["drained"]      = drained;
     change.m_IfRevision[key] = r.m_Revision;
     change.m_Write.push_back(std::move(r));
     co_return co_await Commit(std::move(change), op);
@@ -240,8 +240,8 @@
 awaitable<HttpResponse> ResourceApi::Impl::Watch(const HttpRequest& req)
 {
     const uint64_t  since = std::strtoull(req.Query("since").c_str(), nullptr, 10);
-    const int64_t   wait = std::min<int64_t>(kWatchMaxMs, std::strtoll(req.Query("wait_ms").c_str(), nullptr, 10));
-    const TimePoint end = Now() + milliseconds(wait);
+    const int64_t   wait  = std::min<int64_t>(kWatchMaxMs, std::strtoll(req.Query("wait_ms").c_str(), nullptr, 10));
+    const TimePoint end   = Now() + milliseconds(wait);
     while (m_Node.Config()->m_Revision <= since && Now() < end)
         co_await SleepFor(milliseconds(20));
     const ConfigPtr c = m_Node.Config();
@@ -351,7 +351,7 @@
 
 awaitable<void> ResourceApi::Impl::FlushLoop()
 {
-    const std::string key = std::string(kRowUsagePrefix) + m_Daemon.Settings().m_Name + "/" + std::to_string(m_Daemon.Incarnation());
+    const std::string key     = std::string(kRowUsagePrefix) + m_Daemon.Settings().m_Name + "/" + std::to_string(m_Daemon.Incarnation());
     uint64_t          version = 0;
     std::string       flushed;
     for (;;)
@@ -385,7 +385,7 @@
 awaitable<HttpResponse> ResourceApi::Impl::Answer(const HttpRequest& req, const Operator& op)
 {
     const std::vector<std::string> parts = SplitPath(req.Path().substr(kRoot.size()));
-    const std::string              what = parts.empty() ? "" : parts[0];
+    const std::string              what  = parts.empty() ? "" : parts[0];
     const bool                     reads = req.m_Method == "GET";
     const bool drains = what == "boxes" && parts.size() == 3 && req.m_Method == "POST" && (parts[2] == "drain" || parts[2] == "undrain");
     if (!reads && op.m_Role != OperatorRole_Write && !(drains && op.m_Role == OperatorRole_Drain))
--- a/src/process/resources.cpp
+++ b/src/process/resources.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::string_view kKindNames[Kind_COUNT] = {"DataCentre", "Box",     "Model",         "Version", "Adapter",
                                                      "Placement",  "Service", "ClientAccount", "Rollout"};
-constexpr size_t           kNameMax = 63;
-constexpr int64_t          kReplicasMax = 10'000;
+constexpr size_t           kNameMax               = 63;
+constexpr int64_t          kReplicasMax           = 10'000;
 
 bool IsNameChar(char c)
 {
@@ -281,7 +281,7 @@
     const Declared<ServiceSpec>* best = nullptr;
     for (const auto& [key, service] : c.m_Services)
     {
-        const std::string& prefix = service.m_Spec.m_Path;
+        const std::string& prefix  = service.m_Spec.m_Path;
         const bool         matches = path.starts_with(prefix) && (path.size() == prefix.size() || path[prefix.size()] == '/');
         if (!matches || (best != nullptr && best->m_Spec.m_Path.size() >= prefix.size()))
             continue;
@@ -338,12 +338,12 @@
 
 std::vector<std::string> ScopeMembers(const ConfigSnapshot& c, std::string_view placement, std::string_view box)
 {
-    const auto p = c.m_Placements.find(placement);
+    const auto p   = c.m_Placements.find(placement);
     const auto own = c.m_Boxes.find(box);
     if (p == c.m_Placements.end() || own == c.m_Boxes.end())
         return {std::string(box)};
-    const auto               model = c.m_Models.find(p->second.m_Spec.m_Model);
-    const OriginScope        scope = model == c.m_Models.end() ? OriginScope_Region : model->second.m_Spec.m_OriginScope;
+    const auto               model  = c.m_Models.find(p->second.m_Spec.m_Model);
+    const OriginScope        scope  = model == c.m_Models.end() ? OriginScope_Region : model->second.m_Spec.m_OriginScope;
     const std::string        own_dc = own->second.m_Spec.m_DataCentre;
     std::vector<std::string> out;
     for (const auto& [dc, count] : p->second.m_Spec.m_Replicas)
@@ -365,8 +365,8 @@
 {
     if (delta.m_From > base.m_Revision || delta.m_To <= base.m_Revision)
         return nullptr;
-    auto next = std::make_shared<ConfigSnapshot>();
-    next->m_Revision = delta.m_To;
+    auto next         = std::make_shared<ConfigSnapshot>();
+    next->m_Revision  = delta.m_To;
     next->m_Resources = base.m_Resources;
     for (const Resource& r : delta.m_Written)
     {
@@ -393,8 +393,8 @@
     for (const Resource& r : d.m_Written)
         written.push_back(ToJson(r));
     json::object o;
-    o["from"] = d.m_From;
-    o["to"] = d.m_To;
+    o["from"]    = d.m_From;
+    o["to"]      = d.m_To;
     o["written"] = std::move(written);
     return json::serialize(o);
 }
@@ -405,9 +405,9 @@
     const json::value v = json::parse(text, ec);
     if (ec || !v.is_object())
         return MakeError(ErrorCode_Invalid, "expected a JSON object");
-    const json::object& o = v.as_object();
-    const json::value*  from = o.if_contains("from");
-    const json::value*  to = o.if_contains("to");
+    const json::object& o       = v.as_object();
+    const json::value*  from    = o.if_contains("from");
+    const json::value*  to      = o.if_contains("to");
     const json::value*  written = o.if_contains("written");
     if (from == nullptr || to == nullptr || written == nullptr || !from->is_int64() || !to->is_int64() || !written->is_array())
         return MakeError(ErrorCode_Invalid, "expected from, to and written");
--- a/src/process/resources.h
+++ b/src/process/resources.h
@@ -58,13 +58,13 @@
 
 struct Resource
 {
-    ResourceKey  m_Key;             //
-    json::object m_Spec;            // as declared
-    uint64_t     m_Revision = 0;    // configuration revision that wrote it last
-    bool         m_Deleted = false; // a tombstone: kept so that deltas carry the deletion
-    std::string  m_Set;             // the declaration set that owns it, for pruning; empty: none
-    std::string  m_By;              // operator who wrote it last
-    int64_t      m_AtMs = 0;        // wall clock at that write, for people only
+    ResourceKey  m_Key;              //
+    json::object m_Spec;             // as declared
+    uint64_t     m_Revision = 0;     // configuration revision that wrote it last
+    bool         m_Deleted  = false; // a tombstone: kept so that deltas carry the deletion
+    std::string  m_Set;              // the declaration set that owns it, for pruning; empty: none
+    std::string  m_By;               // operator who wrote it last
+    int64_t      m_AtMs = 0;         // wall clock at that write, for people only
 };
 
 json::object     ToJson(const Resource& r);
@@ -108,7 +108,7 @@
 {
     std::string m_DataCentre;                   // name of a DataCentre
     std::string m_Address;                      // IP:PORT of the agent's or router's link
-    BoxRole     m_Role = BoxRole_Backend;       //
+    BoxRole     m_Role    = BoxRole_Backend;    //
     BackendType m_Backend = BackendType_Engine; // what runs on a backend server box
     bool        m_Drained = false;              // takes no new work until declared otherwise
 };
@@ -143,24 +143,24 @@
     std::vector<std::string> m_NonRepeatable;            // methods that may run at most once and need an Idempotency-Key
     std::vector<std::string> m_Retired;                  // homes that take no new keys; must precede their removal
     uint32_t                 m_DeadlineMs = 30'000;      // longest time a request may take
-    double                   m_SloMs = 1000;             // latency that counts as good, ms; for streams the first token
-    double                   m_SloTarget = 0.99;         // share of requests that must be good
+    double                   m_SloMs      = 1000;        // latency that counts as good, ms; for streams the first token
+    double                   m_SloTarget  = 0.99;        // share of requests that must be good
 };
 
 struct ClientAccountSpec
 {
     std::string m_TokenSha256;  // hex; the token itself is nowhere
     double      m_LimitRps = 0; // requests a second over all routers; required
-    double      m_Burst = 0;    // requests; default: one second's worth
+    double      m_Burst    = 0; // requests; default: one second's worth
     int64_t     m_Priority = 5; // 0 (offline work) to 9, handed to engines
-    double      m_Weight = 1;   // share in fair queueing
+    double      m_Weight   = 1; // share in fair queueing
 };
 
 struct RolloutSpec
 {
-    std::string m_Placement;          // name of a Placement
-    int64_t     m_MaxUnavailable = 1; // boxes of one data centre out of service at once
-    bool        m_Paused = false;
+    std::string m_Placement;           // name of a Placement
+    int64_t     m_MaxUnavailable  = 1; // boxes of one data centre out of service at once
+    bool        m_Paused          = false;
     int64_t     m_HaltAfterFailed = 2; // failures over all boxes that halt the rollout and roll it back
 };
 
@@ -219,7 +219,7 @@
 struct ConfigDelta // resources written after m_From, up to and with m_To
 {
     uint64_t              m_From = 0; // revision it applies to, or any newer one below m_To
-    uint64_t              m_To = 0;   //
+    uint64_t              m_To   = 0; //
     std::vector<Resource> m_Written;  // tombstones included
 };
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -134,7 +134,7 @@
 {
     for (const auto& [name, node] : table)
     {
-        const std::string  key = prefix + std::string(name.str());
+        const std::string  key  = prefix + std::string(name.str());
         const unsigned     line = name.source().begin.line != 0 ? name.source().begin.line : node.source().begin.line;
         const SettingSpec* spec = FindSpec(ld.m_Specs, key);
         if (spec != nullptr)
@@ -162,9 +162,9 @@
 {
     for (const SettingSpec& s : ld.m_Specs)
     {
-        const auto* text = std::get_if<SettingText>(&s.m_Value);
+        const auto* text    = std::get_if<SettingText>(&s.m_Value);
         const auto* address = std::get_if<SettingAddress>(&s.m_Value);
-        const bool  needed = (text != nullptr && text->m_Required) || (address != nullptr && address->m_Required);
+        const bool  needed  = (text != nullptr && text->m_Required) || (address != nullptr && address->m_Required);
         if (needed && !ld.m_Seen.contains(std::string(s.m_Key)))
             ld.Fault(file, 0, s.m_Key, "missing");
     }
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -49,14 +49,14 @@
 struct SettingText
 {
     std::string*                  m_Target;           //
-    std::vector<std::string_view> m_Choices = {};     // allowed values; empty: any
+    std::vector<std::string_view> m_Choices  = {};    // allowed values; empty: any
     bool                          m_Required = false; // a default of "" isn't good enough
 };
 
 struct SettingAddress // IP:PORT; two settings of one file that listen may not be equal
 {
     std::string* m_Target;           //
-    bool         m_Listens = false;  // the process binds it
+    bool         m_Listens  = false; // the process binds it
     bool         m_Required = false; //
 };
 
--- a/src/process/store_sync.cpp
+++ b/src/process/store_sync.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-constexpr size_t kWritesKept = 64; // write ids in the head row
-constexpr auto   kLoopEvery = milliseconds(100);
-constexpr auto   kSettlePause = milliseconds(100);
+constexpr size_t kWritesKept   = 64; // write ids in the head row
+constexpr auto   kLoopEvery    = milliseconds(100);
+constexpr auto   kSettlePause  = milliseconds(100);
 constexpr int    kConflictsMax = 20; // lost races before a commit gives up
 
 struct HeadWrite
@@ -22,7 +22,7 @@
 
 struct Head // the row config/head
 {
-    uint64_t               m_Version = 0;  // of the row; 0: not there yet
+    uint64_t               m_Version  = 0; // of the row; 0: not there yet
     uint64_t               m_Revision = 0; // of the configuration
     std::vector<HeadWrite> m_Writes;       // newest last
 };
@@ -90,13 +90,13 @@
     StoreSyncConfig m_Config; //
     ManifestCheck   m_Check;  //
 
-    mutable std::mutex m_Mutex;             // guards the members below
-    uint64_t           m_After = 0;         // commit number up to which the store's config rows were read
-    uint64_t           m_AfterRevision = 0; // configuration revision at that commit number
-    Head               m_Head;              // as of m_After
-    bool               m_Seen = false;      //
-    bool               m_Reachable = true;  // outcome of the last read
-    uint64_t           m_WriteCount = 0;    // makes write ids unique
+    mutable std::mutex m_Mutex;              // guards the members below
+    uint64_t           m_After         = 0;  // commit number up to which the store's config rows were read
+    uint64_t           m_AfterRevision = 0;  // configuration revision at that commit number
+    Head               m_Head;               // as of m_After
+    bool               m_Seen       = false; //
+    bool               m_Reachable  = true;  // outcome of the last read
+    uint64_t           m_WriteCount = 0;     // makes write ids unique
 };
 
 //-----------------------------------------------------------------------------
@@ -108,9 +108,9 @@
     bool changed = false;
     {
         std::lock_guard lock(m_Mutex);
-        changed = ok != m_Reachable;
+        changed     = ok != m_Reachable;
         m_Reachable = ok;
-        m_Seen = m_Seen || ok;
+        m_Seen      = m_Seen || ok;
     }
     if (changed)
         LogEvent(ok ? Event_StoreBack : Event_StoreUnreachable);
@@ -119,16 +119,16 @@
 awaitable<Result<Head>> StoreSync::Impl::Read(TimePoint deadline)
 {
     uint64_t after = 0;
-    uint64_t from = 0;
+    uint64_t from  = 0;
     Head     head;
     {
         std::lock_guard lock(m_Mutex);
         after = m_After;
-        from = m_AfterRevision;
-        head = m_Head;
+        from  = m_AfterRevision;
+        head  = m_Head;
     }
     const TimePoint asked = Now();
-    auto            scan = co_await m_Table.Scan(std::string(kRowConfigPrefix), after, std::min(deadline, asked + m_Config.m_ReadTimeout));
+    auto            scan  = co_await m_Table.Scan(std::string(kRowConfigPrefix), after, std::min(deadline, asked + m_Config.m_ReadTimeout));
     NoteReachable(scan.has_value());
     if (!scan)
         co_return scan.error();
@@ -148,14 +148,14 @@
         delta.m_Written.push_back(std::move(r.value()));
     }
     delta.m_From = from;
-    delta.m_To = head.m_Revision;
+    delta.m_To   = head.m_Revision;
     {
         std::lock_guard lock(m_Mutex);
         if (scan.value().m_Latest >= m_After)
         {
-            m_After = scan.value().m_Latest;
+            m_After         = scan.value().m_Latest;
             m_AfterRevision = head.m_Revision;
-            m_Head = head;
+            m_Head          = head;
         }
     }
     m_Node.OfferConfig(delta, Now() - asked);
@@ -174,8 +174,8 @@
             names.push_back(peer.m_Name);
     }
     const int64_t period = WallMs() / ToMs(m_Config.m_OrderPeriod);
-    const auto    order = RendezvousOrder(std::to_string(period), names);
-    const auto    place = std::find(order.begin(), order.end(), size_t{0}) - order.begin();
+    const auto    order  = RendezvousOrder(std::to_string(period), names);
+    const auto    place  = std::find(order.begin(), order.end(), size_t{0}) - order.begin();
     return m_Config.m_PollEvery + place * m_Config.m_PollStagger;
 }
 
@@ -194,7 +194,7 @@
         const bool first = threshold == m_Config.m_PollEvery;
         if (Now() - listed >= (first ? m_Config.m_ListEvery : 3 * m_Config.m_ListEvery))
         {
-            listed = Now();
+            listed    = Now();
             auto list = co_await m_List.Read(Now() + m_Config.m_ReadTimeout);
             if (list)
                 m_Node.OfferList(std::move(list.value()));
@@ -223,9 +223,9 @@
     std::set<ResourceKey> kept;
     for (const Resource& r : change.m_Write)
     {
-        const auto     it = base.m_Resources.find(r.m_Key);
-        const bool     exists = it != base.m_Resources.end() && !it->second.m_Deleted;
-        const auto     expect = change.m_IfRevision.find(r.m_Key);
+        const auto     it      = base.m_Resources.find(r.m_Key);
+        const bool     exists  = it != base.m_Resources.end() && !it->second.m_Deleted;
+        const auto     expect  = change.m_IfRevision.find(r.m_Key);
         const uint64_t current = exists ? it->second.m_Revision : 0;
         kept.insert(r.m_Key);
         if (expect != change.m_IfRevision.end() && expect->second != current)
@@ -246,7 +246,7 @@
     {
         if (!change.m_Prune || r.m_Deleted || r.m_Set != change.m_Set || kept.contains(key))
             continue;
-        Resource gone = r;
+        Resource gone  = r;
         gone.m_Deleted = true;
         gone.m_Spec.clear();
         out.push_back(std::move(gone));
@@ -266,7 +266,7 @@
         const Status s = co_await m_Check(spec.value().m_Manifest);
         if (!s)
         {
-            Error e = s.error();
+            Error e   = s.error();
             e.m_Field = std::string(KindName(r.m_Key.m_Kind)) + "/" + r.m_Key.m_Name + ":spec.manifest";
             co_return e;
         }
@@ -321,10 +321,10 @@
     for (Resource& r : delta.m_Written)
     {
         r.m_Revision = delta.m_To;
-        r.m_By = change.m_By;
-        r.m_AtMs = WallMs();
+        r.m_By       = change.m_By;
+        r.m_AtMs     = WallMs();
     }
-    const ConfigPtr    next = ApplyDelta(*base, delta);
+    const ConfigPtr    next   = ApplyDelta(*base, delta);
     std::vector<Error> faults = ValidateConfig(*next);
     if (faults.empty())
         faults = ValidateTransition(*base, *next, m_Node.GoneBoxes());
@@ -341,7 +341,7 @@
         std::lock_guard lock(m_Mutex);
         id = m_Daemon.Settings().m_Name + "/" + std::to_string(m_Daemon.Incarnation()) + "/" + std::to_string(++m_WriteCount);
     }
-    Head new_head = head.value();
+    Head new_head       = head.value();
     new_head.m_Revision = delta.m_To;
     new_head.m_Writes.push_back({id, delta.m_To});
     if (new_head.m_Writes.size() > kWritesKept)
@@ -352,7 +352,7 @@
     for (const Resource& r : delta.m_Written)
         txn.m_Put.push_back({RowKey(r.m_Key), json::serialize(ToJson(r))});
 
-    const TimePoint sent = Now();
+    const TimePoint sent   = Now();
     const TxnResult result = co_await m_Table.Commit(txn, std::min(deadline, sent + m_Config.m_ReadTimeout));
     if (result.m_Outcome == TxnOutcome_Refused)
         co_return MakeError(ErrorCode_Unavailable, "configuration can't be accepted: the table service refused the write");
@@ -364,7 +364,7 @@
     uint64_t revision = delta.m_To;
     if (result.m_Outcome == TxnOutcome_Unknown)
     {
-        bool       lost = false;
+        bool       lost    = false;
         const auto settled = co_await Settle(txn, id, head.value().m_Version, deadline, &lost);
         if (!settled && lost)
         {
@@ -401,7 +401,7 @@
 {
     for (int i = 0; i < kConflictsMax; i++)
     {
-        bool again = false;
+        bool again  = false;
         auto result = co_await m_Impl->TryCommit(change, deadline, &again);
         if (!again)
         {
--- a/src/process/store_sync.h
+++ b/src/process/store_sync.h
@@ -24,10 +24,10 @@
 
 struct StoreSyncConfig
 {
-    Duration m_PollEvery = milliseconds(1000);   // age of the store's word beyond which somebody asks
+    Duration m_PollEvery   = milliseconds(1000); // age of the store's word beyond which somebody asks
     Duration m_PollStagger = milliseconds(400);  // added per place in the order of asking, which changes every m_OrderPeriod
     Duration m_OrderPeriod = seconds(30);        //
-    Duration m_ListEvery = milliseconds(2000);   // box list reads of the data centre's first in order
+    Duration m_ListEvery   = milliseconds(2000); // box list reads of the data centre's first in order
     Duration m_ReadTimeout = milliseconds(2000); //
 };
 
@@ -36,7 +36,7 @@
     std::vector<Resource>           m_Write;      // m_Revision, m_By and m_AtMs are filled in; m_Deleted deletes
     std::map<ResourceKey, uint64_t> m_IfRevision; // revision that each of these must still have; 0: must not exist
     std::string                     m_Set;        // with m_Prune: what the set owned and m_Write lacks is deleted
-    bool                            m_Prune = false;
+    bool                            m_Prune  = false;
     bool                            m_DryRun = false;
     std::string                     m_By; // operator
 };
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -69,7 +69,7 @@
         if (agent.m_Weights)
             agent.m_Weights->OnHeartbeat(link, hb);
     };
-    h.m_OnConfig = [&agent](const ConfigPtr& c) { agent.m_Serve->OnConfig(c); };
+    h.m_OnConfig   = [&agent](const ConfigPtr& c) { agent.m_Serve->OnConfig(c); };
     h.m_AgentState = [&agent]
     {
         auto state = std::make_unique<wire::AgentStateT>();
@@ -79,24 +79,25 @@
             agent.m_Serve->Describe(*state);
         return state;
     };
+    h.m_GroupMember = [&agent] { return agent.m_Weights && agent.m_Weights->HoldsSlice(); };
     return h;
 }
 
 Status StartAgent(Daemon& daemon, Agent& agent)
 {
-    const AgentSettings& s = agent.m_Settings;
+    const AgentSettings& s      = agent.m_Settings;
     const bool           engine = s.m_BackendType == "engine";
     if (engine && s.m_WeightStore.empty())
         return MakeError(ErrorCode_Invalid, "an engine needs a weight store", "weight_store");
     agent.m_Engine = MakeHttpEngine(ParseEndpoint(s.m_Backend).value());
     NodeConfig cfg;
-    cfg.m_Role = wire::PeerRole::Agent;
+    cfg.m_Role   = wire::PeerRole::Agent;
     cfg.m_Listen = ParseEndpoint(s.m_Listen).value();
     agent.m_Node = std::make_unique<Node>(daemon, cfg, MakeHandlers(agent));
     if (engine)
     {
-        agent.m_Store = MakeHttpWeightStore(ParseEndpoint(s.m_WeightStore).value());
-        agent.m_Weights = std::make_unique<AgentWeights>(daemon, s.m_Weights, *agent.m_Node, *agent.m_Store, *agent.m_Engine);
+        agent.m_Store        = MakeHttpWeightStore(ParseEndpoint(s.m_WeightStore).value());
+        agent.m_Weights      = std::make_unique<AgentWeights>(daemon, s.m_Weights, *agent.m_Node, *agent.m_Store, *agent.m_Engine);
         const Status started = agent.m_Weights->Start();
         if (!started)
             return started;
@@ -110,13 +111,13 @@
         agent.m_Serve->BeginDrain();
         agent.m_Node->AnnounceNow();
     };
-    hooks.m_Drained = [&agent] { return agent.m_Serve->InFlight() == 0; };
+    hooks.m_Drained  = [&agent] { return agent.m_Serve->InFlight() == 0; };
     hooks.m_Describe = [&agent]
     {
-        json::object o = agent.m_Weights ? agent.m_Weights->DescribeJson() : json::object();
-        o["in_flight"] = agent.m_Serve->InFlight();
-        o["leaving"] = agent.m_Serve->Leaving();
-        o["revision"] = agent.m_Node->Config()->m_Revision;
+        json::object o  = agent.m_Weights ? agent.m_Weights->DescribeJson() : json::object();
+        o["in_flight"]  = agent.m_Serve->InFlight();
+        o["leaving"]    = agent.m_Serve->Leaving();
+        o["revision"]   = agent.m_Node->Config()->m_Revision;
         o["link_bytes"] = agent.m_Node->ControlBytes();
         return o;
     };
--- a/src/programs/controller.cpp
+++ b/src/programs/controller.cpp
@@ -11,17 +11,17 @@
 namespace
 {
 
-constexpr auto kTick = milliseconds(100);
-constexpr auto kResendAfter = milliseconds(2000);  // an order without effect is sent again after this
+constexpr auto kTick         = milliseconds(100);
+constexpr auto kResendAfter  = milliseconds(2000); // an order without effect is sent again after this
 constexpr auto kReachableFor = milliseconds(2000); // silence after which a box gets no orders
 constexpr auto kStoreTimeout = milliseconds(1000);
 
 struct ControllerSettings
 {
-    std::vector<std::string> m_Routers;        // [routers]
-    std::string              m_TableService;   // [table_service]
-    int64_t                  m_LeaseMs = 4000; // [lease.length_ms]
-    int64_t                  m_MarginMs = 500; // [lease.margin_ms]
+    std::vector<std::string> m_Routers;         // [routers]
+    std::string              m_TableService;    // [table_service]
+    int64_t                  m_LeaseMs  = 4000; // [lease.length_ms]
+    int64_t                  m_MarginMs = 500;  // [lease.margin_ms]
 };
 
 struct Heard // newest heartbeat of a box
@@ -33,11 +33,11 @@
 
 struct RolloutMemory // one row of the table service: what must outlive this process
 {
-    std::string m_Wanted;         // manifest digest
-    std::string m_Previous;       // manifest digest served before
-    bool        m_Halted = false; //
-    uint64_t    m_Version = 0;    // of the row
-    bool        m_Loaded = false; // the row was read under this lease
+    std::string m_Wanted;          // manifest digest
+    std::string m_Previous;        // manifest digest served before
+    bool        m_Halted  = false; //
+    uint64_t    m_Version = 0;     // of the row
+    bool        m_Loaded  = false; // the row was read under this lease
 };
 
 struct Controller // lives as long as the process
@@ -53,7 +53,7 @@
     std::map<std::string, RolloutMemory> m_Memory;        // by placement
     std::set<std::string>                m_Linked;        // addresses of agents linked to
     uint64_t                             m_NextOrder = 1; // grows within one fencing number
-    uint64_t                             m_Fencing = 0;   // of the lease held; 0: none
+    uint64_t                             m_Fencing   = 0; // of the lease held; 0: none
     TimePoint                            m_HeldUntil{};   // no order leaves after this
 };
 
@@ -76,10 +76,10 @@
     LeaseRow          out;
     json::error_code  ec;
     const json::value v = json::parse(row.m_Value, ec);
-    out.m_Version = row.m_Version;
+    out.m_Version       = row.m_Version;
     if (ec || !v.is_object())
         return out;
-    out.m_Holder = std::string(v.at("holder").as_string());
+    out.m_Holder  = std::string(v.at("holder").as_string());
     out.m_Fencing = v.at("fencing").to_number<uint64_t>();
     out.m_WriteId = std::string(v.at("write").as_string());
     return out;
@@ -143,7 +143,7 @@
 // Publishes the lease's state to the tick loop; true while it is held.
 bool PublishLease(Controller& c, const DaemonSettings& d)
 {
-    const bool     held = c.m_Lease->Holds(Now());
+    const bool     held    = c.m_Lease->Holds(Now());
     const uint64_t fencing = held ? c.m_Lease->Fencing() : 0;
     bool           changed = false;
     {
@@ -155,7 +155,7 @@
             c.m_SentAt.clear();
             c.m_Memory.clear();
         }
-        c.m_Fencing = fencing;
+        c.m_Fencing   = fencing;
         c.m_HeldUntil = c.m_Lease->HeldUntil();
     }
     if (changed)
@@ -191,9 +191,9 @@
     if (s == nullptr)
         return;
     Heard heard;
-    heard.m_At = Now();
-    heard.m_Leaving = s->leaving();
-    heard.m_Box.m_Name = link->Peer().m_Name;
+    heard.m_At           = Now();
+    heard.m_Leaving      = s->leaving();
+    heard.m_Box.m_Name   = link->Peer().m_Name;
     heard.m_Box.m_Active = s->active() != nullptr ? s->active()->str() : "";
     if (s->versions() != nullptr)
         for (const wire::VersionStatus* v : *s->versions())
@@ -211,7 +211,7 @@
 
 awaitable<bool> LoadMemory(Controller& c, const DaemonSettings& d, std::string placement)
 {
-    const std::string key = MemoryKey(d, placement);
+    const std::string key  = MemoryKey(d, placement);
     auto              scan = co_await c.m_Table->Scan(key, 0, Now() + kStoreTimeout);
     if (!scan)
         co_return false;
@@ -223,10 +223,10 @@
         const json::value v = json::parse(row.m_Value, ec);
         if (row.m_Key != key || ec || !v.is_object())
             continue;
-        m.m_Wanted = std::string(v.at("wanted").as_string());
+        m.m_Wanted   = std::string(v.at("wanted").as_string());
         m.m_Previous = std::string(v.at("previous").as_string());
-        m.m_Halted = v.at("halted").as_bool();
-        m.m_Version = row.m_Version;
+        m.m_Halted   = v.at("halted").as_bool();
+        m.m_Version  = row.m_Version;
     }
     std::lock_guard lock(c.m_Mutex);
     c.m_Memory[placement] = m;
@@ -246,7 +246,7 @@
         c.m_Memory.erase(placement); // read again: the write may have taken effect
         co_return false;
     }
-    m.m_Version = r.m_Version;
+    m.m_Version           = r.m_Version;
     c.m_Memory[placement] = m;
     co_return true;
 }
@@ -261,16 +261,16 @@
 
 RolloutInput MakeInput(Controller& c, const DaemonSettings& d, const ConfigSnapshot& config, const std::string& placement, const RolloutMemory& m)
 {
-    const PlacementSpec& p = config.m_Placements.find(placement)->second.m_Spec;
+    const PlacementSpec& p    = config.m_Placements.find(placement)->second.m_Spec;
     const RolloutSpec    spec = FindRolloutSpec(config, placement);
     RolloutInput         in;
-    in.m_Wanted = m.m_Wanted;
-    in.m_Previous = m.m_Previous;
-    in.m_Halted = m.m_Halted;
+    in.m_Wanted          = m.m_Wanted;
+    in.m_Previous        = m.m_Previous;
+    in.m_Halted          = m.m_Halted;
     in.m_BoxesPerReplica = p.m_BoxesPerReplica;
-    in.m_MaxUnavailable = static_cast<size_t>(spec.m_MaxUnavailable);
+    in.m_MaxUnavailable  = static_cast<size_t>(spec.m_MaxUnavailable);
     in.m_HaltAfterFailed = static_cast<size_t>(spec.m_HaltAfterFailed);
-    in.m_Paused = spec.m_Paused;
+    in.m_Paused          = spec.m_Paused;
     for (const std::string& name : p.m_Adapters)
         if (const auto a = config.m_Adapters.find(name); a != config.m_Adapters.end())
             in.m_Adapters.push_back(a->second.m_Spec.m_Manifest);
@@ -281,7 +281,7 @@
         const auto     it = c.m_Heard.find(box);
         if (it != c.m_Heard.end())
             b = it->second.m_Box;
-        b.m_Name = box;
+        b.m_Name      = box;
         b.m_Reachable = it != c.m_Heard.end() && !it->second.m_Leaving && Now() - it->second.m_At < kReachableFor;
         in.m_Boxes.push_back(std::move(b));
     }
@@ -303,13 +303,13 @@
                 continue;
             if (c.m_Fencing == 0 || Now() >= c.m_HeldUntil)
                 return; // the lease ran out while this was planned
-            sent = Now();
-            msg.fencing = c.m_Fencing;
+            sent         = Now();
+            msg.fencing  = c.m_Fencing;
             msg.order_id = c.m_NextOrder++;
         }
-        msg.kind = static_cast<wire::OrderKind>(o.m_Kind);
-        msg.digest = o.m_Digest;
-        msg.base = o.m_Base;
+        msg.kind      = static_cast<wire::OrderKind>(o.m_Kind);
+        msg.digest    = o.m_Digest;
+        msg.base      = o.m_Base;
         msg.placement = placement;
         link->Send(EncodeFrame(link->NewExchangeId(), msg));
         LogEvent(Event_OrderSent, {{"box", o.m_Box}, {"kind", static_cast<int>(o.m_Kind)}, {"digest", o.m_Digest}, {"fencing", msg.fencing}});
@@ -318,7 +318,7 @@
 
 awaitable<void> DrivePlacement(Controller& c, const DaemonSettings& d, ConfigPtr config, std::string placement)
 {
-    const PlacementSpec& p = config->m_Placements.find(placement)->second.m_Spec;
+    const PlacementSpec& p       = config->m_Placements.find(placement)->second.m_Spec;
     const auto           version = config->m_Versions.find(p.m_Version);
     if (version == config->m_Versions.end())
         co_return;
@@ -337,9 +337,9 @@
     }
     if (m.m_Wanted != version->second.m_Spec.m_Manifest)
     {
-        m.m_Previous = m.m_Halted ? m.m_Previous : m.m_Wanted;
-        m.m_Wanted = version->second.m_Spec.m_Manifest;
-        m.m_Halted = false;
+        m.m_Previous     = m.m_Halted ? m.m_Previous : m.m_Wanted;
+        m.m_Wanted       = version->second.m_Spec.m_Manifest;
+        m.m_Halted       = false;
         const bool saved = co_await SaveMemory(c, d, placement, m);
         if (!saved)
             co_return;
@@ -379,21 +379,21 @@
     lease.m_Holder = daemon.Settings().m_Name + "/" + std::to_string(daemon.Incarnation());
     lease.m_Length = milliseconds(c.m_Settings.m_LeaseMs);
     lease.m_Margin = milliseconds(c.m_Settings.m_MarginMs);
-    lease.m_Renew = lease.m_Length / 4;
-    lease.m_Poll = lease.m_Length / 4;
-    c.m_Lease = std::make_unique<Lease>(lease);
-    c.m_Table = MakeHttpTableService(ParseEndpoint(c.m_Settings.m_TableService).value());
+    lease.m_Renew  = lease.m_Length / 4;
+    lease.m_Poll   = lease.m_Length / 4;
+    c.m_Lease      = std::make_unique<Lease>(lease);
+    c.m_Table      = MakeHttpTableService(ParseEndpoint(c.m_Settings.m_TableService).value());
     NodeHandlers handlers;
     handlers.m_OnHeartbeat = [&c](const LinkPtr& link, const wire::Heartbeat& hb) { OnHeartbeat(c, link, hb); };
     NodeConfig cfg;
     cfg.m_Role = wire::PeerRole::Controller;
-    c.m_Node = std::make_unique<Node>(daemon, cfg, std::move(handlers));
+    c.m_Node   = std::make_unique<Node>(daemon, cfg, std::move(handlers));
     for (const std::string& router : c.m_Settings.m_Routers)
         c.m_Node->KeepLink(ParseEndpoint(router).value());
     Spawn(daemon.Ioc(), LeaseLoop(c, daemon.Settings()));
     Spawn(daemon.Ioc(), TickLoop(c, daemon.Settings()));
     DaemonHooks hooks;
-    hooks.m_Ready = [&c] { return c.m_Node->Config()->m_Revision > 0; };
+    hooks.m_Ready    = [&c] { return c.m_Node->Config()->m_Revision > 0; };
     hooks.m_Describe = [&c]
     {
         std::lock_guard lock(c.m_Mutex);
--- a/src/programs/ctl.cpp
+++ b/src/programs/ctl.cpp
@@ -20,18 +20,18 @@
 
 struct Arguments
 {
-    std::string              m_Command;         //
-    std::vector<std::string> m_Rest;            // what follows the command
-    std::vector<std::string> m_Routers;         // tried in turn
-    std::string              m_Token;           //
-    std::string              m_Set;             //
-    std::string              m_Format = "text"; //
-    std::string              m_Out;             //
-    std::string              m_Model = "model"; //
-    std::string              m_Version = "1";   //
-    std::string              m_Base;            //
-    int64_t                  m_ChunkKib = 256;  //
-    int64_t                  m_WaitS = 120;     // longest --wait and watch
+    std::string              m_Command;           //
+    std::vector<std::string> m_Rest;              // what follows the command
+    std::vector<std::string> m_Routers;           // tried in turn
+    std::string              m_Token;             //
+    std::string              m_Set;               //
+    std::string              m_Format = "text";   //
+    std::string              m_Out;               //
+    std::string              m_Model   = "model"; //
+    std::string              m_Version = "1";     //
+    std::string              m_Base;              //
+    int64_t                  m_ChunkKib = 256;    //
+    int64_t                  m_WaitS    = 120;    // longest --wait and watch
     bool                     m_Prune = false, m_Wait = false, m_DryRun = false;
 };
 
@@ -74,7 +74,7 @@
             return MakeError(ErrorCode_Corrupt, "router answered no JSON (status " + std::to_string(answer->value().m_Status) + ")");
         if (answer->value().m_Status / 100 == 2)
             return v;
-        const json::object& e = v.at("error").as_object();
+        const json::object& e     = v.at("error").as_object();
         const std::string   field = e.contains("field") ? std::string(e.at("field").as_string()) : "";
         Error               error = MakeError(ErrorCode_Unavailable, std::string(e.at("message").as_string()), field);
         return error;
@@ -136,13 +136,13 @@
 
 struct Progress // over all boxes that hold or fetch a version
 {
-    size_t   m_Boxes = 0;
+    size_t   m_Boxes    = 0;
     size_t   m_Servable = 0;
-    uint64_t m_Have = 0;
-    uint64_t m_Total = 0;
-    uint64_t m_Origin = 0;
-    uint64_t m_Peers = 0;
-    double   m_Seconds = 0; // longest
+    uint64_t m_Have     = 0;
+    uint64_t m_Total    = 0;
+    uint64_t m_Origin   = 0;
+    uint64_t m_Peers    = 0;
+    double   m_Seconds  = 0; // longest
 };
 
 std::map<std::string, Progress> SumProgress(const json::value& replicas)
@@ -172,7 +172,7 @@
               << "\n";
     for (const json::value& r : v.at("items").as_array())
     {
-        uint64_t have = 0;
+        uint64_t have  = 0;
         uint64_t total = 0;
         for (const json::value& x : r.at("versions").as_array())
         {
@@ -189,10 +189,10 @@
 
 int Get(const Arguments& a)
 {
-    const std::string what = a.m_Rest.empty() ? "" : a.m_Rest[0];
+    const std::string what   = a.m_Rest.empty() ? "" : a.m_Rest[0];
     const bool        status = what == "replicas" || what == "usage" || what == "burn";
     const std::string target = status ? "/aldervale/v1/" + what : "/aldervale/v1/resources" + (what.empty() ? "" : "?kind=" + what);
-    auto              v = CallRouter(a, "GET", target, "");
+    auto              v      = CallRouter(a, "GET", target, "");
     if (!v)
         return Print(v.error());
     if (a.m_Format == "json")
@@ -222,10 +222,10 @@
 void PrintBar(const std::string& digest, const Progress& p)
 {
     constexpr size_t kWidth = 30;
-    const double     share = p.m_Total > 0 ? static_cast<double>(p.m_Have) / static_cast<double>(p.m_Total) : 0;
-    const size_t     full = static_cast<size_t>(share * kWidth);
-    const double     mib = static_cast<double>(p.m_Origin + p.m_Peers) / (1024 * 1024);
-    const double     rate = p.m_Seconds > 0 ? mib / p.m_Seconds : 0;
+    const double     share  = p.m_Total > 0 ? static_cast<double>(p.m_Have) / static_cast<double>(p.m_Total) : 0;
+    const size_t     full   = static_cast<size_t>(share * kWidth);
+    const double     mib    = static_cast<double>(p.m_Origin + p.m_Peers) / (1024 * 1024);
+    const double     rate   = p.m_Seconds > 0 ? mib / p.m_Seconds : 0;
     std::cout << Short(digest) << " [" << std::string(full, '#') << std::string(kWidth - full, '.') << "] " << std::fixed << std::setprecision(0)
               << share * 100 << "%  " << p.m_Servable << "/" << p.m_Boxes << " servable  " << p.m_Have << "/" << p.m_Total << " chunks  " << mib
               << " MiB (origin " << static_cast<double>(p.m_Origin) / (1024 * 1024) << ")  " << rate << " MiB/s";
@@ -237,9 +237,9 @@
 // Shows each version's way to its boxes until all that hold it serve it, or the time is over.
 int Watch(const Arguments& a)
 {
-    const TimePoint end = Now() + seconds(a.m_WaitS);
+    const TimePoint end      = Now() + seconds(a.m_WaitS);
     const bool      terminal = isatty(STDOUT_FILENO) != 0;
-    size_t          lines = 0;
+    size_t          lines    = 0;
     while (Now() < end)
     {
         auto v = CallRouter(a, "GET", "/aldervale/v1/replicas", "");
@@ -247,7 +247,7 @@
             return Print(v.error());
         if (terminal && lines > 0)
             std::cout << "\x1b[" << lines << "A";
-        lines = 0;
+        lines     = 0;
         bool done = true;
         for (const auto& [digest, p] : SumProgress(v.value()))
         {
@@ -271,8 +271,8 @@
     while (Now() < end)
     {
         auto                               placements = CallRouter(a, "GET", "/aldervale/v1/resources", "");
-        auto                               replicas = CallRouter(a, "GET", "/aldervale/v1/replicas", "");
-        bool                               done = placements.has_value() && replicas.has_value();
+        auto                               replicas   = CallRouter(a, "GET", "/aldervale/v1/replicas", "");
+        bool                               done       = placements.has_value() && replicas.has_value();
         std::map<std::string, std::string> digests; // by version name
         if (done)
             for (const json::value& r : placements.value().at("items").as_array())
@@ -285,7 +285,7 @@
             const std::string  digest = digests[std::string(r.at("spec").at("version").as_string())];
             size_t             wanted = 0;
             size_t             served = 0;
-            const json::value* per = r.at("spec").as_object().if_contains("boxes_per_replica");
+            const json::value* per    = r.at("spec").as_object().if_contains("boxes_per_replica");
             for (const auto& n : r.at("spec").at("replicas").as_object())
                 wanted += n.value().to_number<size_t>() * (per != nullptr ? per->to_number<size_t>() : 1);
             for (const json::value& x : replicas.value().at("items").as_array())
@@ -334,11 +334,11 @@
     if (a.m_Rest.size() != 2)
         return Print(MakeError(ErrorCode_Invalid, "expected PLACEMENT VERSION"));
     const std::string target = "/aldervale/v1/resources/Placement/" + a.m_Rest[0];
-    auto              v = CallRouter(a, "GET", target, "");
+    auto              v      = CallRouter(a, "GET", target, "");
     if (!v)
         return Print(v.error());
     json::object spec = v.value().at("spec").as_object();
-    spec["version"] = a.m_Rest[1];
+    spec["version"]   = a.m_Rest[1];
     const HttpFields match{{"If-Match", std::to_string(v.value().at("revision").to_number<uint64_t>())}};
     auto             done = CallRouter(a, "PUT", target, json::serialize(json::object{{"spec", spec}}), match);
     if (!done)
@@ -396,7 +396,7 @@
         shards.push_back(
             {std::filesystem::path(a.m_Rest[i]).filename().string(), std::span(reinterpret_cast<const uint8_t*>(bytes[i].data()), bytes[i].size())});
     const std::string manifest = MakeManifest(a.m_Model, a.m_Version, a.m_Base, static_cast<uint64_t>(a.m_ChunkKib) * 1024, shards);
-    const auto        checked = ParseManifest(manifest, "");
+    const auto        checked  = ParseManifest(manifest, "");
     if (!checked)
         return Print(checked.error());
     const std::string folder = a.m_Out + "/" + checked.value()->m_Digest;
@@ -481,14 +481,14 @@
     try
     {
         cxxopts::Options options = DescribeOptions(a);
-        const auto       args = options.parse(argc, argv);
+        const auto       args    = options.parse(argc, argv);
         if (args.count("help") > 0 || a.m_Command.empty())
         {
             std::cout << (args.count("version") > 0 ? "aldervalectl " + std::string(kVersion) + "\n" : options.help());
             return a.m_Command.empty() && args.count("help") == 0 && args.count("version") == 0 ? 2 : 0;
         }
         const char* token = std::getenv("ALDERVALE_TOKEN");
-        a.m_Token = token != nullptr ? token : "";
+        a.m_Token         = token != nullptr ? token : "";
         if (args.count("token-file") > 0)
         {
             auto text = ReadFile(args["token-file"].as<std::string>());
--- a/src/programs/router.cpp
+++ b/src/programs/router.cpp
@@ -20,7 +20,7 @@
     std::vector<std::string> m_Operators;         // NAME:ROLE:SHA256 [operators]
     int64_t                  m_BodyMax = 4 << 20; // [http.body_max]
     int64_t                  m_HeadMax = 16384;   // [http.head_max]
-    int64_t                  m_Subset = 64;       // backend server boxes linked for model services [route.subset]
+    int64_t                  m_Subset  = 64;      // backend server boxes linked for model services [route.subset]
     RouterServeSettings      m_Serve;             //
 };
 
@@ -97,7 +97,7 @@
 
 void FollowConfig(Router& router, Daemon& daemon)
 {
-    const ConfigPtr             c = router.m_Node->Config();
+    const ConfigPtr             c      = router.m_Node->Config();
     const std::set<std::string> wanted = WantedLinks(router, daemon.Settings(), *c);
     std::lock_guard             lock(router.m_Mutex);
     for (const std::string& at : wanted)
@@ -120,7 +120,7 @@
 {
     if (router.m_Ready.load())
         return true;
-    const ConfigPtr c = router.m_Node->Config();
+    const ConfigPtr c     = router.m_Node->Config();
     bool            ready = router.m_Sync->StoreSeen() && c->m_Revision > 0;
     size_t          peers = 0;
     for (const auto& [name, b] : c->m_Boxes)
@@ -151,10 +151,10 @@
         if (!router.m_Serve->OnFrame(link, frame))
             router.m_Api->OnFrame(link, frame);
     };
-    h.m_OnLinkUp = [&router](const LinkPtr& link) { router.m_Serve->OnLinkUp(link); };
-    h.m_OnLinkDown = [&router](const LinkPtr& link) { router.m_Serve->OnLinkDown(link); };
+    h.m_OnLinkUp    = [&router](const LinkPtr& link) { router.m_Serve->OnLinkUp(link); };
+    h.m_OnLinkDown  = [&router](const LinkPtr& link) { router.m_Serve->OnLinkDown(link); };
     h.m_OnHeartbeat = [&router](const LinkPtr& link, const wire::Heartbeat& hb) { router.m_Serve->OnHeartbeat(link, hb); };
-    h.m_OnConfig = [&router, &daemon](const ConfigPtr&) { FollowConfig(router, daemon); };
+    h.m_OnConfig    = [&router, &daemon](const ConfigPtr&) { FollowConfig(router, daemon); };
     return h;
 }
 
@@ -170,12 +170,12 @@
         operators.push_back(op.value());
     }
     router.m_Table = MakeHttpTableService(ParseEndpoint(s.m_TableService).value());
-    router.m_List = MakeHttpBoxList(ParseEndpoint(s.m_BoxList).value());
+    router.m_List  = MakeHttpBoxList(ParseEndpoint(s.m_BoxList).value());
     router.m_Store = MakeHttpWeightStore(ParseEndpoint(s.m_WeightStore).value());
     NodeConfig cfg;
-    cfg.m_Role = wire::PeerRole::Router;
-    cfg.m_Listen = ParseEndpoint(s.m_Listen).value();
-    router.m_Node = std::make_unique<Node>(daemon, cfg, MakeHandlers(router, daemon));
+    cfg.m_Role     = wire::PeerRole::Router;
+    cfg.m_Listen   = ParseEndpoint(s.m_Listen).value();
+    router.m_Node  = std::make_unique<Node>(daemon, cfg, MakeHandlers(router, daemon));
     router.m_Serve = std::make_unique<RouterServe>(daemon, s.m_Serve, *router.m_Node, router.m_Usage);
     router.m_Serve->SetReady([&router, &daemon] { return CheckReady(router, daemon); });
     router.m_Sync = std::make_unique<StoreSync>(daemon, *router.m_Node, *router.m_Table, *router.m_List, StoreSyncConfig{},
@@ -193,8 +193,8 @@
         router.m_Node->KeepLink(ParseEndpoint(peer).value());
 
     HttpServerConfig http;
-    http.m_BodyMax = static_cast<size_t>(s.m_BodyMax);
-    http.m_HeadMax = static_cast<size_t>(s.m_HeadMax);
+    http.m_BodyMax            = static_cast<size_t>(s.m_BodyMax);
+    http.m_HeadMax            = static_cast<size_t>(s.m_HeadMax);
     const HttpHandler handler = [&router, &daemon](HttpRequest& req, HttpReply& reply) -> awaitable<void>
     {
         bool served = co_await router.m_Api->Handle(req, reply);
@@ -206,7 +206,7 @@
     router.m_Http = std::make_unique<HttpServer>(daemon.Ioc(), http, handler);
 
     DaemonHooks hooks;
-    hooks.m_Ready = [&router, &daemon] { return CheckReady(router, daemon); };
+    hooks.m_Ready   = [&router, &daemon] { return CheckReady(router, daemon); };
     hooks.m_Drained = [&router, since = std::make_shared<TimePoint>()]
     {
         // The balancer needs a moment to read the health page; only then is silence the end.
--- a/src/programs/standin.cpp
+++ b/src/programs/standin.cpp
@@ -16,7 +16,7 @@
 {
     std::string   m_Kind;        //
     Endpoint      m_Listen;      // first address
-    int           m_Count = 1;   //
+    int           m_Count   = 1; //
     int           m_Threads = 2; //
     TableConfig   m_Table;       //
     OriginConfig  m_Origin;      //
@@ -28,7 +28,7 @@
 std::unique_ptr<HttpServer> Make(asio::io_context& ioc, const Arguments& a, int index)
 {
     EngineConfig engine = a.m_Engine;
-    PlainConfig  plain = a.m_Plain;
+    PlainConfig  plain  = a.m_Plain;
     engine.m_Seed += static_cast<uint64_t>(index);
     plain.m_Seed += static_cast<uint64_t>(index);
     if (a.m_Kind == "table")
@@ -76,7 +76,7 @@
     try
     {
         cxxopts::Options options = DescribeOptions(a);
-        const auto       args = options.parse(argc, argv);
+        const auto       args    = options.parse(argc, argv);
         if (args.count("help") > 0)
         {
             std::cout << options.help();
@@ -88,7 +88,7 @@
             std::cerr << "aldervale-standin: --listen: " << at.error().m_Message << "\n";
             return 2;
         }
-        a.m_Listen = at.value();
+        a.m_Listen                = at.value();
         a.m_Engine.m_CheckFencing = args.count("unchecked") == 0;
         a.m_Table.m_Seed = a.m_Origin.m_Seed = a.m_Plain.m_Seed = a.m_Engine.m_Seed;
     }
--- a/src/request/agent_serve.cpp
+++ b/src/request/agent_serve.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-constexpr size_t   kStoredBodyMax = 256 * 1024;    // a keyed answer longer than this can't be replayed
-constexpr auto     kRunningPoll = milliseconds(5); // how often a repeated key looks whether the first one has ended
-constexpr auto     kCreditWait = milliseconds(100);
-constexpr uint32_t kRetryAfterMs = 1000;
+constexpr size_t   kStoredBodyMax = 256 * 1024;      // a keyed answer longer than this can't be replayed
+constexpr auto     kRunningPoll   = milliseconds(5); // how often a repeated key looks whether the first one has ended
+constexpr auto     kCreditWait    = milliseconds(100);
+constexpr uint32_t kRetryAfterMs  = 1000;
 
 } // namespace
 
@@ -89,12 +89,12 @@
 
 void AgentServe::Impl::OnCall(const LinkPtr& link, uint64_t exchange, const wire::ServeCall& msg)
 {
-    auto call = std::make_shared<ServedCall>();
-    call->m_Link = link;
+    auto call        = std::make_shared<ServedCall>();
+    call->m_Link     = link;
     call->m_Exchange = exchange;
     msg.UnPackTo(&call->m_Call);
     call->m_Deadline = Now() + milliseconds(call->m_Call.deadline_ms);
-    call->m_Credit = call->m_Call.window;
+    call->m_Credit   = call->m_Call.window;
     {
         std::lock_guard lock(m_Mutex);
         m_Calls[{link.get(), exchange}] = call;
@@ -118,13 +118,13 @@
 void AgentServe::Impl::End(const ServedCall& call, Verdict v, bool complete, const Error* e)
 {
     wire::ServeEndT end;
-    end.verdict = static_cast<wire::VerdictCode>(v);
-    end.length = call.m_Sent;
-    end.complete = complete;
+    end.verdict   = static_cast<wire::VerdictCode>(v);
+    end.length    = call.m_Sent;
+    end.complete  = complete;
     end.in_flight = static_cast<uint32_t>(m_InFlight.load());
     if (e != nullptr)
     {
-        end.error = ErrorCodeName(e->m_Code);
+        end.error  = ErrorCodeName(e->m_Code);
         end.reason = e->m_Message;
         LogEvent(Event_RequestRefused, {{"service", call.m_Call.service}, {"code", end.error}, {"reason", end.reason}});
     }
@@ -191,7 +191,7 @@
 
 awaitable<void> AgentServe::Impl::Stream(ServedCallPtr call)
 {
-    const HttpRequest req = BackendRequest(*call);
+    const HttpRequest req    = BackendRequest(*call);
     auto              opened = co_await m_Engine.Open(req, call->m_Deadline);
     if (!opened)
     {
@@ -205,8 +205,8 @@
     {
         if (HopByHop(f.m_Name))
             continue;
-        auto field = std::make_unique<wire::FieldT>();
-        field->name = f.m_Name;
+        auto field   = std::make_unique<wire::FieldT>();
+        field->name  = f.m_Name;
         field->value = f.m_Value;
         head.fields.push_back(std::move(field));
     }
@@ -250,9 +250,9 @@
 
 std::optional<Error> AgentServe::Impl::CheckHome(const ServedCall& call, bool* retired) const
 {
-    const ConfigPtr    c = m_Node.Config();
+    const ConfigPtr    c    = m_Node.Config();
     const std::string& self = m_Daemon.Settings().m_Name;
-    const auto         it = c->m_Services.find(call.m_Call.service);
+    const auto         it   = c->m_Services.find(call.m_Call.service);
     if (it == c->m_Services.end())
         return MakeError(ErrorCode_Stale, "this box doesn't know the service yet", {}, Verdict_MayHaveRun);
     const ServiceSpec& s = it->second.m_Spec;
@@ -288,16 +288,16 @@
 awaitable<void> AgentServe::Impl::RunKeyed(ServedCallPtr call)
 {
     bool                       retired = false;
-    const std::optional<Error> wrong = CheckHome(*call, &retired);
+    const std::optional<Error> wrong   = CheckHome(*call, &retired);
     if (wrong)
     {
         Refuse(*call, *wrong);
         co_return;
     }
-    const std::string scope = JournalScope(*call);
-    const bool        full = m_InFlight.load() > static_cast<uint64_t>(m_Settings.m_MaxInFlight);
+    const std::string scope  = JournalScope(*call);
+    const bool        full   = m_InFlight.load() > static_cast<uint64_t>(m_Settings.m_MaxInFlight);
     const bool        accept = !retired && !m_Draining.load() && !m_Drained.load() && !full && !call->m_Call.probe;
-    JournalAnswer     a = m_Journal.Begin(scope, call->m_Call.key, Fingerprint(call->m_Call), WallMs(), accept);
+    JournalAnswer     a      = m_Journal.Begin(scope, call->m_Call.key, Fingerprint(call->m_Call), WallMs(), accept);
     while (a.m_Type == JournalType_Running && Now() < call->m_Deadline && !call->m_Cancelled.load())
     {
         co_await SleepFor(kRunningPoll);
@@ -322,7 +322,7 @@
         co_return;
     }
     bool         not_run = false;
-    StoredResult result = co_await CallWhole(call, &not_run);
+    StoredResult result  = co_await CallWhole(call, &not_run);
     if (not_run)
     {
         m_Journal.Forget(scope, call->m_Call.key);
@@ -337,7 +337,7 @@
 awaitable<StoredResult> AgentServe::Impl::CallWhole(ServedCallPtr call, bool* not_run)
 {
     StoredResult      result;
-    const HttpRequest req = BackendRequest(*call);
+    const HttpRequest req    = BackendRequest(*call);
     auto              opened = co_await m_Engine.Open(req, call->m_Deadline);
     if (!opened)
     {
@@ -372,12 +372,12 @@
     if (r.m_Verdict != Verdict_Ran)
         return Refuse(call, MakeError(ErrorCode_Timeout, "the call's outcome is unknown", {}, Verdict_MayHaveRun));
     wire::ServeHeadT head;
-    head.status = static_cast<uint16_t>(r.m_Status);
+    head.status   = static_cast<uint16_t>(r.m_Status);
     head.replayed = replayed;
     for (const StoredField& f : r.m_Fields)
     {
-        auto field = std::make_unique<wire::FieldT>();
-        field->name = f.m_Name;
+        auto field   = std::make_unique<wire::FieldT>();
+        field->name  = f.m_Name;
         field->value = f.m_Value;
         head.fields.push_back(std::move(field));
     }
@@ -431,8 +431,8 @@
 // A box that becomes a home can't vouch for keys that ran at the former one: they count as older than its memory.
 void AgentServe::OnConfig(const ConfigPtr& c)
 {
-    const std::string& self = m_Impl->m_Daemon.Settings().m_Name;
-    const auto         box = c->m_Boxes.find(self);
+    const std::string& self    = m_Impl->m_Daemon.Settings().m_Name;
+    const auto         box     = c->m_Boxes.find(self);
     const bool         drained = box != c->m_Boxes.end() && box->second.m_Spec.m_Drained;
     if (m_Impl->m_Drained.exchange(drained) != drained)
     {
@@ -443,7 +443,7 @@
     for (const auto& [name, service] : c->m_Services)
     {
         const auto& boxes = service.m_Spec.m_Boxes;
-        const bool  home = std::find(boxes.begin(), boxes.end(), self) != boxes.end() && !service.m_Spec.m_NonRepeatable.empty();
+        const bool  home  = std::find(boxes.begin(), boxes.end(), self) != boxes.end() && !service.m_Spec.m_NonRepeatable.empty();
         if (home && m_Impl->m_HomeOf.insert(name).second)
             m_Impl->m_Journal.RaiseHorizon(WallMs() + m_Impl->m_Settings.m_SkewMs);
         if (!home)
@@ -469,9 +469,9 @@
 
 void AgentServe::Describe(wire::AgentStateT& out) const
 {
-    out.leaving = Leaving();
-    out.in_flight = static_cast<uint32_t>(InFlight());
-    const ConfigPtr    c = m_Impl->m_Node.Config();
+    out.leaving             = Leaving();
+    out.in_flight           = static_cast<uint32_t>(InFlight());
+    const ConfigPtr    c    = m_Impl->m_Node.Config();
     const std::string& self = m_Impl->m_Daemon.Settings().m_Name;
     for (const auto& [name, service] : c->m_Services)
         if (std::find(service.m_Spec.m_Retired.begin(), service.m_Spec.m_Retired.end(), self) != service.m_Spec.m_Retired.end())
--- a/src/request/agent_serve.h
+++ b/src/request/agent_serve.h
@@ -18,10 +18,10 @@
 
 struct ServeSettings
 {
-    int64_t m_MaxInFlight = 256;    // calls at the backend server at once; more are refused as not run [serve.max_in_flight]
-    int64_t m_SkewMs = 2000;        // [journal.skew_ms]
-    int64_t m_JournalMax = 200'000; // entries [journal.max_entries]
-    int64_t m_JournalMib = 16;      // bodies, MiB [journal.max_mib]
+    int64_t m_MaxInFlight = 256;     // calls at the backend server at once; more are refused as not run [serve.max_in_flight]
+    int64_t m_SkewMs      = 2000;    // [journal.skew_ms]
+    int64_t m_JournalMax  = 200'000; // entries [journal.max_entries]
+    int64_t m_JournalMib  = 16;      // bodies, MiB [journal.max_mib]
 };
 
 std::vector<SettingSpec> DescribeServe(ServeSettings& s);
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -57,12 +57,12 @@
 {
     if (m_Running >= capacity || Waiting() == 0)
         return std::nullopt;
-    auto&       queue = QueueToServe();
+    auto&       queue   = QueueToServe();
     const bool  offline = &queue == &m_Offline;
-    const auto  first = queue.begin();
-    const Entry entry = first->second;
-    m_Virtual = std::max(m_Virtual, first->first.m_Tag);
-    m_SinceOffline = offline ? 0 : m_SinceOffline + 1;
+    const auto  first   = queue.begin();
+    const Entry entry   = first->second;
+    m_Virtual           = std::max(m_Virtual, first->first.m_Tag);
+    m_SinceOffline      = offline ? 0 : m_SinceOffline + 1;
     queue.erase(first);
     m_ById.erase(entry.m_Id);
     Account& a = m_Accounts[entry.m_Account];
--- a/src/request/fair_queue.h
+++ b/src/request/fair_queue.h
@@ -21,9 +21,9 @@
 
 struct FairQueueConfig
 {
-    size_t   m_MaxWaiting = 2000;          // over all accounts
-    size_t   m_MaxWaitingPerAccount = 400; //
-    unsigned m_OfflineEvery = 10;          // places between two that are reserved for offline work
+    size_t   m_MaxWaiting           = 2000; // over all accounts
+    size_t   m_MaxWaitingPerAccount = 400;  //
+    unsigned m_OfflineEvery         = 10;   // places between two that are reserved for offline work
 };
 
 class FairQueue
@@ -42,8 +42,8 @@
 private:
     struct Place // order of starting
     {
-        double   m_Tag = 0; // virtual start time
-        uint64_t m_Seq = 0; // ties: first come
+        double   m_Tag                           = 0; // virtual start time
+        uint64_t m_Seq                           = 0; // ties: first come
         auto     operator<=>(const Place&) const = default;
     };
 
@@ -66,10 +66,10 @@
     std::map<Place, Entry>                     m_Offline;          //
     std::map<std::string, Account>             m_Accounts;         // those that wait, and those ahead of virtual time
     std::map<uint64_t, std::pair<bool, Place>> m_ById;             // offline?, place
-    double                                     m_Virtual = 0;      // tag of the newest start; never falls
-    uint64_t                                   m_Seq = 0;          //
+    double                                     m_Virtual      = 0; // tag of the newest start; never falls
+    uint64_t                                   m_Seq          = 0; //
     unsigned                                   m_SinceOffline = 0; // starts since offline work last got one
-    size_t                                     m_Running = 0;      //
+    size_t                                     m_Running      = 0; //
 };
 
 } // namespace aldervale
--- a/src/request/key_journal.cpp
+++ b/src/request/key_journal.cpp
@@ -56,8 +56,8 @@
         b[6 + i] = static_cast<uint8_t>(random_high >> (8 - 8 * i));
     for (size_t i = 0; i < 8; i++)
         b[8 + i] = static_cast<uint8_t>(random_low >> (56 - 8 * i));
-    b[6] = static_cast<uint8_t>((b[6] & 0x0F) | 0x70);
-    b[8] = static_cast<uint8_t>((b[8] & 0x3F) | 0x80);
+    b[6]                  = static_cast<uint8_t>((b[6] & 0x0F) | 0x70);
+    b[8]                  = static_cast<uint8_t>((b[8] & 0x3F) | 0x80);
     const std::string hex = ToHex(b);
     return hex.substr(0, 8) + "-" + hex.substr(8, 4) + "-" + hex.substr(12, 4) + "-" + hex.substr(16, 4) + "-" + hex.substr(20);
 }
@@ -76,7 +76,7 @@
     const std::optional<int64_t> minted = MintedAtMs(key);
     if (!minted)
         return {JournalType_BadKey, nullptr};
-    const std::string id = EntryId(scope, key);
+    const std::string id    = EntryId(scope, key);
     Shard&            shard = ShardOf(id);
     std::lock_guard   lock(shard.m_Mutex);
     const auto        it = shard.m_Entries.find(id);
@@ -101,7 +101,7 @@
 
 void KeyJournal::Finish(std::string_view scope, std::string_view key, StoredResult result)
 {
-    const std::string id = EntryId(scope, key);
+    const std::string id    = EntryId(scope, key);
     Shard&            shard = ShardOf(id);
     std::lock_guard   lock(shard.m_Mutex);
     const auto        it = shard.m_Entries.find(id);
@@ -115,7 +115,7 @@
 
 void KeyJournal::Forget(std::string_view scope, std::string_view key)
 {
-    const std::string id = EntryId(scope, key);
+    const std::string id    = EntryId(scope, key);
     Shard&            shard = ShardOf(id);
     std::lock_guard   lock(shard.m_Mutex);
     const auto        it = shard.m_Entries.find(id);
--- a/src/request/key_journal.h
+++ b/src/request/key_journal.h
@@ -52,7 +52,7 @@
 struct StoredResult
 {
     Verdict                  m_Verdict = Verdict_MayHaveRun; // Ran with an answer, or MayHaveRun without
-    unsigned                 m_Status = 0;                   // HTTP status of the answer
+    unsigned                 m_Status  = 0;                  // HTTP status of the answer
     std::vector<StoredField> m_Fields;                       //
     std::string              m_Body;                         //
 };
@@ -78,9 +78,9 @@
 
 struct JournalConfig
 {
-    int64_t m_SkewMs = 2000;               // largest difference between two clocks [settings journal.skew_ms]
-    size_t  m_MaxEntries = 200'000;        // the oldest finished one is forgotten beyond this [settings journal.max_entries]
-    size_t  m_MaxBytes = 16 * 1024 * 1024; // of stored bodies [settings journal.max_bytes]
+    int64_t m_SkewMs     = 2000;             // largest difference between two clocks [settings journal.skew_ms]
+    size_t  m_MaxEntries = 200'000;          // the oldest finished one is forgotten beyond this [settings journal.max_entries]
+    size_t  m_MaxBytes   = 16 * 1024 * 1024; // of stored bodies [settings journal.max_bytes]
 };
 
 class KeyJournal
@@ -100,7 +100,7 @@
     struct Entry
     {
         uint64_t        m_Fingerprint = 0; // of method, target and body
-        int64_t         m_MintedMs = 0;    //
+        int64_t         m_MintedMs    = 0; //
         StoredResultPtr m_Result;          // null while it runs
     };
 
--- a/src/request/limits.cpp
+++ b/src/request/limits.cpp
@@ -6,8 +6,8 @@
 
 double AccountLimits::ShareLocked(const Account& a, TimePoint now) const
 {
-    const double e = std::max(1e-9, m_Config.m_Floor * a.m_Limit);
-    const double n = 1 + static_cast<double>(m_PeerCount.load());
+    const double e   = std::max(1e-9, m_Config.m_Floor * a.m_Limit);
+    const double n   = 1 + static_cast<double>(m_PeerCount.load());
     double       sum = a.m_Rate;
     for (const auto& [router, d] : a.m_Peers)
         if (now - d.m_At < m_Config.m_PeerMemory)
@@ -17,7 +17,7 @@
 
 void AccountLimits::SetRateLocked(Account& a, TimePoint now)
 {
-    const double rate = a.m_Limit * ShareLocked(a, now);
+    const double rate  = a.m_Limit * ShareLocked(a, now);
     const double burst = std::max(1.0, std::min(a.m_Burst, a.m_Limit * m_Config.m_BurstShare) * ShareLocked(a, now));
     a.m_Bucket.SetRate(rate, burst, now);
 }
@@ -46,15 +46,15 @@
 {
     std::vector<AccountRate> out;
     const double             elapsed_s = m_LastTick == TimePoint{} ? ToSeconds(m_Config.m_Window) : std::max(1e-3, ToSeconds(now - m_LastTick));
-    m_LastTick = now;
+    m_LastTick                         = now;
     for (Shard& shard : m_Shards)
     {
         std::lock_guard lock(shard.m_Mutex);
         for (auto& [name, a] : shard.m_Accounts)
         {
             const double newest = static_cast<double>(a.m_Offered) / elapsed_s;
-            a.m_Rate = a.m_Rate + m_Config.m_Smooth * (newest - a.m_Rate);
-            a.m_Offered = 0;
+            a.m_Rate            = a.m_Rate + m_Config.m_Smooth * (newest - a.m_Rate);
+            a.m_Offered         = 0;
             if (a.m_Started)
                 SetRateLocked(a, now);
             if (a.m_Rate > 0.01)
--- a/src/request/limits.h
+++ b/src/request/limits.h
@@ -24,11 +24,11 @@
 
 struct LimitsConfig
 {
-    Duration m_Window = milliseconds(250); // how often demand is measured and told
-    Duration m_PeerMemory = seconds(600);  // how long a silent peer's demand still counts
-    double   m_Floor = 0.02;               // e as a share of the limit
-    double   m_Smooth = 0.5;               // weight of the newest window in the demand
-    double   m_BurstShare = 0.1;           // seconds' worth of the own share that may gather, at most the declared burst's share
+    Duration m_Window     = milliseconds(250); // how often demand is measured and told
+    Duration m_PeerMemory = seconds(600);      // how long a silent peer's demand still counts
+    double   m_Floor      = 0.02;              // e as a share of the limit
+    double   m_Smooth     = 0.5;               // weight of the newest window in the demand
+    double   m_BurstShare = 0.1;               // seconds' worth of the own share that may gather, at most the declared burst's share
 };
 
 struct AccountRate
@@ -57,11 +57,11 @@
     struct Account
     {
         uint64_t                          m_Offered = 0;      // since the last Tick()
-        double                            m_Rate = 0;         // smoothed, a second
+        double                            m_Rate    = 0;      // smoothed, a second
         std::map<std::string, PeerDemand> m_Peers;            // by router
         TokenBucket                       m_Bucket{0, 0, {}}; //
-        double                            m_Limit = 0;        // as declared when the bucket was set
-        double                            m_Burst = 0;        //
+        double                            m_Limit   = 0;      // as declared when the bucket was set
+        double                            m_Burst   = 0;      //
         bool                              m_Started = false;  // the bucket is set
     };
 
--- a/src/request/replica_table.cpp
+++ b/src/request/replica_table.cpp
@@ -11,8 +11,8 @@
 {
 
 constexpr double kFailureHalf = 2.0; // seconds
-constexpr auto   kSentMemory = seconds(60);
-constexpr size_t kSentMax = 1024; // prefixes remembered per box
+constexpr auto   kSentMemory  = seconds(60);
+constexpr size_t kSentMax     = 1024; // prefixes remembered per box
 
 bool IsFront(std::string_view slice) // the box of a replica that takes its requests
 {
@@ -32,8 +32,8 @@
     const LinkPeer  peer = link->Peer();
     std::lock_guard lock(m_Mutex);
     Replica&        r = m_Replicas[peer.m_Name];
-    r.m_Link = link;
-    r.m_DataCentre = peer.m_DataCentre;
+    r.m_Link          = link;
+    r.m_DataCentre    = peer.m_DataCentre;
 }
 
 void ReplicaTable::OnLinkDown(const LinkPtr& link)
@@ -72,11 +72,11 @@
     const std::string active = TextOf(s->active());
     if (active != r.m_Active)
         r.m_UsableSince = now;
-    r.m_Active = active;
-    r.m_Leaving = s->leaving();
+    r.m_Active      = active;
+    r.m_Leaving     = s->leaving();
     r.m_GroupClosed = s->group_closed();
-    r.m_Reported = s->running() + s->queued();
-    r.m_ReportAt = now - milliseconds(s->load_age_ms());
+    r.m_Reported    = s->running() + s->queued();
+    r.m_ReportAt    = now - milliseconds(s->load_age_ms());
     r.m_Warm.clear();
     if (s->warm() != nullptr)
         r.m_Warm.insert(s->warm()->begin(), s->warm()->end());
@@ -120,16 +120,16 @@
 ReplicaView ReplicaTable::ViewOf(const Replica& r, const ReplicaQuery& q, const std::string& own_region, const ConfigSnapshot& c, TimePoint now) const
 {
     ReplicaView v;
-    v.m_Distance = r.m_DataCentre == m_DataCentre ? 0 : RegionOf(c, r.m_DataCentre) == own_region ? 1 : 2;
-    v.m_InFlight = r.m_InFlight;
-    v.m_Reported = r.m_Reported;
+    v.m_Distance  = r.m_DataCentre == m_DataCentre ? 0 : RegionOf(c, r.m_DataCentre) == own_region ? 1 : 2;
+    v.m_InFlight  = r.m_InFlight;
+    v.m_Reported  = r.m_Reported;
     v.m_ReportAge = now - r.m_ReportAt;
-    v.m_Failures = DecayedFailures(r, now);
+    v.m_Failures  = DecayedFailures(r, now);
     v.m_UsableFor = now - r.m_UsableSince;
     if (q.m_Prefix != 0)
     {
         const auto sent = r.m_Sent.find(q.m_Prefix);
-        v.m_Warm = r.m_Warm.contains(q.m_Prefix) || (sent != r.m_Sent.end() && now - sent->second < kSentMemory);
+        v.m_Warm        = r.m_Warm.contains(q.m_Prefix) || (sent != r.m_Sent.end() && now - sent->second < kSentMemory);
     }
     return v;
 }
@@ -181,7 +181,7 @@
     r.m_InFlight -= r.m_InFlight > 0 ? 1 : 0;
     if (!failed)
         return;
-    r.m_Failures = DecayedFailures(r, now) + 1;
+    r.m_Failures  = DecayedFailures(r, now) + 1;
     r.m_FailureAt = now;
 }
 
@@ -202,13 +202,13 @@
     {
         if (!r.m_Link)
             continue;
-        json::object o = r.m_State;
-        o["box"] = name;
-        o["data_centre"] = r.m_DataCentre;
-        o["active"] = r.m_Active;
-        o["servable"] = !r.m_Active.empty() && !r.m_GroupClosed && !r.m_Leaving;
-        o["leaving"] = r.m_Leaving;
-        o["versions"] = r.m_Versions;
+        json::object o     = r.m_State;
+        o["box"]           = name;
+        o["data_centre"]   = r.m_DataCentre;
+        o["active"]        = r.m_Active;
+        o["servable"]      = !r.m_Active.empty() && !r.m_GroupClosed && !r.m_Leaving;
+        o["leaving"]       = r.m_Leaving;
+        o["versions"]      = r.m_Versions;
         o["report_age_ms"] = ToMs(now - r.m_ReportAt);
         out.push_back(std::move(o));
     }
--- a/src/request/replica_table.h
+++ b/src/request/replica_table.h
@@ -56,7 +56,7 @@
         std::string                   m_DataCentre;          //
         std::string                   m_Active;              // slice digest it serves
         bool                          m_GroupClosed = false; // another box of its replica is in doubt
-        bool                          m_Leaving = false;     //
+        bool                          m_Leaving     = false; //
         std::set<std::string>         m_Adapters;            // digests loaded
         double                        m_Reported = 0;        // running and queued by its last report
         TimePoint                     m_ReportAt{};          // when that was true
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -15,10 +15,10 @@
 
 struct RetryConfig
 {
-    unsigned m_MaxAttempts = 3;           // first one included
-    double   m_PerRequest = 0.2;          // tokens gained with each request
-    double   m_BudgetMax = 20;            // tokens that may gather
-    Duration m_MinLeft = milliseconds(5); // time before the deadline below which no attempt is begun
+    unsigned m_MaxAttempts = 3;               // first one included
+    double   m_PerRequest  = 0.2;             // tokens gained with each request
+    double   m_BudgetMax   = 20;              // tokens that may gather
+    Duration m_MinLeft     = milliseconds(5); // time before the deadline below which no attempt is begun
 };
 
 class RetryBudget // thread-safe
@@ -51,10 +51,10 @@
 
 struct AttemptOutcome
 {
-    Verdict  m_Verdict = Verdict_NotRun; //
-    bool     m_Repeatable = false;       // by the service's declaration
-    bool     m_AnswerBegun = false;      // a byte of the answer reached the caller
-    unsigned m_Attempts = 1;             // made so far
+    Verdict  m_Verdict     = Verdict_NotRun; //
+    bool     m_Repeatable  = false;          // by the service's declaration
+    bool     m_AnswerBegun = false;          // a byte of the answer reached the caller
+    unsigned m_Attempts    = 1;              // made so far
 };
 
 inline bool MayRetry(const AttemptOutcome& o, TimePoint deadline, TimePoint now, RetryBudget& budget)
--- a/src/request/route_choice.cpp
+++ b/src/request/route_choice.cpp
@@ -21,9 +21,9 @@
 
 double RouteCost(const ReplicaView& v, const RouteConfig& cfg)
 {
-    const double own = v.m_InFlight;
+    const double own    = v.m_InFlight;
     const double others = std::max(0.0, v.m_Reported - own) * std::exp(-ToSeconds(v.m_ReportAge) / cfg.m_AgeScale);
-    double       cost = own + others + cfg.m_DistanceCost * v.m_Distance + cfg.m_FailureCost * v.m_Failures;
+    double       cost   = own + others + cfg.m_DistanceCost * v.m_Distance + cfg.m_FailureCost * v.m_Failures;
     if (v.m_UsableFor < cfg.m_SlowStart)
         cost += cfg.m_SlowStartCost * (1.0 - ToSeconds(v.m_UsableFor) / ToSeconds(cfg.m_SlowStart));
     if (v.m_Warm)
@@ -38,7 +38,7 @@
 
 static size_t LeastRequests(std::span<const ReplicaView> views, Random& random)
 {
-    size_t       best = Pick(random, views.size());
+    size_t       best  = Pick(random, views.size());
     const size_t start = best;
     for (size_t k = 1; k < views.size(); k++)
     {
@@ -64,7 +64,7 @@
     case RoutePolicy_Cost:
         break;
     }
-    size_t     best = Pick(random, views.size());
+    size_t     best     = Pick(random, views.size());
     const auto consider = [&](size_t i)
     {
         if (RouteCost(views[i], cfg) < RouteCost(views[best], cfg))
--- a/src/request/route_choice.h
+++ b/src/request/route_choice.h
@@ -34,21 +34,21 @@
     unsigned m_InFlight = 0;              // requests of this router
     double   m_Reported = 0;              // running and queued there by its last report, of all routers
     Duration m_ReportAge{};               // how old that report is
-    bool     m_Warm = false;              // believed to hold the prompt's prefix
-    double   m_Failures = 0;              // recent failures, decayed
+    bool     m_Warm      = false;         // believed to hold the prompt's prefix
+    double   m_Failures  = 0;             // recent failures, decayed
     Duration m_UsableFor = seconds(3600); // since it became usable
 };
 
 struct RouteConfig
 {
-    RoutePolicy m_Policy = RoutePolicy_Cost; // [settings route.policy]
-    unsigned    m_Choices = 2;               // random candidates [settings route.choices]
-    double      m_AgeScale = 0.5;            // seconds after which a report counts 1/e
-    double      m_DistanceCost = 2.0;        // requests' worth per step of distance
-    double      m_WarmBonus = 6.0;           // requests' worth of a warm prefix
-    double      m_FailureCost = 8.0;         // per recent failure
-    Duration    m_SlowStart = seconds(3);    // a new replica's cost falls to normal over this time
-    double      m_SlowStartCost = 8.0;       // at its beginning
+    RoutePolicy m_Policy        = RoutePolicy_Cost; // [settings route.policy]
+    unsigned    m_Choices       = 2;                // random candidates [settings route.choices]
+    double      m_AgeScale      = 0.5;              // seconds after which a report counts 1/e
+    double      m_DistanceCost  = 2.0;              // requests' worth per step of distance
+    double      m_WarmBonus     = 6.0;              // requests' worth of a warm prefix
+    double      m_FailureCost   = 8.0;              // per recent failure
+    Duration    m_SlowStart     = seconds(3);       // a new replica's cost falls to normal over this time
+    double      m_SlowStartCost = 8.0;              // at its beginning
 };
 
 double                RouteCost(const ReplicaView& v, const RouteConfig& cfg);
--- a/src/request/router_serve.cpp
+++ b/src/request/router_serve.cpp
@@ -14,10 +14,10 @@
 namespace
 {
 
-constexpr auto     kCallerPoll = milliseconds(100); // how often a waiting request looks whether its caller left
-constexpr uint32_t kRetryAfterMs = 1000;            // told to callers when nothing better is known
-constexpr size_t   kBufferMax = 1024 * 1024;        // answers up to this are sent whole, with a length
-constexpr uint32_t kKeyedProbeMs = 1000;            // deadline of a probe
+constexpr auto     kCallerPoll   = milliseconds(100); // how often a waiting request looks whether its caller left
+constexpr uint32_t kRetryAfterMs = 1000;              // told to callers when nothing better is known
+constexpr size_t   kBufferMax    = 1024 * 1024;       // answers up to this are sent whole, with a length
+constexpr uint32_t kKeyedProbeMs = 1000;              // deadline of a probe
 
 using Fields = std::vector<std::unique_ptr<wire::FieldT>>;
 
@@ -134,8 +134,8 @@
     static RouteConfig MakeRouteConfig(const RouterServeSettings& s)
     {
         RouteConfig cfg;
-        cfg.m_Policy = ParseRoutePolicy(s.m_Policy).value_or(RoutePolicy_Cost);
-        cfg.m_Choices = static_cast<unsigned>(s.m_Choices);
+        cfg.m_Policy    = ParseRoutePolicy(s.m_Policy).value_or(RoutePolicy_Cost);
+        cfg.m_Choices   = static_cast<unsigned>(s.m_Choices);
         cfg.m_WarmBonus = s.m_WarmBonus;
         return cfg;
     }
@@ -186,23 +186,23 @@
 
 std::optional<Error> RouterServe::Impl::Identify(RequestState& st) const
 {
-    const HttpRequest&         req = st.m_Req;
+    const HttpRequest&         req     = st.m_Req;
     const auto*                service = FindService(*st.m_Config, req.Path(), &st.m_ServiceName);
     constexpr std::string_view kBearer = "Bearer ";
-    const std::string_view     auth = FindField(req.m_Fields, "Authorization");
+    const std::string_view     auth    = FindField(req.m_Fields, "Authorization");
     if (!auth.starts_with(kBearer))
         return MakeError(ErrorCode_Denied, "expected Authorization: Bearer TOKEN", "Authorization");
-    const std::string digest = ToHex(Sha256(auth.substr(kBearer.size())));
+    const std::string digest  = ToHex(Sha256(auth.substr(kBearer.size())));
     const auto        account = st.m_Config->m_AccountByToken.find(digest);
     if (account == st.m_Config->m_AccountByToken.end())
         return MakeError(ErrorCode_Denied, "unknown token", "Authorization");
     st.m_AccountName = account->second;
-    st.m_Account = &st.m_Config->m_Accounts.find(account->second)->second.m_Spec;
+    st.m_Account     = &st.m_Config->m_Accounts.find(account->second)->second.m_Spec;
     if (service == nullptr)
         return MakeError(ErrorCode_NotFound, "no service at this path", "path");
-    st.m_Service = &service->m_Spec;
-    st.m_Keyed = NeedsKey(*st.m_Service, req.m_Method);
-    st.m_Key = std::string(FindField(req.m_Fields, "Idempotency-Key"));
+    st.m_Service                  = &service->m_Spec;
+    st.m_Keyed                    = NeedsKey(*st.m_Service, req.m_Method);
+    st.m_Key                      = std::string(FindField(req.m_Fields, "Idempotency-Key"));
     uint32_t          deadline_ms = st.m_Service->m_DeadlineMs;
     const std::string asked(FindField(req.m_Fields, "Aldervale-Deadline-Ms"));
     if (!asked.empty())
@@ -224,7 +224,7 @@
 
 size_t RouterServe::Impl::Capacity(const std::string& service) const
 {
-    const ConfigPtr c = m_Node.Config();
+    const ConfigPtr c  = m_Node.Config();
     const auto      it = c->m_Services.find(service);
     if (it == c->m_Services.end())
         return 1;
@@ -234,7 +234,7 @@
     else
         q.m_Boxes.insert(it->second.m_Spec.m_Boxes.begin(), it->second.m_Spec.m_Boxes.end());
     const size_t replicas = m_Replicas.CountUsable(q, [this](const std::string& box) { return m_Node.Usable(box); });
-    const size_t routers = 1 + m_Node.Links(wire::PeerRole::Router).size();
+    const size_t routers  = 1 + m_Node.Links(wire::PeerRole::Router).size();
     return std::max<size_t>(4, replicas * static_cast<size_t>(m_Settings.m_PerReplica) * 5 / 4 / routers);
 }
 
@@ -242,13 +242,13 @@
 awaitable<std::optional<Error>> RouterServe::Impl::Enter(RequestState& st)
 {
     WaiterPtr  waiter;
-    uint64_t   id = 0;
+    uint64_t   id      = 0;
     size_t     refresh = 0;
-    const auto ex = co_await asio::this_coro::executor;
+    const auto ex      = co_await asio::this_coro::executor;
     {
         std::lock_guard lock(m_QueueMutex);
         ServiceQueue&   sq = m_Queues[st.m_ServiceName];
-        refresh = Now() - sq.m_CapacityAt > milliseconds(100) ? 1 : 0;
+        refresh            = Now() - sq.m_CapacityAt > milliseconds(100) ? 1 : 0;
         if (refresh != 0)
             sq.m_CapacityAt = Now();
     }
@@ -263,11 +263,11 @@
         id = m_NextWaiter++;
         if (!sq.m_Queue.Push(id, st.m_AccountName, st.m_Account->m_Weight, st.m_Account->m_Priority == 0))
         {
-            Error e = MakeError(ErrorCode_Limited, "too many requests wait here");
+            Error e          = MakeError(ErrorCode_Limited, "too many requests wait here");
             e.m_RetryAfterMs = kRetryAfterMs;
             co_return e;
         }
-        waiter = std::make_shared<Waiter>(ex);
+        waiter           = std::make_shared<Waiter>(ex);
         sq.m_Waiters[id] = waiter;
     }
     GrantNext(st.m_ServiceName);
@@ -281,7 +281,7 @@
     sq.m_Waiters.erase(id);
     if (sq.m_Queue.Remove(id))
     {
-        Error e = MakeError(ErrorCode_Timeout, "no room before the deadline");
+        Error e          = MakeError(ErrorCode_Timeout, "no room before the deadline");
         e.m_RetryAfterMs = kRetryAfterMs;
         co_return e;
     }
@@ -325,12 +325,12 @@
         q.m_Boxes.insert(st.m_Service->m_Boxes.begin(), st.m_Service->m_Boxes.end());
         return q;
     }
-    q.m_Digest = ServedDigest(*st.m_Config, st.m_Service->m_Model);
+    q.m_Digest         = ServedDigest(*st.m_Config, st.m_Service->m_Model);
     const auto adapter = st.m_Config->m_Adapters.find(FindField(st.m_Req.m_Fields, "Aldervale-Adapter"));
     if (adapter != st.m_Config->m_Adapters.end())
         q.m_Adapter = adapter->second.m_Spec.m_Manifest;
     constexpr std::string_view kPrompt = "\"prompt\":";
-    const size_t               at = st.m_Req.m_Body.find(kPrompt);
+    const size_t               at      = st.m_Req.m_Body.find(kPrompt);
     if (at != std::string::npos)
     {
         // The engine hashes the decoded prompt; for prompts without escapes in their first bytes this is the same text.
@@ -347,25 +347,25 @@
 wire::ServeCallT RouterServe::Impl::MakeCall(const RequestState& st, const ReplicaQuery& q) const
 {
     wire::ServeCallT call;
-    call.service = st.m_ServiceName;
-    call.account = st.m_AccountName;
-    call.digest = q.m_Digest;
-    call.adapter = q.m_Adapter;
-    call.method = st.m_Req.m_Method;
-    call.target = st.m_Req.m_Target;
-    call.key = st.m_Key;
-    call.keyed = st.m_Keyed;
+    call.service     = st.m_ServiceName;
+    call.account     = st.m_AccountName;
+    call.digest      = q.m_Digest;
+    call.adapter     = q.m_Adapter;
+    call.method      = st.m_Req.m_Method;
+    call.target      = st.m_Req.m_Target;
+    call.key         = st.m_Key;
+    call.keyed       = st.m_Keyed;
     call.homes_epoch = st.m_Keyed ? HomesEpoch(*st.m_Service) : 0;
     call.deadline_ms = static_cast<uint32_t>(std::max<int64_t>(1, ToMs(st.m_Deadline - Now())));
-    call.priority = static_cast<uint8_t>(st.m_Account->m_Priority);
-    call.window = static_cast<uint32_t>(m_Settings.m_WindowKib) * 1024;
+    call.priority    = static_cast<uint8_t>(st.m_Account->m_Priority);
+    call.window      = static_cast<uint32_t>(m_Settings.m_WindowKib) * 1024;
     call.body.assign(st.m_Req.m_Body.begin(), st.m_Req.m_Body.end());
     for (const HttpField& f : st.m_Req.m_Fields)
     {
         if (!ForwardsToBackend(f.m_Name))
             continue;
-        auto field = std::make_unique<wire::FieldT>();
-        field->name = f.m_Name;
+        auto field   = std::make_unique<wire::FieldT>();
+        field->name  = f.m_Name;
         field->value = f.m_Value;
         call.fields.push_back(std::move(field));
     }
@@ -375,7 +375,7 @@
 awaitable<AttemptResult> RouterServe::Impl::Attempt(RequestState& st, const Chosen& to, wire::ServeCallT& call)
 {
     AttemptResult    result;
-    const auto       ex = co_await asio::this_coro::executor;
+    const auto       ex  = co_await asio::this_coro::executor;
     const MailboxPtr box = to.m_Link->OpenExchange(ex);
     if (!to.m_Link->Send(EncodeFrame(box->Id(), call)))
     {
@@ -396,9 +396,9 @@
 {
     AttemptResult result;
     HttpResponse  res;
-    uint64_t      received = 0;
+    uint64_t      received  = 0;
     bool          streaming = false;
-    bool          headed = false;
+    bool          headed    = false;
     for (;;)
     {
         const std::optional<FrameBuf> frame = co_await box->Pop(std::min(st.m_Deadline, Now() + kCallerPoll));
@@ -417,7 +417,7 @@
         const wire::Frame& f = *frame->Get();
         if (const wire::ServeHead* head = f.body_as_ServeHead())
         {
-            headed = true;
+            headed       = true;
             res.m_Status = head->status();
             res.m_Fields = ToFields(head->fields());
             if (head->replayed())
@@ -449,7 +449,7 @@
                 res.m_Body.append(bytes);
             if (res.m_Body.size() > kBufferMax)
             {
-                streaming = true;
+                streaming  = true;
                 st.m_Begun = true;
                 co_await st.m_Reply.Start(res.m_Status, res.m_Fields);
                 co_await st.m_Reply.Write(res.m_Body);
@@ -474,9 +474,9 @@
         if (!end->complete() || !headed || end->length() != received)
         {
             const std::string reason = end->reason() != nullptr ? end->reason()->str() : "answer is not whole";
-            const ErrorCode   code = end->error() != nullptr ? ParseErrorCode(end->error()->string_view()) : ErrorCode_Corrupt;
-            const Verdict     v = end->complete() ? Verdict_MayHaveRun : static_cast<Verdict>(end->verdict());
-            result.m_Error = MakeError(code, reason, {}, v);
+            const ErrorCode   code   = end->error() != nullptr ? ParseErrorCode(end->error()->string_view()) : ErrorCode_Corrupt;
+            const Verdict     v      = end->complete() ? Verdict_MayHaveRun : static_cast<Verdict>(end->verdict());
+            result.m_Error           = MakeError(code, reason, {}, v);
             co_return result;
         }
         st.m_Record.m_BytesOut = received;
@@ -518,7 +518,7 @@
 {
     ReplicaQuery  q = MakeQuery(st);
     AttemptResult last;
-    last.m_Error = MakeError(ErrorCode_Unavailable, "no backend server can take this request now");
+    last.m_Error      = MakeError(ErrorCode_Unavailable, "no backend server can take this request now");
     const auto usable = [this](const std::string& box) { return m_Node.Usable(box); };
     for (unsigned attempt = 1;; attempt++)
     {
@@ -526,8 +526,8 @@
         if (!to)
             break;
         wire::ServeCallT call = MakeCall(st, q);
-        call.attempt = static_cast<uint8_t>(attempt);
-        last = co_await Attempt(st, *to, call);
+        call.attempt          = static_cast<uint8_t>(attempt);
+        last                  = co_await Attempt(st, *to, call);
         m_Replicas.OnEnd(to->m_Box, !last.m_Done && last.m_Error.m_Code != ErrorCode_Limited, Now());
         if (last.m_Done)
         {
@@ -547,7 +547,7 @@
 awaitable<void> RouterServe::Impl::ServeKeyed(RequestState& st, const Error* refused)
 {
     const std::string           home = HomeOf(*st.m_Service, st.m_Key);
-    const std::optional<Chosen> to = m_Replicas.Take(home);
+    const std::optional<Chosen> to   = m_Replicas.Take(home);
     if (!to)
     {
         const Error lost = MakeError(ErrorCode_Unavailable, "the key's home " + home + " can't be reached; repeat the call with the same key", {},
@@ -556,7 +556,7 @@
         co_return;
     }
     wire::ServeCallT call = MakeCall(st, ReplicaQuery{});
-    call.probe = refused != nullptr;
+    call.probe            = refused != nullptr;
     if (call.probe)
         call.deadline_ms = std::min(call.deadline_ms, kKeyedProbeMs);
     AttemptResult result = co_await Attempt(st, *to, call);
@@ -586,7 +586,7 @@
     }
     else if (const auto wait = m_Limits.Admit(st.m_AccountName, *st.m_Account, Now()))
     {
-        refused = MakeError(ErrorCode_Limited, "client account is over its limit");
+        refused                 = MakeError(ErrorCode_Limited, "client account is over its limit");
         refused->m_RetryAfterMs = static_cast<unsigned>(std::max<int64_t>(1, ToMs(*wait)));
     }
     if (!refused)
@@ -611,23 +611,23 @@
 
 void RouterServe::Impl::Account(RequestState& st)
 {
-    static HistogramMetric& all = Metrics().GetHistogram("aldervale_request_seconds");
-    static HistogramMetric& first = Metrics().GetHistogram("aldervale_first_byte_seconds");
-    static Counter&         ran = Metrics().GetCounter("aldervale_requests_total", "verdict=\"ran\"");
+    static HistogramMetric& all     = Metrics().GetHistogram("aldervale_request_seconds");
+    static HistogramMetric& first   = Metrics().GetHistogram("aldervale_first_byte_seconds");
+    static Counter&         ran     = Metrics().GetCounter("aldervale_requests_total", "verdict=\"ran\"");
     static Counter&         not_run = Metrics().GetCounter("aldervale_requests_total", "verdict=\"not-run\"");
-    static Counter&         may = Metrics().GetCounter("aldervale_requests_total", "verdict=\"may-have-run\"");
-    const TimePoint         now = Now();
+    static Counter&         may     = Metrics().GetCounter("aldervale_requests_total", "verdict=\"may-have-run\"");
+    const TimePoint         now     = Now();
     (st.m_Record.m_Verdict == Verdict_Ran ? ran : st.m_Record.m_Verdict == Verdict_NotRun ? not_run : may).Add(1);
     all.Record(ToSeconds(now - st.m_Started));
     if (st.m_FirstByte != TimePoint{})
         first.Record(ToSeconds(st.m_FirstByte - st.m_Started));
     if (st.m_Service == nullptr)
         return;
-    const TimePoint felt = st.m_FirstByte != TimePoint{} && st.m_Begun ? st.m_FirstByte : now;
+    const TimePoint felt  = st.m_FirstByte != TimePoint{} && st.m_Begun ? st.m_FirstByte : now;
     st.m_Record.m_Service = st.m_ServiceName;
     st.m_Record.m_Account = st.m_AccountName;
     st.m_Record.m_BytesIn = st.m_Req.m_Body.size();
-    st.m_Record.m_Good = st.m_Record.m_Verdict == Verdict_Ran && ToSeconds(felt - st.m_Started) * 1000 <= st.m_Service->m_SloMs;
+    st.m_Record.m_Good    = st.m_Record.m_Verdict == Verdict_Ran && ToSeconds(felt - st.m_Started) * 1000 <= st.m_Service->m_SloMs;
     m_Usage.Record(st.m_Record, now);
 }
 
@@ -641,9 +641,9 @@
         msg.window_ms = 250;
         for (const AccountRate& r : rates)
         {
-            auto a = std::make_unique<wire::AccountDemandT>();
+            auto a     = std::make_unique<wire::AccountDemandT>();
             a->account = r.m_Account;
-            a->rate = static_cast<float>(r.m_Rate);
+            a->rate    = static_cast<float>(r.m_Rate);
             msg.accounts.push_back(std::move(a));
         }
         const FrameBytes frame = EncodeFrame(0, msg);
--- a/src/request/usage.cpp
+++ b/src/request/usage.cpp
@@ -27,9 +27,9 @@
     t.m_BytesIn += r.m_BytesIn;
     t.m_BytesOut += r.m_BytesOut;
     t.m_TokensOut += r.m_TokensOut;
-    Ring&         ring = shard.m_Rings[{r.m_Service, r.m_Account}];
+    Ring&         ring   = shard.m_Rings[{r.m_Service, r.m_Account}];
     const int64_t minute = MinuteOf(now);
-    Minute&       m = ring[static_cast<size_t>(minute) % ring.size()];
+    Minute&       m      = ring[static_cast<size_t>(minute) % ring.size()];
     if (m.m_Minute != minute)
         m = {minute, 0, 0};
     (r.m_Good ? m.m_Good : m.m_Bad)++;
@@ -62,7 +62,7 @@
             for (const unsigned w : kBurnWindowsMin)
             {
                 uint64_t good = 0;
-                uint64_t bad = 0;
+                uint64_t bad  = 0;
                 for (const Minute& m : ring)
                 {
                     const bool inside = m.m_Minute >= 0 && m.m_Minute > minute - static_cast<int64_t>(w) && m.m_Minute <= minute;
@@ -107,12 +107,12 @@
 {
     for (json::value& row : rows)
     {
-        const auto   it = allowed.find(std::string(row.at("service").as_string()));
+        const auto   it    = allowed.find(std::string(row.at("service").as_string()));
         const double share = it == allowed.end() ? 0.01 : it->second;
         for (json::value& w : row.as_object().at("windows").as_array())
         {
-            const double good = w.at("good").to_number<double>();
-            const double bad = w.at("bad").to_number<double>();
+            const double good     = w.at("good").to_number<double>();
+            const double bad      = w.at("bad").to_number<double>();
             w.as_object()["burn"] = good + bad > 0 ? bad / (good + bad) / share : 0.0;
         }
     }
--- a/src/request/usage.h
+++ b/src/request/usage.h
@@ -26,13 +26,13 @@
 
 struct RequestRecord
 {
-    std::string m_Service;                  //
-    std::string m_Account;                  //
-    Verdict     m_Verdict = Verdict_NotRun; //
-    bool        m_Good = false;             // answered whole and within the service's level
-    uint64_t    m_BytesIn = 0;              //
-    uint64_t    m_BytesOut = 0;             //
-    uint64_t    m_TokensOut = 0;            // events of a stream
+    std::string m_Service;                    //
+    std::string m_Account;                    //
+    Verdict     m_Verdict   = Verdict_NotRun; //
+    bool        m_Good      = false;          // answered whole and within the service's level
+    uint64_t    m_BytesIn   = 0;              //
+    uint64_t    m_BytesOut  = 0;              //
+    uint64_t    m_TokensOut = 0;              // events of a stream
 };
 
 constexpr std::array<unsigned, 4> kBurnWindowsMin = {5, 30, 60, 360}; // minutes
@@ -54,8 +54,8 @@
     struct Minute
     {
         int64_t  m_Minute = -1; // number on the monotonic clock; -1: unused
-        uint64_t m_Good = 0;    //
-        uint64_t m_Bad = 0;     //
+        uint64_t m_Good   = 0;  //
+        uint64_t m_Bad    = 0;  //
     };
 
     using Ring = std::array<Minute, 361>;
--- a/src/request/verdict.h
+++ b/src/request/verdict.h
@@ -59,15 +59,15 @@
 
 struct Error
 {
-    ErrorCode   m_Code = ErrorCode_Unavailable; // kind of failure
-    std::string m_Field;                        // path of the faulty field, such as "spec.limit_rps"; empty if none
-    std::string m_Message;                      // for people
-    Verdict     m_Verdict = Verdict_NotRun;     // whether the request may have run
-    unsigned    m_RetryAfterMs = 0;             // when to come back, ms; 0: unknown
+    ErrorCode   m_Code = ErrorCode_Unavailable;  // kind of failure
+    std::string m_Field;                         // path of the faulty field, such as "spec.limit_rps"; empty if none
+    std::string m_Message;                       // for people
+    Verdict     m_Verdict      = Verdict_NotRun; // whether the request may have run
+    unsigned    m_RetryAfterMs = 0;              // when to come back, ms; 0: unknown
 };
 
 template <class T> using Result = boost::outcome_v2::result<T, Error, boost::outcome_v2::policy::terminate>;
-using Status = Result<void>;
+using Status                    = Result<void>;
 
 inline Status Ok()
 {
--- a/src/standin/box_list.cpp
+++ b/src/standin/box_list.cpp
@@ -41,7 +41,7 @@
 
     Status Change(std::string_view body)
     {
-        const std::string one = "{\"version\": 1, \"boxes\": [" + std::string(body) + "]}";
+        const std::string one    = "{\"version\": 1, \"boxes\": [" + std::string(body) + "]}";
         auto              parsed = ParseBoxList(one);
         if (!parsed)
             return parsed.error();
@@ -60,7 +60,7 @@
     if (req.Path() == "/admin/box")
     {
         const Status       changed = s->Change(req.m_Body);
-        const HttpResponse res = changed ? JsonResponse(200, json::object{{"ok", true}}) : ErrorResponse(changed.error());
+        const HttpResponse res     = changed ? JsonResponse(200, json::object{{"ok", true}}) : ErrorResponse(changed.error());
         co_await reply.Send(res);
         co_return;
     }
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -18,7 +18,7 @@
 struct Waiting // a request that waits for its place in the batch
 {
     int64_t  m_Priority = 0; // higher first
-    uint64_t m_Order = 0;    // then in order of arrival
+    uint64_t m_Order    = 0; // then in order of arrival
     bool     operator<(const Waiting& o) const { return m_Priority != o.m_Priority ? m_Priority > o.m_Priority : m_Order < o.m_Order; }
 };
 
@@ -43,7 +43,7 @@
     std::set<std::string>                                         m_Adapters;      //
     uint64_t                                                      m_Fencing = 0;   //
     std::set<Waiting>                                             m_Queue;         //
-    int64_t                                                       m_Running = 0;   // in the batch
+    int64_t                                                       m_Running   = 0; // in the batch
     uint64_t                                                      m_NextOrder = 1; //
     std::list<uint64_t>                                           m_Cache;         // prefixes, most recently used first
     std::deque<CacheEvent>                                        m_Events;        // with gaps
@@ -60,7 +60,7 @@
 
     bool TouchCacheLocked(uint64_t prefix) // true: it was cached
     {
-        const auto it = std::find(m_Cache.begin(), m_Cache.end(), prefix);
+        const auto it  = std::find(m_Cache.begin(), m_Cache.end(), prefix);
         const bool hit = it != m_Cache.end();
         if (hit)
             m_Cache.erase(it);
@@ -89,7 +89,7 @@
         return std::nullopt;
     url.remove_prefix(kScheme.size());
     const size_t slash = url.find('/');
-    auto         at = ParseEndpoint(url.substr(0, slash));
+    auto         at    = ParseEndpoint(url.substr(0, slash));
     if (!at || slash == std::string_view::npos)
         return std::nullopt;
     return Source{at.value(), std::string(url.substr(slash))};
@@ -122,14 +122,14 @@
 {
     HttpRequest req;
     req.m_Target = src.m_Prefix + "/manifest";
-    auto res = co_await e->m_Client.Call(src.m_At, req, Now() + seconds(60));
+    auto res     = co_await e->m_Client.Call(src.m_At, req, Now() + seconds(60));
     if (!res || res.value().m_Status != 200)
         co_return false;
     auto whole = ParseManifest(res.value().m_Body, WholeDigest(slice));
     if (!whole)
         co_return false;
     size_t position = 0;
-    size_t count = 1;
+    size_t count    = 1;
     if (WholeDigest(slice) != slice && std::sscanf(slice.c_str() + WholeDigest(slice).size(), "~%zu-%zu", &position, &count) != 2)
         co_return false;
     const ManifestPtr m = SliceManifest(whole.value(), position, count);
@@ -145,9 +145,9 @@
 awaitable<void> Load(EnginePtr e, HttpRequest& req, HttpReply& reply)
 {
     json::error_code  ec;
-    const json::value v = json::parse(req.m_Body, ec);
+    const json::value v      = json::parse(req.m_Body, ec);
     const auto        source = ec ? std::nullopt : ParseSource(std::string_view(v.at("source").as_string()));
-    HttpResponse      res = ErrorResponse(MakeError(ErrorCode_Invalid, "bad load order", "body"));
+    HttpResponse      res    = ErrorResponse(MakeError(ErrorCode_Invalid, "bad load order", "body"));
     if (!source)
     {
         co_await reply.Send(res);
@@ -156,13 +156,13 @@
     const std::string digest(v.at("digest").as_string());
     const uint64_t    fencing = v.at("fencing").to_number<uint64_t>();
     const bool        adapter = v.as_object().contains("base");
-    bool              stale = false;
+    bool              stale   = false;
     {
         std::lock_guard lock(e->m_Mutex);
         stale = fencing < e->m_Fencing;
         e->m_StaleRefused += stale && e->m_Config.m_CheckFencing ? 1 : 0;
         e->m_StaleObeyed += stale && !e->m_Config.m_CheckFencing ? 1 : 0;
-        stale = stale && e->m_Config.m_CheckFencing;
+        stale        = stale && e->m_Config.m_CheckFencing;
         e->m_Fencing = std::max(e->m_Fencing, fencing);
         if (!stale && !adapter)
         {
@@ -202,7 +202,7 @@
 {
     std::string m_Prompt;         //
     int64_t     m_MaxTokens = 16; //
-    bool        m_Stream = true;
+    bool        m_Stream    = true;
 };
 
 std::optional<Completion> ParseCompletion(std::string_view body)
@@ -378,7 +378,7 @@
     json::object o{
         {"boot", e->m_Boot}, {"loaded", e->m_Loaded}, {"running", load.first}, {"queued", load.second}, {"age_ms", e->m_Config.m_LoadLagMs}};
     o["kv_free"] = std::max(0.0, 1.0 - static_cast<double>(e->m_Running) / static_cast<double>(e->m_Config.m_MaxBatch));
-    o["warm"] = warm;
+    o["warm"]    = warm;
     return o;
 }
 
--- a/src/standin/faults.cpp
+++ b/src/standin/faults.cpp
@@ -28,8 +28,8 @@
     Faults f = Get();
     for (const auto& m : v.as_object())
     {
-        const std::string_view key = m.key();
-        bool*                  flag = key == "down" ? &f.m_Down : key == "stall" ? &f.m_Stall : nullptr;
+        const std::string_view key   = m.key();
+        bool*                  flag  = key == "down" ? &f.m_Down : key == "stall" ? &f.m_Stall : nullptr;
         double*                share = key == "lose_answers"  ? &f.m_LoseAnswers
                                        : key == "lose_before" ? &f.m_LoseBefore
                                        : key == "corrupt"     ? &f.m_Corrupt
@@ -72,7 +72,7 @@
     if (req.Path() == "/admin/faults" && req.m_Method == "POST")
     {
         const Status s = Set(req.m_Body);
-        res = s ? JsonResponse(200, json::object{{"ok", true}}) : ErrorResponse(s.error());
+        res            = s ? JsonResponse(200, json::object{{"ok", true}}) : ErrorResponse(s.error());
     }
     else
         res = JsonResponse(200, stats());
--- a/src/standin/origin.cpp
+++ b/src/standin/origin.cpp
@@ -17,13 +17,13 @@
 
     using File = std::shared_ptr<const std::string>;
 
-    OriginConfig                    m_Config;    //
-    FaultSwitch                     m_Faults;    //
-    std::mutex                      m_Mutex;     // guards the members below
-    std::map<std::string, File>     m_Files;     // by path; read once
-    TokenBucket                     m_Link;      //
-    std::map<std::string, uint64_t> m_Bytes;     // sent, by digest
-    uint64_t                        m_Reads = 0; // chunk reads
+    OriginConfig                    m_Config;            //
+    FaultSwitch                     m_Faults;            //
+    std::mutex                      m_Mutex;             // guards the members below
+    std::map<std::string, File>     m_Files;             // by path; read once
+    TokenBucket                     m_Link;              //
+    std::map<std::string, uint64_t> m_Bytes;             // sent, by digest
+    uint64_t                        m_Reads         = 0; // chunk reads
     uint64_t                        m_ManifestReads = 0;
 
     File Load(const std::string& path)
@@ -66,7 +66,7 @@
     for (size_t at = 0; open && at < body.size(); at += kPiece)
     {
         const std::string_view piece = std::string_view(body).substr(at, kPiece);
-        const TimePoint        go = o->Reserve(digest, piece.size());
+        const TimePoint        go    = o->Reserve(digest, piece.size());
         if (go > Now())
             co_await SleepFor(go - Now());
         while (o->m_Faults.Get().m_Stall)
@@ -101,10 +101,10 @@
         co_await reply.Send(res);
         co_return;
     }
-    const std::string digest = path.substr(kPrefix.size(), slash - kPrefix.size());
-    const std::string name = path.substr(slash + 1);
+    const std::string digest   = path.substr(kPrefix.size(), slash - kPrefix.size());
+    const std::string name     = path.substr(slash + 1);
     const bool        manifest = name == "manifest";
-    const auto        file = o->Load(digest + "/" + (manifest ? "manifest.json" : name));
+    const auto        file     = o->Load(digest + "/" + (manifest ? "manifest.json" : name));
     if (!file)
     {
         const HttpResponse res = ErrorResponse(MakeError(ErrorCode_NotFound, "no such weights"));
@@ -112,10 +112,10 @@
         co_return;
     }
     unsigned long long begin = 0;
-    unsigned long long end = file->size() - 1;
+    unsigned long long end   = file->size() - 1;
     const std::string  range(FindField(req.m_Fields, "Range"));
     const bool         ranged = std::sscanf(range.c_str(), "bytes=%llu-%llu", &begin, &end) == 2 && begin <= end && end < file->size();
-    std::string        body = file->substr(begin, end - begin + 1);
+    std::string        body   = file->substr(begin, end - begin + 1);
     {
         std::lock_guard lock(o->m_Mutex);
         (manifest ? o->m_ManifestReads : o->m_Reads)++;
--- a/src/standin/plain.cpp
+++ b/src/standin/plain.cpp
@@ -17,7 +17,7 @@
     std::mutex                      m_Mutex;     // guards the members below
     std::map<std::string, uint64_t> m_Runs;      // by key
     uint64_t                        m_Reads = 0; //
-    uint64_t                        m_Done = 0;  // runs, keyed or not
+    uint64_t                        m_Done  = 0; // runs, keyed or not
 
     json::object Stats()
     {
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -29,13 +29,13 @@
 
 struct Faults
 {
-    bool    m_Down = false;    // connections end without an answer [down]
-    bool    m_Stall = false;   // requests are taken and never answered, until cleared [stall]
-    int64_t m_SlowMs = 0;      // added to every answer [slow_ms]
-    double  m_LoseAnswers = 0; // share of answers lost after the work took effect [lose_answers]
-    double  m_LoseBefore = 0;  // share of requests whose connection ends before the work [lose_before]
-    double  m_Corrupt = 0;     // share of weight reads with a flipped byte [corrupt]
-    double  m_CutStreams = 0;  // share of streams that end in the middle [cut_streams]
+    bool    m_Down        = false; // connections end without an answer [down]
+    bool    m_Stall       = false; // requests are taken and never answered, until cleared [stall]
+    int64_t m_SlowMs      = 0;     // added to every answer [slow_ms]
+    double  m_LoseAnswers = 0;     // share of answers lost after the work took effect [lose_answers]
+    double  m_LoseBefore  = 0;     // share of requests whose connection ends before the work [lose_before]
+    double  m_Corrupt     = 0;     // share of weight reads with a flipped byte [corrupt]
+    double  m_CutStreams  = 0;     // share of streams that end in the middle [cut_streams]
 };
 
 using StatsFunction = std::function<json::object()>;
@@ -63,10 +63,10 @@
 
 struct TableConfig
 {
-    double   m_WritesPerSecond = 300; // more are answered 429
-    double   m_ReadsPerSecond = 2000; //
-    int64_t  m_LatencyMs = 2;         //
-    uint64_t m_Seed = 1;              //
+    double   m_WritesPerSecond = 300;  // more are answered 429
+    double   m_ReadsPerSecond  = 2000; //
+    int64_t  m_LatencyMs       = 2;    //
+    uint64_t m_Seed            = 1;    //
 };
 
 struct OriginConfig
@@ -79,27 +79,27 @@
 struct BoxListConfig
 {
     int64_t  m_LagMs = 1000; // a change shows this much later
-    uint64_t m_Seed = 1;     //
+    uint64_t m_Seed  = 1;    //
 };
 
 struct EngineConfig
 {
     bool     m_CheckFencing = true; // some engines don't
-    int64_t  m_MaxBatch = 16;       // requests decoded together
-    int64_t  m_PrefillUs = 40;      // per prompt token that is not cached
-    int64_t  m_StepUs = 5000;       // one decoding step of an empty batch
+    int64_t  m_MaxBatch     = 16;   // requests decoded together
+    int64_t  m_PrefillUs    = 40;   // per prompt token that is not cached
+    int64_t  m_StepUs       = 5000; // one decoding step of an empty batch
     int64_t  m_StepPerSeqUs = 250;  // added per request in the batch
-    int64_t  m_PrefixSlots = 64;    // cached prefixes
-    int64_t  m_LoadLagMs = 300;     // age of load reports
-    double   m_EventGap = 0.2;      // share of cache events lost
-    int64_t  m_LoadMs = 50;         // time to load besides reading
-    uint64_t m_Seed = 1;            //
+    int64_t  m_PrefixSlots  = 64;   // cached prefixes
+    int64_t  m_LoadLagMs    = 300;  // age of load reports
+    double   m_EventGap     = 0.2;  // share of cache events lost
+    int64_t  m_LoadMs       = 50;   // time to load besides reading
+    uint64_t m_Seed         = 1;    //
 };
 
 struct PlainConfig
 {
     int64_t  m_WorkMs = 3; // time of one call
-    uint64_t m_Seed = 1;   //
+    uint64_t m_Seed   = 1; //
 };
 
 std::unique_ptr<HttpServer> MakeTableStandin(asio::io_context& ioc, const TableConfig& cfg);
--- a/src/standin/table.cpp
+++ b/src/standin/table.cpp
@@ -29,7 +29,7 @@
     uint64_t                   m_Latest = 0;     // newest commit number
     TokenBucket                m_Writes;         //
     TokenBucket                m_Reads;          //
-    uint64_t                   m_ReadCount = 0;  //
+    uint64_t                   m_ReadCount  = 0; //
     uint64_t                   m_WriteCount = 0; //
 
     HttpResponse Scan(const std::string& prefix, uint64_t after)
@@ -53,7 +53,7 @@
             return JsonResponse(429, json::object{{"error", "rate"}});
         for (const json::value& c : txn.at("if").as_array())
         {
-            const auto     it = m_Rows.find(std::string(c.at("key").as_string()));
+            const auto     it      = m_Rows.find(std::string(c.at("key").as_string()));
             const uint64_t current = it == m_Rows.end() ? 0 : it->second.m_Version;
             if (current != c.at("version").to_number<uint64_t>())
                 return JsonResponse(409, json::object{{"key", c.at("key")}, {"version", current}});
@@ -88,7 +88,7 @@
     if (req.Path() == "/v1/txn")
     {
         const json::value txn = json::parse(req.m_Body, ec);
-        res = ec ? ErrorResponse(MakeError(ErrorCode_Invalid, "not JSON", "body")) : t->Commit(txn);
+        res                   = ec ? ErrorResponse(MakeError(ErrorCode_Invalid, "not JSON", "body")) : t->Commit(txn);
         if (t->m_Faults.Hit(t->m_Faults.Get().m_LoseAnswers))
         {
             reply.Abort();
--- a/src/version/activation.cpp
+++ b/src/version/activation.cpp
@@ -18,7 +18,7 @@
         return OrderOutcome_Stale;
     if (o.m_Fencing == m_Fencing && o.m_Id <= m_LastOrder)
         return OrderOutcome_Done; // repeated, or overtaken by a later order of the same controller
-    m_Fencing = o.m_Fencing;
+    m_Fencing   = o.m_Fencing;
     m_LastOrder = o.m_Id;
     switch (o.m_Kind)
     {
@@ -39,7 +39,7 @@
 {
     if (fencing <= m_Fencing)
         return;
-    m_Fencing = fencing;
+    m_Fencing   = fencing;
     m_LastOrder = 0;
 }
 
@@ -49,7 +49,7 @@
     if (v.m_State != VersionState_Absent && v.m_State != VersionState_Failed)
         return;
     v.m_State = VersionState_Fetching;
-    v.m_Base = o.m_Base;
+    v.m_Base  = o.m_Base;
     m_Actions.push_back({ActivationAction_Fetch, o.m_Digest, o.m_Base, m_Fencing});
 }
 
@@ -112,7 +112,7 @@
         m_Versions[m_Active].m_State = VersionState_Verified;
     m_Active.clear();
     m_Versions[m_Pending].m_State = VersionState_Loading;
-    m_LoadSent = true;
+    m_LoadSent                    = true;
     m_Actions.push_back({ActivationAction_EngineLoad, m_Pending, {}, m_Fencing});
 }
 
@@ -136,13 +136,13 @@
     if (it == m_Versions.end() || it->second.m_State != VersionState_Fetching)
         return;
     it->second.m_State = VersionState_Verified;
-    const auto want = std::find(m_WantActive.begin(), m_WantActive.end(), digest);
+    const auto want    = std::find(m_WantActive.begin(), m_WantActive.end(), digest);
     if (want == m_WantActive.end())
         return;
     m_WantActive.erase(want);
     Order again;
     again.m_Digest = digest;
-    again.m_Base = it->second.m_Base;
+    again.m_Base   = it->second.m_Base;
     Commit(again);
 }
 
@@ -167,7 +167,7 @@
         return;
     m_Active = digest;
     m_Pending.clear();
-    m_LoadSent = false;
+    m_LoadSent                            = false;
     const std::vector<std::string> wanted = std::move(m_WantActive);
     m_WantActive.clear();
     for (const std::string& d : wanted)
@@ -187,7 +187,7 @@
     if (m_Pending != digest)
         return;
     m_Pending.clear();
-    m_LoadSent = false;
+    m_LoadSent                            = false;
     const std::vector<std::string> wanted = std::move(m_WantActive);
     m_WantActive.clear();
     for (const std::string& d : wanted)
@@ -203,7 +203,7 @@
     DeactivateAdapters();
     if (m_Active.empty())
         return;
-    const std::string digest = m_Active;
+    const std::string digest   = m_Active;
     m_Versions[digest].m_State = VersionState_Verified;
     m_Active.clear();
     if (m_Pending.empty())
--- a/src/version/activation.h
+++ b/src/version/activation.h
@@ -45,11 +45,11 @@
 
 struct Order
 {
-    uint64_t    m_Fencing = 0;              // of the controller's lease
-    uint64_t    m_Id = 0;                   // unique; a repeated order is answered again, not carried out again
-    OrderKind   m_Kind = OrderKind_Prepare; //
-    std::string m_Digest;                   // slice digest of a version or adapter
-    std::string m_Base;                     // adapters: digest of the active version that they go on
+    uint64_t    m_Fencing = 0;                 // of the controller's lease
+    uint64_t    m_Id      = 0;                 // unique; a repeated order is answered again, not carried out again
+    OrderKind   m_Kind    = OrderKind_Prepare; //
+    std::string m_Digest;                      // slice digest of a version or adapter
+    std::string m_Base;                        // adapters: digest of the active version that they go on
 };
 
 enum OrderOutcome
@@ -119,9 +119,9 @@
     std::string                        m_Pending;          // version waiting for running requests to end, or loading; empty: none
     bool                               m_LoadSent = false; // the engine was asked to load m_Pending
     std::vector<std::string>           m_WantActive;       // digests committed while still fetching
-    uint64_t                           m_Fencing = 0;      // never falls
+    uint64_t                           m_Fencing   = 0;    // never falls
     uint64_t                           m_LastOrder = 0;    // id of the last order carried out under m_Fencing
-    uint64_t                           m_Running = 0;      // requests handed to the engine
+    uint64_t                           m_Running   = 0;    // requests handed to the engine
     std::vector<ActivationAction>      m_Actions;          // not yet taken
 };
 
--- a/src/version/agent_weights.cpp
+++ b/src/version/agent_weights.cpp
@@ -9,12 +9,12 @@
 namespace
 {
 
-constexpr auto   kLoadTimeout = seconds(600);
-constexpr auto   kReportEvery = milliseconds(200);
+constexpr auto   kLoadTimeout   = seconds(600);
+constexpr auto   kReportEvery   = milliseconds(200);
 constexpr auto   kReportTimeout = milliseconds(1000);
-constexpr size_t kBucketBurst = 256 * 1024;          // bytes
-constexpr auto   kGroupSilence = milliseconds(2000); // a member of a replica that is silent this long closes it
-constexpr size_t kWarmMax = 64;                      // prefixes told in a heartbeat
+constexpr size_t kBucketBurst   = 256 * 1024;         // bytes
+constexpr auto   kGroupSilence  = milliseconds(2000); // a member of a replica that is silent this long closes it
+constexpr size_t kWarmMax       = 64;                 // prefixes told in a heartbeat
 
 ExchangeMode ParseMode(std::string_view name)
 {
@@ -26,10 +26,10 @@
 ExchangeConfig MakeExchangeConfig(const WeightsSettings& s)
 {
     ExchangeConfig cfg;
-    cfg.m_Mode = ParseMode(s.m_Mode);
+    cfg.m_Mode          = ParseMode(s.m_Mode);
     cfg.m_DownloadSlots = static_cast<unsigned>(s.m_DownloadSlots);
-    cfg.m_UploadSlots = static_cast<unsigned>(s.m_UploadSlots);
-    cfg.m_TakeOver = milliseconds(s.m_TakeOverMs);
+    cfg.m_UploadSlots   = static_cast<unsigned>(s.m_UploadSlots);
+    cfg.m_TakeOver      = milliseconds(s.m_TakeOverMs);
     if (cfg.m_Mode != ExchangeMode_Spread)
         cfg.m_UploadBudget = 1e9;
     return cfg;
@@ -39,7 +39,7 @@
 {
     std::string m_Placement;    // name; empty: none
     size_t      m_Position = 0; // of this box in its replica
-    size_t      m_Count = 1;    // boxes of a replica
+    size_t      m_Count    = 1; // boxes of a replica
 };
 
 SlicePlace FindSlicePlace(const ConfigSnapshot& c, const std::string& box, const std::string& dc, std::string_view placement)
@@ -48,7 +48,7 @@
     if (p == c.m_Placements.end())
         return {};
     const std::vector<std::string> boxes = AssignBoxes(c, placement, dc);
-    const auto                     it = std::find(boxes.begin(), boxes.end(), box);
+    const auto                     it    = std::find(boxes.begin(), boxes.end(), box);
     const size_t                   count = p->second.m_Spec.m_BoxesPerReplica;
     if (it == boxes.end())
         return {std::string(placement), 0, count};
@@ -127,11 +127,11 @@
 void AgentWeights::Impl::OnOrder(const LinkPtr& link, uint64_t exchange, const wire::Order& msg)
 {
     Order o;
-    o.m_Fencing = msg.fencing();
-    o.m_Id = msg.order_id();
-    o.m_Kind = static_cast<OrderKind>(msg.kind());
-    o.m_Digest = msg.digest() != nullptr ? msg.digest()->str() : "";
-    o.m_Base = msg.base() != nullptr ? msg.base()->str() : "";
+    o.m_Fencing          = msg.fencing();
+    o.m_Id               = msg.order_id();
+    o.m_Kind             = static_cast<OrderKind>(msg.kind());
+    o.m_Digest           = msg.digest() != nullptr ? msg.digest()->str() : "";
+    o.m_Base             = msg.base() != nullptr ? msg.base()->str() : "";
     OrderOutcome outcome = OrderOutcome_Failed;
     uint64_t     fencing = 0;
     if (!o.m_Digest.empty() && msg.kind() <= wire::OrderKind::Unload)
@@ -146,8 +146,8 @@
         LogEvent(Event_OrderRefused, {{"fencing", o.m_Fencing}, {"highest", fencing}, {"digest", o.m_Digest}});
     wire::OrderResultT result;
     result.order_id = o.m_Id;
-    result.outcome = static_cast<wire::OrderOutcome>(outcome);
-    result.fencing = fencing;
+    result.outcome  = static_cast<wire::OrderOutcome>(outcome);
+    result.fencing  = fencing;
     link->Send(EncodeFrame(exchange, result));
     RunActions();
 }
@@ -204,7 +204,7 @@
         std::lock_guard  lock(m_Mutex);
         const SlicePlace place = FindSlicePlace(*c, m_Daemon.Settings().m_Name, m_Daemon.Settings().m_DataCentre, m_PlacementOf[a.m_Digest]);
         const bool       whole = WholeDigest(a.m_Digest) == a.m_Digest;
-        t = std::make_shared<Transfer>(m_Shared, place.m_Placement, a.m_Digest, whole ? 0 : place.m_Position, whole ? 1 : place.m_Count);
+        t   = std::make_shared<Transfer>(m_Shared, place.m_Placement, a.m_Digest, whole ? 0 : place.m_Position, whole ? 1 : place.m_Count);
         old = std::exchange(m_Transfers[a.m_Digest], t);
     }
     if (old)
@@ -234,10 +234,10 @@
 awaitable<void> AgentWeights::Impl::LoadIntoEngine(ActivationAction a)
 {
     EngineLoad load;
-    load.m_Digest = a.m_Digest;
-    load.m_Base = a.m_Base;
+    load.m_Digest  = a.m_Digest;
+    load.m_Base    = a.m_Base;
     load.m_Fencing = a.m_Fencing;
-    load.m_Source = "http://" + m_Settings.m_StagingListen + "/staging/" + a.m_Digest;
+    load.m_Source  = "http://" + m_Settings.m_StagingListen + "/staging/" + a.m_Digest;
     auto confirmed = co_await m_Engine.Load(load, Now() + kLoadTimeout);
     {
         std::lock_guard lock(m_Mutex);
@@ -263,8 +263,8 @@
         {
             std::lock_guard lock(m_Mutex);
             const bool      restarted = m_Report.m_Boot != 0 && report.value().m_Boot != m_Report.m_Boot;
-            m_Report = std::move(report.value());
-            m_ReportAt = Now();
+            m_Report                  = std::move(report.value());
+            m_ReportAt                = Now();
             if (restarted)
                 m_Activation.OnEngineLost();
         }
@@ -282,7 +282,7 @@
     if (text.empty())
     {
         begin = 0;
-        end = size;
+        end   = size;
         return true;
     }
     unsigned long long a = 0;
@@ -290,16 +290,16 @@
     if (std::sscanf(std::string(text).c_str(), "bytes=%llu-%llu", &a, &b) != 2 || a > b || b >= size)
         return false;
     begin = a;
-    end = b + 1;
+    end   = b + 1;
     return true;
 }
 
 awaitable<void> AgentWeights::Impl::ServeStaging(HttpRequest& req, HttpReply& reply)
 {
     constexpr std::string_view kPrefix = "/staging/";
-    std::string_view           path = req.Path();
-    const size_t               slash = path.rfind('/');
-    HttpResponse               res = ErrorResponse(MakeError(ErrorCode_NotFound, "no such weights"));
+    std::string_view           path    = req.Path();
+    const size_t               slash   = path.rfind('/');
+    HttpResponse               res     = ErrorResponse(MakeError(ErrorCode_NotFound, "no such weights"));
     const TransferPtr          t =
         path.starts_with(kPrefix) && slash > kPrefix.size() ? FindTransfer(path.substr(kPrefix.size(), slash - kPrefix.size())) : nullptr;
     const ManifestPtr m = t ? t->GetManifest() : nullptr;
@@ -309,7 +309,7 @@
     {
         const ManifestShard& shard = m->m_Shards[s];
         uint64_t             begin = 0;
-        uint64_t             end = 0;
+        uint64_t             end   = 0;
         if (shard.m_Name != path.substr(slash + 1) || !ParseRange(FindField(req.m_Fields, "Range"), shard.m_Size, begin, end))
             continue;
         res = {206, {{"Content-Type", "application/octet-stream"}}, {}};
@@ -323,7 +323,7 @@
                 break;
             }
             const uint64_t from = at - chunk * m->m_ChunkSize;
-            const uint64_t n = std::min<uint64_t>(bytes->size() - from, end - at);
+            const uint64_t n    = std::min<uint64_t>(bytes->size() - from, end - at);
             res.m_Body.append(reinterpret_cast<const char*>(bytes->data()) + from, n);
             at += n;
         }
@@ -339,12 +339,12 @@
 {
     if (WholeDigest(slice) == slice)
         return true;
-    const ConfigPtr  c = m_Node.Config();
+    const ConfigPtr  c    = m_Node.Config();
     const auto       name = m_PlacementOf.find(slice);
     const SlicePlace place =
         FindSlicePlace(*c, m_Daemon.Settings().m_Name, m_Daemon.Settings().m_DataCentre, name == m_PlacementOf.end() ? "" : name->second);
     const std::vector<std::string> boxes = AssignBoxes(*c, place.m_Placement, m_Daemon.Settings().m_DataCentre);
-    const auto                     own = std::find(boxes.begin(), boxes.end(), m_Daemon.Settings().m_Name);
+    const auto                     own   = std::find(boxes.begin(), boxes.end(), m_Daemon.Settings().m_Name);
     if (own == boxes.end())
         return false;
     const size_t first = static_cast<size_t>(own - boxes.begin()) / place.m_Count * place.m_Count;
@@ -375,7 +375,7 @@
 Status AgentWeights::Start()
 {
     const HttpHandler handler = [impl = m_Impl](HttpRequest& req, HttpReply& reply) -> awaitable<void> { co_await impl->ServeStaging(req, reply); };
-    m_Impl->m_StagingServer = std::make_unique<HttpServer>(m_Impl->m_Daemon.Ioc(), HttpServerConfig{}, handler);
+    m_Impl->m_StagingServer   = std::make_unique<HttpServer>(m_Impl->m_Daemon.Ioc(), HttpServerConfig{}, handler);
     Spawn(m_Impl->m_Daemon.Ioc(), m_Impl->ReportLoop());
     return m_Impl->m_StagingServer->Listen(ParseEndpoint(m_Impl->m_Settings.m_StagingListen).value());
 }
@@ -391,7 +391,7 @@
     case wire::Body::HaveUpdate:
     {
         const auto*       msg = f.body_as_HaveUpdate();
-        const TransferPtr t = msg->digest() != nullptr ? m_Impl->FindTransfer(msg->digest()->string_view()) : nullptr;
+        const TransferPtr t   = msg->digest() != nullptr ? m_Impl->FindTransfer(msg->digest()->string_view()) : nullptr;
         if (t)
             t->OnHave(link, *msg);
         return true;
@@ -399,7 +399,7 @@
     case wire::Body::ChunkGet:
     {
         const auto*       msg = f.body_as_ChunkGet();
-        const TransferPtr t = msg->digest() != nullptr ? m_Impl->FindTransfer(msg->digest()->string_view()) : nullptr;
+        const TransferPtr t   = msg->digest() != nullptr ? m_Impl->FindTransfer(msg->digest()->string_view()) : nullptr;
         if (t)
             t->OnChunkGet(link, f.exchange(), *msg);
         else
@@ -493,6 +493,15 @@
     m_Impl->RunActions();
 }
 
+bool AgentWeights::HoldsSlice() const
+{
+    std::lock_guard lock(m_Impl->m_Mutex);
+    for (const auto& [slice, v] : m_Impl->m_Activation.Versions())
+        if (WholeDigest(slice) != slice)
+            return true;
+    return false;
+}
+
 uint64_t AgentWeights::RunningRequests() const
 {
     std::lock_guard lock(m_Impl->m_Mutex);
@@ -507,26 +516,26 @@
 void AgentWeights::Describe(wire::AgentStateT& out) const
 {
     std::lock_guard lock(m_Impl->m_Mutex);
-    out.active = m_Impl->m_Activation.Active();
-    out.group_closed = !out.active.empty() && !m_Impl->GroupOpen(out.active);
-    out.fencing = m_Impl->m_Activation.Fencing();
-    out.running = m_Impl->m_Report.m_Running;
-    out.queued = m_Impl->m_Report.m_Queued;
-    out.kv_free = static_cast<float>(m_Impl->m_Report.m_KvFree);
-    out.load_age_ms = m_Impl->m_Report.m_AgeMs + static_cast<uint32_t>(m_Impl->m_ReportAt == TimePoint{} ? 0 : ToMs(Now() - m_Impl->m_ReportAt));
+    out.active           = m_Impl->m_Activation.Active();
+    out.group_closed     = !out.active.empty() && !m_Impl->GroupOpen(out.active);
+    out.fencing          = m_Impl->m_Activation.Fencing();
+    out.running          = m_Impl->m_Report.m_Running;
+    out.queued           = m_Impl->m_Report.m_Queued;
+    out.kv_free          = static_cast<float>(m_Impl->m_Report.m_KvFree);
+    out.load_age_ms      = m_Impl->m_Report.m_AgeMs + static_cast<uint32_t>(m_Impl->m_ReportAt == TimePoint{} ? 0 : ToMs(Now() - m_Impl->m_ReportAt));
     out.staging_reserved = m_Impl->m_Shared->m_Staging.Reserved();
-    out.staging_max = m_Impl->m_Shared->m_Staging.Max();
-    const auto& warm = m_Impl->m_Report.m_WarmPrefixes;
+    out.staging_max      = m_Impl->m_Shared->m_Staging.Max();
+    const auto& warm     = m_Impl->m_Report.m_WarmPrefixes;
     out.warm.assign(warm.begin(), warm.begin() + static_cast<std::ptrdiff_t>(std::min(warm.size(), kWarmMax)));
     for (const auto& [digest, v] : m_Impl->m_Activation.Versions())
     {
-        auto status = std::make_unique<wire::VersionStatusT>();
-        status->digest = digest;
-        status->base = v.m_Base;
-        status->state = static_cast<wire::ServableState>(v.m_State);
-        status->error = v.m_Error;
+        auto status      = std::make_unique<wire::VersionStatusT>();
+        status->digest   = digest;
+        status->base     = v.m_Base;
+        status->state    = static_cast<wire::ServableState>(v.m_State);
+        status->error    = v.m_Error;
         status->failures = v.m_Failures;
-        const auto t = m_Impl->m_Transfers.find(digest);
+        const auto t     = m_Impl->m_Transfers.find(digest);
         if (t != m_Impl->m_Transfers.end())
             t->second->Describe(*status);
         out.versions.push_back(std::move(status));
--- a/src/version/agent_weights.h
+++ b/src/version/agent_weights.h
@@ -30,14 +30,14 @@
 
 struct WeightsSettings
 {
-    int64_t     m_StagingMib = 4096; // bound of staging memory, MiB [weights.staging_mib]
-    double      m_LinkMibS = 0;      // weights in and out together, MiB/s; 0: no limit [weights.link_mib_s]
-    int64_t     m_Neighbours = 8;    // boxes dialled per version [weights.neighbours]
-    std::string m_Mode = "spread";   // or a baseline [weights.mode]
-    int64_t     m_DownloadSlots = 3; // [weights.download_slots]
-    int64_t     m_UploadSlots = 3;   // [weights.upload_slots]
-    int64_t     m_TakeOverMs = 1500; // [weights.take_over_ms]
-    std::string m_StagingListen;     // where the engine reads from, loopback [weights.staging_listen]
+    int64_t     m_StagingMib    = 4096;     // bound of staging memory, MiB [weights.staging_mib]
+    double      m_LinkMibS      = 0;        // weights in and out together, MiB/s; 0: no limit [weights.link_mib_s]
+    int64_t     m_Neighbours    = 8;        // boxes dialled per version [weights.neighbours]
+    std::string m_Mode          = "spread"; // or a baseline [weights.mode]
+    int64_t     m_DownloadSlots = 3;        // [weights.download_slots]
+    int64_t     m_UploadSlots   = 3;        // [weights.upload_slots]
+    int64_t     m_TakeOverMs    = 1500;     // [weights.take_over_ms]
+    std::string m_StagingListen;            // where the engine reads from, loopback [weights.staging_listen]
 };
 
 std::vector<SettingSpec> DescribeWeights(WeightsSettings& s);
@@ -61,6 +61,7 @@
 
     bool         BeginRequest(const std::string& digest, const std::string& adapter); // digests of whole manifests; false: not servable here
     void         EndRequest();
+    bool         HoldsSlice() const; // serves or fetches a part of a replica over several boxes
     uint64_t     RunningRequests() const;
     void         ChargeLive(size_t bytes); // bytes of live answers on the box's link
     void         Describe(wire::AgentStateT& out) const;
--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -79,14 +79,14 @@
 
 void Exchange::OnPeerUp(const std::string& peer, bool same_data_centre)
 {
-    Peer& p = m_Peers[peer];
+    Peer& p            = m_Peers[peer];
     p.m_SameDataCentre = same_data_centre;
     if (p.m_Up)
         return;
     p.m_Up = true;
     p.m_Have.assign(m_Manifest->m_ChunkCount, false);
     p.m_PausedUntil = {};
-    p.m_Spent = false;
+    p.m_Spent       = false;
 }
 
 void Exchange::OnPeerDown(const std::string& peer)
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -46,20 +46,20 @@
 
 struct ExchangeConfig
 {
-    ExchangeMode m_Mode = ExchangeMode_Spread;        //
-    unsigned     m_DownloadSlots = 3;                 // requests to neighbours in flight
-    unsigned     m_OriginSlots = 1;                   // requests to the origin in flight
-    unsigned     m_UploadSlots = 3;                   // uploads in flight, more are refused as busy
-    unsigned     m_PerPeer = 1;                       // requests in flight to one neighbour
-    double       m_UploadBudget = 1.05;               // copies of the version this box uploads unless asked urgently
-    unsigned     m_OriginRanks = 3;                   // members that may fetch one chunk from the origin: hard cap on copies
-    Duration     m_TakeOver = milliseconds(1500);     // wait per rank before the next in order steps in, from when its own share is done
-    Duration     m_BusyPause = milliseconds(30);      // after a busy answer
-    Duration     m_StallPause = milliseconds(3000);   // after a request without an answer
-    Duration     m_ChunkTimeout = milliseconds(4000); // of one request
-    unsigned     m_CorruptMax = 3;                    // corrupt chunks before a neighbour may be set aside
-    double       m_CorruptShare = 0.2;                // share of corrupt chunks above which it is
-    Duration     m_OriginPause = milliseconds(500);   // after a failed read from the origin
+    ExchangeMode m_Mode          = ExchangeMode_Spread; //
+    unsigned     m_DownloadSlots = 3;                   // requests to neighbours in flight
+    unsigned     m_OriginSlots   = 1;                   // requests to the origin in flight
+    unsigned     m_UploadSlots   = 3;                   // uploads in flight, more are refused as busy
+    unsigned     m_PerPeer       = 1;                   // requests in flight to one neighbour
+    double       m_UploadBudget  = 1.05;                // copies of the version this box uploads unless asked urgently
+    unsigned     m_OriginRanks   = 3;                   // members that may fetch one chunk from the origin: hard cap on copies
+    Duration     m_TakeOver      = milliseconds(1500);  // wait per rank before the next in order steps in, from when its own share is done
+    Duration     m_BusyPause     = milliseconds(30);    // after a busy answer
+    Duration     m_StallPause    = milliseconds(3000);  // after a request without an answer
+    Duration     m_ChunkTimeout  = milliseconds(4000);  // of one request
+    unsigned     m_CorruptMax    = 3;                   // corrupt chunks before a neighbour may be set aside
+    double       m_CorruptShare  = 0.2;                 // share of corrupt chunks above which it is
+    Duration     m_OriginPause   = milliseconds(500);   // after a failed read from the origin
 };
 
 //-----------------------------------------------------------------------------
@@ -117,15 +117,15 @@
 private:
     struct Peer
     {
-        std::vector<bool> m_Have;          // by chunk
-        unsigned          m_InFlight = 0;  // requests of ours
-        unsigned          m_Corrupt = 0;   // corrupt chunks so far
-        unsigned          m_Good = 0;      // good ones
-        bool              m_Aside = false; // set aside for good; its m_Have is empty
-        bool              m_Spent = false; // over its upload budget
+        std::vector<bool> m_Have;                   // by chunk
+        unsigned          m_InFlight       = 0;     // requests of ours
+        unsigned          m_Corrupt        = 0;     // corrupt chunks so far
+        unsigned          m_Good           = 0;     // good ones
+        bool              m_Aside          = false; // set aside for good; its m_Have is empty
+        bool              m_Spent          = false; // over its upload budget
         bool              m_SameDataCentre = true;
-        bool              m_Up = false;    // one that went down keeps its counts, and its m_Have is empty
-        TimePoint         m_PausedUntil{}; //
+        bool              m_Up             = false; // one that went down keeps its counts, and its m_Have is empty
+        TimePoint         m_PausedUntil{};          //
     };
 
     std::optional<uint32_t> BestFromOrigin(TimePoint now); // also moves m_NextWake
@@ -155,12 +155,12 @@
     std::vector<uint16_t>       m_Willing;         // those of them within their upload budget; invariant: <= m_Holders
     std::vector<uint64_t>       m_Order;           // TieBreak() by chunk
     unsigned                    m_DownloadsFlying = 0;
-    unsigned                    m_OriginFlying = 0;
-    unsigned                    m_UploadsFlying = 0;
+    unsigned                    m_OriginFlying    = 0;
+    unsigned                    m_UploadsFlying   = 0;
     TimePoint                   m_OriginPausedUntil{};
-    std::optional<TimePoint>    m_NextWake;        //
-    uint64_t                    m_BytesOrigin = 0; // verified
-    uint64_t                    m_BytesPeers = 0;  // verified
+    std::optional<TimePoint>    m_NextWake;          //
+    uint64_t                    m_BytesOrigin   = 0; // verified
+    uint64_t                    m_BytesPeers    = 0; // verified
     uint64_t                    m_BytesUploaded = 0;
 };
 
--- a/src/version/manifest.cpp
+++ b/src/version/manifest.cpp
@@ -50,9 +50,9 @@
         return size.error();
     if (name.value().empty() || name.value().find('/') != std::string::npos || name.value()[0] == '.')
         return Bad("shards.name", "expected a file name");
-    shard.m_Name = name.value();
-    shard.m_Size = size.value();
-    shard.m_First = m.m_ChunkCount;
+    shard.m_Name              = name.value();
+    shard.m_Size              = size.value();
+    shard.m_First             = m.m_ChunkCount;
     const json::value* chunks = v.as_object().if_contains("chunks");
     if (chunks == nullptr || !chunks->is_array())
         return Bad("shards.chunks", "expected an array");
@@ -73,8 +73,8 @@
 
 Result<ManifestPtr> ParseManifest(std::string_view text, std::string_view expected_digest)
 {
-    auto m = std::make_shared<Manifest>();
-    m->m_Text = std::string(text);
+    auto m      = std::make_shared<Manifest>();
+    m->m_Text   = std::string(text);
     m->m_Digest = ToHex(Sha256(text));
     if (!expected_digest.empty() && m->m_Digest != expected_digest)
         return Bad("digest", "bytes don't match the declared digest");
@@ -82,11 +82,11 @@
     const json::value v = json::parse(text, ec);
     if (ec || !v.is_object())
         return Bad("", "no JSON object");
-    const json::object& o = v.as_object();
-    auto                model = ReadText(o, "model", true);
+    const json::object& o       = v.as_object();
+    auto                model   = ReadText(o, "model", true);
     auto                version = ReadText(o, "version", true);
-    auto                base = ReadText(o, "base", false);
-    auto                size = ReadCount(o, "chunk_size", kChunkSizeMin, kChunkSizeMax);
+    auto                base    = ReadText(o, "base", false);
+    auto                size    = ReadCount(o, "chunk_size", kChunkSizeMin, kChunkSizeMax);
     if (!model)
         return model.error();
     if (!version)
@@ -95,9 +95,9 @@
         return base.error();
     if (!size)
         return size.error();
-    m->m_Model = model.value();
-    m->m_Version = version.value();
-    m->m_Base = base.value();
+    m->m_Model     = model.value();
+    m->m_Version   = version.value();
+    m->m_Base      = base.value();
     m->m_ChunkSize = size.value();
 
     const json::value* shards = o.if_contains("shards");
@@ -148,15 +148,15 @@
     BOOST_ASSERT_MSG(position < count, "slice position out of range");
     if (count == 1)
         return m;
-    auto slice = std::make_shared<Manifest>(*m);
-    slice->m_Digest = SliceDigest(m->m_Digest, position, count);
+    auto slice          = std::make_shared<Manifest>(*m);
+    slice->m_Digest     = SliceDigest(m->m_Digest, position, count);
     slice->m_ChunkCount = 0;
-    slice->m_Size = 0;
+    slice->m_Size       = 0;
     slice->m_Shards.clear();
     for (size_t i = position; i < m->m_Shards.size(); i += count)
     {
         ManifestShard shard = m->m_Shards[i];
-        shard.m_First = slice->m_ChunkCount;
+        shard.m_First       = slice->m_ChunkCount;
         slice->m_ChunkCount += static_cast<uint32_t>(shard.m_Chunks.size());
         slice->m_Size += shard.m_Size;
         slice->m_Shards.push_back(std::move(shard));
--- a/src/version/manifest.h
+++ b/src/version/manifest.h
@@ -21,7 +21,7 @@
 
 constexpr uint64_t kChunkSizeMin = 4 * 1024;        // bytes
 constexpr uint64_t kChunkSizeMax = 4 * 1024 * 1024; // bytes; half of kFrameMax
-constexpr size_t   kChunksMax = 4 * 1024 * 1024;    // of one manifest
+constexpr size_t   kChunksMax    = 4 * 1024 * 1024; // of one manifest
 
 struct ManifestShard
 {
@@ -41,13 +41,13 @@
     uint64_t                   m_ChunkSize = 0;  // bytes
     std::vector<ManifestShard> m_Shards;         // at least one
     uint32_t                   m_ChunkCount = 0; // over all shards
-    uint64_t                   m_Size = 0;       // bytes over all shards
+    uint64_t                   m_Size       = 0; // bytes over all shards
 };
 using ManifestPtr = std::shared_ptr<const Manifest>;
 
 struct ChunkPlace
 {
-    uint32_t m_Shard = 0;  // index into m_Shards
+    uint32_t m_Shard  = 0; // index into m_Shards
     uint64_t m_Offset = 0; // bytes into the shard
     uint64_t m_Length = 0; // bytes
 };
--- a/src/version/rollout.cpp
+++ b/src/version/rollout.cpp
@@ -57,9 +57,9 @@
 {
     for (size_t i = 0; i < replica.m_Boxes.size(); i++)
     {
-        const BoxObservation& b = replica.m_Boxes[i];
+        const BoxObservation& b     = replica.m_Boxes[i];
         const std::string     slice = replica.SliceFor(plan.m_Target, i);
-        const VersionState    s = StateOf(b, slice);
+        const VersionState    s     = StateOf(b, slice);
         if (b.m_Reachable && (s == VersionState_Absent || s == VersionState_Failed))
             plan.m_Orders.push_back({b.m_Name, OrderKind_Prepare, slice, {}});
     }
@@ -116,8 +116,8 @@
         {
             const std::string whole(WholeDigest(slice));
             const bool        adapter = std::find(in.m_Adapters.begin(), in.m_Adapters.end(), whole) != in.m_Adapters.end();
-            const bool        kept = whole == in.m_Wanted || whole == in.m_Previous || slice == b.m_Active || adapter;
-            const bool        busy = held.m_State == VersionState_Loading || held.m_State == VersionState_Servable;
+            const bool        kept    = whole == in.m_Wanted || whole == in.m_Previous || slice == b.m_Active || adapter;
+            const bool        busy    = held.m_State == VersionState_Loading || held.m_State == VersionState_Servable;
             if (!kept && !busy)
                 plan.m_Orders.push_back({b.m_Name, OrderKind_Unload, slice, {}});
         }
@@ -130,12 +130,12 @@
 {
     RolloutPlan                     plan;
     const std::vector<ReplicaBoxes> replicas = GroupBoxes(in);
-    size_t                          failed = 0;
+    size_t                          failed   = 0;
     for (const ReplicaBoxes& r : replicas)
         for (size_t i = 0; i < r.m_Boxes.size(); i++)
             if (const auto v = r.m_Boxes[i].m_Versions.find(r.SliceFor(in.m_Wanted, i)); v != r.m_Boxes[i].m_Versions.end())
                 failed += v->second.m_Failures;
-    plan.m_Halt = in.m_Halted || (failed >= in.m_HaltAfterFailed && !in.m_Previous.empty());
+    plan.m_Halt   = in.m_Halted || (failed >= in.m_HaltAfterFailed && !in.m_Previous.empty());
     plan.m_Target = plan.m_Halt && !in.m_Previous.empty() ? in.m_Previous : in.m_Wanted;
     for (const ReplicaBoxes& r : replicas)
     {
--- a/src/version/rollout.h
+++ b/src/version/rollout.h
@@ -33,10 +33,10 @@
     std::vector<std::string>    m_Adapters;            // manifest digests that go on m_Wanted
     std::vector<BoxObservation> m_Boxes;               // in placement order
     size_t                      m_BoxesPerReplica = 1; //
-    size_t                      m_MaxUnavailable = 1;  // boxes
+    size_t                      m_MaxUnavailable  = 1; // boxes
     size_t                      m_HaltAfterFailed = 2; // failures of m_Wanted over all boxes; one box may fail more than once
-    bool                        m_Paused = false;
-    bool                        m_Halted = false; // m_Wanted was halted before
+    bool                        m_Paused          = false;
+    bool                        m_Halted          = false; // m_Wanted was halted before
 };
 
 struct PlannedOrder
@@ -49,10 +49,10 @@
 
 struct RolloutPlan
 {
-    std::vector<PlannedOrder> m_Orders;            //
-    bool                      m_Halt = false;      // m_Wanted failed often enough; remember it as halted
-    size_t                    m_ServableBoxes = 0; // boxes that serve the target
-    std::string               m_Target;            // what the orders lead to: m_Wanted, or m_Previous after a halt
+    std::vector<PlannedOrder> m_Orders;                //
+    bool                      m_Halt          = false; // m_Wanted failed often enough; remember it as halted
+    size_t                    m_ServableBoxes = 0;     // boxes that serve the target
+    std::string               m_Target;                // what the orders lead to: m_Wanted, or m_Previous after a halt
 };
 
 RolloutPlan PlanRollout(const RolloutInput& in);
--- a/src/version/staging.cpp
+++ b/src/version/staging.cpp
@@ -10,7 +10,7 @@
     std::map<Digest, uint64_t> missing;
     for (uint32_t i = 0; i < m.m_ChunkCount; i++)
     {
-        const Digest&   d = ChunkDigest(m, i);
+        const Digest&   d     = ChunkDigest(m, i);
         Shard&          shard = ShardOf(d);
         std::lock_guard shard_lock(shard.m_Mutex);
         if (!shard.m_Slots.contains(d))
@@ -25,7 +25,7 @@
     m_Reserved += bytes;
     for (uint32_t i = 0; i < m.m_ChunkCount; i++)
     {
-        const Digest&   d = ChunkDigest(m, i);
+        const Digest&   d     = ChunkDigest(m, i);
         Shard&          shard = ShardOf(d);
         std::lock_guard shard_lock(shard.m_Mutex);
         shard.m_Slots[d].m_Users++;
@@ -38,7 +38,7 @@
     std::lock_guard lock(m_ReserveMutex);
     for (uint32_t i = 0; i < m.m_ChunkCount; i++)
     {
-        const Digest&   d = ChunkDigest(m, i);
+        const Digest&   d     = ChunkDigest(m, i);
         Shard&          shard = ShardOf(d);
         std::lock_guard shard_lock(shard.m_Mutex);
         const auto      it = shard.m_Slots.find(d);
--- a/src/version/token_bucket.h
+++ b/src/version/token_bucket.h
@@ -50,8 +50,8 @@
     void SetRate(double rate, double burst, TimePoint now)
     {
         Refill(now);
-        m_Rate = rate;
-        m_Burst = burst;
+        m_Rate   = rate;
+        m_Burst  = burst;
         m_Tokens = std::min(m_Tokens, burst);
     }
 
@@ -63,7 +63,7 @@
         if (now <= m_At)
             return;
         m_Tokens = std::min(m_Burst, m_Tokens + m_Rate * ToSeconds(now - m_At));
-        m_At = now;
+        m_At     = now;
     }
 
     double    m_Rate;   // tokens a second; 0: no limit
