--- a/src/version/transfer.cpp
+++ b/src/version/transfer.cpp
@@ -8,16 +8,17 @@
 namespace
 {
 
-constexpr auto   kManifestTimeout = milliseconds(3000);  // one read from the origin
-constexpr auto   kManifestAsk = milliseconds(500);       // one question to a neighbour
+constexpr auto   kManifestTimeout  = milliseconds(3000); // one read from the origin
+constexpr auto   kManifestAsk      = milliseconds(500);  // one question to a neighbour
 constexpr auto   kManifestFallback = milliseconds(3000); // without an answer from neighbours, ask the origin after this
-constexpr auto   kRetryPause = milliseconds(200);
-constexpr auto   kHaveEvery = milliseconds(40); // HaveUpdates are batched this long
-constexpr auto   kWatchEvery = milliseconds(500);
-constexpr auto   kStuckAfter = milliseconds(3000); // nothing moved for this long: look beyond the scope
-constexpr size_t kManifestReaders = 3;             // members of a scope that read the manifest from the origin at once
-constexpr size_t kOutsidePerDc = 2;                // boxes of each other data centre tried when stuck
-constexpr size_t kRemotePerDc = 2;                 // boxes of each other data centre in the scope
+constexpr auto   kRetryPause       = milliseconds(200);
+constexpr auto   kHaveEvery        = milliseconds(40); // HaveUpdates are batched this long
+constexpr auto   kEarly            = seconds(2);
+constexpr auto   kWatchEvery       = milliseconds(500);
+constexpr auto   kStuckAfter       = milliseconds(3000); // nothing moved for this long: look beyond the scope
+constexpr size_t kManifestReaders  = 3;                  // members of a scope that read the manifest from the origin at once
+constexpr size_t kOutsidePerDc     = 2;                  // boxes of each other data centre tried when stuck
+constexpr size_t kRemotePerDc      = 2;                  // boxes of each other data centre in the scope
 
 } // namespace
 
@@ -40,7 +41,7 @@
 {
     std::lock_guard lock(m_Mutex);
     m_Stopped = true;
-    m_Done = nullptr;
+    m_Done    = nullptr;
 }
 
 void Transfer::Release()
@@ -51,7 +52,7 @@
         if (!m_Reserved)
             return;
         m_Reserved = false;
-        m = m_Manifest;
+        m          = m_Manifest;
     }
     m_Shared->m_Staging.Release(*m);
 }
@@ -77,7 +78,7 @@
         if (s)
         {
             m_Verified = true;
-            m_Seconds = ToSeconds(Now() - m_StartedAt);
+            m_Seconds  = ToSeconds(Now() - m_StartedAt);
         }
     }
     if (done)
@@ -91,7 +92,7 @@
 // Boxes at the same position of their replicas: they hold the same slice.
 std::vector<std::string> Transfer::SliceMembers(bool whole_fleet) const
 {
-    const ConfigPtr          c = m_Shared->m_Node.Config();
+    const ConfigPtr          c    = m_Shared->m_Node.Config();
     const std::string&       self = m_Shared->m_Daemon.Settings().m_Name;
     std::vector<std::string> out;
     const auto               p = c->m_Placements.find(m_Placement);
@@ -113,9 +114,9 @@
 
 void Transfer::DialNeighbours(bool outside_scope)
 {
-    const ConfigPtr                c = m_Shared->m_Node.Config();
-    const std::string&             self = m_Shared->m_Daemon.Settings().m_Name;
-    const std::string&             dc = m_Shared->m_Daemon.Settings().m_DataCentre;
+    const ConfigPtr                c       = m_Shared->m_Node.Config();
+    const std::string&             self    = m_Shared->m_Daemon.Settings().m_Name;
+    const std::string&             dc      = m_Shared->m_Daemon.Settings().m_DataCentre;
     const std::vector<std::string> members = SliceMembers(outside_scope);
     std::map<std::string, size_t>  taken; // by data centre
     for (const size_t i : RendezvousOrder(self + m_Slice, members))
@@ -169,8 +170,8 @@
     {
         std::lock_guard lock(m_Mutex);
         msg.digest = m_Slice;
-        msg.reply = reply;
-        msg.whole = m_Exchange && m_Exchange->Complete();
+        msg.reply  = reply;
+        msg.whole  = m_Exchange && m_Exchange->Complete();
         if (m_Exchange && !msg.whole)
             msg.added = m_Exchange->HaveList();
     }
@@ -200,7 +201,8 @@
 {
     for (;;)
     {
-        co_await SleepFor(kHaveEvery);
+        // Early on every chunk is rare and news of it worth much; later batches may be larger.
+        co_await SleepFor(Now() - m_StartedAt < kEarly ? kHaveEvery : 2 * kHaveEvery);
         wire::HaveUpdateT     msg;
         std::set<std::string> to;
         {
@@ -210,7 +212,7 @@
             if (m_NewHave.empty())
                 continue;
             msg.digest = m_Slice;
-            msg.whole = m_Exchange->Complete();
+            msg.whole  = m_Exchange->Complete();
             if (!msg.whole)
                 msg.added = m_NewHave;
             m_NewHave.clear();
@@ -258,13 +260,13 @@
 
 awaitable<ManifestPtr> Transfer::AskNeighbours()
 {
-    const auto           ex = co_await asio::this_coro::executor;
+    const auto           ex    = co_await asio::this_coro::executor;
     std::vector<LinkPtr> links = m_Shared->m_Node.Links(wire::PeerRole::Agent);
     for (const LinkPtr& link : links)
     {
         wire::ManifestGetT get;
-        get.digest = std::string(WholeDigest(m_Slice));
-        const MailboxPtr        box = link->OpenExchange(ex);
+        get.digest                   = std::string(WholeDigest(m_Slice));
+        const MailboxPtr        box  = link->OpenExchange(ex);
         const bool              sent = link->Send(EncodeFrame(box->Id(), get));
         std::optional<FrameBuf> answer;
         if (sent)
@@ -284,8 +286,8 @@
 awaitable<ManifestPtr> Transfer::ObtainManifest()
 {
     const std::vector<std::string> members = SliceMembers(false);
-    const std::vector<size_t>      order = RendezvousOrder(m_Slice, members);
-    bool                           reader = false;
+    const std::vector<size_t>      order   = RendezvousOrder(m_Slice, members);
+    bool                           reader  = false;
     for (size_t i = 0; i < std::min(order.size(), kManifestReaders); i++)
         reader = reader || members[order[i]] == m_Shared->m_Daemon.Settings().m_Name;
     for (;;)
@@ -326,7 +328,7 @@
     const ManifestPtr whole = co_await ObtainManifest();
     if (!whole)
         co_return;
-    const ManifestPtr m = SliceManifest(whole, m_Position, m_Count);
+    const ManifestPtr m        = SliceManifest(whole, m_Position, m_Count);
     const Status      reserved = m_Shared->m_Staging.Reserve(*m);
     if (!reserved)
     {
@@ -339,15 +341,15 @@
         if (m_Shared->m_Staging.Has(ChunkDigest(*m, c)))
             present.push_back(c);
     bool stopped = false;
-    bool done = false;
+    bool done    = false;
     {
         std::lock_guard lock(m_Mutex);
-        m_Manifest = m;
+        m_Manifest  = m;
         m_WholeText = whole->m_Text;
-        m_Reserved = true;
-        m_Exchange = std::make_unique<Exchange>(m, m_Shared->m_Config, SliceMembers(false), m_Shared->m_Daemon.Settings().m_Name, present);
-        stopped = m_Stopped;
-        done = m_Exchange->Complete();
+        m_Reserved  = true;
+        m_Exchange  = std::make_unique<Exchange>(m, m_Shared->m_Config, SliceMembers(false), m_Shared->m_Daemon.Settings().m_Name, present);
+        stopped     = m_Stopped;
+        done        = m_Exchange->Complete();
     }
     if (stopped)
     {
@@ -375,7 +377,7 @@
         if (m_Stopped || !m_Exchange)
             return;
         fetches = m_Exchange->Next(Now());
-        m = m_Manifest;
+        m       = m_Manifest;
     }
     for (const Fetch& f : fetches)
         Spawn(m_Shared->m_Daemon.Ioc(),
@@ -401,7 +403,7 @@
         {
             m_NewHave.push_back(f.m_Chunk);
             m_LastProgress = Now();
-            complete = m_Exchange->Complete() && !m_Verified;
+            complete       = m_Exchange->Complete() && !m_Verified;
         }
     }
     if (complete)
@@ -423,11 +425,11 @@
     if (!link)
         co_return ChunkOutcome_Failed;
     wire::ChunkGetT get;
-    get.digest = m_Slice;
-    get.index = f.m_Chunk;
-    get.urgent = f.m_Urgent;
-    const auto              ex = co_await asio::this_coro::executor;
-    const MailboxPtr        box = link->OpenExchange(ex);
+    get.digest                   = m_Slice;
+    get.index                    = f.m_Chunk;
+    get.urgent                   = f.m_Urgent;
+    const auto              ex   = co_await asio::this_coro::executor;
+    const MailboxPtr        box  = link->OpenExchange(ex);
     const bool              sent = link->Send(EncodeFrame(box->Id(), get));
     std::optional<FrameBuf> answer;
     if (sent)
@@ -474,15 +476,15 @@
 {
     wire::ChunkRefusedT refused;
     refused.digest = m_Slice;
-    refused.index = msg.index();
+    refused.index  = msg.index();
     ChunkBytes bytes;
     {
         std::lock_guard lock(m_Mutex);
         if (m_Exchange && m_Reserved && msg.index() < m_Manifest->m_ChunkCount && m_Exchange->Has(msg.index()))
             bytes = m_Shared->m_Staging.Get(ChunkDigest(*m_Manifest, msg.index()));
         const ChunkOutcome admitted = bytes ? m_Exchange->AdmitUpload(bytes->size(), msg.urgent()) : ChunkOutcome_Missing;
-        refused.busy = admitted == ChunkOutcome_Busy;
-        refused.spent = admitted == ChunkOutcome_Spent;
+        refused.busy                = admitted == ChunkOutcome_Busy;
+        refused.spent               = admitted == ChunkOutcome_Spent;
         if (admitted != ChunkOutcome_Good)
             bytes = nullptr;
     }
@@ -512,10 +514,10 @@
     out.seconds = static_cast<float>(m_Verified ? m_Seconds : ToSeconds(Now() - m_StartedAt));
     if (!m_Exchange)
         return;
-    out.chunks_have = m_Exchange->HaveCount();
-    out.chunks_total = m_Manifest->m_ChunkCount;
-    out.bytes_origin = m_Exchange->BytesFromOrigin();
-    out.bytes_peers = m_Exchange->BytesFromPeers();
+    out.chunks_have    = m_Exchange->HaveCount();
+    out.chunks_total   = m_Manifest->m_ChunkCount;
+    out.bytes_origin   = m_Exchange->BytesFromOrigin();
+    out.bytes_peers    = m_Exchange->BytesFromPeers();
     out.bytes_uploaded = m_Exchange->BytesUploaded();
 }
 
--- a/src/version/transfer_internal.h
+++ b/src/version/transfer_internal.h
@@ -82,10 +82,10 @@
     std::set<std::string>       m_Outside;   // boxes beyond the scope, used only when nothing moves
     std::vector<uint32_t>       m_NewHave;   // verified since the last HaveUpdate
     std::function<void(Status)> m_Done;      // empty once called
-    bool                        m_Stopped = false;
+    bool                        m_Stopped  = false;
     bool                        m_Reserved = false;
     bool                        m_Verified = false;
-    double                      m_Seconds = 0;  // from start to verified
+    double                      m_Seconds  = 0; // from start to verified
     TimePoint                   m_LastProgress; //
 };
 using TransferPtr = std::shared_ptr<Transfer>;
--- a/tests/support_io.h
+++ b/tests/support_io.h
@@ -26,7 +26,10 @@
 // A Daemon whose io_context runs in two threads until the object goes.
 struct RunningDaemon
 {
-    explicit RunningDaemon(const std::string& name, const std::string& data_centre = "dc") : m_Daemon(TestSettings(name, data_centre), "test"), m_Work(m_Daemon.Ioc().get_executor()) {}
+    explicit RunningDaemon(const std::string& name, const std::string& data_centre = "dc")
+        : m_Daemon(TestSettings(name, data_centre), "test"), m_Work(m_Daemon.Ioc().get_executor())
+    {
+    }
 
     ~RunningDaemon() { Stop(); }
 
--- a/tests/test_activation.cpp
+++ b/tests/test_activation.cpp
@@ -148,76 +148,78 @@
 
 BOOST_AUTO_TEST_CASE(random_interleavings)
 {
-    ALDERVALE_PROPERTY("a version serves only when verified and confirmed by the engine; a load starts only when nothing runs; fencing never falls", [] {
-        Activation            a;
-        std::set<std::string> verified;
-        std::string           engine; // what the fake engine has loaded
-        std::vector<ActivationAction> loads;
-        uint64_t              highest = 0;
-        uint64_t              id      = 0;
-        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
-        for (const int step : steps)
-        {
-            const std::string digest = "v" + std::to_string(*rc::gen::inRange(0, 4));
-            const uint64_t    before = a.Fencing();
-            switch (step)
-            {
-            case 0:
-            case 1:
-            case 2:
-            {
-                const uint64_t fencing = *rc::gen::inRange<uint64_t>(1, 6);
-                const auto     outcome = a.OnOrder(MakeOrder(fencing, ++id, static_cast<OrderKind>(step), digest));
-                RC_ASSERT((outcome == OrderOutcome_Stale) == (fencing < highest));
-                highest = std::max(highest, fencing);
-                break;
-            }
-            case 3:
-                if (a.Versions().contains(digest) && a.Versions().at(digest).m_State == VersionState_Fetching)
-                    verified.insert(digest);
-                a.OnVerified(digest);
-                break;
-            case 4:
-                a.OnFetchFailed(digest, "x");
-                break;
-            case 5:
-                if (!loads.empty())
-                {
-                    engine = loads.back().m_Digest;
-                    loads.pop_back();
-                    a.OnLoaded(engine, engine);
-                }
-                break;
-            case 6:
-                engine.clear();
-                loads.clear();
-                a.OnEngineLost();
-                break;
-            case 7:
-                a.RequestBegin(a.Active(), "");
-                break;
-            case 8:
-                if (a.Running() > 0)
-                    a.RequestEnd();
-                break;
-            }
-            for (const ActivationAction& action : a.TakeActions())
-            {
-                if (action.m_Type == ActivationAction_Drop)
-                    verified.erase(action.m_Digest);
-                if (action.m_Type != ActivationAction_EngineLoad)
-                    continue;
-                RC_ASSERT(verified.contains(action.m_Digest));
-                RC_ASSERT(a.Running() == 0u);
-                engine.clear(); // a real engine serves nothing while it loads
-                loads = {action};
-            }
-            RC_ASSERT(a.Fencing() >= before);
-            for (int v = 0; v < 4; v++)
-            {
-                const std::string name = "v" + std::to_string(v);
-                RC_ASSERT(!a.MayServe(name) || (verified.contains(name) && engine == name));
-            }
-        }
-    });
+    ALDERVALE_PROPERTY("a version serves only when verified and confirmed by the engine; a load starts only when nothing runs; fencing never falls",
+                       []
+                       {
+                           Activation                    a;
+                           std::set<std::string>         verified;
+                           std::string                   engine; // what the fake engine has loaded
+                           std::vector<ActivationAction> loads;
+                           uint64_t                      highest = 0;
+                           uint64_t                      id      = 0;
+                           const auto                    steps   = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+                           for (const int step : steps)
+                           {
+                               const std::string digest = "v" + std::to_string(*rc::gen::inRange(0, 4));
+                               const uint64_t    before = a.Fencing();
+                               switch (step)
+                               {
+                               case 0:
+                               case 1:
+                               case 2:
+                               {
+                                   const uint64_t fencing = *rc::gen::inRange<uint64_t>(1, 6);
+                                   const auto     outcome = a.OnOrder(MakeOrder(fencing, ++id, static_cast<OrderKind>(step), digest));
+                                   RC_ASSERT((outcome == OrderOutcome_Stale) == (fencing < highest));
+                                   highest = std::max(highest, fencing);
+                                   break;
+                               }
+                               case 3:
+                                   if (a.Versions().contains(digest) && a.Versions().at(digest).m_State == VersionState_Fetching)
+                                       verified.insert(digest);
+                                   a.OnVerified(digest);
+                                   break;
+                               case 4:
+                                   a.OnFetchFailed(digest, "x");
+                                   break;
+                               case 5:
+                                   if (!loads.empty())
+                                   {
+                                       engine = loads.back().m_Digest;
+                                       loads.pop_back();
+                                       a.OnLoaded(engine, engine);
+                                   }
+                                   break;
+                               case 6:
+                                   engine.clear();
+                                   loads.clear();
+                                   a.OnEngineLost();
+                                   break;
+                               case 7:
+                                   a.RequestBegin(a.Active(), "");
+                                   break;
+                               case 8:
+                                   if (a.Running() > 0)
+                                       a.RequestEnd();
+                                   break;
+                               }
+                               for (const ActivationAction& action : a.TakeActions())
+                               {
+                                   if (action.m_Type == ActivationAction_Drop)
+                                       verified.erase(action.m_Digest);
+                                   if (action.m_Type != ActivationAction_EngineLoad)
+                                       continue;
+                                   RC_ASSERT(verified.contains(action.m_Digest));
+                                   RC_ASSERT(a.Running() == 0u);
+                                   engine.clear(); // a real engine serves nothing while it loads
+                                   loads = {action};
+                               }
+                               RC_ASSERT(a.Fencing() >= before);
+                               for (int v = 0; v < 4; v++)
+                               {
+                                   const std::string name = "v" + std::to_string(v);
+                                   RC_ASSERT(!a.MayServe(name) || (verified.contains(name) && engine == name));
+                               }
+                           }
+                       });
 }
--- a/tests/test_exchange.cpp
+++ b/tests/test_exchange.cpp
@@ -19,16 +19,17 @@
 
 struct Faults
 {
-    double            m_Corrupt    = 0;     // share of transfers between boxes that arrive corrupt
-    double            m_Fail       = 0;     // share of transfers that fail
-    std::set<size_t>  m_Dying;              // boxes that die half way
-    uint32_t          m_OriginDiesAt = UINT32_MAX; // reads after which the origin is down
+    double           m_Corrupt = 0;               // share of transfers between boxes that arrive corrupt
+    double           m_Fail    = 0;               // share of transfers that fail
+    std::set<size_t> m_Dying;                     // boxes that die half way
+    uint32_t         m_OriginDiesAt = UINT32_MAX; // reads after which the origin is down
 };
 
 // Boxes in a ring of neighbours; time moves in ticks of 10 ms; a transfer takes one tick.
 struct FakeFleet
 {
-    FakeFleet(size_t boxes, uint32_t chunks, const Faults& faults, uint64_t seed) : m_Manifest(MakeTestManifest(chunks)), m_Faults(faults), m_Random(seed)
+    FakeFleet(size_t boxes, uint32_t chunks, const Faults& faults, uint64_t seed)
+        : m_Manifest(MakeTestManifest(chunks)), m_Faults(faults), m_Random(seed)
     {
         for (size_t i = 0; i < boxes; i++)
             m_Names.push_back("box-" + std::to_string(i));
@@ -58,7 +59,7 @@
             return ChunkOutcome_Failed;
         if (!m_Boxes[from]->Has(f.m_Chunk))
             return ChunkOutcome_Missing;
-        const uint64_t before = m_Boxes[from]->BytesUploaded();
+        const uint64_t     before   = m_Boxes[from]->BytesUploaded();
         const ChunkOutcome admitted = m_Boxes[from]->AdmitUpload(kChunkSizeMin, f.m_Urgent);
         if (admitted != ChunkOutcome_Good)
             return admitted;
@@ -155,14 +156,16 @@
 
 BOOST_AUTO_TEST_CASE(undisturbed_copy_reads_the_origin_once)
 {
-    ALDERVALE_PROPERTY("one copy from the origin, all complete, uploads within budget", [](uint64_t seed) {
-        const size_t   boxes  = *rc::gen::inRange<size_t>(1, 20);
-        const uint32_t chunks = *rc::gen::inRange<uint32_t>(1, 80);
-        FakeFleet      fleet(boxes, chunks, {}, seed);
-        RC_ASSERT(fleet.Run(20'000));
-        RC_ASSERT(fleet.m_OriginReads == chunks);
-        RC_ASSERT(fleet.m_OverBudget == 0u);
-    });
+    ALDERVALE_PROPERTY("one copy from the origin, all complete, uploads within budget",
+                       [](uint64_t seed)
+                       {
+                           const size_t   boxes  = *rc::gen::inRange<size_t>(1, 20);
+                           const uint32_t chunks = *rc::gen::inRange<uint32_t>(1, 80);
+                           FakeFleet      fleet(boxes, chunks, {}, seed);
+                           RC_ASSERT(fleet.Run(20'000));
+                           RC_ASSERT(fleet.m_OriginReads == chunks);
+                           RC_ASSERT(fleet.m_OverBudget == 0u);
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(members_share_the_origin_reads_evenly)
@@ -175,31 +178,35 @@
 
 BOOST_AUTO_TEST_CASE(copy_completes_under_deaths_and_corruption_within_the_origin_cap)
 {
-    ALDERVALE_PROPERTY("all that live complete; no chunk is read from the origin beyond the cap", [](uint64_t seed) {
-        Faults faults;
-        faults.m_Corrupt = 0.02;
-        faults.m_Fail    = 0.05;
-        const size_t boxes = *rc::gen::inRange<size_t>(6, 16);
-        for (size_t k = 0; k < 2; k++)
-            faults.m_Dying.insert(*rc::gen::inRange<size_t>(0, boxes));
-        FakeFleet fleet(boxes, *rc::gen::inRange<uint32_t>(4, 60), faults, seed);
-        RC_ASSERT(fleet.Run(60'000));
-        // Rank counts only live members, so each death lets one more member read a chunk.
-        for (const uint32_t reads : fleet.m_Reads)
-            RC_ASSERT(reads <= ExchangeConfig{}.m_OriginRanks + faults.m_Dying.size());
-    });
+    ALDERVALE_PROPERTY("all that live complete; no chunk is read from the origin beyond the cap",
+                       [](uint64_t seed)
+                       {
+                           Faults faults;
+                           faults.m_Corrupt   = 0.02;
+                           faults.m_Fail      = 0.05;
+                           const size_t boxes = *rc::gen::inRange<size_t>(6, 16);
+                           for (size_t k = 0; k < 2; k++)
+                               faults.m_Dying.insert(*rc::gen::inRange<size_t>(0, boxes));
+                           FakeFleet fleet(boxes, *rc::gen::inRange<uint32_t>(4, 60), faults, seed);
+                           RC_ASSERT(fleet.Run(60'000));
+                           // Rank counts only live members, so each death lets one more member read a chunk.
+                           for (const uint32_t reads : fleet.m_Reads)
+                               RC_ASSERT(reads <= ExchangeConfig{}.m_OriginRanks + faults.m_Dying.size());
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(one_copy_out_is_enough_when_the_origin_dies)
 {
-    ALDERVALE_PROPERTY("the copy completes from peers after the origin gave each chunk once", [](uint64_t seed) {
-        const uint32_t chunks = *rc::gen::inRange<uint32_t>(1, 60);
-        Faults         faults;
-        faults.m_OriginDiesAt = chunks;
-        faults.m_Fail         = 0.1;
-        FakeFleet fleet(*rc::gen::inRange<size_t>(2, 14), chunks, faults, seed);
-        RC_ASSERT(fleet.Run(60'000));
-    });
+    ALDERVALE_PROPERTY("the copy completes from peers after the origin gave each chunk once",
+                       [](uint64_t seed)
+                       {
+                           const uint32_t chunks = *rc::gen::inRange<uint32_t>(1, 60);
+                           Faults         faults;
+                           faults.m_OriginDiesAt = chunks;
+                           faults.m_Fail         = 0.1;
+                           FakeFleet fleet(*rc::gen::inRange<size_t>(2, 14), chunks, faults, seed);
+                           RC_ASSERT(fleet.Run(60'000));
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(corrupt_sender_is_set_aside)
@@ -287,9 +294,9 @@
 
 BOOST_AUTO_TEST_CASE(staging_takes_only_verified_bytes_within_its_bound)
 {
-    const ManifestPtr    m = MakeTestManifest(4);
-    Staging              small(2 * kChunkSizeMin);
-    const Status         refused = small.Reserve(*m);
+    const ManifestPtr m = MakeTestManifest(4);
+    Staging           small(2 * kChunkSizeMin);
+    const Status      refused = small.Reserve(*m);
     BOOST_REQUIRE(!refused);
     BOOST_CHECK_EQUAL(refused.error().m_Code, ErrorCode_Limited);
     BOOST_CHECK_EQUAL(small.Reserved(), 0u);
--- a/tests/test_journal.cpp
+++ b/tests/test_journal.cpp
@@ -25,10 +25,12 @@
 
 BOOST_AUTO_TEST_CASE(uuid7_round_trip)
 {
-    ALDERVALE_PROPERTY("the minting time of a made key is read back", [](uint64_t a, uint64_t b) {
-        const int64_t ms = *rc::gen::inRange<int64_t>(0, int64_t{1} << 47);
-        RC_ASSERT(MintedAtMs(MakeUuid7(ms, a, b)) == std::optional<int64_t>(ms));
-    });
+    ALDERVALE_PROPERTY("the minting time of a made key is read back",
+                       [](uint64_t a, uint64_t b)
+                       {
+                           const int64_t ms = *rc::gen::inRange<int64_t>(0, int64_t{1} << 47);
+                           RC_ASSERT(MintedAtMs(MakeUuid7(ms, a, b)) == std::optional<int64_t>(ms));
+                       });
     std::set<std::string> distinct; // the version and variant bits once overwrote the low bits of both numbers
     for (uint64_t n = 0; n < 1000; n++)
         distinct.insert(MakeUuid7(kStart, 0, n));
@@ -101,47 +103,51 @@
 
 BOOST_AUTO_TEST_CASE(any_interleaving_runs_a_key_at_most_once_and_every_not_run_is_true)
 {
-    ALDERVALE_PROPERTY("repeats, restarts, lost answers, evictions", [] {
-        JournalConfig cfg;
-        cfg.m_MaxEntries                      = 32;
-        int64_t                          now  = kStart + 10'000;
-        auto                             home = std::make_unique<KeyJournal>(cfg, kStart);
-        std::map<std::string, int>       runs;
-        std::set<std::string>            told_not_run;
-        std::map<std::string, bool>      running; // handed over, not yet finished
-        std::vector<std::string>         keys;
-        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
-        uint64_t   n     = 0;
-        for (const int step : steps)
-        {
-            now += *rc::gen::inRange<int64_t>(0, 1500);
-            if (step <= 1 || keys.empty())
-                keys.push_back(Key(now + *rc::gen::inRange<int64_t>(-1500, 1500), ++n)); // clocks differ
-            const std::string key = step <= 1 ? keys.back() : keys[static_cast<size_t>(*rc::gen::inRange<int>(0, static_cast<int>(keys.size())))];
-            if (step == 7)
-            {
-                home = std::make_unique<KeyJournal>(cfg, now); // the agent restarts; calls that ran may still finish at the service
-                running.clear();
-                continue;
-            }
-            if (step == 6 && running[key])
-            {
-                home->Finish("s", key, Ran("x"));
-                running[key] = false;
-                continue;
-            }
-            const JournalAnswer a = home->Begin("s", key, 7, now, step != 5);
-            if (a.m_Type == JournalType_Run)
-            {
-                runs[key]++;
-                running[key] = true;
-            }
-            if (a.m_Type == JournalType_FromFuture || a.m_Type == JournalType_Refused)
-                RC_ASSERT(runs[key] == 0); // told "not run"
-        }
-        for (const auto& [key, count] : runs)
-            RC_ASSERT(count <= 1);
-    });
+    ALDERVALE_PROPERTY("repeats, restarts, lost answers, evictions",
+                       []
+                       {
+                           JournalConfig cfg;
+                           cfg.m_MaxEntries                 = 32;
+                           int64_t                     now  = kStart + 10'000;
+                           auto                        home = std::make_unique<KeyJournal>(cfg, kStart);
+                           std::map<std::string, int>  runs;
+                           std::set<std::string>       told_not_run;
+                           std::map<std::string, bool> running; // handed over, not yet finished
+                           std::vector<std::string>    keys;
+                           const auto                  steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+                           uint64_t                    n     = 0;
+                           for (const int step : steps)
+                           {
+                               now += *rc::gen::inRange<int64_t>(0, 1500);
+                               if (step <= 1 || keys.empty())
+                                   keys.push_back(Key(now + *rc::gen::inRange<int64_t>(-1500, 1500), ++n)); // clocks differ
+                               const std::string key =
+                                   step <= 1 ? keys.back() : keys[static_cast<size_t>(*rc::gen::inRange<int>(0, static_cast<int>(keys.size())))];
+                               if (step == 7)
+                               {
+                                   home =
+                                       std::make_unique<KeyJournal>(cfg, now); // the agent restarts; calls that ran may still finish at the service
+                                   running.clear();
+                                   continue;
+                               }
+                               if (step == 6 && running[key])
+                               {
+                                   home->Finish("s", key, Ran("x"));
+                                   running[key] = false;
+                                   continue;
+                               }
+                               const JournalAnswer a = home->Begin("s", key, 7, now, step != 5);
+                               if (a.m_Type == JournalType_Run)
+                               {
+                                   runs[key]++;
+                                   running[key] = true;
+                               }
+                               if (a.m_Type == JournalType_FromFuture || a.m_Type == JournalType_Refused)
+                                   RC_ASSERT(runs[key] == 0); // told "not run"
+                           }
+                           for (const auto& [key, count] : runs)
+                               RC_ASSERT(count <= 1);
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(replacing_one_home_moves_only_its_keys)
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -10,7 +10,7 @@
 
 struct FakeStore
 {
-    LeaseRow m_Row;     // m_Version 0: not there
+    LeaseRow m_Row; // m_Version 0: not there
     uint64_t m_Commits = 0;
 
     bool Write(const LeaseRow& row) // conditional
@@ -78,58 +78,64 @@
 
 BOOST_AUTO_TEST_CASE(at_most_one_holder)
 {
-    ALDERVALE_PROPERTY("never two holders at once; fencing grows with each holder; somebody holds again after trouble", [](uint64_t seed) {
-        Random                 random(seed);
-        FakeStore              store;
-        std::vector<Contender> all;
-        for (int i = 0; i < 4; i++)
-            all.emplace_back("c" + std::to_string(i));
-        std::map<uint64_t, std::string> holders; // by fencing number
-        TimePoint                       now = TimePoint() + seconds(1000);
-        const auto                      chance = [&](double share) { return static_cast<double>(random() >> 11) * 0x1p-53 < share; };
-        const auto                      step   = [&](bool trouble) {
-            for (Contender& c : all)
-            {
-                if (now < c.m_PausedUntil)
-                    continue;
-                if (trouble && chance(0.01))
-                    c.m_PausedUntil = now + milliseconds(random() % 12'000);
-                const LeaseStep s = c.m_Lease.Next(now);
-                if (s.m_Action == LeaseAction_Read)
-                {
-                    if (trouble && chance(0.2))
-                        c.m_Lease.OnReadFailed(now);
-                    else
-                        c.m_Lease.OnRow(store.m_Row, now);
-                }
-                else if (s.m_Action == LeaseAction_Write)
-                {
-                    // The write may reach the store late: others may act first, and the holder's own clock runs on.
-                    const bool lost_before = trouble && chance(0.1);
-                    const bool done        = !lost_before && store.Write(s.m_Row);
-                    const bool lost_after  = trouble && chance(0.2);
-                    c.m_Lease.OnWrite(lost_before || lost_after ? LeaseWrite_Unknown : done ? LeaseWrite_Done : LeaseWrite_Conflict, s, store.m_Row.m_Version);
-                }
-            }
-            int holding = 0;
-            for (const Contender& c : all)
-            {
-                if (!c.m_Lease.Holds(now))
-                    continue;
-                holding++;
-                const auto [it, fresh] = holders.emplace(c.m_Lease.Fencing(), c.m_Name);
-                RC_ASSERT(it->second == c.m_Name);
-                RC_ASSERT(c.m_Lease.Fencing() == holders.rbegin()->first);
-            }
-            RC_ASSERT(holding <= 1);
-            now += milliseconds(50);
-            return holding;
-        };
-        for (int t = 0; t < 2000; t++)
-            step(true);
-        int held = 0;
-        for (int t = 0; t < 600; t++)
-            held += step(false);
-        RC_ASSERT(held > 0);
-    });
+    ALDERVALE_PROPERTY("never two holders at once; fencing grows with each holder; somebody holds again after trouble",
+                       [](uint64_t seed)
+                       {
+                           Random                 random(seed);
+                           FakeStore              store;
+                           std::vector<Contender> all;
+                           for (int i = 0; i < 4; i++)
+                               all.emplace_back("c" + std::to_string(i));
+                           std::map<uint64_t, std::string> holders; // by fencing number
+                           TimePoint                       now = TimePoint() + seconds(1000);
+                           const auto chance                   = [&](double share) { return static_cast<double>(random() >> 11) * 0x1p-53 < share; };
+                           const auto step                     = [&](bool trouble)
+                           {
+                               for (Contender& c : all)
+                               {
+                                   if (now < c.m_PausedUntil)
+                                       continue;
+                                   if (trouble && chance(0.01))
+                                       c.m_PausedUntil = now + milliseconds(random() % 12'000);
+                                   const LeaseStep s = c.m_Lease.Next(now);
+                                   if (s.m_Action == LeaseAction_Read)
+                                   {
+                                       if (trouble && chance(0.2))
+                                           c.m_Lease.OnReadFailed(now);
+                                       else
+                                           c.m_Lease.OnRow(store.m_Row, now);
+                                   }
+                                   else if (s.m_Action == LeaseAction_Write)
+                                   {
+                                       // The write may reach the store late: others may act first, and the holder's own clock runs on.
+                                       const bool lost_before = trouble && chance(0.1);
+                                       const bool done        = !lost_before && store.Write(s.m_Row);
+                                       const bool lost_after  = trouble && chance(0.2);
+                                       c.m_Lease.OnWrite(lost_before || lost_after ? LeaseWrite_Unknown
+                                                         : done                    ? LeaseWrite_Done
+                                                                                   : LeaseWrite_Conflict,
+                                                         s, store.m_Row.m_Version);
+                                   }
+                               }
+                               int holding = 0;
+                               for (const Contender& c : all)
+                               {
+                                   if (!c.m_Lease.Holds(now))
+                                       continue;
+                                   holding++;
+                                   const auto [it, fresh] = holders.emplace(c.m_Lease.Fencing(), c.m_Name);
+                                   RC_ASSERT(it->second == c.m_Name);
+                                   RC_ASSERT(c.m_Lease.Fencing() == holders.rbegin()->first);
+                               }
+                               RC_ASSERT(holding <= 1);
+                               now += milliseconds(50);
+                               return holding;
+                           };
+                           for (int t = 0; t < 2000; t++)
+                               step(true);
+                           int held = 0;
+                           for (int t = 0; t < 600; t++)
+                               held += step(false);
+                           RC_ASSERT(held > 0);
+                       });
 }
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -32,7 +32,7 @@
         constexpr double    kStep    = 0.01;
         double              admitted = 0;
         std::vector<double> due(rates.size(), 0);
-        const int           steps    = static_cast<int>(seconds_long / kStep);
+        const int           steps = static_cast<int>(seconds_long / kStep);
         for (int t = 0; t < steps; t++)
         {
             m_Now += FromSeconds(kStep);
@@ -63,19 +63,21 @@
 
 BOOST_AUTO_TEST_CASE(summed_admissions_stay_within_the_limit)
 {
-    ALDERVALE_PROPERTY("whatever the split of demand over routers, no more than 5% over, and no less than 90% of what is asked and allowed", [] {
-        FakeRouters         routers(*rc::gen::inRange<size_t>(1, 8));
-        std::vector<double> rates;
-        double              sum = 0;
-        for (size_t i = 0; i < routers.m_Limits.size(); i++)
-        {
-            rates.push_back(*rc::gen::inRange(0, 300));
-            sum += rates.back();
-        }
-        const double got = routers.Run(rates, 20);
-        RC_ASSERT(got <= routers.m_Limit * 1.05);
-        RC_ASSERT(got >= 0.9 * std::min(sum, routers.m_Limit) - 1);
-    });
+    ALDERVALE_PROPERTY("whatever the split of demand over routers, no more than 5% over, and no less than 90% of what is asked and allowed",
+                       []
+                       {
+                           FakeRouters         routers(*rc::gen::inRange<size_t>(1, 8));
+                           std::vector<double> rates;
+                           double              sum = 0;
+                           for (size_t i = 0; i < routers.m_Limits.size(); i++)
+                           {
+                               rates.push_back(*rc::gen::inRange(0, 300));
+                               sum += rates.back();
+                           }
+                           const double got = routers.Run(rates, 20);
+                           RC_ASSERT(got <= routers.m_Limit * 1.05);
+                           RC_ASSERT(got >= 0.9 * std::min(sum, routers.m_Limit) - 1);
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(cut_off_router_keeps_its_share_only)
@@ -97,9 +99,9 @@
 
 BOOST_AUTO_TEST_CASE(refusal_tells_when_to_come_back)
 {
-    AccountLimits l({});
-    TimePoint     now = TimePoint() + seconds(1);
-    const auto    spec = Spec(2);
+    AccountLimits           l({});
+    TimePoint               now  = TimePoint() + seconds(1);
+    const auto              spec = Spec(2);
     std::optional<Duration> wait;
     for (int i = 0; i < 10 && !wait; i++)
         wait = l.Admit("a", spec, now);
@@ -109,35 +111,38 @@
 
 BOOST_AUTO_TEST_CASE(accounts_share_by_weight_whatever_one_offers)
 {
-    ALDERVALE_PROPERTY("an account that waits without end takes no more than its weight's part while others wait", [] {
-        FairQueue    q({});
-        const double weight = *rc::gen::inRange(1, 5);
-        uint64_t     id     = 0;
-        std::map<uint64_t, std::string> owner;
-        const auto   push = [&](const std::string& who, double w) {
-            if (q.Push(++id, who, w, false))
-                owner[id] = who;
-        };
-        for (int i = 0; i < 300; i++)
-            push("greedy", 1);
-        std::map<std::string, int> served;
-        for (int t = 0; t < 200; t++)
-        {
-            if (t % 2 == 0)
-                push("polite", weight);
-            const auto next = q.Pop(1);
-            RC_ASSERT(next.has_value());
-            served[owner[*next]]++;
-            q.OnEnd();
-        }
-        RC_ASSERT(served["polite"] >= std::min(95, static_cast<int>(200 * weight / (weight + 1)) - 5));
-    });
+    ALDERVALE_PROPERTY("an account that waits without end takes no more than its weight's part while others wait",
+                       []
+                       {
+                           FairQueue                       q({});
+                           const double                    weight = *rc::gen::inRange(1, 5);
+                           uint64_t                        id     = 0;
+                           std::map<uint64_t, std::string> owner;
+                           const auto                      push = [&](const std::string& who, double w)
+                           {
+                               if (q.Push(++id, who, w, false))
+                                   owner[id] = who;
+                           };
+                           for (int i = 0; i < 300; i++)
+                               push("greedy", 1);
+                           std::map<std::string, int> served;
+                           for (int t = 0; t < 200; t++)
+                           {
+                               if (t % 2 == 0)
+                                   push("polite", weight);
+                               const auto next = q.Pop(1);
+                               RC_ASSERT(next.has_value());
+                               served[owner[*next]]++;
+                               q.OnEnd();
+                           }
+                           RC_ASSERT(served["polite"] >= std::min(95, static_cast<int>(200 * weight / (weight + 1)) - 5));
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(offline_work_waits_for_others_but_is_not_starved)
 {
-    FairQueue q({});
-    uint64_t  id = 0;
+    FairQueue          q({});
+    uint64_t           id = 0;
     std::set<uint64_t> offline;
     for (int i = 0; i < 100; i++)
     {
@@ -156,42 +161,44 @@
 
 BOOST_AUTO_TEST_CASE(queue_counts_exactly)
 {
-    ALDERVALE_PROPERTY("running never passes the capacity; what was removed never starts", [] {
-        FairQueue          q({50, 20, 10});
-        std::set<uint64_t> waiting;
-        uint64_t           id = 0;
-        size_t             running = 0;
-        const auto         steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
-        for (const int step : steps)
-        {
-            if (step == 0 && q.TryStart(3))
-                running++;
-            id++;
-            if (step == 1 && q.Push(id, "a" + std::to_string(id % 4), 1, id % 5 == 0))
-                waiting.insert(id);
-            if (step == 2 && !waiting.empty())
-            {
-                RC_ASSERT(q.Remove(*waiting.begin()));
-                waiting.erase(waiting.begin());
-            }
-            if (step == 3)
-            {
-                const auto next = q.Pop(3);
-                RC_ASSERT(next.has_value() == (running < 3 && !waiting.empty()));
-                running += next ? 1 : 0;
-                if (next)
-                    RC_ASSERT(waiting.erase(*next) == 1u);
-            }
-            if (step == 4 && running > 0)
-            {
-                q.OnEnd();
-                running--;
-            }
-            RC_ASSERT(q.Running() == running);
-            RC_ASSERT(q.Waiting() == waiting.size());
-            RC_ASSERT(running <= 3u);
-        }
-    });
+    ALDERVALE_PROPERTY("running never passes the capacity; what was removed never starts",
+                       []
+                       {
+                           FairQueue          q({50, 20, 10});
+                           std::set<uint64_t> waiting;
+                           uint64_t           id      = 0;
+                           size_t             running = 0;
+                           const auto         steps   = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+                           for (const int step : steps)
+                           {
+                               if (step == 0 && q.TryStart(3))
+                                   running++;
+                               id++;
+                               if (step == 1 && q.Push(id, "a" + std::to_string(id % 4), 1, id % 5 == 0))
+                                   waiting.insert(id);
+                               if (step == 2 && !waiting.empty())
+                               {
+                                   RC_ASSERT(q.Remove(*waiting.begin()));
+                                   waiting.erase(waiting.begin());
+                               }
+                               if (step == 3)
+                               {
+                                   const auto next = q.Pop(3);
+                                   RC_ASSERT(next.has_value() == (running < 3 && !waiting.empty()));
+                                   running += next ? 1 : 0;
+                                   if (next)
+                                       RC_ASSERT(waiting.erase(*next) == 1u);
+                               }
+                               if (step == 4 && running > 0)
+                               {
+                                   q.OnEnd();
+                                   running--;
+                               }
+                               RC_ASSERT(q.Running() == running);
+                               RC_ASSERT(q.Waiting() == waiting.size());
+                               RC_ASSERT(running <= 3u);
+                           }
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(retries_only_where_nothing_can_run_twice)
@@ -202,7 +209,7 @@
     BOOST_CHECK(MayRetry({Verdict_NotRun, false, false, 1}, deadline, now, budget));
     BOOST_CHECK(MayRetry({Verdict_MayHaveRun, true, false, 1}, deadline, now, budget));
     BOOST_CHECK(!MayRetry({Verdict_MayHaveRun, false, false, 1}, deadline, now, budget));
-    BOOST_CHECK(!MayRetry({Verdict_NotRun, true, true, 1}, deadline, now, budget));  // the answer has begun
+    BOOST_CHECK(!MayRetry({Verdict_NotRun, true, true, 1}, deadline, now, budget)); // the answer has begun
     BOOST_CHECK(!MayRetry({Verdict_Ran, true, false, 1}, deadline, now, budget));
     BOOST_CHECK(!MayRetry({Verdict_NotRun, true, false, 3}, deadline, now, budget)); // attempts used up
     BOOST_CHECK(!MayRetry({Verdict_NotRun, true, false, 1}, now, now, budget));      // no time left
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -74,7 +74,8 @@
     SyncFixture() : m_Running("router")
     {
         m_Node = std::make_unique<Node>(m_Running.m_Daemon, NodeConfig{}, NodeHandlers{});
-        m_Sync = std::make_unique<StoreSync>(m_Running.m_Daemon, *m_Node, m_Table, m_List, StoreSyncConfig{}, [](std::string) -> awaitable<Status> { co_return Ok(); });
+        m_Sync = std::make_unique<StoreSync>(m_Running.m_Daemon, *m_Node, m_Table, m_List, StoreSyncConfig{},
+                                             [](std::string) -> awaitable<Status> { co_return Ok(); });
         m_Running.Run();
     }
 
@@ -84,7 +85,7 @@
     {
         ChangeRequest change;
         Resource      r;
-        r.m_Key = {Kind_Model, model};
+        r.m_Key                  = {Kind_Model, model};
         r.m_Spec["origin_scope"] = ++m_Writes % 2 == 0 ? "fleet" : "region"; // a write without a change would be none
         if (if_revision)
             change.m_IfRevision[r.m_Key] = *if_revision;
@@ -94,10 +95,12 @@
         {
             std::optional<Result<CommitDone>> m_Result;
         };
-        Out out = Await<Out>(m_Running.m_Daemon.Ioc(), [&]() -> awaitable<Out> {
-            auto r2 = co_await m_Sync->Commit(change, Now() + seconds(2));
-            co_return Out{std::move(r2)};
-        });
+        Out out = Await<Out>(m_Running.m_Daemon.Ioc(),
+                             [&]() -> awaitable<Out>
+                             {
+                                 auto r2 = co_await m_Sync->Commit(change, Now() + seconds(2));
+                                 co_return Out{std::move(r2)};
+                             });
         return std::move(*out.m_Result);
     }
 
@@ -113,18 +116,20 @@
 {
     explicit HttpFixture(HttpServerConfig cfg = {}) : m_Running("http"), m_At(FreeEndpoint())
     {
-        m_Server = std::make_unique<HttpServer>(m_Running.m_Daemon.Ioc(), cfg, [](HttpRequest& req, HttpReply& reply) -> awaitable<void> {
-            if (req.Path() == "/cut")
-            {
-                const HttpFields fields;
-                co_await reply.Start(200, fields);
-                co_await reply.Write("half");
-                reply.Abort();
-                co_return;
-            }
-            const HttpResponse res{200, {}, req.m_Body + "|" + req.Query("q")};
-            co_await reply.Send(res);
-        });
+        m_Server = std::make_unique<HttpServer>(m_Running.m_Daemon.Ioc(), cfg,
+                                                [](HttpRequest& req, HttpReply& reply) -> awaitable<void>
+                                                {
+                                                    if (req.Path() == "/cut")
+                                                    {
+                                                        const HttpFields fields;
+                                                        co_await reply.Start(200, fields);
+                                                        co_await reply.Write("half");
+                                                        reply.Abort();
+                                                        co_return;
+                                                    }
+                                                    const HttpResponse res{200, {}, req.m_Body + "|" + req.Query("q")};
+                                                    co_await reply.Send(res);
+                                                });
         BOOST_REQUIRE(m_Server->Listen(m_At));
         m_Running.Run();
     }
@@ -140,10 +145,13 @@
 
     Out Call(HttpRequest req)
     {
-        return Await<Out>(m_Running.m_Daemon.Ioc(), [&]() -> awaitable<Out> {
-            auto res = co_await m_Client.Call(m_At, req, Now() + seconds(20));
-            co_return res ? Out{res.value().m_Status, res.value().m_Body, Verdict_Ran} : Out{0, res.error().m_Message, res.error().m_Verdict};
-        });
+        return Await<Out>(
+            m_Running.m_Daemon.Ioc(),
+            [&]() -> awaitable<Out>
+            {
+                auto res = co_await m_Client.Call(m_At, req, Now() + seconds(20));
+                co_return res ? Out{res.value().m_Status, res.value().m_Body, Verdict_Ran} : Out{0, res.error().m_Message, res.error().m_Verdict};
+            });
     }
 
     // Sends raw bytes and returns what comes back until the server closes.
@@ -199,7 +207,7 @@
 {
     HttpFixture f;
     HttpRequest req;
-    req.m_Target = "/cut";
+    req.m_Target   = "/cut";
     const auto out = f.Call(req);
     BOOST_CHECK_EQUAL(out.m_Status, 0u);
     BOOST_CHECK_EQUAL(out.m_Verdict, Verdict_MayHaveRun);
@@ -214,13 +222,14 @@
 
 BOOST_AUTO_TEST_CASE(late_and_crossed_answers_reach_only_their_exchange)
 {
-    RunningDaemon server("server");
-    RunningDaemon client("client");
-    const auto    at = FreeEndpoint();
-    std::mutex    mutex;
+    RunningDaemon                             server("server");
+    RunningDaemon                             client("client");
+    const auto                                at = FreeEndpoint();
+    std::mutex                                mutex;
     std::vector<std::pair<LinkPtr, uint64_t>> asked; // answered backwards, and some too late
-    NodeHandlers  h;
-    h.m_OnFrame = [&](const LinkPtr& link, const FrameBuf& f) {
+    NodeHandlers                              h;
+    h.m_OnFrame = [&](const LinkPtr& link, const FrameBuf& f)
+    {
         std::lock_guard lock(mutex);
         asked.emplace_back(link, f.Get()->exchange());
     };
@@ -233,8 +242,8 @@
     server.Run();
     client.Run();
     BOOST_REQUIRE(Eventually([&] { return client_node.FindLink("server") != nullptr; }));
-    const LinkPtr link = client_node.FindLink("server");
-    const auto    ex   = asio::any_io_executor(asio::make_strand(client.m_Daemon.Ioc()));
+    const LinkPtr           link = client_node.FindLink("server");
+    const auto              ex   = asio::any_io_executor(asio::make_strand(client.m_Daemon.Ioc()));
     std::vector<MailboxPtr> boxes;
     for (uint32_t i = 0; i < 10; i++)
     {
@@ -243,7 +252,12 @@
         get.index = i;
         link->Send(EncodeFrame(boxes.back()->Id(), get));
     }
-    BOOST_REQUIRE(Eventually([&] { std::lock_guard lock(mutex); return asked.size() == 10; }));
+    BOOST_REQUIRE(Eventually(
+        [&]
+        {
+            std::lock_guard lock(mutex);
+            return asked.size() == 10;
+        }));
     link->CloseExchange(boxes[3]->Id()); // gave up; its answer comes late
     {
         std::lock_guard lock(mutex);
@@ -258,10 +272,12 @@
     {
         if (i == 3)
             continue;
-        const auto text = Await<std::string>(client.m_Daemon.Ioc(), [&]() -> awaitable<std::string> {
-            auto frame = co_await boxes[i]->Pop(Now() + seconds(20));
-            co_return frame ? frame->Get()->body_as_ManifestData()->json()->str() : std::string("none");
-        });
+        const auto text = Await<std::string>(client.m_Daemon.Ioc(),
+                                             [&]() -> awaitable<std::string>
+                                             {
+                                                 auto frame = co_await boxes[i]->Pop(Now() + seconds(20));
+                                                 co_return frame ? frame->Get()->body_as_ManifestData()->json()->str() : std::string("none");
+                                             });
         BOOST_CHECK_EQUAL(text, std::to_string(boxes[i]->Id()));
     }
     BOOST_CHECK(Eventually([&] { return link->Dropped() == 1; }));
@@ -299,7 +315,8 @@
 BOOST_AUTO_TEST_CASE(lost_write_answers_are_settled_neither_twice_nor_wrongly)
 {
     SyncFixture f;
-    f.m_Table.m_Faults = {FakeTable::Fault_LoseAnswer, FakeTable::Fault_LoseWrite, FakeTable::Fault_None, FakeTable::Fault_LoseWrite, FakeTable::Fault_LoseAnswer};
+    f.m_Table.m_Faults = {FakeTable::Fault_LoseAnswer, FakeTable::Fault_LoseWrite, FakeTable::Fault_None, FakeTable::Fault_LoseWrite,
+                          FakeTable::Fault_LoseAnswer};
     for (uint64_t r = 1; r <= 3; r++)
     {
         const auto done = f.Write("m");
@@ -340,25 +357,28 @@
 BOOST_AUTO_TEST_CASE(racing_operators_end_in_a_serial_order)
 {
     // Two routers on one store; each accepts ten changes at the same time. All are kept, each at its own revision.
-    SyncFixture a;
+    SyncFixture   a;
     RunningDaemon other("router-2");
     Node          node(other.m_Daemon, NodeConfig{}, NodeHandlers{});
     StoreSync     sync(other.m_Daemon, node, a.m_Table, a.m_List, StoreSyncConfig{}, [](std::string) -> awaitable<Status> { co_return Ok(); });
     other.Run();
-    const auto writes = [](StoreSync& s, asio::io_context& ioc, const std::string& prefix) {
-        return Await<int>(ioc, [&]() -> awaitable<int> {
-            int done = 0;
-            for (int i = 0; i < 10; i++)
-            {
-                ChangeRequest change;
-                Resource      r;
-                r.m_Key = {Kind_Model, prefix + std::to_string(i)};
-                change.m_Write.push_back(r);
-                auto result = co_await s.Commit(change, Now() + seconds(20));
-                done += result ? 1 : 0;
-            }
-            co_return done;
-        });
+    const auto writes = [](StoreSync& s, asio::io_context& ioc, const std::string& prefix)
+    {
+        return Await<int>(ioc,
+                          [&]() -> awaitable<int>
+                          {
+                              int done = 0;
+                              for (int i = 0; i < 10; i++)
+                              {
+                                  ChangeRequest change;
+                                  Resource      r;
+                                  r.m_Key = {Kind_Model, prefix + std::to_string(i)};
+                                  change.m_Write.push_back(r);
+                                  auto result = co_await s.Commit(change, Now() + seconds(20));
+                                  done += result ? 1 : 0;
+                              }
+                              co_return done;
+                          });
     };
     auto first  = std::async(std::launch::async, [&] { return writes(*a.m_Sync, a.m_Running.m_Daemon.Ioc(), "a"); });
     auto second = std::async(std::launch::async, [&] { return writes(sync, other.m_Daemon.Ioc(), "b"); });
--- a/tests/test_requests.cpp
+++ b/tests/test_requests.cpp
@@ -22,7 +22,8 @@
         h.m_OnFrame    = [this](const LinkPtr& l, const FrameBuf& f) { m_Serve->OnFrame(l, f); };
         h.m_OnLinkDown = [this](const LinkPtr& l) { m_Serve->OnLinkDown(l); };
         h.m_OnConfig   = [this](const ConfigPtr& c) { m_Serve->OnConfig(c); };
-        h.m_AgentState = [this] {
+        h.m_AgentState = [this]
+        {
             auto s = std::make_unique<wire::AgentStateT>();
             if (m_Serve)
                 m_Serve->Describe(*s);
@@ -60,7 +61,9 @@
         m_Node     = std::make_unique<Node>(m_Running.m_Daemon, cfg, h);
         m_Serve    = std::make_unique<RouterServe>(m_Running.m_Daemon, RouterServeSettings{}, *m_Node, m_Usage);
         m_Serve->SetReady([] { return true; });
-        m_Http = std::make_unique<HttpServer>(m_Running.m_Daemon.Ioc(), HttpServerConfig{}, [this](HttpRequest& req, HttpReply& reply) -> awaitable<void> { co_await m_Serve->Handle(req, reply); });
+        m_Http =
+            std::make_unique<HttpServer>(m_Running.m_Daemon.Ioc(), HttpServerConfig{},
+                                         [this](HttpRequest& req, HttpReply& reply) -> awaitable<void> { co_await m_Serve->Handle(req, reply); });
         BOOST_REQUIRE(m_Http->Listen(m_At));
         m_Running.Run();
     }
@@ -95,11 +98,26 @@
         for (const char* name : {"r0", "r1"})
             m_Routers.push_back(std::make_unique<Router>(name));
         Resource dc{{Kind_DataCentre, "dc"}, json::object{{"region", "r"}}, 1, false, {}, {}, 0};
-        Resource box{{Kind_Box, "loan-0"}, json::object{{"data_centre", "dc"}, {"address", m_Link.ToString()}, {"role", "backend"}, {"backend", "plain"}}, 1, false, {}, {}, 0};
+        Resource box{{Kind_Box, "loan-0"},
+                     json::object{{"data_centre", "dc"}, {"address", m_Link.ToString()}, {"role", "backend"}, {"backend", "plain"}},
+                     1,
+                     false,
+                     {},
+                     {},
+                     0};
         Resource service{{Kind_Service, "loans"},
-                         json::object{{"path", "/v1/loans"}, {"type", "plain"}, {"boxes", json::array{"loan-0"}}, {"non_repeatable", json::array{"POST"}}, {"deadline_ms", 5000}},
-                         1, false, {}, {}, 0};
-        Resource account{{Kind_ClientAccount, "desk"}, json::object{{"token_sha256", ToHex(Sha256(kToken))}, {"limit_rps", 100000}}, 1, false, {}, {}, 0};
+                         json::object{{"path", "/v1/loans"},
+                                      {"type", "plain"},
+                                      {"boxes", json::array{"loan-0"}},
+                                      {"non_repeatable", json::array{"POST"}},
+                                      {"deadline_ms", 5000}},
+                         1,
+                         false,
+                         {},
+                         {},
+                         0};
+        Resource account{
+            {Kind_ClientAccount, "desk"}, json::object{{"token_sha256", ToHex(Sha256(kToken))}, {"limit_rps", 100000}}, 1, false, {}, {}, 0};
         m_Config = {0, 1, {dc, box, service, account}};
         for (auto& r : m_Routers)
         {
@@ -131,42 +149,49 @@
         m_Agent.reset();
         m_Agent = std::make_unique<Agent>("loan-0", m_Link, m_Backend);
         for (auto& r : m_Routers)
-            BOOST_REQUIRE(Eventually([&] {
-                const LinkPtr l = r->m_Node->FindLink("loan-0");
-                return l && l->Peer().m_Incarnation != old;
-            }));
+            BOOST_REQUIRE(Eventually(
+                [&]
+                {
+                    const LinkPtr l = r->m_Node->FindLink("loan-0");
+                    return l && l->Peer().m_Incarnation != old;
+                }));
         WaitUsable();
     }
 
     Answer Call(size_t router, const std::string& method, const std::string& key, const std::string& body = "x", const std::string& token = kToken)
     {
-        return Await<Answer>(m_Client.m_Daemon.Ioc(), [&, router]() -> awaitable<Answer> {
-            HttpRequest req;
-            req.m_Method = method;
-            req.m_Target = "/v1/loans/7";
-            req.m_Body   = body;
-            req.m_Fields = {{"Authorization", "Bearer " + token}};
-            if (!key.empty())
-                req.m_Fields.push_back({"Idempotency-Key", key});
-            auto res = co_await m_Http.Call(m_Routers[router]->m_At, req, Now() + seconds(30));
-            if (!res)
-                co_return Answer{0, "broken", res.error().m_Message, false};
-            const HttpResponse& r = res.value();
-            co_return Answer{r.m_Status, std::string(FindField(r.m_Fields, "Aldervale-Verdict")), r.m_Body, FindField(r.m_Fields, "Aldervale-Replayed") == "true"};
-        });
+        return Await<Answer>(m_Client.m_Daemon.Ioc(),
+                             [&, router]() -> awaitable<Answer>
+                             {
+                                 HttpRequest req;
+                                 req.m_Method = method;
+                                 req.m_Target = "/v1/loans/7";
+                                 req.m_Body   = body;
+                                 req.m_Fields = {{"Authorization", "Bearer " + token}};
+                                 if (!key.empty())
+                                     req.m_Fields.push_back({"Idempotency-Key", key});
+                                 auto res = co_await m_Http.Call(m_Routers[router]->m_At, req, Now() + seconds(30));
+                                 if (!res)
+                                     co_return Answer{0, "broken", res.error().m_Message, false};
+                                 const HttpResponse& r = res.value();
+                                 co_return Answer{r.m_Status, std::string(FindField(r.m_Fields, "Aldervale-Verdict")), r.m_Body,
+                                                  FindField(r.m_Fields, "Aldervale-Replayed") == "true"};
+                             });
     }
 
     json::object Service(const std::string& faults = {})
     {
-        return Await<json::object>(m_Client.m_Daemon.Ioc(), [&]() -> awaitable<json::object> {
-            HttpRequest req;
-            req.m_Method = faults.empty() ? "GET" : "POST";
-            req.m_Target = faults.empty() ? "/admin/stats" : "/admin/faults";
-            req.m_Body   = faults;
-            auto res     = co_await m_Http.Call(m_Backend, req, Now() + seconds(30));
-            BOOST_REQUIRE(res.has_value());
-            co_return json::parse(res.value().m_Body).as_object();
-        });
+        return Await<json::object>(m_Client.m_Daemon.Ioc(),
+                                   [&]() -> awaitable<json::object>
+                                   {
+                                       HttpRequest req;
+                                       req.m_Method = faults.empty() ? "GET" : "POST";
+                                       req.m_Target = faults.empty() ? "/admin/stats" : "/admin/faults";
+                                       req.m_Body   = faults;
+                                       auto res     = co_await m_Http.Call(m_Backend, req, Now() + seconds(30));
+                                       BOOST_REQUIRE(res.has_value());
+                                       co_return json::parse(res.value().m_Body).as_object();
+                                   });
     }
 
     uint64_t Runs(const std::string& key)
@@ -196,7 +221,8 @@
 {
     std::vector<std::future<Answer>> all;
     for (int i = 0; i < 60; i++)
-        all.push_back(std::async(std::launch::async, [this, i] { return Call(static_cast<size_t>(i) % 2, "POST", NewKey(), "body-" + std::to_string(i)); }));
+        all.push_back(
+            std::async(std::launch::async, [this, i] { return Call(static_cast<size_t>(i) % 2, "POST", NewKey(), "body-" + std::to_string(i)); }));
     for (int i = 0; i < 60; i++)
     {
         const Answer a = all[static_cast<size_t>(i)].get();
@@ -301,15 +327,17 @@
     std::map<std::string, std::string> last; // verdict of the last answer, by key
     std::vector<std::future<void>>     callers;
     for (size_t c = 0; c < 6; c++)
-        callers.push_back(std::async(std::launch::async, [&, c] {
-            for (size_t i = 0; i < keys.size(); i++)
-            {
-                const std::string& key = keys[(i * (2 * c + 1) + c) % keys.size()];
-                const Answer       a   = Call(c % 2, "POST", key, "same");
-                std::lock_guard    lock(mutex);
-                last[key] = a.m_Verdict == "not-run" ? "not-run" : last[key] == "not-run" ? "not-run" : a.m_Verdict;
-            }
-        }));
+        callers.push_back(std::async(std::launch::async,
+                                     [&, c]
+                                     {
+                                         for (size_t i = 0; i < keys.size(); i++)
+                                         {
+                                             const std::string& key = keys[(i * (2 * c + 1) + c) % keys.size()];
+                                             const Answer       a   = Call(c % 2, "POST", key, "same");
+                                             std::lock_guard    lock(mutex);
+                                             last[key] = a.m_Verdict == "not-run" ? "not-run" : last[key] == "not-run" ? "not-run" : a.m_Verdict;
+                                         }
+                                     }));
     for (auto& c : callers)
         c.get();
     const json::object stats = Service();
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -10,10 +10,10 @@
 
 struct FakeBox
 {
-    std::string m_Name;
-    Activation  m_Activation;
-    std::string m_Broken;         // manifest digest that this box's engine fails to load
-    bool        m_Alive = true;
+    std::string                   m_Name;
+    Activation                    m_Activation;
+    std::string                   m_Broken; // manifest digest that this box's engine fails to load
+    bool                          m_Alive = true;
     std::vector<ActivationAction> m_Open; // begun, not ended
 };
 
@@ -31,8 +31,8 @@
         m_Input.m_Boxes.clear();
         for (const FakeBox& b : m_Boxes)
             m_Input.m_Boxes.push_back({b.m_Name, b.m_Alive, b.m_Activation.Active(), b.m_Activation.Versions()});
-        RolloutPlan plan  = PlanRollout(m_Input);
-        m_Input.m_Halted  = plan.m_Halt;
+        RolloutPlan plan = PlanRollout(m_Input);
+        m_Input.m_Halted = plan.m_Halt;
         return plan;
     }
 
@@ -62,8 +62,9 @@
 
     size_t Serving(const std::string& digest) const
     {
-        return static_cast<size_t>(
-            std::count_if(m_Boxes.begin(), m_Boxes.end(), [&](const FakeBox& b) { return !b.m_Activation.Active().empty() && WholeDigest(b.m_Activation.Active()) == digest; }));
+        return static_cast<size_t>(std::count_if(m_Boxes.begin(), m_Boxes.end(),
+                                                 [&](const FakeBox& b)
+                                                 { return !b.m_Activation.Active().empty() && WholeDigest(b.m_Activation.Active()) == digest; }));
     }
 
     size_t OutOfService() const
@@ -98,26 +99,28 @@
 
 BOOST_AUTO_TEST_CASE(max_unavailable_is_never_passed)
 {
-    ALDERVALE_PROPERTY("whatever the order in which boxes act, no more than the bound are out of service, and all end on the new version", [] {
-        const size_t per   = *rc::gen::inRange<size_t>(1, 4);
-        const size_t boxes = per * *rc::gen::inRange<size_t>(2, 6);
-        FakeCentre   dc(boxes, per);
-        dc.m_Input.m_Wanted = "v1";
-        dc.Settle(10);
-        RC_ASSERT(dc.Serving("v1") == boxes);
-        dc.m_Input.m_Previous       = "v1";
-        dc.m_Input.m_Wanted         = "v2";
-        dc.m_Input.m_MaxUnavailable = *rc::gen::inRange<size_t>(1, boxes + 1);
-        const size_t bound          = std::max(dc.m_Input.m_MaxUnavailable, per);
-        for (int t = 0; t < 400; t++)
-        {
-            dc.Carry(dc.Plan());
-            dc.Advance(dc.m_Boxes[*rc::gen::inRange<size_t>(0, boxes)]);
-            RC_ASSERT(dc.OutOfService() <= bound);
-        }
-        dc.Settle(60);
-        RC_ASSERT(dc.Serving("v2") == boxes);
-    });
+    ALDERVALE_PROPERTY("whatever the order in which boxes act, no more than the bound are out of service, and all end on the new version",
+                       []
+                       {
+                           const size_t per   = *rc::gen::inRange<size_t>(1, 4);
+                           const size_t boxes = per * *rc::gen::inRange<size_t>(2, 6);
+                           FakeCentre   dc(boxes, per);
+                           dc.m_Input.m_Wanted = "v1";
+                           dc.Settle(10);
+                           RC_ASSERT(dc.Serving("v1") == boxes);
+                           dc.m_Input.m_Previous       = "v1";
+                           dc.m_Input.m_Wanted         = "v2";
+                           dc.m_Input.m_MaxUnavailable = *rc::gen::inRange<size_t>(1, boxes + 1);
+                           const size_t bound          = std::max(dc.m_Input.m_MaxUnavailable, per);
+                           for (int t = 0; t < 400; t++)
+                           {
+                               dc.Carry(dc.Plan());
+                               dc.Advance(dc.m_Boxes[*rc::gen::inRange<size_t>(0, boxes)]);
+                               RC_ASSERT(dc.OutOfService() <= bound);
+                           }
+                           dc.Settle(60);
+                           RC_ASSERT(dc.Serving("v2") == boxes);
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(failing_version_halts_and_rolls_back)
--- a/tests/test_route.cpp
+++ b/tests/test_route.cpp
@@ -12,23 +12,25 @@
 
 BOOST_AUTO_TEST_CASE(choice_is_always_one_of_the_given)
 {
-    ALDERVALE_PROPERTY("every policy, any views", [](uint64_t seed) {
-        Random                   random(seed);
-        std::vector<ReplicaView> views(*rc::gen::inRange<size_t>(1, 20));
-        for (ReplicaView& v : views)
-        {
-            v.m_InFlight = *rc::gen::inRange(0u, 50u);
-            v.m_Reported = *rc::gen::inRange(0, 50);
-            v.m_Warm     = *rc::gen::arbitrary<bool>();
-        }
-        for (const RoutePolicy p : {RoutePolicy_Cost, RoutePolicy_Random, RoutePolicy_RoundRobin, RoutePolicy_LeastRequests})
-        {
-            RouteConfig cfg;
-            cfg.m_Policy = p;
-            const auto i = ChooseReplica(views, cfg, random, seed);
-            RC_ASSERT(i.has_value() && *i < views.size());
-        }
-    });
+    ALDERVALE_PROPERTY("every policy, any views",
+                       [](uint64_t seed)
+                       {
+                           Random                   random(seed);
+                           std::vector<ReplicaView> views(*rc::gen::inRange<size_t>(1, 20));
+                           for (ReplicaView& v : views)
+                           {
+                               v.m_InFlight = *rc::gen::inRange(0u, 50u);
+                               v.m_Reported = *rc::gen::inRange(0, 50);
+                               v.m_Warm     = *rc::gen::arbitrary<bool>();
+                           }
+                           for (const RoutePolicy p : {RoutePolicy_Cost, RoutePolicy_Random, RoutePolicy_RoundRobin, RoutePolicy_LeastRequests})
+                           {
+                               RouteConfig cfg;
+                               cfg.m_Policy = p;
+                               const auto i = ChooseReplica(views, cfg, random, seed);
+                               RC_ASSERT(i.has_value() && *i < views.size());
+                           }
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(old_reports_count_less)
@@ -55,9 +57,9 @@
 
 BOOST_AUTO_TEST_CASE(failures_distance_and_slow_start_cost)
 {
-    ReplicaView v;
+    ReplicaView  v;
     const double base = RouteCost(v, {});
-    ReplicaView far   = v;
+    ReplicaView  far  = v;
     far.m_Distance    = 2;
     ReplicaView bad   = v;
     bad.m_Failures    = 1;
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -23,9 +23,12 @@
 std::vector<SettingSpec> Describe(Sample& s)
 {
     return {
-        {"threads", SettingInt{&s.m_Threads, 1, 64}, ""},           {"rate", SettingReal{&s.m_Rate, 0, 10}, ""},
-        {"log.level", SettingText{&s.m_Level, {"info", "warn"}, false}, ""}, {"a", SettingAddress{&s.m_A, true, true}, ""},
-        {"b", SettingAddress{&s.m_B, true, false}, ""},             {"peers", SettingList{&s.m_Peers, true}, ""},
+        {"threads", SettingInt{&s.m_Threads, 1, 64}, ""},
+        {"rate", SettingReal{&s.m_Rate, 0, 10}, ""},
+        {"log.level", SettingText{&s.m_Level, {"info", "warn"}, false}, ""},
+        {"a", SettingAddress{&s.m_A, true, true}, ""},
+        {"b", SettingAddress{&s.m_B, true, false}, ""},
+        {"peers", SettingList{&s.m_Peers, true}, ""},
     };
 }
 
@@ -34,7 +37,9 @@
 BOOST_AUTO_TEST_CASE(good_file_is_applied)
 {
     Sample s;
-    BOOST_CHECK(CheckSettingsText("threads = 4\nrate = 2\na = \"127.0.0.1:1\"\npeers = [\"127.0.0.1:9\"]\n[log]\nlevel = \"warn\"\n", "f", Describe(s)).empty());
+    BOOST_CHECK(
+        CheckSettingsText("threads = 4\nrate = 2\na = \"127.0.0.1:1\"\npeers = [\"127.0.0.1:9\"]\n[log]\nlevel = \"warn\"\n", "f", Describe(s))
+            .empty());
     BOOST_CHECK_EQUAL(s.m_Threads, 4);
     BOOST_CHECK_EQUAL(s.m_Rate, 2.0);
     BOOST_CHECK_EQUAL(s.m_Level, "warn");
@@ -44,7 +49,9 @@
 BOOST_AUTO_TEST_CASE(every_fault_is_told_with_line_and_key_and_nothing_is_applied)
 {
     Sample     s;
-    const auto faults = CheckSettingsText("threads = 99\nrate = \"x\"\ncolour = 1\na = \"localhost:1\"\npeers = [\"127.0.0.1:9\", \"127.0.0.1:9\"]\nlog.level = \"loud\"\n", "f", Describe(s));
+    const auto faults = CheckSettingsText(
+        "threads = 99\nrate = \"x\"\ncolour = 1\na = \"localhost:1\"\npeers = [\"127.0.0.1:9\", \"127.0.0.1:9\"]\nlog.level = \"loud\"\n", "f",
+        Describe(s));
     std::map<std::string, unsigned> lines;
     for (const SettingFault& f : faults)
         lines[f.m_Key] = f.m_Line;
@@ -74,12 +81,14 @@
 
 BOOST_AUTO_TEST_CASE(random_text_never_crashes_and_writes_nothing_when_faulty)
 {
-    ALDERVALE_PROPERTY("any text", [](const std::string& text) {
-        Sample     s;
-        const auto faults = CheckSettingsText(text, "f", Describe(s));
-        RC_ASSERT(!faults.empty()); // at least the required key is missing
-        RC_ASSERT(s.m_Threads == 2);
-    });
+    ALDERVALE_PROPERTY("any text",
+                       [](const std::string& text)
+                       {
+                           Sample     s;
+                           const auto faults = CheckSettingsText(text, "f", Describe(s));
+                           RC_ASSERT(!faults.empty()); // at least the required key is missing
+                           RC_ASSERT(s.m_Threads == 2);
+                       });
 }
 
 BOOST_AUTO_TEST_CASE(event_page_and_code_agree)
@@ -94,7 +103,8 @@
     size_t events = 0;
 #define X(num, name, level, text)                                                                                                                    \
     events++;                                                                                                                                        \
-    BOOST_CHECK_MESSAGE(page.find("| " + std::to_string(num) + " | " #name " | " #level " | " text " |") != std::string::npos, "docs/EVENTS.md lacks " #name);
+    BOOST_CHECK_MESSAGE(page.find("| " + std::to_string(num) + " | " #name " | " #level " | " text " |") != std::string::npos,                       \
+                        "docs/EVENTS.md lacks " #name);
     ALDERVALE_EVENTS(X)
 #undef X
     BOOST_CHECK_EQUAL(rows, events);
--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -8,23 +8,26 @@
 
 BOOST_AUTO_TEST_CASE(totals_add_up)
 {
-    ALDERVALE_PROPERTY("verdicts of an account sum to its requests", [] {
-        Usage     u;
-        uint64_t  sent = 0;
-        TimePoint now  = TimePoint() + seconds(100'000);
-        for (const int v : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3)))
+    ALDERVALE_PROPERTY(
+        "verdicts of an account sum to its requests",
+        []
         {
-            u.Record({"s", "a", static_cast<Verdict>(v), v == 2, 10, 20, 1}, now);
-            sent++;
-        }
-        if (sent == 0)
-            return;
-        const json::object totals = u.Totals();
-        const json::object& t     = totals.at("a").as_object();
-        RC_ASSERT(t.at("requests").to_number<uint64_t>() == sent);
-        RC_ASSERT(t.at("ran").to_number<uint64_t>() + t.at("not_run").to_number<uint64_t>() + t.at("may_have_run").to_number<uint64_t>() == sent);
-        RC_ASSERT(t.at("bytes_in").to_number<uint64_t>() == 10 * sent);
-    });
+            Usage     u;
+            uint64_t  sent = 0;
+            TimePoint now  = TimePoint() + seconds(100'000);
+            for (const int v : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3)))
+            {
+                u.Record({"s", "a", static_cast<Verdict>(v), v == 2, 10, 20, 1}, now);
+                sent++;
+            }
+            if (sent == 0)
+                return;
+            const json::object  totals = u.Totals();
+            const json::object& t      = totals.at("a").as_object();
+            RC_ASSERT(t.at("requests").to_number<uint64_t>() == sent);
+            RC_ASSERT(t.at("ran").to_number<uint64_t>() + t.at("not_run").to_number<uint64_t>() + t.at("may_have_run").to_number<uint64_t>() == sent);
+            RC_ASSERT(t.at("bytes_in").to_number<uint64_t>() == 10 * sent);
+        });
 }
 
 BOOST_AUTO_TEST_CASE(burn_over_windows_and_routers)
