--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -21,21 +21,21 @@
 
 struct Arguments
 {
-    std::vector<std::string> m_Routers;             // callers are spread over these
-    std::vector<std::string> m_Plain;               // plain service stand-ins, asked at the end
-    std::string              m_Direct;              // with the mix "direct": this stand-in itself
-    std::string              m_Mix       = "chat";  // chat, loans, turbine, reads, direct
+    std::vector<std::string> m_Routers;            // callers are spread over these
+    std::vector<std::string> m_Plain;              // plain service stand-ins, asked at the end
+    std::string              m_Direct;             // with the mix "direct": this stand-in itself
+    std::string              m_Mix       = "chat"; // chat, loans, turbine, reads, direct
     std::string              m_ChatPath  = "/v1/assistant";
     std::string              m_KeyedPath = "/v1/loans";
     std::string              m_ReadPath  = "/v1/hours/today";
-    std::vector<std::string> m_Accounts  = {"a"};   // tokens are token-NAME
-    std::string              m_Greedy;              // this account offers m_GreedyRps besides
-    double                   m_GreedyRps = 0;       //
-    double                   m_Rps       = 50;      //
-    double                   m_Seconds   = 5;       //
-    int                      m_Prefixes  = 20;      // distinct shared prefixes
-    int                      m_Threads   = 2;       //
-    uint64_t                 m_Seed      = 1;       //
+    std::vector<std::string> m_Accounts  = {"a"}; // tokens are token-NAME
+    std::string              m_Greedy;            // this account offers m_GreedyRps besides
+    double                   m_GreedyRps = 0;     //
+    double                   m_Rps       = 50;    //
+    double                   m_Seconds   = 5;     //
+    int                      m_Prefixes  = 20;    // distinct shared prefixes
+    int                      m_Threads   = 2;     //
+    uint64_t                 m_Seed      = 1;     //
 };
 
 //-----------------------------------------------------------------------------
@@ -44,15 +44,15 @@
 
 struct Outcome
 {
-    std::string m_Account;         //
-    std::string m_Kind;            // chat, keyed, read
-    std::string m_Key;             // keyed calls
-    std::string m_Verdict;         // of the last answer: ran, not-run, may-have-run, broken
+    std::string m_Account;            //
+    std::string m_Kind;               // chat, keyed, read
+    std::string m_Key;                // keyed calls
+    std::string m_Verdict;            // of the last answer: ran, not-run, may-have-run, broken
     bool        m_ToldNotRun = false; // some answer said so
     bool        m_Whole      = false; // the bytes are what they must be
-    double      m_Seconds    = 0;  //
-    double      m_FirstByte  = 0;  // seconds; streams only
-    unsigned    m_Tries      = 1;  //
+    double      m_Seconds    = 0;     //
+    double      m_FirstByte  = 0;     // seconds; streams only
+    unsigned    m_Tries      = 1;     //
 };
 
 struct Tally // thread-safe
@@ -69,21 +69,21 @@
 
 struct Shared
 {
-    Arguments             m_Arguments;  //
-    std::vector<Endpoint> m_Routers;    //
-    HttpClient            m_Client;     //
-    Tally                 m_Tally;      //
-    std::atomic<uint64_t> m_Open{0};    // requests without an answer yet
+    Arguments             m_Arguments; //
+    std::vector<Endpoint> m_Routers;   //
+    HttpClient            m_Client;    //
+    Tally                 m_Tally;     //
+    std::atomic<uint64_t> m_Open{0};   // requests without an answer yet
 };
 
 struct Plan // one request, drawn before it is sent
 {
-    std::string m_Kind;        //
-    std::string m_Account;     //
-    std::string m_Prompt;      //
-    int64_t     m_Tokens = 0;  //
-    std::string m_Key;         //
-    size_t      m_Router = 0;  //
+    std::string m_Kind;       //
+    std::string m_Account;    //
+    std::string m_Prompt;     //
+    int64_t     m_Tokens = 0; //
+    std::string m_Key;        //
+    size_t      m_Router = 0; //
 };
 
 std::string Prefix(uint64_t n)
@@ -205,9 +205,9 @@
 {
     constexpr unsigned kKeyedTries = 4; // a caller repeats a loan with the same key, at another entry box
     Outcome            o;
-    o.m_Account = p.m_Account;
-    o.m_Kind    = p.m_Kind;
-    o.m_Key     = p.m_Key;
+    o.m_Account  = p.m_Account;
+    o.m_Kind     = p.m_Kind;
+    o.m_Key      = p.m_Key;
     double spent = 0;
     for (o.m_Tries = 1;; o.m_Tries++)
     {
@@ -281,8 +281,8 @@
     std::map<std::string, std::vector<double>> by_account;
     std::vector<double>                        seconds_all;
     std::vector<double>                        first;
-    uint64_t                                   wrong = 0;
-    uint64_t                                   cut   = 0;
+    uint64_t                                   wrong         = 0;
+    uint64_t                                   cut           = 0;
     uint64_t                                   false_not_run = 0;
     uint64_t                                   run_twice     = 0;
     uint64_t                                   answered      = 0;
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -22,7 +22,7 @@
 
 void Mailbox::Wake()
 {
-    asio::post(m_Executor, [self = shared_from_this()] { self->m_Timer.cancel(); });
+    asio::dispatch(m_Executor, [self = shared_from_this()] { self->m_Timer.cancel(); });
 }
 
 void Mailbox::Push(FrameBuf frame)
@@ -76,8 +76,7 @@
 //-----------------------------------------------------------------------------
 
 Link::Link(tcp::socket socket, LinkSide side, const LinkConfig& cfg, LinkHandlers handlers)
-    : m_Socket(std::move(socket)), m_Side(side), m_Config(cfg), m_Handlers(std::move(handlers)), m_SendWake(m_Socket.get_executor()),
-      m_LastHeard(Now().time_since_epoch().count())
+    : m_Socket(std::move(socket)), m_Side(side), m_Config(cfg), m_Handlers(std::move(handlers)), m_LastHeard(Now().time_since_epoch().count())
 {
 }
 
@@ -87,8 +86,6 @@
     m_Socket.set_option(tcp::no_delay(true), ec);
     asio::co_spawn(
         m_Socket.get_executor(), [self = shared_from_this()] { return self->ReadLoop(); }, asio::detached);
-    asio::co_spawn(
-        m_Socket.get_executor(), [self = shared_from_this()] { return self->WriteLoop(); }, asio::detached);
 }
 
 bool Link::Send(FrameBytes frame)
@@ -110,7 +107,7 @@
         Close();
         return true; // some of the queue may have left
     }
-    asio::post(m_Socket.get_executor(), [self = shared_from_this()] { self->m_SendWake.cancel(); });
+    asio::dispatch(m_Socket.get_executor(), [self = shared_from_this()] { self->Flush(); });
     return true;
 }
 
@@ -169,7 +166,6 @@
     }
     boost::system::error_code ec;
     m_Socket.close(ec);
-    m_SendWake.cancel();
     for (auto& [id, box] : exchanges)
         box->Close();
     if (m_Handlers.m_OnClose)
@@ -228,38 +224,34 @@
     Shutdown();
 }
 
-awaitable<void> Link::WriteLoop()
+void Link::Flush()
 {
-    std::vector<FrameBytes>         batch;
-    std::vector<asio::const_buffer> buffers;
-    while (!m_Closed.load())
+    m_Batch.clear();
     {
-        batch.clear();
-        buffers.clear();
-        {
-            std::lock_guard lock(m_Mutex);
-            while (!m_SendQueue.empty() && batch.size() < kWriteGather)
-            {
-                m_SendQueueSize -= m_SendQueue.front()->size();
-                batch.push_back(std::move(m_SendQueue.front()));
-                m_SendQueue.pop_front();
-            }
-            m_Writing = !batch.empty();
-        }
-        if (batch.empty())
+        std::lock_guard lock(m_Mutex);
+        while (!m_SendQueue.empty() && m_Batch.size() < kWriteGather && !m_Closed.load())
         {
-            m_SendWake.expires_at(Now() + std::chrono::hours(1));
-            co_await m_SendWake.async_wait(kNoThrow);
-            continue;
+            m_SendQueueSize -= m_SendQueue.front()->size();
+            m_Batch.push_back(std::move(m_SendQueue.front()));
+            m_SendQueue.pop_front();
         }
-        for (const FrameBytes& f : batch)
-            buffers.emplace_back(f->data(), f->size());
-        auto [ec, n] = co_await asio::async_write(m_Socket, buffers, kNoThrow);
-        m_BytesOut.fetch_add(n);
-        if (ec)
-            break;
+        m_Writing = !m_Batch.empty();
     }
-    Shutdown();
+    if (m_Batch.empty())
+        return;
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(m_Batch.size());
+    for (const FrameBytes& f : m_Batch)
+        buffers.emplace_back(f->data(), f->size());
+    const auto written = [self = shared_from_this()](const boost::system::error_code& ec, size_t n)
+    {
+        self->m_BytesOut.fetch_add(n);
+        if (ec)
+            self->Shutdown();
+        else
+            self->Flush();
+    };
+    asio::async_write(m_Socket, buffers, written);
 }
 
 //-----------------------------------------------------------------------------
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -120,15 +120,14 @@
 
 private:
     awaitable<void> ReadLoop();
-    awaitable<void> WriteLoop();
+    void            Flush(); // on the strand: writes what is queued, then itself again until nothing is left
     void            Dispatch(const FrameBuf& frame);
     void            Shutdown();
 
-    tcp::socket        m_Socket;   // on its own strand
-    const LinkSide     m_Side;     //
-    LinkConfig         m_Config;   //
-    LinkHandlers       m_Handlers; //
-    asio::steady_timer m_SendWake; // its cancellation wakes WriteLoop()
+    tcp::socket    m_Socket;   // on its own strand
+    const LinkSide m_Side;     //
+    LinkConfig     m_Config;   //
+    LinkHandlers   m_Handlers; //
 
     std::atomic<bool>          m_Closed{false}; // never goes back to false
     std::atomic<Duration::rep> m_LastHeard;     // monotonic time of the last bytes read
@@ -136,12 +135,13 @@
     std::atomic<uint64_t>      m_BytesOut{0};   //
     std::atomic<uint64_t>      m_Dropped{0};    //
 
-    mutable std::mutex                       m_Mutex;             // guards the members below
-    std::unordered_map<uint64_t, MailboxPtr> m_Exchanges;         // exchanges that this side opened
-    std::deque<FrameBytes>                   m_SendQueue;         //
-    size_t                                   m_SendQueueSize = 0; // bytes in m_SendQueue
-    bool                                     m_Writing       = false;
-    LinkPeer                                 m_Peer; //
+    mutable std::mutex                       m_Mutex;                 // guards the members below
+    std::unordered_map<uint64_t, MailboxPtr> m_Exchanges;             // exchanges that this side opened
+    std::deque<FrameBytes>                   m_SendQueue;             //
+    size_t                                   m_SendQueueSize = 0;     // bytes in m_SendQueue
+    bool                                     m_Writing       = false; // a Flush() is under way or posted
+    std::vector<FrameBytes>                  m_Batch;                 // being written; touched only on the strand
+    LinkPeer                                 m_Peer;                  //
 };
 
 //-----------------------------------------------------------------------------
