Control: bytes, reads and memory per daemon kept within their limits

Cause: at 60 routers and 120 agents a router spent 26 KB/s and 63 MiB on control (limits 13 KB/s, 64 MB), and at 6 routers already 22 KB/s: every heartbeat carried all versions, went out twice a second on every link, demand was told four times a second even when empty, each link held a 256 KiB read buffer, and a router linked to 64 boxes. Change: agents send state once a second and versions only when they changed; all else every two seconds, and at once after a change; a router that read the store tells its neighbours, so they needn't; demand is told when it changes; standbys beyond three read the lease row seldom; read buffers start at 16 KiB and grow; 24 boxes a router.

--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-constexpr size_t kReadSize    = 256 * 1024; // bytes asked of the socket at a time
+constexpr size_t kReadSizeMin = 16 * 1024;  // bytes asked of the socket at a time; grows while reads fill it
+constexpr size_t kReadSizeMax = 256 * 1024; // a process has hundreds of links, few of which carry weights
 constexpr size_t kWriteGather = 32;         // frames handed to one write
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
@@ -199,7 +200,7 @@
 awaitable<void> Link::ReadLoop()
 {
     FrameDecoder         decoder;
-    std::vector<uint8_t> buf(kReadSize);
+    std::vector<uint8_t> buf(kReadSizeMin);
     while (!m_Closed.load())
     {
         auto [ec, n] = co_await m_Socket.async_read_some(asio::buffer(buf), kNoThrow);
@@ -208,6 +209,8 @@
         m_BytesIn.fetch_add(n);
         m_LastHeard.store(Now().time_since_epoch().count());
         decoder.Feed(std::span(buf).first(n));
+        if (n == buf.size() && n < kReadSizeMax)
+            buf.resize(2 * n);
         FrameBuf    frame;
         FrameStatus status = decoder.Next(frame);
         while (status == FrameStatus_Ok && !m_Closed.load())
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -48,7 +48,7 @@
 
 struct MembershipConfig
 {
-    Duration m_SuspectAfter = milliseconds(2000); // silence after which a box gets no new work
+    Duration m_SuspectAfter = milliseconds(3500); // silence after which a box gets no new work
 };
 
 class Membership
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -17,6 +17,14 @@
 {
     AnnounceTo_All,
     AnnounceTo_NotAgentPeers,
+    AnnounceTo_Routers, // of the own data centre
+};
+
+enum StateKind // how much an agent's heartbeat says of it
+{
+    StateKind_None,
+    StateKind_Brief, // without versions
+    StateKind_Full,
 };
 
 uint32_t AgeToMs(Duration age)
@@ -40,21 +48,25 @@
     {
     }
 
-    LinkHandlers MakeLinkHandlers();
-    LinkPtr      Adopt(tcp::socket socket, LinkSide side);
-    void         OnFrame(const LinkPtr& link, const FrameBuf& frame);
-    void         OnHello(const LinkPtr& link, const wire::Hello& hello);
-    void         OnHeartbeat(const LinkPtr& link, const wire::Heartbeat& hb);
-    void         OnConfigPull(const LinkPtr& link, const wire::ConfigPull& pull);
-    void         OnConfigDelta(const wire::ConfigDelta& msg);
-    void         OnListUpdate(const wire::ListUpdate& msg);
-    void         OnClose(const LinkPtr& link);
-    void         PullIfNewer(const LinkPtr& link, uint64_t revision);
-    void         ConfirmLocked(uint64_t revision, Duration age);
-    FrameBytes   MakeHeartbeat(bool with_state);
-    bool         AgentPeer(const LinkPtr& link) const; // both sides are agents: they need little of each other
-    bool         OfferConfig(const ConfigDelta& delta, std::optional<Duration> age);
-    void         Announce(AnnounceTo to);
+    LinkHandlers         MakeLinkHandlers();
+    LinkPtr              Adopt(tcp::socket socket, LinkSide side);
+    void                 OnFrame(const LinkPtr& link, const FrameBuf& frame);
+    void                 OnHello(const LinkPtr& link, const wire::Hello& hello);
+    void                 OnHeartbeat(const LinkPtr& link, const wire::Heartbeat& hb);
+    void                 OnConfigPull(const LinkPtr& link, const wire::ConfigPull& pull);
+    void                 OnConfigDelta(const wire::ConfigDelta& msg);
+    void                 OnListUpdate(const wire::ListUpdate& msg);
+    void                 OnClose(const LinkPtr& link);
+    void                 PullIfNewer(const LinkPtr& link, uint64_t revision);
+    void                 ConfirmLocked(uint64_t revision, Duration age);
+    FrameBytes           MakeHeartbeat(StateKind kind);
+    bool                 AgentPeer(const LinkPtr& link) const; // both sides are agents: they need little of each other
+    bool                 InGroup() const;                      // this box is part of a replica over several boxes
+    std::vector<LinkPtr> OpenLinks() const;
+    Duration             SendEvery(const LinkPtr& link, bool group) const;
+    Duration             HearEvery(const LinkPtr& link, bool group) const;
+    bool                 OfferConfig(const ConfigDelta& delta, std::optional<Duration> age);
+    void                 Announce(AnnounceTo to);
 
     awaitable<void> AcceptLoop();
     awaitable<void> HeartbeatLoop();
@@ -108,7 +120,7 @@
     hello.schema      = kFrameSchema;
     hello.address     = m_Config.m_Listen ? m_Config.m_Listen->ToString() : "";
     link->Send(EncodeFrame(0, hello));
-    link->Send(MakeHeartbeat(true));
+    link->Send(MakeHeartbeat(StateKind_Full));
     return link;
 }
 
@@ -363,12 +375,17 @@
     return m_Config.m_Role == wire::PeerRole::Agent && link->Peer().m_Role == wire::PeerRole::Agent;
 }
 
-FrameBytes Node::Impl::MakeHeartbeat(bool with_state)
+bool Node::Impl::InGroup() const
+{
+    return m_Handlers.m_GroupMember && m_Handlers.m_GroupMember();
+}
+
+FrameBytes Node::Impl::MakeHeartbeat(StateKind kind)
 {
     wire::HeartbeatT hb;
     hb.incarnation = m_Daemon.Incarnation();
-    if (m_Handlers.m_AgentState && with_state)
-        hb.state = m_Handlers.m_AgentState();
+    if (m_Handlers.m_AgentState && kind != StateKind_None)
+        hb.state = m_Handlers.m_AgentState(kind == StateKind_Brief);
     std::lock_guard lock(m_Mutex);
     hb.config_revision = m_Snapshot->m_Revision;
     hb.config_age_ms   = m_ConfirmedAt == TimePoint{} ? UINT32_MAX : AgeToMs(Now() - m_ConfirmedAt);
@@ -378,40 +395,60 @@
     return EncodeFrame(0, hb);
 }
 
+std::vector<LinkPtr> Node::Impl::OpenLinks() const
+{
+    std::lock_guard lock(m_Mutex);
+    return {m_Links.begin(), m_Links.end()};
+}
+
 void Node::Impl::Announce(AnnounceTo to)
 {
-    const FrameBytes     full = MakeHeartbeat(true);
-    const FrameBytes     bare = MakeHeartbeat(m_Handlers.m_GroupMember && m_Handlers.m_GroupMember());
-    std::vector<LinkPtr> links;
-    {
-        std::lock_guard lock(m_Mutex);
-        links.assign(m_Links.begin(), m_Links.end());
-    }
-    for (const LinkPtr& link : links)
+    const FrameBytes full = MakeHeartbeat(StateKind_Full);
+    const FrameBytes bare = MakeHeartbeat(InGroup() ? StateKind_Full : StateKind_None);
+    for (const LinkPtr& link : OpenLinks())
     {
-        const bool peer = AgentPeer(link);
-        if (!peer || to == AnnounceTo_All)
-            link->Send(peer ? bare : full);
+        const LinkPeer peer        = link->Peer();
+        const bool     agent_peer  = AgentPeer(link);
+        const bool     near_router = peer.m_Role == wire::PeerRole::Router && peer.m_DataCentre == m_Daemon.Settings().m_DataCentre;
+        const bool     wanted =
+            to == AnnounceTo_All || (to == AnnounceTo_NotAgentPeers && (!agent_peer || InGroup())) || (to == AnnounceTo_Routers && near_router);
+        if (wanted)
+            link->Send(agent_peer ? bare : full);
     }
 }
 
+// How often this process sends heartbeats on a link, and how often it may expect them.
+Duration Node::Impl::SendEvery(const LinkPtr& link, bool group) const
+{
+    if (AgentPeer(link))
+        return group ? m_Config.m_GroupEvery : m_Config.m_QuietEvery;
+    return m_Config.m_Role == wire::PeerRole::Agent ? m_Config.m_StateEvery : m_Config.m_QuietEvery;
+}
+
+Duration Node::Impl::HearEvery(const LinkPtr& link, bool group) const
+{
+    if (AgentPeer(link))
+        return group ? m_Config.m_GroupEvery : m_Config.m_QuietEvery;
+    return link->Peer().m_Role == wire::PeerRole::Agent ? m_Config.m_StateEvery : m_Config.m_QuietEvery;
+}
+
 awaitable<void> Node::Impl::HeartbeatLoop()
 {
-    unsigned beat = 0;
-    for (;;)
+    for (unsigned beat = 1;; beat++)
     {
-        co_await SleepFor(m_Config.m_HeartbeatEvery);
-        const bool group = m_Handlers.m_GroupMember && m_Handlers.m_GroupMember();
-        Announce(group || ++beat % m_Config.m_AgentPeerEvery == 0 ? AnnounceTo_All : AnnounceTo_NotAgentPeers);
-        std::vector<LinkPtr> silent;
+        co_await SleepFor(m_Config.m_GroupEvery);
+        const bool       group = InGroup();
+        const bool       moves = m_Handlers.m_StateMoves && m_Handlers.m_StateMoves();
+        const FrameBytes state = MakeHeartbeat(moves ? StateKind_Full : StateKind_Brief);
+        const FrameBytes bare  = MakeHeartbeat(group ? StateKind_Full : StateKind_None);
+        for (const LinkPtr& link : OpenLinks())
         {
-            std::lock_guard lock(m_Mutex);
-            for (const LinkPtr& link : m_Links)
-                if (Now() - link->LastHeard() > m_Config.m_DeadAfter * (AgentPeer(link) ? m_Config.m_AgentPeerEvery : 1))
-                    silent.push_back(link);
+            const auto every = SendEvery(link, group) / m_Config.m_GroupEvery;
+            if (beat % std::max<unsigned>(1, static_cast<unsigned>(every)) == 0)
+                link->Send(AgentPeer(link) ? bare : state);
+            if (Now() - link->LastHeard() > 2 * HearEvery(link, group) + m_Config.m_Grace)
+                link->Close();
         }
-        for (const LinkPtr& link : silent)
-            link->Close();
     }
 }
 
@@ -477,6 +514,11 @@
     m_Impl->Announce(AnnounceTo_NotAgentPeers);
 }
 
+void Node::AnnounceToRouters()
+{
+    m_Impl->Announce(AnnounceTo_Routers);
+}
+
 ConfigPtr Node::Config() const
 {
     std::lock_guard lock(m_Impl->m_Mutex);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -1,6 +1,6 @@
 // aldervale: a node, the part of a process that keeps links to its peers and spreads what everybody must know
 //
-// Spread over every link by heartbeats (a few numbers, every m_HeartbeatEvery and at once after a change): the configuration revision,
+// Spread over every link by heartbeats (a few numbers, every second or two, and at once after a change): the configuration revision,
 // how long ago the store confirmed it, the controller's fencing number, the version of the platform's box list. Whoever hears of a
 // newer revision pulls the difference from the peer that told it; a newer list is pushed by whoever holds it. Nothing ever goes down.
 //
@@ -30,23 +30,25 @@
 
 struct NodeConfig
 {
-    wire::PeerRole          m_Role = wire::PeerRole::Agent;        //
-    std::optional<Endpoint> m_Listen;                              // none: only dials
-    Duration                m_HeartbeatEvery = milliseconds(500);  //
-    unsigned                m_AgentPeerEvery = 4;                  // between agents only every so many heartbeats
-    Duration                m_DeadAfter      = milliseconds(2000); // a silent link is closed
-    Duration                m_RedialMin      = milliseconds(100);  // doubles up to m_RedialMax
-    Duration                m_RedialMax      = milliseconds(3000); //
+    wire::PeerRole          m_Role = wire::PeerRole::Agent;    //
+    std::optional<Endpoint> m_Listen;                          // none: only dials
+    Duration                m_StateEvery = milliseconds(1000); // heartbeats of agents to routers and controllers, with state
+    Duration                m_QuietEvery = milliseconds(2000); // all other heartbeats; what matters is announced at once besides
+    Duration                m_GroupEvery = milliseconds(500);  // between agents whose boxes form one replica, with state
+    Duration                m_Grace      = milliseconds(1500); // a link is closed when two heartbeats and this are missed
+    Duration                m_RedialMin  = milliseconds(100);  // doubles up to m_RedialMax
+    Duration                m_RedialMax  = milliseconds(3000); //
 };
 
 struct NodeHandlers
 {
-    std::function<void(const LinkPtr&, const FrameBuf&)>        m_OnFrame;  // what the node itself doesn't handle
-    std::function<void(const LinkPtr&)>                         m_OnLinkUp; // after the peer's Hello
-    std::function<void(const LinkPtr&)>                         m_OnLinkDown;
-    std::function<void(const LinkPtr&, const wire::Heartbeat&)> m_OnHeartbeat;
-    std::function<void(ConfigPtr)>                              m_OnConfig;   // a newer revision is in force
-    std::function<std::unique_ptr<wire::AgentStateT>()>         m_AgentState; // agents only: goes into heartbeats
+    std::function<void(const LinkPtr&, const FrameBuf&)>          m_OnFrame;  // what the node itself doesn't handle
+    std::function<void(const LinkPtr&)>                           m_OnLinkUp; // after the peer's Hello
+    std::function<void(const LinkPtr&)>                           m_OnLinkDown;
+    std::function<void(const LinkPtr&, const wire::Heartbeat&)>   m_OnHeartbeat;
+    std::function<void(ConfigPtr)>                                m_OnConfig;   // a newer revision is in force
+    std::function<std::unique_ptr<wire::AgentStateT>(bool brief)> m_AgentState; // agents only: goes into heartbeats; brief: without versions
+    std::function<bool()> m_StateMoves;  // agents only: versions are on their way, so that brief states would hide progress
     std::function<bool()> m_GroupMember; // agents only: this box is part of a replica over several boxes, whose members watch each other
 };
 
@@ -69,6 +71,7 @@
     Status Listen();
     void   KeepLink(const Endpoint& to); // once per endpoint; idempotent
     void   DropLink(const Endpoint& to); // no longer dialled; an open link is closed
+    void   AnnounceToRouters();          // of the own data centre: how fresh the configuration is known to be
     void   AnnounceNow();                // heartbeats on all links at once, such as after a change of state
 
     ConfigPtr Config() const;                                                               // never null; revision 0 until something is known
--- a/src/process/store_sync.cpp
+++ b/src/process/store_sync.cpp
@@ -188,8 +188,10 @@
         const Duration threshold = OwnThreshold();
         if (m_Node.ConfirmedAge() >= threshold && Now() - asked >= threshold)
         {
-            asked = Now();
-            co_await Read(Now() + m_Config.m_ReadTimeout);
+            asked     = Now();
+            auto head = co_await Read(Now() + m_Config.m_ReadTimeout);
+            if (head)
+                m_Node.AnnounceToRouters(); // so that the others needn't ask
         }
         const bool first = threshold == m_Config.m_PollEvery;
         if (Now() - listed >= (first ? m_Config.m_ListEvery : 3 * m_Config.m_ListEvery))
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -70,15 +70,16 @@
             agent.m_Weights->OnHeartbeat(link, hb);
     };
     h.m_OnConfig   = [&agent](const ConfigPtr& c) { agent.m_Serve->OnConfig(c); };
-    h.m_AgentState = [&agent]
+    h.m_AgentState = [&agent](bool brief)
     {
         auto state = std::make_unique<wire::AgentStateT>();
         if (agent.m_Weights)
-            agent.m_Weights->Describe(*state);
+            agent.m_Weights->Describe(*state, brief);
         if (agent.m_Serve)
             agent.m_Serve->Describe(*state);
         return state;
     };
+    h.m_StateMoves  = [&agent] { return agent.m_Weights && agent.m_Weights->Fetching(); };
     h.m_GroupMember = [&agent] { return agent.m_Weights && agent.m_Weights->HoldsSlice(); };
     return h;
 }
--- a/src/programs/controller.cpp
+++ b/src/programs/controller.cpp
@@ -11,10 +11,12 @@
 namespace
 {
 
-constexpr auto kTick         = milliseconds(100);
-constexpr auto kResendAfter  = milliseconds(2000); // an order without effect is sent again after this
-constexpr auto kReachableFor = milliseconds(2000); // silence after which a box gets no orders
-constexpr auto kStoreTimeout = milliseconds(1000);
+constexpr auto   kTick         = milliseconds(100);
+constexpr auto   kResendAfter  = milliseconds(2000); // an order without effect is sent again after this
+constexpr auto   kReachableFor = milliseconds(3500); // silence after which a box gets no orders
+constexpr auto   kStoreTimeout = milliseconds(1000);
+constexpr auto   kSeldomRead   = seconds(15); // of standbys that are not among the first
+constexpr size_t kOftenReaders = 3;
 
 struct ControllerSettings
 {
@@ -165,14 +167,35 @@
     return held;
 }
 
+// All entry boxes of a data centre may contend, but only the first few in a common order read the lease row often: the store's reads
+// must not grow with the number of boxes. The others step in later, when those few are gone together.
+bool ReadsOften(const Controller& c, const DaemonSettings& d)
+{
+    const ConfigPtr          config = c.m_Node->Config();
+    std::vector<std::string> names;
+    for (const auto& [name, b] : config->m_Boxes)
+        if (b.m_Spec.m_Role == BoxRole_Entry && b.m_Spec.m_DataCentre == d.m_DataCentre)
+            names.push_back(name);
+    const std::vector<size_t> order = RendezvousOrder("controller", names);
+    for (size_t place = kOftenReaders; place < order.size(); place++)
+        if (names[order[place]] == d.m_Name)
+            return false;
+    return true;
+}
+
 awaitable<void> LeaseLoop(Controller& c, const DaemonSettings& d)
 {
     const std::string key = std::string(kRowLeasePrefix) + d.m_DataCentre;
+    TimePoint         read_at{};
     for (;;)
     {
         const LeaseStep step = c.m_Lease->Next(Now());
-        if (step.m_Action == LeaseAction_Read)
+        const bool      due  = c.m_Lease->Fencing() != 0 || ReadsOften(c, d) || Now() - read_at > kSeldomRead;
+        if (step.m_Action == LeaseAction_Read && due)
+        {
+            read_at = Now();
             co_await ReadLease(c, key);
+        }
         else if (step.m_Action == LeaseAction_Write)
             co_await WriteLease(c, key, step);
         const bool held = PublishLease(c, d);
@@ -201,7 +224,10 @@
                 heard.m_Box.m_Versions[v->digest()->str()] = {static_cast<VersionState>(v->state()), v->base() != nullptr ? v->base()->str() : "",
                                                               v->error() != nullptr ? v->error()->str() : "", v->failures()};
     std::lock_guard lock(c.m_Mutex);
-    c.m_Heard[heard.m_Box.m_Name] = std::move(heard);
+    Heard&          slot = c.m_Heard[heard.m_Box.m_Name];
+    if (s->brief())
+        heard.m_Box.m_Versions = slot.m_Box.m_Versions; // unchanged since the last full state
+    slot = std::move(heard);
 }
 
 std::string MemoryKey(const DaemonSettings& d, const std::string& placement)
--- a/src/programs/router.cpp
+++ b/src/programs/router.cpp
@@ -20,7 +20,7 @@
     std::vector<std::string> m_Operators;         // NAME:ROLE:SHA256 [operators]
     int64_t                  m_BodyMax = 4 << 20; // [http.body_max]
     int64_t                  m_HeadMax = 16384;   // [http.head_max]
-    int64_t                  m_Subset  = 64;      // backend server boxes linked for model services [route.subset]
+    int64_t                  m_Subset  = 24;      // backend server boxes linked for model services [route.subset]
     RouterServeSettings      m_Serve;             //
 };
 
--- a/src/request/replica_table.cpp
+++ b/src/request/replica_table.cpp
@@ -80,9 +80,12 @@
     r.m_Warm.clear();
     if (s->warm() != nullptr)
         r.m_Warm.insert(s->warm()->begin(), s->warm()->end());
-    r.m_Adapters.clear();
-    r.m_Versions.clear();
-    if (s->versions() != nullptr)
+    if (!s->brief())
+    {
+        r.m_Adapters.clear();
+        r.m_Versions.clear();
+    }
+    if (!s->brief() && s->versions() != nullptr)
     {
         for (const wire::VersionStatus* v : *s->versions())
         {
--- a/src/request/router_serve.cpp
+++ b/src/request/router_serve.cpp
@@ -18,6 +18,9 @@
 constexpr uint32_t kRetryAfterMs = 1000;              // told to callers when nothing better is known
 constexpr size_t   kBufferMax    = 1024 * 1024;       // answers up to this are sent whole, with a length
 constexpr uint32_t kKeyedProbeMs = 1000;              // deadline of a probe
+constexpr auto     kDemandWindow = milliseconds(250); // how often demand is measured
+constexpr auto     kDemandRepeat = seconds(3);        // unchanged demand is told again after this
+constexpr double   kDemandChange = 0.1;               // share of change that is told at once
 
 using Fields = std::vector<std::unique_ptr<wire::FieldT>>;
 
@@ -631,21 +634,34 @@
     m_Usage.Record(st.m_Record, now);
 }
 
+// Tells the other routers when demand has changed by more than a tenth somewhere, and now and then all the same.
 awaitable<void> RouterServe::Impl::DemandLoop()
 {
+    std::map<std::string, double> told;
+    TimePoint                     told_at{};
     for (;;)
     {
-        co_await SleepFor(milliseconds(250));
+        co_await SleepFor(kDemandWindow);
         const std::vector<AccountRate> rates = m_Limits.Tick(Now());
+        std::map<std::string, double>  now;
         wire::DemandUpdateT            msg;
-        msg.window_ms = 250;
+        msg.window_ms = static_cast<uint32_t>(ToMs(kDemandWindow));
         for (const AccountRate& r : rates)
         {
-            auto a     = std::make_unique<wire::AccountDemandT>();
-            a->account = r.m_Account;
-            a->rate    = static_cast<float>(r.m_Rate);
+            auto a           = std::make_unique<wire::AccountDemandT>();
+            a->account       = r.m_Account;
+            a->rate          = static_cast<float>(r.m_Rate);
+            now[r.m_Account] = r.m_Rate;
             msg.accounts.push_back(std::move(a));
         }
+        bool changed = now.size() != told.size();
+        for (const auto& [account, rate] : now)
+            changed = changed || std::abs(rate - told[account]) > kDemandChange * std::max(1.0, told[account]);
+        const bool due = !now.empty() && Now() - told_at > kDemandRepeat;
+        if (!changed && !due)
+            continue;
+        told                   = now;
+        told_at                = Now();
         const FrameBytes frame = EncodeFrame(0, msg);
         for (const LinkPtr& link : m_Node.Links(wire::PeerRole::Router))
             link->Send(frame);
--- a/src/version/agent_weights.cpp
+++ b/src/version/agent_weights.cpp
@@ -493,6 +493,15 @@
     m_Impl->RunActions();
 }
 
+bool AgentWeights::Fetching() const
+{
+    std::lock_guard lock(m_Impl->m_Mutex);
+    for (const auto& [slice, v] : m_Impl->m_Activation.Versions())
+        if (v.m_State == VersionState_Fetching)
+            return true;
+    return false;
+}
+
 bool AgentWeights::HoldsSlice() const
 {
     std::lock_guard lock(m_Impl->m_Mutex);
@@ -513,7 +522,7 @@
     m_Impl->m_Shared->m_Link.Reserve(static_cast<double>(bytes));
 }
 
-void AgentWeights::Describe(wire::AgentStateT& out) const
+void AgentWeights::Describe(wire::AgentStateT& out, bool brief) const
 {
     std::lock_guard lock(m_Impl->m_Mutex);
     out.active           = m_Impl->m_Activation.Active();
@@ -527,6 +536,9 @@
     out.staging_max      = m_Impl->m_Shared->m_Staging.Max();
     const auto& warm     = m_Impl->m_Report.m_WarmPrefixes;
     out.warm.assign(warm.begin(), warm.begin() + static_cast<std::ptrdiff_t>(std::min(warm.size(), kWarmMax)));
+    out.brief = brief;
+    if (brief)
+        return;
     for (const auto& [digest, v] : m_Impl->m_Activation.Versions())
     {
         auto status      = std::make_unique<wire::VersionStatusT>();
@@ -545,7 +557,7 @@
 json::object AgentWeights::DescribeJson() const
 {
     wire::AgentStateT state;
-    Describe(state);
+    Describe(state, false);
     json::array versions;
     for (const auto& v : state.versions)
         versions.push_back(json::object{{"digest", v->digest},
--- a/src/version/agent_weights.h
+++ b/src/version/agent_weights.h
@@ -63,8 +63,9 @@
     void         EndRequest();
     bool         HoldsSlice() const; // serves or fetches a part of a replica over several boxes
     uint64_t     RunningRequests() const;
-    void         ChargeLive(size_t bytes); // bytes of live answers on the box's link
-    void         Describe(wire::AgentStateT& out) const;
+    void         ChargeLive(size_t bytes);                           // bytes of live answers on the box's link
+    void         Describe(wire::AgentStateT& out, bool brief) const; // brief: without versions
+    bool         Fetching() const;                                   // some version is on its way
     json::object DescribeJson() const;
 
     struct Impl;
