--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -330,7 +330,8 @@
 
 int Run(Arguments a)
 {
-    Shared s;
+    asio::io_context ioc(a.m_Threads); // outlives the connections that Shared keeps
+    Shared           s;
     s.m_Arguments = std::move(a);
     for (const std::string& at : s.m_Arguments.m_Mix == "direct" ? std::vector<std::string>{s.m_Arguments.m_Direct} : s.m_Arguments.m_Routers)
     {
@@ -342,7 +343,6 @@
         }
         s.m_Routers.push_back(endpoint.value());
     }
-    asio::io_context                                           ioc(s.m_Arguments.m_Threads);
     asio::executor_work_guard<asio::io_context::executor_type> work(ioc.get_executor());
     std::vector<std::thread>                                   threads;
     for (int i = 0; i < s.m_Arguments.m_Threads; i++)
--- a/scripts/benchlib.py
+++ b/scripts/benchlib.py
@@ -111,7 +111,7 @@
         command += ["--routers", ",".join(fleet.router_http(i) for i in routers)]
     for key, value in options.items():
         command += ["--" + key.replace("_", "-"), str(value)]
-    return subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    return subprocess.Popen(command, stdout=subprocess.PIPE, stderr=sys.stderr, text=True)
 
 
 def result(process):
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -211,9 +211,11 @@
     LogSetup(
         {settings.m_LogFormat == "text" ? LogFormat_Text : LogFormat_Json, ParseLevel(settings.m_LogLevel), std::string(program), settings.m_Name});
     std::signal(SIGPIPE, SIG_IGN);
-    Daemon       daemon(settings, program);
-    const Status ops = daemon.Start();
-    const Status own = ops ? start(daemon) : ops;
+    // Never freed: what main() holds (kept HTTP connections, timers) refers to its io_context until the process ends.
+    static Daemon* const process = new Daemon(settings, program);
+    Daemon&              daemon  = *process;
+    const Status         ops     = daemon.Start();
+    const Status         own     = ops ? start(daemon) : ops;
     if (!own)
     {
         LogEvent(Event_ProcessFailed, {{"what", own.error().m_Message}});
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -33,7 +33,7 @@
     wire::PeerRole          m_Role = wire::PeerRole::Agent;    //
     std::optional<Endpoint> m_Listen;                          // none: only dials
     Duration                m_StateEvery = milliseconds(1000); // heartbeats of agents to routers and controllers, with state
-    Duration                m_QuietEvery = milliseconds(2000); // all other heartbeats; what matters is announced at once besides
+    Duration                m_QuietEvery = milliseconds(3000); // all other heartbeats; what matters is announced at once besides
     Duration                m_GroupEvery = milliseconds(500);  // between agents whose boxes form one replica, with state
     Duration                m_Grace      = milliseconds(1500); // a link is closed when two heartbeats and this are missed
     Duration                m_RedialMin  = milliseconds(100);  // doubles up to m_RedialMax
