--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -345,6 +345,7 @@
     }
     asio::executor_work_guard<asio::io_context::executor_type> work(ioc.get_executor());
     std::vector<std::thread>                                   threads;
+    threads.reserve(static_cast<size_t>(s.m_Arguments.m_Threads));
     for (int i = 0; i < s.m_Arguments.m_Threads; i++)
         threads.emplace_back([&] { ioc.run(); });
     std::atomic<int>                paces{0};
--- a/scripts/bench_control.py
+++ b/scripts/bench_control.py
@@ -14,6 +14,18 @@
     return [n for n in fleet.processes if n.startswith(("router-", "agent-"))]
 
 
+def statusz(fleet, a, name):
+    role, _, index = name.rpartition("-")
+    if name.startswith("agent-plain"):
+        return fleet.get_json(fleet.agent_ops(a.agents + int(index)), "/statusz")
+    return fleet.get_json(fleet.router_ops(int(index)) if role == "router-entry" else fleet.agent_ops(int(index)), "/statusz")
+
+
+def mean_of(values, prefix):
+    chosen = [v for n, v in values.items() if n.startswith(prefix)]
+    return sum(chosen) / max(1, len(chosen))
+
+
 def link_bytes(fleet, a):
     out = {}
     for i in range(a.routers):
@@ -42,6 +54,7 @@
 
         # 1. Quiet: what a daemon spends for control, what the store is asked.
         quiet_s = 10
+        links = {n: statusz(fleet, a, n)["links"] for n in daemons(fleet, a)}
         names = daemons(fleet, a)
         cpu0 = {n: cpu_seconds(fleet.processes[n].pid) for n in names}
         bytes0 = link_bytes(fleet, a)
@@ -50,6 +63,7 @@
         cpu = [(cpu_seconds(fleet.processes[n].pid) - cpu0[n]) / quiet_s for n in names]
         bytes1 = link_bytes(fleet, a)
         store1 = fleet.get_json(fleet.table, "/admin/stats")
+        rss = {n: rss_mib(fleet.processes[n].pid, "VmRSS") for n in names}
         spent = [(bytes1[n] - bytes0[n]) / quiet_s for n in bytes1]
 
         # 2. Changes through random routers; each process logs when a revision comes into force.
@@ -110,6 +124,8 @@
                 "router_cpu_share": round(sum(c for n, c in zip(names, cpu) if n.startswith("router")) / max(1, a.routers), 4),
                 "agent_cpu_share": round(sum(c for n, c in zip(names, cpu) if n.startswith("agent")) / max(1, a.agents), 4),
                 "rss_mib_per_daemon": round(max(rss_mib(fleet.processes[n].pid, "VmRSS") for n in names), 1),
+                "router_links": round(mean_of(links, "router"), 1), "agent_links": round(mean_of(links, "agent-llm"), 1),
+                "router_rss_mib": round(mean_of(rss, "router"), 2), "agent_rss_mib": round(mean_of(rss, "agent-llm"), 2),
                 "failover_s": round(failover, 2), "store_down_s": a.store_down_s, "change_status_while_down": refused,
                 "requests_during": requests["sent"], "requests_failed_during": requests["sent"] - requests["answered"], "died": len(fleet.dead())}
     finally:
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -21,6 +21,7 @@
 
 #pragma once
 #include "connection/link.h"
+#include <boost/json.hpp>
 
 namespace aldervale
 {
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -120,6 +120,7 @@
         o["leaving"]    = agent.m_Serve->Leaving();
         o["revision"]   = agent.m_Node->Config()->m_Revision;
         o["link_bytes"] = agent.m_Node->ControlBytes();
+        o["links"]      = agent.m_Node->AllLinks().size();
         return o;
     };
     daemon.SetHooks(std::move(hooks));
--- a/src/programs/ctl.cpp
+++ b/src/programs/ctl.cpp
@@ -181,9 +181,12 @@
         }
         std::cout << std::left << std::setw(20) << std::string(r.at("box").as_string()) << std::setw(14)
                   << std::string(r.at("data_centre").as_string()) << std::setw(14) << Short(std::string_view(r.at("active").as_string()))
-                  << std::setw(10) << (r.at("servable").as_bool() ? "yes" : "no") << std::right << std::setw(8)
-                  << r.at("running").to_number<int64_t>() << std::setw(8) << r.at("queued").to_number<int64_t>() << std::setw(12)
-                  << (std::to_string(have) + "/" + std::to_string(total)) << "\n";
+                  << std::setw(10)
+                  << (r.at("versions").as_array().empty() ? "-"
+                      : r.at("servable").as_bool()        ? "yes"
+                                                          : "no")
+                  << std::right << std::setw(8) << r.at("running").to_number<int64_t>() << std::setw(8) << r.at("queued").to_number<int64_t>()
+                  << std::setw(12) << (std::to_string(have) + "/" + std::to_string(total)) << "\n";
     }
 }
 
@@ -195,12 +198,10 @@
     auto              v      = CallRouter(a, "GET", target, "");
     if (!v)
         return Print(v.error());
-    if (a.m_Format == "json")
+    if (a.m_Format == "json" || (status && what != "replicas"))
         std::cout << json::serialize(v.value()) << "\n";
     else if (what == "replicas")
         PrintReplicas(v.value());
-    else if (status)
-        std::cout << json::serialize(v.value()) << "\n";
     else
         for (const json::value& r : v.value().at("items").as_array())
             std::cout << std::left << std::setw(16) << std::string(r.at("kind").as_string()) << std::setw(28) << std::string(r.at("name").as_string())
--- a/src/programs/router.cpp
+++ b/src/programs/router.cpp
@@ -220,7 +220,7 @@
         return json::object{{"revision", router.m_Node->Config()->m_Revision},    {"confirmed_age_ms", age == Duration::max() ? -1 : ToMs(age)},
                             {"store_reachable", router.m_Sync->StoreReachable()}, {"lease_fencing", router.m_Node->Lease().m_Fencing},
                             {"list_version", router.m_Node->ListVersion()},       {"in_flight", router.m_Serve->InFlight()},
-                            {"link_bytes", router.m_Node->ControlBytes()}};
+                            {"links", router.m_Node->AllLinks().size()},          {"link_bytes", router.m_Node->ControlBytes()}};
     };
     daemon.SetHooks(std::move(hooks));
     return router.m_Http->Listen(ParseEndpoint(s.m_HttpListen).value());
--- a/src/request/agent_serve.cpp
+++ b/src/request/agent_serve.cpp
@@ -11,10 +11,9 @@
 namespace
 {
 
-constexpr size_t   kStoredBodyMax = 256 * 1024;      // a keyed answer longer than this can't be replayed
-constexpr auto     kRunningPoll   = milliseconds(5); // how often a repeated key looks whether the first one has ended
-constexpr auto     kCreditWait    = milliseconds(100);
-constexpr uint32_t kRetryAfterMs  = 1000;
+constexpr size_t kStoredBodyMax = 256 * 1024;      // a keyed answer longer than this can't be replayed
+constexpr auto   kRunningPoll   = milliseconds(5); // how often a repeated key looks whether the first one has ended
+constexpr auto   kCreditWait    = milliseconds(100);
 
 } // namespace
 
