--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -2,6 +2,7 @@
 #include "process/events.h"
 #include "process/settings.h"
 #include "support.h"
+#include <boost/json.hpp>
 #include <fstream>
 #include <sstream>
 
@@ -91,12 +92,34 @@
                        });
 }
 
-BOOST_AUTO_TEST_CASE(event_page_and_code_agree)
+static std::string ReadPage(const std::string& name)
 {
-    std::ifstream     in(std::string(ALDERVALE_ROOT) + "/docs/EVENTS.md");
+    std::ifstream     in(std::string(ALDERVALE_ROOT) + "/docs/" + name);
     std::stringstream text;
     text << in.rdbuf();
-    const std::string page = text.str();
+    return text.str();
+}
+
+BOOST_AUTO_TEST_CASE(capacity_page_agrees_with_the_recorded_run)
+{
+    const std::string       page     = ReadPage("CAPACITY.md");
+    const boost::json::value recorded = boost::json::parse(ReadPage("capacity-slopes.json"));
+    size_t                  rows     = 0;
+    for (const auto& figure : recorded.as_object())
+    {
+        const std::string key = "| `" + std::string(figure.key()) + "` | ";
+        const size_t      at  = page.find(key);
+        BOOST_REQUIRE_MESSAGE(at != std::string::npos, "docs/CAPACITY.md lacks " << figure.key());
+        const size_t begin = at + key.size();
+        BOOST_CHECK(boost::json::parse(page.substr(begin, page.find(" |\n", begin) - begin)) == figure.value());
+        rows++;
+    }
+    BOOST_CHECK_GT(rows, 10u);
+}
+
+BOOST_AUTO_TEST_CASE(event_page_and_code_agree)
+{
+    const std::string page = ReadPage("EVENTS.md");
     size_t            rows = 0;
     for (size_t at = page.find("\n| 1"); at != std::string::npos; at = page.find("\n| 1", at + 1))
         rows++;
