Every box of a model service is linked by at least three routers

Ruled out: rollout (all boxes served), leases. Change: each box picks its routers by rank; a router links to the boxes that picked it. Property test: ranks are the rendezvous order.

--- a/fuzz/fuzz_settings.cpp
+++ b/fuzz/fuzz_settings.cpp
@@ -11,8 +11,12 @@
     std::string                    t;
     std::string                    a;
     std::vector<std::string>       l;
-    const std::vector<SettingSpec> specs = {{"n", SettingInt{&n, 0, 9}, ""},  {"t.r", SettingReal{&r, 0, 9}, ""},           {"t.b", SettingBool{&b}, ""},
-                                            {"x", SettingText{&t, {"one"}, false}, ""}, {"a", SettingAddress{&a, true, false}, ""}, {"l", SettingList{&l, true}, ""}};
+    const std::vector<SettingSpec> specs = {{"n", SettingInt{&n, 0, 9}, ""},
+                                            {"t.r", SettingReal{&r, 0, 9}, ""},
+                                            {"t.b", SettingBool{&b}, ""},
+                                            {"x", SettingText{&t, {"one"}, false}, ""},
+                                            {"a", SettingAddress{&a, true, false}, ""},
+                                            {"l", SettingList{&l, true}, ""}};
     CheckSettingsText(std::string_view(reinterpret_cast<const char*>(data), size), "fuzz", specs);
     return 0;
 }
--- a/src/process/hash.cpp
+++ b/src/process/hash.cpp
@@ -84,6 +84,19 @@
     return order;
 }
 
+size_t RendezvousRank(std::string_view key, std::span<const std::string> names, std::string_view self)
+{
+    const uint64_t seed = Hash64(key);
+    const uint64_t own  = Hash64(self, seed);
+    size_t         rank = 0;
+    for (const std::string& name : names)
+    {
+        const uint64_t score = Hash64(name, seed);
+        rank += score > own || (score == own && name < self) ? 1 : 0;
+    }
+    return rank;
+}
+
 size_t RendezvousFirst(std::string_view key, std::span<const std::string> names)
 {
     BOOST_ASSERT_MSG(!names.empty(), "RendezvousFirst() needs at least one name");
--- a/src/process/hash.h
+++ b/src/process/hash.h
@@ -27,6 +27,7 @@
 uint64_t    RandomSeed(); // from the system's random device; only shells call it
 
 std::vector<size_t> RendezvousOrder(std::string_view key, std::span<const std::string> names);
-size_t              RendezvousFirst(std::string_view key, std::span<const std::string> names); // names must not be empty
+size_t              RendezvousRank(std::string_view key, std::span<const std::string> names, std::string_view self); // place of self in that order
+size_t              RendezvousFirst(std::string_view key, std::span<const std::string> names);                       // names must not be empty
 
 } // namespace aldervale
--- a/src/programs/router.cpp
+++ b/src/programs/router.cpp
@@ -54,7 +54,8 @@
         {"operators", SettingList{&s.m_Operators, false}, "NAME:ROLE:SHA256 of each operator's token; roles read, drain, write"},
         {"http.body_max", SettingInt{&s.m_BodyMax, 1024, 1 << 30}, "largest request body, bytes"},
         {"http.head_max", SettingInt{&s.m_HeadMax, 1024, 1 << 20}, "largest request head, bytes"},
-        {"route.subset", SettingInt{&s.m_Subset, 1, 100'000}, "boxes of model services linked by this router"},
+        {"route.subset", SettingInt{&s.m_Subset, 1, 100'000},
+         "boxes of model services that a router links to, about; more where each box would else have fewer than three routers"},
     };
     for (const SettingSpec& spec : DescribeRouterServe(s.m_Serve))
         specs.push_back(spec);
@@ -63,6 +64,7 @@
 
 // Entry boxes of the own data centre, and a few of each other one: enough for the configuration to reach everybody in two steps.
 constexpr size_t kRemoteRouters = 2;
+constexpr size_t kRoutersPerBox = 3; // that link to a box of a model service, however few routers there are
 
 std::set<std::string> WantedLinks(const Router& router, const DaemonSettings& d, const ConfigSnapshot& c)
 {
@@ -88,10 +90,14 @@
         if (names[i] != d.m_Name && (b.m_DataCentre == d.m_DataCentre || remote[b.m_DataCentre]++ < kRemoteRouters))
             out.insert(b.m_Address);
     }
-    size_t n = 0;
-    for (const size_t i : RendezvousOrder(d.m_Name, engines))
-        if (n++ < static_cast<size_t>(router.m_Settings.m_Subset))
-            out.insert(c.m_Boxes.find(engines[i])->second.m_Spec.m_Address);
+    // Each box picks its routers, not the other way round: so every box has at least kRoutersPerBox of them.
+    const size_t share =
+        names.empty() ? 0
+                      : (static_cast<size_t>(router.m_Settings.m_Subset) * names.size() + engines.size() - 1) / std::max<size_t>(1, engines.size());
+    const size_t picks = std::max(kRoutersPerBox, share);
+    for (const std::string& box : engines)
+        if (RendezvousRank(box, names, d.m_Name) < picks)
+            out.insert(c.m_Boxes.find(box)->second.m_Spec.m_Address);
     return out;
 }
 
--- a/tests/test_route.cpp
+++ b/tests/test_route.cpp
@@ -33,6 +33,21 @@
                        });
 }
 
+BOOST_AUTO_TEST_CASE(rank_is_the_place_in_the_rendezvous_order)
+{
+    ALDERVALE_PROPERTY("RendezvousRank agrees with RendezvousOrder, so the first k ranks cover every box k times",
+                       [](const std::string& key)
+                       {
+                           std::vector<std::string> names;
+                           const int                n = *rc::gen::inRange(1, 30);
+                           for (int i = 0; i < n; i++)
+                               names.push_back("entry-" + std::to_string(i));
+                           const std::vector<size_t> order = RendezvousOrder(key, names);
+                           for (size_t place = 0; place < order.size(); place++)
+                               RC_ASSERT(RendezvousRank(key, names, names[order[place]]) == place);
+                       });
+}
+
 BOOST_AUTO_TEST_CASE(old_reports_count_less)
 {
     ReplicaView fresh;
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -102,9 +102,9 @@
 
 BOOST_AUTO_TEST_CASE(capacity_page_agrees_with_the_recorded_run)
 {
-    const std::string       page     = ReadPage("CAPACITY.md");
+    const std::string        page     = ReadPage("CAPACITY.md");
     const boost::json::value recorded = boost::json::parse(ReadPage("capacity-slopes.json"));
-    size_t                  rows     = 0;
+    size_t                   rows     = 0;
     for (const auto& figure : recorded.as_object())
     {
         const std::string key = "| `" + std::string(figure.key()) + "` | ";
