Requests go on while a rollout does: any declared version of the model may answer

An ordinary rollout would have lost all boxes not yet swapped. Change: a request may go to a box that serves any declared version of its model, and names the digest of the box it was routed to; the agent still refuses another as not run. Test: boxes_of_every_declared_version_are_used_while_a_rollout_goes_on.

--- a/src/process/resources.cpp
+++ b/src/process/resources.cpp
@@ -292,27 +292,19 @@
     return best;
 }
 
-const PlacementSpec* FindPlacement(const ConfigSnapshot& c, std::string_view model)
-{
-    for (const auto& [name, p] : c.m_Placements)
-        if (p.m_Spec.m_Model == model)
-            return &p.m_Spec;
-    return nullptr;
-}
-
 std::string RegionOf(const ConfigSnapshot& c, std::string_view data_centre)
 {
     const auto it = c.m_DataCentres.find(data_centre);
     return it == c.m_DataCentres.end() ? std::string() : it->second.m_Spec.m_Region;
 }
 
-std::string ServedDigest(const ConfigSnapshot& c, std::string_view model)
+std::set<std::string> DigestsOf(const ConfigSnapshot& c, std::string_view model)
 {
-    const PlacementSpec* p = FindPlacement(c, model);
-    if (p == nullptr)
-        return {};
-    const auto v = c.m_Versions.find(p->m_Version);
-    return v == c.m_Versions.end() ? std::string() : v->second.m_Spec.m_Manifest;
+    std::set<std::string> out;
+    for (const auto& [name, v] : c.m_Versions)
+        if (v.m_Spec.m_Model == model)
+            out.insert(v.m_Spec.m_Manifest);
+    return out;
 }
 
 std::vector<std::string> AssignBoxes(const ConfigSnapshot& c, std::string_view placement, std::string_view data_centre)
--- a/src/process/resources.h
+++ b/src/process/resources.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace aldervale
@@ -203,9 +204,10 @@
 
 // The service whose path is the longest prefix of `path`, nullptr if none.
 const Declared<ServiceSpec>* FindService(const ConfigSnapshot& c, std::string_view path, std::string* name = nullptr);
-const PlacementSpec*         FindPlacement(const ConfigSnapshot& c, std::string_view model);  // nullptr if none
 std::string                  RegionOf(const ConfigSnapshot& c, std::string_view data_centre); // "" if unknown
-std::string                  ServedDigest(const ConfigSnapshot& c, std::string_view model);   // manifest that the placement declares, "" if none
+
+// Manifests of all declared versions of a model. While a rollout goes on boxes serve different ones; a request may go to any of them.
+std::set<std::string> DigestsOf(const ConfigSnapshot& c, std::string_view model);
 
 // Boxes of a data centre that a placement puts replicas on, in order; groups of m_BoxesPerReplica neighbours make one replica.
 std::vector<std::string> AssignBoxes(const ConfigSnapshot& c, std::string_view placement, std::string_view data_centre);
--- a/src/request/replica_table.cpp
+++ b/src/request/replica_table.cpp
@@ -108,9 +108,9 @@
         return false;
     if (!q.m_Boxes.empty() && !q.m_Boxes.contains(name))
         return false;
-    if (q.m_Digest.empty())
+    if (q.m_Digests.empty())
         return true;
-    if (WholeDigest(r.m_Active) != q.m_Digest || r.m_GroupClosed || !IsFront(r.m_Active))
+    if (!q.m_Digests.contains(std::string(WholeDigest(r.m_Active))) || r.m_GroupClosed || !IsFront(r.m_Active))
         return false;
     return q.m_Adapter.empty() || r.m_Adapters.contains(q.m_Adapter);
 }
@@ -161,7 +161,7 @@
             std::erase_if(r.m_Sent, [&](const auto& s) { return now - s.second > kSentMemory / 4; });
         r.m_Sent[q.m_Prefix] = now;
     }
-    return Chosen{*names[*best], r.m_Link};
+    return Chosen{std::string(WholeDigest(r.m_Active)), *names[*best], r.m_Link};
 }
 
 std::optional<Chosen> ReplicaTable::Take(const std::string& box)
@@ -171,7 +171,7 @@
     if (it == m_Replicas.end() || !it->second.m_Link)
         return std::nullopt;
     it->second.m_InFlight++;
-    return Chosen{box, it->second.m_Link};
+    return Chosen{{}, box, it->second.m_Link};
 }
 
 void ReplicaTable::OnEnd(const std::string& box, bool failed, TimePoint now)
--- a/src/request/replica_table.h
+++ b/src/request/replica_table.h
@@ -19,7 +19,7 @@
 
 struct ReplicaQuery
 {
-    std::string           m_Digest;     // model services: version that must be active; empty: any
+    std::set<std::string> m_Digests;    // model services: versions of the model, whichever a box serves just now; empty: any
     std::string           m_Adapter;    // adapter digest that must be loaded; empty: none
     std::set<std::string> m_Boxes;      // plain services: boxes to choose from; empty: any
     std::set<std::string> m_Tried;      // not again
@@ -28,8 +28,9 @@
 
 struct Chosen
 {
-    std::string m_Box;  //
-    LinkPtr     m_Link; //
+    std::string m_Digest; // manifest of the version that the box serves; empty for plain services
+    std::string m_Box;    //
+    LinkPtr     m_Link;   //
 };
 
 using UsableFunction = std::function<bool(const std::string&)>;
--- a/src/request/router_serve.cpp
+++ b/src/request/router_serve.cpp
@@ -233,7 +233,7 @@
         return 1;
     ReplicaQuery q;
     if (it->second.m_Spec.m_Type == ServiceType_Model)
-        q.m_Digest = ServedDigest(*c, it->second.m_Spec.m_Model);
+        q.m_Digests = DigestsOf(*c, it->second.m_Spec.m_Model);
     else
         q.m_Boxes.insert(it->second.m_Spec.m_Boxes.begin(), it->second.m_Spec.m_Boxes.end());
     const size_t replicas = m_Replicas.CountUsable(q, [this](const std::string& box) { return m_Node.Usable(box); });
@@ -328,7 +328,7 @@
         q.m_Boxes.insert(st.m_Service->m_Boxes.begin(), st.m_Service->m_Boxes.end());
         return q;
     }
-    q.m_Digest         = ServedDigest(*st.m_Config, st.m_Service->m_Model);
+    q.m_Digests        = DigestsOf(*st.m_Config, st.m_Service->m_Model);
     const auto adapter = st.m_Config->m_Adapters.find(FindField(st.m_Req.m_Fields, "Aldervale-Adapter"));
     if (adapter != st.m_Config->m_Adapters.end())
         q.m_Adapter = adapter->second.m_Spec.m_Manifest;
@@ -352,7 +352,6 @@
     wire::ServeCallT call;
     call.service     = st.m_ServiceName;
     call.account     = st.m_AccountName;
-    call.digest      = q.m_Digest;
     call.adapter     = q.m_Adapter;
     call.method      = st.m_Req.m_Method;
     call.target      = st.m_Req.m_Target;
@@ -530,6 +529,7 @@
             break;
         wire::ServeCallT call = MakeCall(st, q);
         call.attempt          = static_cast<uint8_t>(attempt);
+        call.digest           = to->m_Digest;
         last                  = co_await Attempt(st, *to, call);
         m_Replicas.OnEnd(to->m_Box, !last.m_Done && last.m_Error.m_Code != ErrorCode_Limited, Now());
         if (last.m_Done)
--- a/tests/test_route.cpp
+++ b/tests/test_route.cpp
@@ -1,5 +1,5 @@
 // Choice of a replica: cost, lag, warmth, baselines.
-#include "request/route_choice.h"
+#include "request/replica_table.h"
 #include "support.h"
 
 using namespace aldervale;
@@ -84,3 +84,44 @@
     BOOST_CHECK_GT(RouteCost(bad, {}), base);
     BOOST_CHECK_GT(RouteCost(young, {}), base);
 }
+
+// Found by the spread bench with live requests: while a rollout was under way, nobody was asked who still served the former version.
+BOOST_AUTO_TEST_CASE(boxes_of_every_declared_version_are_used_while_a_rollout_goes_on)
+{
+    asio::io_context ioc;
+    ReplicaTable     table({}, "dc", 1);
+    ConfigSnapshot   c;
+    c.m_Versions["v-1"] = {{"m", "one", ""}, 1};
+    c.m_Versions["v-2"] = {{"m", "two", ""}, 1};
+    c.m_Versions["x-1"] = {{"x", "other", ""}, 1};
+    const auto beat     = [&](const std::string& box, const std::string& active)
+    {
+        const auto link = std::make_shared<Link>(tcp::socket(ioc), LinkSide_Dialled, LinkConfig{}, LinkHandlers{});
+        link->SetPeer({box, "dc", "", wire::PeerRole::Agent, 1});
+        table.OnLinkUp(link);
+        wire::HeartbeatT hb;
+        hb.state         = std::make_unique<wire::AgentStateT>();
+        hb.state->active = active;
+        flatbuffers::FlatBufferBuilder fbb;
+        fbb.Finish(wire::Heartbeat::Pack(fbb, &hb));
+        table.OnHeartbeat(link, *flatbuffers::GetRoot<wire::Heartbeat>(fbb.GetBufferPointer()), TimePoint() + seconds(100));
+    };
+    beat("a", "one");
+    beat("b", "two");
+    beat("c", "other");
+    beat("d", "");
+    ReplicaQuery q;
+    q.m_Digests                               = DigestsOf(c, "m");
+    const auto                         usable = [](const std::string&) { return true; };
+    std::map<std::string, std::string> chosen;
+    for (int i = 0; i < 50; i++)
+    {
+        const auto to = table.Choose(q, c, usable, TimePoint() + seconds(200));
+        BOOST_REQUIRE(to.has_value());
+        chosen[to->m_Box] = to->m_Digest;
+        table.OnEnd(to->m_Box, false, TimePoint() + seconds(200));
+    }
+    BOOST_CHECK_EQUAL(chosen.size(), 2u);
+    BOOST_CHECK_EQUAL(chosen["a"], "one");
+    BOOST_CHECK_EQUAL(chosen["b"], "two");
+}
