--- a/src/version/activation.cpp
+++ b/src/version/activation.cpp
@@ -155,6 +155,18 @@
     std::erase(m_WantActive, digest);
 }
 
+// Takes up what was committed while the engine was loading, or while chunks were on their way.
+void Activation::CommitWanted()
+{
+    const std::vector<std::string> wanted = std::exchange(m_WantActive, {});
+    for (const std::string& digest : wanted)
+    {
+        Order again;
+        again.m_Digest = digest;
+        Commit(again);
+    }
+}
+
 void Activation::OnLoaded(const std::string& digest, const std::string& confirmed)
 {
     if (confirmed != digest)
@@ -167,15 +179,8 @@
         return;
     m_Active = digest;
     m_Pending.clear();
-    m_LoadSent                            = false;
-    const std::vector<std::string> wanted = std::move(m_WantActive);
-    m_WantActive.clear();
-    for (const std::string& d : wanted)
-    {
-        Order again;
-        again.m_Digest = d;
-        Commit(again);
-    }
+    m_LoadSent = false;
+    CommitWanted();
 }
 
 void Activation::OnLoadFailed(const std::string& digest, std::string_view error)
@@ -187,15 +192,8 @@
     if (m_Pending != digest)
         return;
     m_Pending.clear();
-    m_LoadSent                            = false;
-    const std::vector<std::string> wanted = std::move(m_WantActive);
-    m_WantActive.clear();
-    for (const std::string& d : wanted)
-    {
-        Order again;
-        again.m_Digest = d;
-        Commit(again);
-    }
+    m_LoadSent = false;
+    CommitWanted();
 }
 
 void Activation::OnEngineLost()
--- a/src/version/activation.h
+++ b/src/version/activation.h
@@ -112,6 +112,7 @@
     void Unload(const Order& o);
     void StartPendingLoad(); // when nothing runs any more
     void Fail(HeldVersion& v, std::string_view error);
+    void CommitWanted();
     void DeactivateAdapters();
 
     std::map<std::string, HeldVersion> m_Versions;         // by slice digest; Absent ones are not kept
