Remove a salt nobody read and a second name for ErrorResponse()

Cause: the last reading of the whole change found RouterServe's m_LimitsSalt, drawn and never used, and FaultResponse(), which only called ErrorResponse(). Change: both gone; behaviour as before.

--- a/src/process/resource_api.cpp
+++ b/src/process/resource_api.cpp
@@ -14,11 +14,6 @@
 constexpr auto             kFlushEvery = seconds(10); // accounting
 constexpr int64_t          kWatchMaxMs = 25'000;
 
-HttpResponse FaultResponse(const Error& e)
-{
-    return ErrorResponse(e);
-}
-
 std::vector<std::string> SplitPath(std::string_view path)
 {
     std::vector<std::string> parts;
@@ -167,7 +162,7 @@
 {
     const std::string kind = req.Query("kind");
     if (!kind.empty() && !ParseKind(kind))
-        return FaultResponse(MakeError(ErrorCode_Invalid, "unknown kind '" + kind + "'", "kind"));
+        return ErrorResponse(MakeError(ErrorCode_Invalid, "unknown kind '" + kind + "'", "kind"));
     const ConfigPtr c = m_Node.Config();
     json::array     items;
     for (const auto& [key, r] : c->m_Resources)
@@ -185,7 +180,7 @@
     const ConfigPtr c  = m_Node.Config();
     const auto      it = c->m_Resources.find(key);
     if (it == c->m_Resources.end() || it->second.m_Deleted)
-        return FaultResponse(MakeError(ErrorCode_NotFound, "no such resource"));
+        return ErrorResponse(MakeError(ErrorCode_NotFound, "no such resource"));
     return JsonResponse(200, ToJson(it->second));
 }
 
@@ -193,7 +188,7 @@
 {
     change.m_By = op.m_Name;
     auto done   = co_await m_Sync.Commit(std::move(change), Now() + kCommitMax);
-    co_return done ? DoneResponse(done.value()) : FaultResponse(done.error());
+    co_return done ? DoneResponse(done.value()) : ErrorResponse(done.error());
 }
 
 awaitable<HttpResponse> ResourceApi::Impl::ChangeOne(const HttpRequest& req, const Operator& op, ResourceKey key)
@@ -210,12 +205,12 @@
         json::error_code ec;
         json::value      v = json::parse(req.m_Body, ec);
         if (ec || !v.is_object())
-            co_return FaultResponse(MakeError(ErrorCode_Invalid, "expected a JSON object", "body"));
+            co_return ErrorResponse(MakeError(ErrorCode_Invalid, "expected a JSON object", "body"));
         v.as_object()["kind"] = KindName(key.m_Kind);
         v.as_object()["name"] = key.m_Name;
         auto parsed           = ResourceFromJson(v);
         if (!parsed)
-            co_return FaultResponse(parsed.error());
+            co_return ErrorResponse(parsed.error());
         r = std::move(parsed.value());
     }
     change.m_Write.push_back(std::move(r));
@@ -228,7 +223,7 @@
     const ResourceKey key{Kind_Box, box};
     const auto        it = c->m_Resources.find(key);
     if (it == c->m_Resources.end() || it->second.m_Deleted)
-        co_return FaultResponse(MakeError(ErrorCode_NotFound, "no such box"));
+        co_return ErrorResponse(MakeError(ErrorCode_NotFound, "no such box"));
     ChangeRequest change;
     Resource      r          = it->second;
     r.m_Spec["drained"]      = drained;
@@ -326,7 +321,7 @@
 {
     auto scan = co_await m_Table.Scan(std::string(kRowUsagePrefix), 0, Now() + seconds(2));
     if (!scan)
-        co_return FaultResponse(scan.error());
+        co_return ErrorResponse(scan.error());
     json::object sum;
     for (const TableRow& row : scan.value().m_Rows)
     {
@@ -389,7 +384,7 @@
     const bool                     reads = req.m_Method == "GET";
     const bool drains = what == "boxes" && parts.size() == 3 && req.m_Method == "POST" && (parts[2] == "drain" || parts[2] == "undrain");
     if (!reads && op.m_Role != OperatorRole_Write && !(drains && op.m_Role == OperatorRole_Drain))
-        co_return FaultResponse(MakeError(ErrorCode_Denied, "operator '" + op.m_Name + "' lacks the role for this", "Authorization"));
+        co_return ErrorResponse(MakeError(ErrorCode_Denied, "operator '" + op.m_Name + "' lacks the role for this", "Authorization"));
     if (drains)
         co_return co_await Drain(op, parts[1], parts[2] == "drain");
     if (what == "resources" && parts.size() == 1 && reads)
@@ -398,7 +393,7 @@
     {
         auto key = ParseKey(parts[1], parts[2]);
         if (!key)
-            co_return FaultResponse(key.error());
+            co_return ErrorResponse(key.error());
         if (reads)
             co_return GetOne(key.value());
         if (req.m_Method == "PUT" || req.m_Method == "DELETE")
@@ -409,10 +404,10 @@
         json::error_code  ec;
         const json::value v = json::parse(req.m_Body, ec);
         if (ec)
-            co_return FaultResponse(MakeError(ErrorCode_Invalid, "not JSON", "body"));
+            co_return ErrorResponse(MakeError(ErrorCode_Invalid, "not JSON", "body"));
         auto change = ParseApply(v);
         if (!change)
-            co_return FaultResponse(change.error());
+            co_return ErrorResponse(change.error());
         co_return co_await Commit(std::move(change.value()), op);
     }
     if (what == "watch" && reads)
@@ -423,7 +418,7 @@
         co_return co_await Burn();
     if (what == "usage" && reads)
         co_return co_await ReadUsage();
-    co_return FaultResponse(MakeError(ErrorCode_NotFound, "no such path"));
+    co_return ErrorResponse(MakeError(ErrorCode_NotFound, "no such path"));
 }
 
 ResourceApi::ResourceApi(Daemon& daemon, Node& node, StoreSync& sync, TableService& table, Usage& usage, ReplicaTable& replicas,
@@ -443,14 +438,14 @@
 {
     if (!req.Path().starts_with("/aldervale/"))
         co_return false;
-    HttpResponse res = FaultResponse(MakeError(ErrorCode_NotFound, "no such version of the API"));
+    HttpResponse res = ErrorResponse(MakeError(ErrorCode_NotFound, "no such version of the API"));
     if (req.Path().starts_with(kRoot))
     {
         auto op = m_Impl->Identify(req);
         if (op)
             res = co_await m_Impl->Answer(req, op.value());
         else
-            res = FaultResponse(op.error());
+            res = ErrorResponse(op.error());
     }
     co_await reply.Send(res);
     co_return true;
--- a/src/request/router_serve.cpp
+++ b/src/request/router_serve.cpp
@@ -123,7 +123,7 @@
 {
     Impl(Daemon& daemon, const RouterServeSettings& s, Node& node, Usage& usage)
         : m_Daemon(daemon), m_Settings(s), m_Node(node), m_Usage(usage), m_Limits(LimitsConfig{}), m_Budget(MakeRetryConfig(s)),
-          m_Replicas(MakeRouteConfig(s), daemon.Settings().m_DataCentre, RandomSeed()), m_LimitsSalt(RandomSeed())
+          m_Replicas(MakeRouteConfig(s), daemon.Settings().m_DataCentre, RandomSeed())
     {
     }
 
@@ -174,7 +174,6 @@
     AccountLimits         m_Limits;      //
     RetryBudget           m_Budget;      //
     ReplicaTable          m_Replicas;    //
-    uint64_t              m_LimitsSalt;  //
     std::function<bool()> m_Ready;       // set once before Start()
     std::atomic<uint64_t> m_InFlight{0}; //
 
