Weights: boxes that never fetched offer their pieces; the next version is fetched while the last waits its turn; short drain, then cut

Waiting for all running streams kept each server out for some 2.1 s, and version 3 was fetched only after version 2 had started. Ruled out: origin (one copy a version), routers' processor (1.5% of a core).

--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -17,7 +17,7 @@
 {
     Duration m_Wait     = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
     Duration m_Margin   = milliseconds(1200); // for the answer beyond m_Wait
-    Duration m_Gather   = milliseconds(150);  // pause after changes, so that a series of them is taken together
+    Duration m_Gather   = milliseconds(350);  // pause after changes, so that a series of them is taken together
     Duration m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
     Duration m_RetryMax = milliseconds(800);  //
     Duration m_ReadMax  = milliseconds(1500); // for a read of the whole table
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -19,6 +19,7 @@
     std::string      m_Server;   // the model server on this box [server]
     std::string      m_Service;  // name of the service that it belongs to [service]
     PlatformSettings m_Platform; //
+    int64_t          m_WeightsDeadlineMs = 8000; // from naming a version until no older one may begin a request [weights.deadline_ms]
 };
 
 struct Agent // lives as long as the process
@@ -44,6 +45,8 @@
         {"server", SettingAddress{&s.m_Server, false, true}, "address of the model server on this box"},
         {"service", SettingText{&s.m_Service, {}, true}, "name of the service that the model server belongs to"},
     };
+    specs.push_back({"weights.deadline_ms", SettingInt{&s.m_WeightsDeadlineMs, 100, 3'600'000},
+                     "from naming a version of weights until no older one may begin a request, ms"});
     for (const SettingSpec& spec : DescribePlatform(s.m_Platform))
         specs.push_back(spec);
     return specs;
@@ -132,6 +135,14 @@
     FollowPeers(a);
 }
 
+// Each answer of the store is priced, and the other boxes matter only while weights move.
+TableFollowerConfig ListPace()
+{
+    TableFollowerConfig c;
+    c.m_Gather = milliseconds(2000);
+    return c;
+}
+
 void FollowStore(Daemon& daemon, Agent& a)
 {
     a.m_Store = std::make_unique<platform::StoreClient>(ParseEndpoint(a.m_Settings.m_Platform.m_Store).value());
@@ -144,7 +155,7 @@
     list.m_OnLost    = [&a] { a.m_Servers.OnStoreLost(Now()); };
     list.m_OnReached = [&a] { a.m_Servers.OnStoreReached(Now()); };
     a.m_Operator     = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
-    a.m_List         = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kServerTable), TableFollowerConfig{}, list);
+    a.m_List         = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kServerTable), ListPace(), list);
     a.m_Operator->Start();
     a.m_List->Start();
 }
@@ -158,7 +169,9 @@
     a.m_Server                    = std::make_unique<platform::ModelServerHttp>(ParseEndpoint(a.m_Settings.m_Server).value());
     a.m_Publisher                 = std::make_unique<LoadPublisher>(daemon.Ioc(), data_centre);
     a.m_Transfer = std::make_unique<PieceTransfer>(daemon.Ioc(), a.m_Origin, *a.m_Server, ProcessName{internal.value().ToString(), data_centre});
-    a.m_Keeper   = std::make_unique<WeightKeeper>(daemon, *a.m_Server, *a.m_Transfer, *a.m_Publisher);
+    StartPlanConfig plan;
+    plan.m_Deadline = milliseconds(a.m_Settings.m_WeightsDeadlineMs);
+    a.m_Keeper      = std::make_unique<WeightKeeper>(daemon, plan, *a.m_Server, *a.m_Transfer, *a.m_Publisher);
     DaemonHooks hooks;
     hooks.m_Ready    = [&a] { return a.m_Keeper->Serving(); };
     hooks.m_Describe = [&a] { return a.m_Keeper->Describe(); };
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -10,6 +10,7 @@
 constexpr auto     kMinLeft          = milliseconds(40);  // time before the deadline below which no attempt is begun
 constexpr auto     kNotReadyRetry    = milliseconds(300); // when to come back to a router that knows no declarations yet
 constexpr auto     kCameBackSlack    = milliseconds(60);  // a caller with less time than the route's limit by more than this was here before
+constexpr auto     kWeightsMargin    = milliseconds(1100); // a request sent may wait this long before it begins
 constexpr unsigned kRoutersAssumed   = 8;                 // sharing the retry budget, until reports say how many there are
 constexpr double   kBudgetShare      = 0.6;               // of the declared budget that routers use together: windows slide
 
@@ -28,7 +29,8 @@
         {"server.connect_ms", SettingInt{&s.m_ConnectMs, 10, 10'000}, "longest wait for a new connection to a backend server, ms"},
         {"server.first_event_ms", SettingInt{&s.m_FirstEventMs, 100, 60'000}, "wait for a stream's first event before the next server is tried, ms"},
         {"server.next_event_ms", SettingInt{&s.m_NextEventMs, 100, 60'000}, "pause inside a stream before the next server is tried, ms"},
-        {"weights.switch_ms", SettingInt{&s.m_WeightsSwitchMs, 100, 600'000}, "how long older weights may begin requests after a newer version, ms"},
+        {"weights.deadline_ms", SettingInt{&s.m_WeightsDeadlineMs, 100, 3'600'000},
+         "from naming a version of weights until no older one may begin a request, ms"},
     };
 }
 
@@ -109,7 +111,7 @@
     const auto it = m_World.m_Weights.find(call.m_Service->m_Engine->m_Model);
     if (it == m_World.m_Weights.end() || it->second.m_Version <= 1)
         return 0;
-    const bool over = now - it->second.m_KnownAt >= milliseconds(m_Settings.m_WeightsSwitchMs);
+    const bool over = now - it->second.m_KnownAt >= milliseconds(m_Settings.m_WeightsDeadlineMs) - kWeightsMargin;
     return over ? it->second.m_Version : 0;
 }
 
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -37,9 +37,9 @@
     double  m_RetryRatio      = 0.2;   // retries for each request, over all routers [retry.ratio]
     int64_t m_RetryExtra      = 100;   // retries beyond that in a window, over all routers [retry.extra]
     int64_t m_ConnectMs       = 300;   // longest wait for a new connection to a backend server [server.connect_ms]
-    int64_t m_FirstEventMs    = 1100;  // wait for a first event after which the next server is tried [server.first_event_ms]
-    int64_t m_NextEventMs     = 1200;  // the same between events [server.next_event_ms]
-    int64_t m_WeightsSwitchMs = 6500;  // after a new version was named, how long older weights may still begin requests [weights.switch_ms]
+    int64_t m_FirstEventMs    = 2000;  // wait for a first event after which the next server is tried [server.first_event_ms]
+    int64_t m_NextEventMs     = 1500;  // the same between events [server.next_event_ms]
+    int64_t m_WeightsDeadlineMs = 8000; // from naming a version of weights until no older one may begin a request [weights.deadline_ms]
 };
 
 std::vector<SettingSpec> DescribeDirectServe(DirectServeSettings& s);
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -12,8 +12,8 @@
 
 constexpr auto     kNoThrow       = asio::as_tuple(asio::use_awaitable);
 constexpr size_t   kVersionsKept  = 2;                  // in memory: the one in use and the one under way
-constexpr unsigned kUploadsMax    = 4;                  // under way at once; more are refused as busy
-constexpr auto     kTellEvery     = milliseconds(60);   // news of pieces to neighbours
+constexpr unsigned kUploadsMax    = 6;                  // under way at once; more are refused as busy
+constexpr auto     kTellEvery     = milliseconds(30);   // news of pieces to neighbours
 constexpr auto     kListPerRank   = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
 constexpr auto     kListRetry     = milliseconds(120);  //
 constexpr auto     kListMax       = milliseconds(1500); // for one answer with a list
@@ -27,10 +27,10 @@
 ExchangeConfig TransferConfig()
 {
     ExchangeConfig c;
-    c.m_DownloadSlots = 4;
+    c.m_DownloadSlots = 6;
     c.m_OriginSlots   = 2;
     c.m_PerPeer       = 2;
-    c.m_OriginRanks   = 4;
+    c.m_OriginRanks   = 64; // no cap on copies: a piece that is nowhere must be had, each further rank only steps in later
     c.m_TakeOver      = milliseconds(900);
     c.m_BusyPause     = milliseconds(30);
     c.m_StallPause    = milliseconds(1000);
@@ -155,6 +155,14 @@
     return s != nullptr && s->Whole();
 }
 
+uint64_t PieceTransfer::NewestWhole() const
+{
+    for (auto it = m_Sets.rbegin(); it != m_Sets.rend(); ++it)
+        if (it->second.Whole())
+            return it->first;
+    return 0;
+}
+
 void PieceTransfer::SetPeers(std::vector<PeerBox> peers)
 {
     m_Peers = peers;
@@ -174,15 +182,23 @@
 // One job
 //-----------------------------------------------------------------------------
 
-void PieceTransfer::Want(const std::string& model, uint64_t version)
+void PieceTransfer::SetModel(const std::string& model)
 {
-    if (m_Job && !m_Job->m_Over && m_Job->m_Version == version && m_Model == model)
+    if (m_Model == model)
         return;
     if (m_Job)
         m_Job->m_Over = true;
-    if (m_Model != model)
-        m_Sets.clear();
+    m_Sets.clear();
     m_Model   = model;
+    m_Version = 0;
+}
+
+void PieceTransfer::Want(uint64_t version)
+{
+    if (m_Model.empty() || (m_Job && !m_Job->m_Over && m_Job->m_Version == version))
+        return;
+    if (m_Job)
+        m_Job->m_Over = true;
     m_Version = version;
     while (m_Sets.size() >= kVersionsKept && !m_Sets.contains(version))
         m_Sets.erase(m_Sets.begin());
@@ -191,7 +207,7 @@
     m_Job->m_Version   = version;
     m_Job->m_StartedAt = Now();
     m_Links.SetDialling(true);
-    LogEvent(Event_VersionFetchStarted, {{"model", model}, {"version", version}});
+    LogEvent(Event_VersionFetchStarted, {{"model", m_Model}, {"version", version}});
     asio::co_spawn(
         m_Ioc, [this, job = m_Job] { return Run(job); }, asio::detached);
 }
@@ -423,7 +439,7 @@
     const uint64_t version = job->m_Version;
     job->m_Over            = true;
     m_Sets.erase(version);
-    Want(m_Model, version);
+    Want(version);
     co_return outcome;
 }
 
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -6,7 +6,7 @@
 //
 // Usage:
 //   PieceTransfer t(ioc, links, origin, server, self);
-//   t.Want("model", 7);              // gives up another version that is under way
+//   t.SetModel("model"); t.Want(7);  // gives up another version that is under way
 //   if (t.Whole()) ... t.Piece(7, n)
 
 #pragma once
@@ -33,12 +33,14 @@
     PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self);
 
     Status   Listen(const Endpoint& at) { return m_Links.Listen(at); }
+    void     SetModel(const std::string& model); // whose pieces are offered and fetched; empty: not known yet
     void     SetOrigin(const Endpoint& at) { m_OriginAt = at; }
     void     SetPeers(std::vector<PeerBox> peers);
-    void     Want(const std::string& model, uint64_t version); // gives up another version that is under way
+    void     Want(uint64_t version);                           // gives up another version that is under way
     void     SetHeld(uint64_t version) { m_Held = version; } // that the own server holds: its staged pieces are offered too
     uint64_t Version() const { return m_Version; }           // under way, or fetched last; 0: none
     bool     Whole() const;
+    uint64_t NewestWhole() const;                            // 0: none
     const PieceSet* Find(uint64_t version) const;            // null: nothing
     uint64_t BytesFromOrigin() const { return m_BytesOrigin; }
     uint64_t BytesFromPeers() const { return m_BytesPeers; }
--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -20,10 +20,13 @@
         m_Named.erase(m_Named.begin());
 }
 
-uint64_t StartPlan::Wanted(const PlanInput& in) const
+uint64_t StartPlan::NextFetch(const PlanInput& in) const
 {
     const uint64_t target = Target();
-    if (in.m_Fetching == 0 || in.m_Fetching >= target || in.m_Fetching <= in.m_Held)
+    if (!in.m_Reachable || in.m_Held >= target || in.m_Whole >= target)
+        return 0;
+    const bool under_way = in.m_Fetching > 0 && !in.m_FetchWhole && in.m_Fetching > in.m_Held;
+    if (!under_way || in.m_Fetching >= target)
         return target;
     const auto older = m_Named.find(in.m_Fetching);
     const auto newer = m_Named.upper_bound(in.m_Fetching);
@@ -37,21 +40,18 @@
     const auto named = m_Named.find(version);
     if (named == m_Named.end())
         return {};
-    const uint64_t wave = (m_Box ^ version * 0x9E3779B97F4A7C15ull) % m_Config.m_Waves;
-    return named->second + m_Config.m_FirstWave + static_cast<int>(wave) * m_Config.m_WaveEvery;
+    const uint64_t wave  = (m_Box ^ version * 0x9E3779B97F4A7C15ull) % m_Config.m_Waves; // Fibonacci hashing
+    const double   step  = m_Config.m_Waves > 1 ? (m_Config.m_LastWave - m_Config.m_FirstWave) / (m_Config.m_Waves - 1) : 0;
+    const double   share = m_Config.m_FirstWave + static_cast<double>(wave) * step;
+    return named->second + FromSeconds(ToSeconds(m_Config.m_Deadline) * share);
 }
 
-Plan StartPlan::Next(const PlanInput& in, TimePoint now) const
+uint64_t StartPlan::NextStart(const PlanInput& in, TimePoint now) const
 {
-    if (!in.m_Reachable || in.m_Held >= Target())
-        return {PlanStep_Idle, in.m_Held};
-    const uint64_t version = Wanted(in);
-    if (in.m_Fetching != version || !in.m_FetchWhole)
-        return {PlanStep_Fetch, version};
-    const bool turn = in.m_Held == 0 || now >= TurnOf(version);
-    if (in.m_Busy || now < m_OrderAfter || !turn)
-        return {PlanStep_Wait, version};
-    return {PlanStep_Start, version};
+    if (!in.m_Reachable || in.m_Busy || in.m_Whole <= in.m_Held || now < m_OrderAfter)
+        return 0;
+    const bool turn = in.m_Held == 0 || now >= TurnOf(in.m_Whole);
+    return turn ? in.m_Whole : 0;
 }
 
 } // namespace aldervale
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -4,12 +4,16 @@
 // the place of a controller.
 //
 // Rules:
-//   - The newest named version is the target. When a newer one is named while an older one is being fetched, the older one is given up,
-//     unless it was named kKeepFetching or longer before the newer one: then it is nearly whole, and serving it bridges the time until the
-//     newer one is there.
-//   - A server that holds nothing starts as soon as its pieces are whole. One that serves an older version waits for its turn: boxes are
-//     put in waves by a hash of box and version, so that not all leave the pool at once.
-//   - Pieces are checked where they lie right before each start.
+//   - The newest named version is the target. A version that is being fetched when a newer one is named is given up, unless it was named
+//     m_KeepFetching or longer before the newer one: then it is nearly whole, and serving it bridges the time until the newer one is there.
+//   - Of the versions that are whole here the newest is started. A server that holds nothing starts at once. One that serves an older
+//     version waits for its turn: boxes are put in waves by a hash of box and version, so that not all leave the pool at once. The waves
+//     lie within the time that declared versions have to come into force.
+//
+// Usage:
+//   StartPlan p(config, hash_of_box);
+//   p.OnNamed(7, now);
+//   uint64_t fetch = p.NextFetch(input);  uint64_t start = p.NextStart(input, now);      // 0: nothing to do
 
 #pragma once
 #include "common/clock.h"
@@ -22,34 +26,22 @@
 
 struct StartPlanConfig
 {
-    Duration m_KeepFetching = milliseconds(3000); // see the rules
-    Duration m_FirstWave    = milliseconds(2600); // after a version was named
-    Duration m_WaveEvery    = milliseconds(900);  //
+    Duration m_Deadline     = milliseconds(8000); // from naming a version until no older one may begin a request
+    double   m_FirstWave    = 0.56;               // part of m_Deadline at which the first wave's turn comes
+    double   m_LastWave     = 0.80;               // and the last one's
     unsigned m_Waves        = 4;                  //
+    Duration m_KeepFetching = milliseconds(2500); // see the rules
     Duration m_OrderPause   = milliseconds(300);  // after an order that was refused or not answered
 };
 
-enum PlanStep
-{
-    PlanStep_Idle,  // the server holds the target, or can't be reached
-    PlanStep_Fetch, // get the pieces of m_Version
-    PlanStep_Wait,  // all pieces are there, its turn is not yet; or an order is under way
-    PlanStep_Start, // check the pieces, then order the start
-};
-
-struct Plan
-{
-    PlanStep m_Step    = PlanStep_Idle; //
-    uint64_t m_Version = 0;             // that is fetched or started
-};
-
 struct PlanInput
 {
-    bool     m_Reachable   = false; // the own server answered lately
-    bool     m_Busy        = false; // an order is under way there
-    uint64_t m_Held        = 0;     // version that it holds whole; 0: none
-    uint64_t m_Fetching    = 0;     // version being fetched, or fetched last; 0: none
-    bool     m_FetchWhole  = false; // all its pieces are there
+    bool     m_Reachable  = false; // the own server answered lately
+    bool     m_Busy       = false; // an order is under way there
+    uint64_t m_Held       = 0;     // version that the server holds whole; 0: none
+    uint64_t m_Fetching   = 0;     // version being fetched, or fetched last; 0: none
+    bool     m_FetchWhole = false; // all its pieces are here
+    uint64_t m_Whole      = 0;     // newest version of which all pieces are here; 0: none
 };
 
 class StartPlan
@@ -61,12 +53,11 @@
     void     OnOrderFailed(TimePoint now) { m_OrderAfter = now + m_Config.m_OrderPause; }
     uint64_t Target() const { return m_Named.empty() ? 1 : m_Named.rbegin()->first; } // versions begin at 1
 
-    Plan Next(const PlanInput& in, TimePoint now) const;
+    uint64_t  NextFetch(const PlanInput& in) const;                // version whose pieces to get
+    uint64_t  NextStart(const PlanInput& in, TimePoint now) const; // version to start
+    TimePoint TurnOf(uint64_t version) const;                      // when this box may leave the pool for it
 
 private:
-    uint64_t  Wanted(const PlanInput& in) const;
-    TimePoint TurnOf(uint64_t version) const;
-
     StartPlanConfig               m_Config;       //
     uint64_t                      m_Box;          // hash of the box's name
     std::map<uint64_t, TimePoint> m_Named;        // when each version became known here
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -15,15 +15,23 @@
 constexpr auto     kPieceMax    = milliseconds(800); // for putting or reading one piece
 constexpr auto     kOrderMax    = milliseconds(800); // for the answer to an order
 constexpr auto     kOrderDone   = seconds(6);        // an order that shows no effect for this long is given again
-constexpr auto     kTellRouters = milliseconds(25);  // between telling routers that nothing new is taken and the order: a datagram's way
+constexpr auto     kDrainMax    = milliseconds(600); // between telling routers that nothing new is taken and the order, which cuts what still runs
+constexpr auto     kTellRouters = milliseconds(25);  // least of it: a datagram's way
+constexpr auto     kDrainPoll   = milliseconds(25);  //
 
 } // namespace
 
-WeightKeeper::WeightKeeper(Daemon& daemon, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher)
-    : m_Daemon(daemon), m_Server(server), m_Transfer(transfer), m_Publisher(publisher), m_Plan(StartPlanConfig{}, Hash64(daemon.Settings().m_Name))
+WeightKeeper::WeightKeeper(Daemon& daemon, const StartPlanConfig& plan, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher)
+    : m_Daemon(daemon), m_Server(server), m_Transfer(transfer), m_Publisher(publisher), m_Plan(plan, Hash64(daemon.Settings().m_Name))
 {
 }
 
+void WeightKeeper::SetModel(const std::string& model)
+{
+    m_Model = model;
+    m_Transfer.SetModel(model);
+}
+
 void WeightKeeper::Start()
 {
     asio::co_spawn(
@@ -76,7 +84,7 @@
         if (held != m_Report.m_Weights)
             LogEvent(Event_WeightsServing, {{"version", m_Report.m_Weights}, {"before", held}});
         const bool done = m_Ordering && m_OrderedAt != TimePoint{} && !m_Report.m_Busy &&
-                          (m_Report.m_Weights >= m_Transfer.Version() || !m_Reachable || Now() - m_OrderedAt > kOrderDone);
+                          (m_Report.m_Weights >= m_Ordered || !m_Reachable || Now() - m_OrderedAt > kOrderDone);
         if (done)
             m_Ordering = false;
         m_Transfer.SetHeld(m_Reachable ? m_Report.m_Weights : 0);
@@ -90,7 +98,7 @@
     for (;;)
     {
         co_await SleepFor(kPlanEvery);
-        if (m_Model.empty() || m_Ordering)
+        if (m_Model.empty())
             continue;
         PlanInput in;
         in.m_Reachable  = m_Reachable;
@@ -98,11 +106,14 @@
         in.m_Held       = m_Report.m_Weights;
         in.m_Fetching   = m_Transfer.Version();
         in.m_FetchWhole = m_Transfer.Whole();
-        const Plan plan = m_Plan.Next(in, Now());
-        if (plan.m_Step == PlanStep_Fetch)
-            m_Transfer.Want(m_Model, plan.m_Version);
-        if (plan.m_Step == PlanStep_Start)
-            co_await StageAndStart(plan.m_Version);
+        in.m_Whole      = m_Transfer.NewestWhole();
+        const uint64_t fetch = m_Plan.NextFetch(in);
+        if (fetch > 0)
+            m_Transfer.Want(fetch);
+        const uint64_t start = m_Ordering ? 0 : m_Plan.NextStart(in, Now());
+        if (start > 0)
+            asio::co_spawn(
+                m_Daemon.Ioc(), [this, start] { return StageAndStart(start); }, asio::detached);
     }
 }
 
@@ -123,24 +134,34 @@
     co_return true;
 }
 
+awaitable<void> WeightKeeper::DrainBriefly()
+{
+    Publish();
+    co_await SleepFor(kTellRouters);
+    const TimePoint end = Now() + kDrainMax;
+    while (m_Reachable && m_Report.m_Weights > 0 && m_Report.m_Running + m_Report.m_Waiting > 0 && Now() < end)
+        co_await SleepFor(kDrainPoll);
+}
+
 awaitable<void> WeightKeeper::StageAndStart(uint64_t version)
 {
     const PieceSet* found = m_Transfer.Find(version);
     if (found == nullptr || !found->Whole())
         co_return;
-    const PieceSet set    = *found; // shares the bytes; the transfer may drop its own
-    const bool     staged = co_await CheckStaged(set);
-    if (!staged || m_Plan.Target() < version)
+    const PieceSet set = *found; // shares the bytes; the transfer may drop its own
+    m_Ordering         = true;
+    m_Ordered          = version;
+    m_OrderedAt        = {};
+    co_await DrainBriefly();
+    const bool staged = co_await CheckStaged(set); // last, since pieces may turn bad where they lie
+    if (!staged)
     {
         m_Plan.OnOrderFailed(Now());
+        m_Ordering = false;
         co_return;
     }
     LogEvent(Event_WeightsStaged, {{"model", m_Model}, {"version", version}});
-    m_Ordering  = true;
-    m_OrderedAt = {};
-    Publish();
-    co_await SleepFor(kTellRouters);
-    const StartOrder   order{m_Model, version, false, m_Report.m_Orders};
+    const StartOrder   order{m_Model, version, true, m_Report.m_Orders};
     const StartOutcome outcome = co_await m_Server.Start(order, Now() + kOrderMax);
     if (outcome == StartOutcome_Begun || outcome == StartOutcome_Unknown)
     {
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -18,10 +18,10 @@
 class WeightKeeper
 {
 public:
-    WeightKeeper(Daemon& daemon, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher);
+    WeightKeeper(Daemon& daemon, const StartPlanConfig& plan, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher);
 
     void Start();
-    void SetModel(const std::string& model) { m_Model = model; } // empty: not known yet, nothing is done
+    void SetModel(const std::string& model); // empty: not known yet, nothing is done
     void OnNamed(uint64_t version);
     bool Serving() const { return m_Reachable && m_Report.m_Weights > 0; }
     json::object Describe() const;
@@ -30,6 +30,7 @@
     awaitable<void> ReportLoop();
     awaitable<void> PlanLoop();
     awaitable<void> StageAndStart(uint64_t version);
+    awaitable<void> DrainBriefly(); // routers send nothing new; what is short ends by itself
     awaitable<bool> CheckStaged(const PieceSet& set); // true: every piece lies at the server as it should
     void            Publish();
 
@@ -43,7 +44,8 @@
     bool           m_Reachable = false; // it came lately
     unsigned       m_Missed    = 0;     // reports in a row
     bool           m_Ordering  = false; // a start is about to be ordered, or was and isn't done
-    TimePoint      m_OrderedAt{};       //
+    uint64_t       m_Ordered   = 0;     // version of that start
+    TimePoint      m_OrderedAt{};       // when the order was given; default: not yet
 };
 
 } // namespace aldervale
