Weights: uploads go one at a time at 85% of the box's link

Cause: pieces and live events leave a model server's box over the same 7.3 Mbit/s; six pieces at once put 160 ms of bytes ahead of an event, and a stream is late when an event takes over 120 ms. Ruled out: the engines (first events came in time throughout).

--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -144,6 +144,12 @@
     asio::post(m_Socket.get_executor(), [self = shared_from_this()] { self->Shutdown(); });
 }
 
+size_t Link::Queued() const
+{
+    std::lock_guard lock(m_Mutex);
+    return m_SendQueueSize;
+}
+
 LinkPeer Link::Peer() const
 {
     std::lock_guard lock(m_Mutex);
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -112,6 +112,7 @@
     LinkPeer  Peer() const;
     void      SetPeer(LinkPeer peer);
     TimePoint LastHeard() const { return TimePoint(Duration(m_LastHeard.load())); }
+    size_t    Queued() const; // bytes accepted by Send() and not yet taken by the socket
     uint64_t  BytesIn() const { return m_BytesIn.load(); }
     uint64_t  BytesOut() const { return m_BytesOut.load(); }
     uint64_t  Dropped() const { return m_Dropped.load(); } // frames of unknown exchanges
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -14,11 +14,14 @@
 namespace
 {
 
+constexpr double kBytesPerMbit = 1e6 / 8;
+
 struct AgentSettings
 {
     std::string      m_Server;   // the model server on this box [server]
     std::string      m_Service;  // name of the service that it belongs to [service]
     PlatformSettings m_Platform; //
+    double           m_LinkMbps          = 0;    // of this box, each way; 0: no limit [weights.link_mbps]
     int64_t          m_WeightsDeadlineMs = 8000; // from naming a version until no older one may begin a request [weights.deadline_ms]
 };
 
@@ -45,6 +48,7 @@
         {"server", SettingAddress{&s.m_Server, false, true}, "address of the model server on this box"},
         {"service", SettingText{&s.m_Service, {}, true}, "name of the service that the model server belongs to"},
     };
+    specs.push_back({"weights.link_mbps", SettingReal{&s.m_LinkMbps, 0, 1e6}, "this box's link each way, Mbit/s; 0: no limit"});
     specs.push_back({"weights.deadline_ms", SettingInt{&s.m_WeightsDeadlineMs, 100, 3'600'000},
                      "from naming a version of weights until no older one may begin a request, ms"});
     for (const SettingSpec& spec : DescribePlatform(s.m_Platform))
@@ -168,7 +172,8 @@
     const std::string data_centre = daemon.Settings().m_DataCentre;
     a.m_Server                    = std::make_unique<platform::ModelServerHttp>(ParseEndpoint(a.m_Settings.m_Server).value());
     a.m_Publisher                 = std::make_unique<LoadPublisher>(daemon.Ioc(), data_centre);
-    a.m_Transfer = std::make_unique<PieceTransfer>(daemon.Ioc(), a.m_Origin, *a.m_Server, ProcessName{internal.value().ToString(), data_centre});
+    a.m_Transfer = std::make_unique<PieceTransfer>(daemon.Ioc(), a.m_Origin, *a.m_Server, ProcessName{internal.value().ToString(), data_centre},
+                                                   a.m_Settings.m_LinkMbps * kBytesPerMbit);
     StartPlanConfig plan;
     plan.m_Deadline = milliseconds(a.m_Settings.m_WeightsDeadlineMs);
     a.m_Keeper      = std::make_unique<WeightKeeper>(daemon, plan, *a.m_Server, *a.m_Transfer, *a.m_Publisher);
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -12,7 +12,10 @@
 
 constexpr auto     kNoThrow       = asio::as_tuple(asio::use_awaitable);
 constexpr size_t   kVersionsKept  = 2;                  // in memory: the one in use and the one under way
-constexpr unsigned kUploadsMax    = 6;                  // under way at once; more are refused as busy
+constexpr unsigned kUploadsMax    = 4;                  // waiting; more are refused as busy
+constexpr double   kUploadShare   = 0.85;               // of the box's link: the rest is for live answers
+constexpr size_t   kUploadQueued  = 4 * 1024;           // bytes left to send on a link below which the next piece may follow
+constexpr auto     kUploadPoll    = milliseconds(5);    // looks whether a link has taken a piece
 constexpr auto     kTellEvery     = milliseconds(30);   // news of pieces to neighbours
 constexpr auto     kListPerRank   = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
 constexpr auto     kListRetry     = milliseconds(120);  //
@@ -27,7 +30,7 @@
 ExchangeConfig TransferConfig()
 {
     ExchangeConfig c;
-    c.m_DownloadSlots = 6;
+    c.m_DownloadSlots = 4;
     c.m_OriginSlots   = 2;
     c.m_PerPeer       = 2;
     c.m_OriginRanks   = 64; // no cap on copies: a piece that is nowhere must be had, each further rank only steps in later
@@ -128,12 +131,15 @@
     TimePoint                 m_OriginFrom{};        // no piece is asked of the origin before
 };
 
-PieceTransfer::PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self)
+PieceTransfer::PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self, double link_bytes_s)
     : m_Ioc(ioc), m_Origin(origin), m_Server(server), m_Self(self),
       m_Links(ioc, self,
               PieceLinkHandlers{[this](const std::string& p) { OnUp(p); }, [this](const std::string& p) { OnDown(p); },
-                                [this](const std::string& p, const LinkPtr& l, const FrameBuf& f) { OnFrame(p, l, f); }})
+                                [this](const std::string& p, const LinkPtr& l, const FrameBuf& f) { OnFrame(p, l, f); }}),
+      m_UploadWake(ioc), m_UploadBucket(link_bytes_s * kUploadShare, 1, Now())
 {
+    asio::co_spawn(
+        m_Ioc, [this] { return UploadLoop(); }, asio::detached);
     asio::co_spawn(
         m_Ioc, [this] { return TellLoop(); }, asio::detached);
 }
@@ -514,38 +520,57 @@
     const std::optional<uint64_t> version = VersionOf(get.digest(), m_Model);
     wire::ChunkRefusedT           refused;
     refused.index = get.index();
-    refused.busy  = m_Uploads >= kUploadsMax;
+    refused.busy  = m_Uploads.size() >= kUploadsMax;
     if (!version || refused.busy)
     {
         link->Send(EncodeFrame(exchange, refused));
         return;
     }
-    asio::co_spawn(
-        m_Ioc, [this, link, exchange, v = *version, n = get.index()] { return SendPiece(link, exchange, NameOf(v), v, n); }, asio::detached);
+    m_Uploads.push_back({link, exchange, *version, get.index()});
+    m_UploadWake.cancel();
+}
+
+awaitable<void> PieceTransfer::UploadLoop()
+{
+    for (;;)
+    {
+        if (m_Uploads.empty())
+        {
+            m_UploadWake.expires_after(seconds(60));
+            co_await m_UploadWake.async_wait(kNoThrow);
+            continue;
+        }
+        const Upload u = m_Uploads.front();
+        co_await SendPiece(u);
+        m_Uploads.pop_front();
+    }
 }
 
-awaitable<void> PieceTransfer::SendPiece(LinkPtr link, uint64_t exchange, std::string name, uint64_t version, uint32_t n)
+awaitable<void> PieceTransfer::SendPiece(const Upload& u)
 {
-    m_Uploads++;
     PieceBytes      bytes;
-    const PieceSet* set = Find(version);
-    if (set != nullptr && n < set->m_Pieces.size())
-        bytes = set->m_Pieces[n];
-    if (!bytes && version == m_Held)
+    const PieceSet* set = Find(u.m_Version);
+    if (set != nullptr && u.m_Piece < set->m_Pieces.size())
+        bytes = set->m_Pieces[u.m_Piece];
+    if (!bytes && u.m_Version == m_Held)
     {
-        auto staged = co_await m_Server.GetPiece(m_Model, n, Now() + kOwnMax);
+        auto staged = co_await m_Server.GetPiece(m_Model, u.m_Piece, Now() + kOwnMax);
         if (staged)
             bytes = std::make_shared<const std::vector<uint8_t>>(std::move(staged.value()));
     }
-    if (bytes)
-        link->Send(EncodeChunk(exchange, name, n, *bytes));
-    else
+    if (!bytes)
     {
         wire::ChunkRefusedT refused;
-        refused.index = n;
-        link->Send(EncodeFrame(exchange, refused));
+        refused.index = u.m_Piece;
+        u.m_Link->Send(EncodeFrame(u.m_Exchange, refused));
+        co_return;
     }
-    m_Uploads--;
+    const TimePoint go = m_UploadBucket.Reserve(static_cast<double>(bytes->size()), Now());
+    co_await Pause(go - Now());
+    u.m_Link->Send(EncodeChunk(u.m_Exchange, NameOf(u.m_Version), u.m_Piece, *bytes));
+    const TimePoint until = Now() + kPieceMax; // a neighbour that reads slowly may not hold up the others for longer
+    while (u.m_Link->Queued() > kUploadQueued && !u.m_Link->Closed() && Now() < until)
+        co_await Pause(kUploadPoll);
 }
 
 void PieceTransfer::OnListGet(const LinkPtr& link, uint64_t exchange, const wire::ManifestGet& get)
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -13,6 +13,8 @@
 #include "external/model_server.h"
 #include "version/exchange.h"
 #include "version/piece_links.h"
+#include "version/token_bucket.h"
+#include <deque>
 
 namespace aldervale
 {
@@ -30,7 +32,8 @@
 class PieceTransfer
 {
 public:
-    PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self);
+    // `link_bytes_s`: of this box, each way; live answers leave over the same link. 0: no limit.
+    PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self, double link_bytes_s);
 
     Status   Listen(const Endpoint& at) { return m_Links.Listen(at); }
     void     SetModel(const std::string& model); // whose pieces are offered and fetched; empty: not known yet
@@ -55,7 +58,16 @@
     awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
     awaitable<ChunkOutcome> FromPeer(std::shared_ptr<Job> job, Fetch f);
     awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
-    awaitable<void>         SendPiece(LinkPtr link, uint64_t exchange, std::string name, uint64_t version, uint32_t n);
+    struct Upload // asked for, not sent yet
+    {
+        LinkPtr  m_Link;         //
+        uint64_t m_Exchange = 0; //
+        uint64_t m_Version  = 0; //
+        uint32_t m_Piece    = 0; //
+    };
+
+    awaitable<void>         UploadLoop(); // one piece at a time, at the pace that live answers leave room for
+    awaitable<void>         SendPiece(const Upload& u);
     awaitable<void>         TellLoop();
     ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
     void                    Begin(const std::shared_ptr<Job>& job);
@@ -82,7 +94,9 @@
     uint64_t                     m_Held    = 0;
     std::map<uint64_t, PieceSet> m_Sets;       // by version; at most kVersionsKept
     std::shared_ptr<Job>         m_Job;        // null: nothing under way
-    unsigned                     m_Uploads     = 0; // under way
+    std::deque<Upload>           m_Uploads;        // at most kUploadsMax
+    asio::steady_timer           m_UploadWake;     // cancelled when m_Uploads gets an entry
+    TokenBucket                  m_UploadBucket;   // bytes
     uint64_t                     m_BytesOrigin = 0;
     uint64_t                     m_BytesPeers  = 0;
 };
