--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -116,7 +116,7 @@
 void FollowPeers(Agent& a)
 {
     std::vector<PeerBox> peers;
-    for (const ServerEntry* e : a.m_Servers.All(a.m_Settings.m_Service))
+    for (const ServerEntry* e : a.m_Servers.Usable(a.m_Settings.m_Service)) // one that leaves fetches nothing any more
         peers.push_back({{e->m_Address.m_Address, static_cast<uint16_t>(a.m_Settings.m_Platform.m_Port)}, e->m_DataCentre});
     a.m_Transfer->SetPeers(std::move(peers));
 }
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -40,7 +40,7 @@
     Duration m_SuspendMax  = milliseconds(2400); //
     double   m_GoalShare   = 1.0;                // part of the objective that the predicted wait may take for a first attempt
     double   m_BlindFactor = 3.0;                // own requests in flight stand for this many when no report is fresh
-    Duration m_BeginMargin = milliseconds(700);  // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
+    Duration m_BeginMargin = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
     double   m_BeginFactor = 1.5;                // predicted waits are taken this much longer for it
     double   m_FailWeight  = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
 };
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -98,6 +98,7 @@
     // Bytes between data centres are dear: with importers set (the boxes of the own data centre, this one included), each chunk is taken
     // from another data centre by one of them only, and by the next in order if it is still nowhere here m_ImportPerRank later.
     void SetImporters(std::vector<std::string> members);
+    void SetDownloadSlots(unsigned n) { m_Config.m_DownloadSlots = n; }
     void HoldOrigin(bool hold) { m_OriginHeld = hold; } // nothing is fetched from the origin meanwhile
 
     // Fetching
--- a/src/version/piece_links.cpp
+++ b/src/version/piece_links.cpp
@@ -100,7 +100,7 @@
 {
     for (;;)
     {
-        for (const PeerBox& peer : m_Dialling ? Neighbours() : std::vector<PeerBox>())
+        for (const PeerBox& peer : Neighbours())
             if (!m_Links.contains(peer.Name()) && m_Dialled.insert(peer.Name()).second)
                 asio::co_spawn(
                     m_Ioc, [this, peer] { return Dial(peer); }, asio::detached);
--- a/src/version/piece_links.h
+++ b/src/version/piece_links.h
@@ -1,13 +1,12 @@
 // aldervale: links between the agents of one service's boxes, over which pieces of weights travel
 //
-// An agent dials a bounded set of neighbours, chosen by hash and its own data centre first, while it fetches something, and takes links
-// from anybody. Peers are named by the address that they listen on. Touched on one thread.
+// An agent keeps links to a bounded set of neighbours, chosen by hash in its own data centre and elsewhere, so that a named version can
+// spread at once, and takes links from anybody. Peers are named by the address that they listen on. Touched on one thread.
 //
 // Usage:
 //   PieceLinks links(ioc, {"10.0.0.7:7700", "dc-1"}, handlers);
 //   links.Listen(endpoint);
 //   links.SetPeers(peers);          // all boxes of the service
-//   links.SetDialling(true);        // while pieces are wanted
 
 #pragma once
 #include "connection/load_channel.h"
@@ -38,7 +37,6 @@
 
     Status                   Listen(const Endpoint& at);
     void                     SetPeers(std::vector<PeerBox> peers); // without the own box
-    void                     SetDialling(bool on) { m_Dialling = on; }
     LinkPtr                  Find(const std::string& peer) const;  // null: none
     std::vector<std::string> Up() const;                           // peers with a link
     bool                     SameDataCentre(const std::string& peer) const;
@@ -65,7 +63,6 @@
     std::map<std::string, PeerBox>              m_Peers;    // by name
     std::map<std::string, std::vector<LinkPtr>> m_Links;    // by peer; no empty lists
     std::set<std::string>                       m_Dialled;  // peers being dialled
-    bool                                        m_Dialling = false;
 };
 
 } // namespace aldervale
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -22,7 +22,11 @@
 constexpr auto     kListMax       = milliseconds(1500); // for one answer with a list
 constexpr auto     kLinksSettle   = milliseconds(250);  // for links to come up before the origin is asked for pieces
 constexpr auto     kPieceMax      = milliseconds(1500); // for one piece from a neighbour
-constexpr auto     kOriginMax     = milliseconds(3000); // for one piece from the origin
+constexpr auto     kOriginMax     = milliseconds(2000); // for one piece from the origin
+constexpr unsigned kSlotsMin      = 1;                  // pieces asked of neighbours at once: as many as arrive in time
+constexpr unsigned kSlotsMax      = 4;                  //
+constexpr auto     kPieceSlow     = milliseconds(400);  // a piece that took longer queues on this box's link, before live requests
+constexpr auto     kPieceQuick    = milliseconds(220);  // one that took less leaves room for another
 constexpr auto     kOwnMax        = milliseconds(500);  // for one call to the own server
 constexpr auto     kPumpEvery     = milliseconds(200);  // looks at what to fetch next also without an event
 constexpr unsigned kBadListAfter  = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
@@ -30,7 +34,7 @@
 ExchangeConfig TransferConfig()
 {
     ExchangeConfig c;
-    c.m_DownloadSlots = 4;
+    c.m_DownloadSlots = kSlotsMax;
     c.m_OriginSlots   = 2;
     c.m_PerPeer       = 2;
     c.m_OriginRanks   = 64; // no cap on copies: a piece that is nowhere must be had, each further rank only steps in later
@@ -126,6 +130,7 @@
     std::unique_ptr<Exchange> m_Exchange;            // null until the list is known
     ManifestPtr               m_Manifest;            //
     bool                      m_Over = false;        // whole, or given up
+    unsigned                  m_Slots = kSlotsMax;   // pieces asked of neighbours at once
     unsigned                  m_Spoilt = 0;          // pieces from the origin that failed their digest
     std::vector<uint32_t>     m_News;                // pieces not told to neighbours yet
     TimePoint                 m_OriginFrom{};        // no piece is asked of the origin before
@@ -212,7 +217,6 @@
     m_Job              = std::make_shared<Job>();
     m_Job->m_Version   = version;
     m_Job->m_StartedAt = Now();
-    m_Links.SetDialling(true);
     LogEvent(Event_VersionFetchStarted, {{"model", m_Model}, {"version", version}});
     asio::co_spawn(
         m_Ioc, [this, job = m_Job] { return Run(job); }, asio::detached);
@@ -335,7 +339,9 @@
     job->m_News     = present;
     job->m_Exchange = std::make_unique<Exchange>(job->m_Manifest, TransferConfig(), Members(false), m_Self.m_Name, present);
     job->m_Exchange->SetImporters(Members(true));
-    job->m_OriginFrom = Now() + (m_Peers.empty() ? Duration::zero() : Duration(kLinksSettle));
+    // A box that holds an older version has its links, and nobody has the newer one yet.
+    const bool at_once = m_Held > 0 || m_Peers.empty();
+    job->m_OriginFrom  = at_once ? Now() : Now() + kLinksSettle;
     for (const std::string& peer : m_Links.Up())
     {
         job->m_Exchange->OnPeerUp(peer, m_Links.SameDataCentre(peer));
@@ -353,7 +359,6 @@
     if (job->m_Exchange->Complete())
     {
         job->m_Over = true;
-        m_Links.SetDialling(false);
         LogEvent(Event_VersionVerified, {{"model", m_Model},
                                          {"version", job->m_Version},
                                          {"ms", ToMs(Now() - job->m_StartedAt)},
@@ -371,18 +376,31 @@
 awaitable<void> PieceTransfer::FetchPiece(std::shared_ptr<Job> job, Fetch f)
 {
     ChunkOutcome outcome = ChunkOutcome_Failed;
+    const TimePoint asked = Now();
     if (f.m_Peer.empty())
         outcome = co_await FromOrigin(job, f.m_Chunk);
     else
         outcome = co_await FromPeer(job, f);
     if (job->m_Over)
         co_return;
+    if (!f.m_Peer.empty() && (outcome == ChunkOutcome_Good || outcome == ChunkOutcome_Failed))
+        AdaptSlots(*job, Now() - asked);
     job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, outcome, Now());
     if (outcome == ChunkOutcome_Good)
         job->m_News.push_back(f.m_Chunk);
     Pump(job);
 }
 
+// A link that is narrower than declared shows in the time that pieces take.
+void PieceTransfer::AdaptSlots(Job& job, Duration took)
+{
+    if (took > kPieceSlow)
+        job.m_Slots = std::max(kSlotsMin, job.m_Slots - 1);
+    else if (took < kPieceQuick)
+        job.m_Slots = std::min(kSlotsMax, job.m_Slots + 1);
+    job.m_Exchange->SetDownloadSlots(job.m_Slots);
+}
+
 ChunkOutcome PieceTransfer::Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from)
 {
     PieceSet& set = m_Sets[job.m_Version];
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -69,6 +69,7 @@
     awaitable<void>         UploadLoop(); // one piece at a time, at the pace that live answers leave room for
     awaitable<void>         SendPiece(const Upload& u);
     awaitable<void>         TellLoop();
+    void                    AdaptSlots(Job& job, Duration took);
     ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
     void                    Begin(const std::shared_ptr<Job>& job);
     void                    Pump(const std::shared_ptr<Job>& job);
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -27,8 +27,8 @@
 struct StartPlanConfig
 {
     Duration m_Deadline     = milliseconds(8000); // from naming a version until no older one may begin a request
-    double   m_FirstWave    = 0.56;               // part of m_Deadline at which the first wave's turn comes
-    double   m_LastWave     = 0.80;               // and the last one's
+    double   m_FirstWave    = 0.52;               // part of m_Deadline at which the first wave's turn comes
+    double   m_LastWave     = 0.75;               // and the last one's
     unsigned m_Waves        = 4;                  //
     Duration m_KeepFetching = milliseconds(2500); // see the rules
     Duration m_OrderPause   = milliseconds(300);  // after an order that was refused or not answered
