--- /dev/null
+++ b/tests/test_pieces.cpp
@@ -0,0 +1,345 @@
+// Weights in pieces between agents, over real links on loopback: spreading, spoilt pieces, a dark origin, and the keeper's orders.
+#include "support_io.h"
+#include "version/weight_keeper.h"
+
+using namespace aldervale;
+
+namespace
+{
+
+constexpr uint32_t kPieces     = 12;
+constexpr uint32_t kPieceBytes = 2048;
+
+std::vector<uint8_t> PieceOf(uint64_t version, uint32_t n)
+{
+    std::vector<uint8_t> bytes(kPieceBytes);
+    for (uint32_t i = 0; i < kPieceBytes; i++)
+        bytes[i] = static_cast<uint8_t>(version * 31 + n * 7 + i);
+    return bytes;
+}
+
+PieceList ListOf(uint64_t version)
+{
+    PieceList list;
+    list.m_Version    = version;
+    list.m_PieceBytes = kPieceBytes;
+    for (uint32_t n = 0; n < kPieces; n++)
+        list.m_Digests.push_back(ToHex(Sha256(PieceOf(version, n))));
+    return list;
+}
+
+class FakeOrigin : public PieceOrigin
+{
+public:
+    awaitable<Result<PieceList>> ReadList(Endpoint, std::string, uint64_t version, TimePoint) override
+    {
+        m_Lists++;
+        if (m_Down)
+            co_return MakeError(ErrorCode_Unavailable, "down");
+        PieceList list = ListOf(version);
+        if (m_BadLists-- > 0)
+            list.m_Digests[3] = list.m_Digests[4];
+        co_return list;
+    }
+
+    awaitable<Result<std::vector<uint8_t>>> ReadPiece(Endpoint, std::string, uint64_t version, uint32_t n, TimePoint) override
+    {
+        m_Reads++;
+        if (m_Down)
+            co_return MakeError(ErrorCode_Unavailable, "down");
+        std::vector<uint8_t> bytes = PieceOf(version, n);
+        if (m_Spoil-- > 0)
+            bytes[5] ^= 1;
+        co_return bytes;
+    }
+
+    std::atomic<bool> m_Down{false};
+    std::atomic<int>  m_Spoil{0};    // pieces still to spoil
+    std::atomic<int>  m_BadLists{0}; // lists still to spoil
+    std::atomic<int>  m_Reads{0};
+    std::atomic<int>  m_Lists{0};
+};
+
+class FakeServer : public ModelServer
+{
+public:
+    awaitable<Result<ServerReport>> Report(TimePoint) override
+    {
+        std::lock_guard lock(m_Mutex);
+        if (m_Dead)
+            co_return MakeError(ErrorCode_Unavailable, "dead");
+        ServerReport r;
+        r.m_Weights = m_Held;
+        r.m_Orders  = m_Orders;
+        co_return r;
+    }
+
+    awaitable<StartOutcome> Start(StartOrder order, TimePoint) override
+    {
+        std::lock_guard lock(m_Mutex);
+        if (order.m_Orders != m_Orders || m_RefuseOrders-- > 0)
+            co_return StartOutcome_Refused;
+        for (uint32_t n = 0; n < kPieces; n++)
+            m_StartedWhole = m_StartedWhole && m_Staged.contains(n) && m_Staged[n] == PieceOf(order.m_Version, n);
+        m_Held = order.m_Version;
+        m_Orders++;
+        co_return StartOutcome_Begun;
+    }
+
+    awaitable<Status> PutPiece(std::string, uint32_t n, std::span<const uint8_t> bytes, TimePoint) override
+    {
+        std::lock_guard lock(m_Mutex);
+        m_Staged[n] = {bytes.begin(), bytes.end()};
+        co_return Ok();
+    }
+
+    awaitable<Result<std::vector<uint8_t>>> GetPiece(std::string, uint32_t n, TimePoint) override
+    {
+        std::lock_guard lock(m_Mutex);
+        if (!m_Staged.contains(n))
+            co_return MakeError(ErrorCode_NotFound, "none");
+        co_return m_Staged[n];
+    }
+
+    awaitable<Result<std::vector<uint32_t>>> ListPieces(std::string, TimePoint) override
+    {
+        std::lock_guard       lock(m_Mutex);
+        std::vector<uint32_t> out;
+        for (const auto& [n, bytes] : m_Staged)
+            out.push_back(n);
+        co_return out;
+    }
+
+    uint64_t Held()
+    {
+        std::lock_guard lock(m_Mutex);
+        return m_Held;
+    }
+
+    void Stage(uint64_t version)
+    {
+        std::lock_guard lock(m_Mutex);
+        for (uint32_t n = 0; n < kPieces; n++)
+            m_Staged[n] = PieceOf(version, n);
+    }
+
+    void Restart() // holds nothing; what is staged stays
+    {
+        std::lock_guard lock(m_Mutex);
+        m_Held   = 0;
+        m_Orders = 0;
+    }
+
+    void Rot(uint32_t n)
+    {
+        std::lock_guard lock(m_Mutex);
+        m_Staged[n][0] ^= 1;
+    }
+
+    std::mutex                               m_Mutex; // guards the members below
+    std::map<uint32_t, std::vector<uint8_t>> m_Staged;
+    uint64_t                                 m_Held         = 0;
+    uint64_t                                 m_Orders       = 0;
+    int                                      m_RefuseOrders = 0;
+    bool                                     m_Dead         = false;
+    bool                                     m_StartedWhole = true; // every start found every piece as it should be
+};
+
+// One box: a thread of its own, as a process would have.
+struct Box
+{
+    Box(const std::string& name, FakeOrigin& origin, const std::string& data_centre) : m_Daemon(TestSettings(name, data_centre), "test"), m_Dc(data_centre)
+    {
+        m_Transfer  = std::make_unique<PieceTransfer>(m_Daemon.Ioc(), origin, m_Server, ProcessName{m_At.ToString(), data_centre}, 0);
+        m_Publisher = std::make_unique<LoadPublisher>(m_Daemon.Ioc(), data_centre);
+        StartPlanConfig plan;
+        plan.m_Deadline   = milliseconds(100);
+        plan.m_OrderPause = milliseconds(20);
+        m_Keeper          = std::make_unique<WeightKeeper>(m_Daemon, plan, m_Server, *m_Transfer, *m_Publisher);
+        BOOST_REQUIRE(m_Transfer->Listen(m_At).has_value());
+        BOOST_REQUIRE(m_Publisher->Listen(m_At).has_value());
+    }
+
+    ~Box()
+    {
+        m_Daemon.Ioc().stop();
+        if (m_Thread.joinable())
+            m_Thread.join();
+    }
+
+    void Start(const std::vector<PeerBox>& peers)
+    {
+        m_Transfer->SetOrigin(m_At); // the fake doesn't look at it
+        m_Transfer->SetPeers(peers);
+        m_Keeper->SetModel("m");
+        m_Keeper->Start();
+        m_Thread = std::thread([this] { m_Daemon.Ioc().run(); });
+    }
+
+    void Named(uint64_t version)
+    {
+        asio::post(m_Daemon.Ioc(), [this, version] { m_Keeper->OnNamed(version, false); });
+    }
+
+    Endpoint                       m_At = FreeEndpoint();
+    Daemon                         m_Daemon;
+    std::string                    m_Dc;
+    FakeServer                     m_Server;
+    std::unique_ptr<PieceTransfer> m_Transfer;
+    std::unique_ptr<LoadPublisher> m_Publisher;
+    std::unique_ptr<WeightKeeper>  m_Keeper;
+    std::thread                    m_Thread;
+};
+
+struct Boxes
+{
+    explicit Boxes(size_t n)
+    {
+        for (size_t i = 0; i < n; i++)
+            m_Boxes.push_back(std::make_unique<Box>("box-" + std::to_string(i), m_Origin, i % 2 == 0 ? "dc-1" : "dc-2"));
+    }
+
+    void Start()
+    {
+        std::vector<PeerBox> peers;
+        for (const auto& b : m_Boxes)
+            peers.push_back({b->m_At, b->m_Dc});
+        for (const auto& b : m_Boxes)
+            b->Start(peers);
+    }
+
+    bool AllHold(uint64_t version)
+    {
+        return Eventually([&] { return std::all_of(m_Boxes.begin(), m_Boxes.end(), [&](const auto& b) { return b->m_Server.Held() == version; }); });
+    }
+
+    bool StartedWhole()
+    {
+        return std::all_of(m_Boxes.begin(), m_Boxes.end(), [](const auto& b)
+                           {
+                               std::lock_guard lock(b->m_Server.m_Mutex);
+                               return b->m_Server.m_StartedWhole;
+                           });
+    }
+
+    FakeOrigin                        m_Origin; // outlives the boxes
+    std::vector<std::unique_ptr<Box>> m_Boxes;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(empty_boxes_get_version_one_and_then_the_named_one_whole)
+{
+    Boxes boxes(4);
+    boxes.Start();
+    BOOST_TEST(boxes.AllHold(1));
+    for (const auto& b : boxes.m_Boxes)
+        b->Named(2);
+    BOOST_TEST(boxes.AllHold(2));
+    BOOST_TEST(boxes.StartedWhole());
+    BOOST_TEST(boxes.m_Origin.m_Reads.load() <= static_cast<int>(2 * 2 * kPieces)); // far from one copy a box and version
+}
+
+BOOST_AUTO_TEST_CASE(a_new_box_gets_its_pieces_from_boxes_that_only_have_them_staged)
+{
+    Boxes boxes(3);
+    for (size_t i = 0; i < 2; i++)
+    {
+        boxes.m_Boxes[i]->m_Server.Stage(1);
+        boxes.m_Boxes[i]->m_Server.m_Held = 1;
+    }
+    boxes.Start();
+    BOOST_TEST(boxes.AllHold(1));
+    BOOST_TEST(boxes.StartedWhole());
+}
+
+BOOST_AUTO_TEST_CASE(spoilt_pieces_and_lists_of_the_origin_are_never_started)
+{
+    Boxes boxes(2);
+    boxes.m_Origin.m_Spoil    = 5;
+    boxes.m_Origin.m_BadLists = 1;
+    boxes.Start();
+    BOOST_TEST(boxes.AllHold(1));
+    BOOST_TEST(boxes.StartedWhole());
+}
+
+BOOST_AUTO_TEST_CASE(a_dark_origin_is_waited_for)
+{
+    Boxes boxes(2);
+    boxes.m_Origin.m_Down = true;
+    boxes.Start();
+    BOOST_TEST(Eventually([&] { return boxes.m_Origin.m_Lists.load() > 3; }));
+    boxes.m_Origin.m_Down = false;
+    BOOST_TEST(boxes.AllHold(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_server_starts_again_from_what_lies_there_and_bad_pieces_are_replaced)
+{
+    Boxes boxes(1);
+    boxes.Start();
+    BOOST_TEST(boxes.AllHold(1));
+    const int reads = boxes.m_Origin.m_Reads.load();
+    boxes.m_Boxes[0]->m_Server.Rot(4);
+    boxes.m_Boxes[0]->m_Server.Restart();
+    BOOST_TEST(boxes.AllHold(1));
+    BOOST_TEST(boxes.StartedWhole());
+    BOOST_TEST(boxes.m_Origin.m_Reads.load() == reads);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_agent_takes_what_lies_at_its_server)
+{
+    Boxes boxes(1);
+    boxes.m_Boxes[0]->m_Server.Stage(1);
+    boxes.Start();
+    BOOST_TEST(boxes.AllHold(1));
+    BOOST_TEST(boxes.m_Origin.m_Reads.load() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(refused_orders_are_given_again)
+{
+    Boxes boxes(1);
+    boxes.m_Boxes[0]->m_Server.m_RefuseOrders = 2;
+    boxes.Start();
+    BOOST_TEST(boxes.AllHold(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_box_with_a_dead_server_orders_nothing_and_starts_when_it_is_back)
+{
+    Boxes boxes(1);
+    boxes.m_Boxes[0]->m_Server.m_Dead = true;
+    boxes.Start();
+    std::this_thread::sleep_for(milliseconds(100));
+    BOOST_TEST(boxes.m_Boxes[0]->m_Server.Held() == 0u);
+    {
+        std::lock_guard lock(boxes.m_Boxes[0]->m_Server.m_Mutex);
+        boxes.m_Boxes[0]->m_Server.m_Dead = false;
+    }
+    BOOST_TEST(boxes.AllHold(1));
+}
+
+BOOST_AUTO_TEST_CASE(routers_hear_load_reports_of_the_boxes_they_ask)
+{
+    Boxes boxes(1);
+    boxes.m_Boxes[0]->m_Server.Stage(1);
+    boxes.Start();
+    RunningDaemon    router("router", "dc-1");
+    std::atomic<int> reports{0};
+    std::atomic<int> serving{0};
+    LoadListener     listener(router.m_Daemon.Ioc(), {"router", "dc-1"},
+                              [&](const asio::ip::address&, const LoadReport& r)
+                              {
+                                  reports++;
+                                  serving += r.m_Weights == 1 ? 1 : 0;
+                              });
+    BOOST_REQUIRE(listener.Listen(FreeEndpoint()).has_value());
+    listener.SetBoxes({boxes.m_Boxes[0]->m_At});
+    router.Run();
+    BOOST_TEST(Eventually([&] { return serving.load() > 0; }));
+    // Bytes that are no report change nothing.
+    asio::io_context ioc;
+    udp::socket      stray(ioc, udp::endpoint(udp::v4(), 0));
+    stray.send_to(asio::buffer("not a frame", 11), udp::endpoint(boxes.m_Boxes[0]->m_At.m_Address, boxes.m_Boxes[0]->m_At.m_Port));
+    const int seen = reports.load();
+    BOOST_TEST(Eventually([&] { return reports.load() > seen; }));
+    router.Stop();
+}
