A frozen box no longer holds up everybody's weights; turns are spread evenly; waits are predicted with passes and other routers

Change: a neighbour that does not answer holds nothing until it tells again; boxes start one after the other by rank; pieces are checked before the drain, not in it; the prediction has passes, reading and the other routers' sends; a resumed stream goes first in the queue; of a series of declared versions in one read only the newest is decoded.

--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -101,15 +101,15 @@
 
 void OnOperatorRows(Agent& a, const RowRead& read)
 {
+    const Row* config = nullptr; // the newest one: those before it in the same read are never in force
     for (const Row& row : read.m_Rows)
-    {
-        if (row.m_Gone)
-            continue;
-        if (platform::IsConfigRow(row))
-            OnConfigRow(a, row);
-        else if (platform::IsWeightsRow(row))
+        if (!row.m_Gone && platform::IsConfigRow(row))
+            config = &row;
+    if (config != nullptr)
+        OnConfigRow(a, *config);
+    for (const Row& row : read.m_Rows)
+        if (!row.m_Gone && platform::IsWeightsRow(row))
             OnWeightsRow(a, row);
-    }
     a.m_OperatorRead = a.m_OperatorRead || !a.m_Model.empty();
 }
 
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -119,15 +119,15 @@
 
 void OnOperatorRows(Router& r, const RowRead& read)
 {
+    const Row* config = nullptr; // the newest one: those before it in the same read are never in force
     for (const Row& row : read.m_Rows)
-    {
-        if (row.m_Gone)
-            continue;
-        if (platform::IsConfigRow(row))
-            OnConfigRow(r, row);
-        else if (platform::IsWeightsRow(row))
+        if (!row.m_Gone && platform::IsConfigRow(row))
+            config = &row;
+    if (config != nullptr)
+        OnConfigRow(r, *config);
+    for (const Row& row : read.m_Rows)
+        if (!row.m_Gone && platform::IsWeightsRow(row))
             OnWeightsRow(r, row);
-    }
     r.m_OperatorRead = true;
 }
 
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -10,6 +10,7 @@
 constexpr auto   kIdleRepeatable = seconds(4);         // a connection that rested longer isn't used: its server may have forgotten it
 constexpr auto   kIdleOnce       = milliseconds(700);  // the same where a failure on it could not be tried again
 constexpr auto   kEndSlack       = milliseconds(20);   // an exchange ends this long before the deadline, so that our answer is in time
+constexpr unsigned kPriorityResumed = 0;               // a stream that broke: its caller sees the pause until it goes on
 constexpr size_t kAnswerMax      = 64 * 1024 * 1024;   // bytes of an answer that is held until it is whole
 
 bool IsServerFault(unsigned status)
@@ -49,6 +50,7 @@
     add.m_Account     = call.m_Account != nullptr ? call.m_Account->m_Name : std::string();
     add.m_Remaining   = call.Left(sent_at);
     add.m_Priority    = call.m_Account != nullptr ? call.m_Account->m_Priority.value_or(call.m_Route->m_Priority) : call.m_Route->m_Priority;
+    add.m_Priority    = call.m_Events > 0 ? kPriorityResumed : add.m_Priority;
     add.m_Weights     = ExpectedWeights(call, sent_at);
     add.m_ResumeAfter = call.m_LastEvent;
     const HttpRequest forward = m_Protocol.Forward(call.m_Request, add);
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -12,7 +12,9 @@
 constexpr double kFailStep     = 0.15; // weight of the newest outcome in m_FailShare
 constexpr double kMeanStep     = 0.1;  // weight of the newest answer in m_MeanMs
 constexpr double kPlainUsualMs = 50;   // of a plain service's answer before one was seen
-constexpr double kTieMs        = 6;    // random part of a cost, so that routers with the same view don't all choose alike
+constexpr double kRateWindowS  = 2;    // over which the rate of sending is a mean
+constexpr double kWayMs        = 3;    // of a request and its first event between boxes
+constexpr double kReadShareMax = 0.8;  // of an engine's time
 constexpr double kRetryMinMs   = 150;  // shortest and longest wait that a refusal asks for
 constexpr double kRetryMaxMs   = 1500; //
 
@@ -33,7 +35,22 @@
     if (!Fresh(s, now))
         return s.m_InFlight * m_Config.m_BlindFactor;
     const double reported = static_cast<double>(s.m_Report.m_Running) + s.m_Report.m_Waiting + s.m_SentSince - s.m_EndedSince;
-    return std::max<double>(s.m_InFlight, reported);
+    return std::max<double>(s.m_InFlight, reported) + SentByOthers(s, now);
+}
+
+double ServerChoice::SentByOthers(const Server& s, TimePoint now) const
+{
+    if (m_Routers < 2)
+        return 0;
+    const double per_server = m_SentRate * (m_Routers - 1) / static_cast<double>(std::max<size_t>(1, m_ModelCandidates));
+    return per_server * ToSeconds(now - s.m_ReportAt) * m_Config.m_OthersShare;
+}
+
+void ServerChoice::CountSent(TimePoint now)
+{
+    const double passed = m_SentAt == TimePoint{} ? kRateWindowS : ToSeconds(now - m_SentAt);
+    m_SentRate          = m_SentRate * std::exp(-passed / kRateWindowS) + 1 / kRateWindowS;
+    m_SentAt            = now;
 }
 
 double ServerChoice::PredictModel(const Server& s, const EngineCosts& e, const RequestNeed& need, TimePoint now) const
@@ -42,14 +59,16 @@
     const double writers   = std::min<double>(in_flight, e.m_Slots);
     const double context   = (e.m_UsualPrompt + e.m_UsualAnswer / 2) / 1000;
     const double step      = e.m_StepMs + writers * (e.m_PerRequestMs + e.m_PerKContextMs * context);
-    const double pass      = step * e.m_StepsPerPass;
+    const double read      = in_flight * e.m_UsualPrompt / e.m_ReadPerMs;            // ms spent on reading, against writing, by what is in flight
+    const double share     = read / (read + in_flight * e.m_UsualAnswer * step / std::max(1.0, writers) + 1e-9);
+    const double pass      = step * e.m_StepsPerPass / (1 - std::min(share, kReadShareMax));
     const double others    = Fresh(s, now) ? s.m_Report.m_Waiting * e.m_UsualPrompt : 0;
     const double unread    = std::max(s.m_Unread, others);
     const double pairs     = e.m_PairsPerMMs * need.m_Prompt * need.m_Prompt / 2 / 1e6;
-    double       ms        = (writers > 0 ? pass / 2 : 0) + (unread + need.m_Prompt) / e.m_ReadPerMs + pairs + step;
+    double       ms        = (writers > 0 ? pass / 2 : 0) + (unread + need.m_Prompt) / e.m_ReadPerMs + pairs + pass + kWayMs;
     if (in_flight + 1 > e.m_Slots)
     {
-        const double residence = e.m_UsualAnswer * step + e.m_Slots * e.m_UsualPrompt / e.m_ReadPerMs; // of one request in a full batch
+        const double residence = e.m_UsualAnswer / e.m_StepsPerPass * pass; // of one request in a full batch
         ms += (in_flight + 1 - e.m_Slots) * residence / e.m_Slots;
     }
     return ms * (Fresh(s, now) ? std::max<double>(1, s.m_Report.m_Pace) : 1);
@@ -106,7 +125,7 @@
             continue;
         best.m_Candidates++;
         const double far  = entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
-        const double tie  = static_cast<double>(m_Random() >> 11) * 0x1p-53 * kTieMs;
+        const double tie  = static_cast<double>(m_Random() >> 11) * 0x1p-53 * m_Config.m_TieMs;
         const double cost = ms + far + tie + s.m_FailShare * m_Config.m_FailWeight * goal;
         if (best.m_Server != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
             continue;
@@ -119,6 +138,8 @@
         suspended        = out;
     }
     best.m_Predicted     = FromMs(best_ms);
+    if (need.m_Service->m_Engine)
+        m_ModelCandidates = best.m_Candidates;
     const double allowed = need.m_CameBack ? std::max(goal, ToMsReal(m_Config.m_LateMax)) : goal * m_Config.m_GoalShare;
     const bool   late    = need.m_Service->m_Engine.has_value() && best_ms > allowed;
     if (best.m_Server == nullptr || late)
@@ -129,8 +150,10 @@
     return best;
 }
 
-void ServerChoice::OnSent(const std::string& id, double prompt, TimePoint)
+void ServerChoice::OnSent(const std::string& id, double prompt, TimePoint now)
 {
+    if (prompt > 0)
+        CountSent(now);
     Server& s = m_Servers[id];
     s.m_InFlight++;
     s.m_SentSince++;
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -3,9 +3,10 @@
 // Pure: what this router sent and got back, reports of the servers' boxes, and times go in; a server or a refusal comes out.
 //
 // How it decides:
-//   - For model services the time to the first event is predicted from the declared costs: half a pass, the prompts waiting ahead, the own
-//     prompt, and, with all slots taken, the wait for one. Requests in flight are the last report's, plus what this router sent since,
-//     less what ended since; without a fresh report, the router's own times kBlindFactor.
+//   - For model services the time to the first event is predicted from the declared costs: what is left of a pass, the prompts waiting
+//     ahead, the own prompt, a pass of steps for the first event's tokens, and, with all slots taken, the wait for a slot. A pass is longer
+//     by the prompts that are read in it. Requests in flight are the last report's, plus what this router sent since, less what ended since,
+//     plus what the other routers are believed to have sent since; without a fresh report, the router's own times m_BlindFactor.
 //   - For plain services the mean time of recent answers is used, times the requests ahead over the slots.
 //   - Failures raise a server's cost by the share of them among recent outcomes; a server that can't be connected to is left out for a
 //     time that doubles. When all are left out, all are candidates again: no view of ours may empty a service.
@@ -39,6 +40,8 @@
     Duration m_SuspendMin  = milliseconds(300);  // first time that an unreachable server is left out; doubles
     Duration m_SuspendMax  = milliseconds(2400); //
     double   m_GoalShare   = 1.0;                // part of the objective that the predicted wait may take for a first attempt
+    double   m_TieMs       = 25;   // random part of a cost: routers with the same view don't all choose alike
+    double   m_OthersShare = 1.5;  // how much likelier than the mean a good server is chosen by other routers
     double   m_BlindFactor = 3.0;                // own requests in flight stand for this many when no report is fresh
     Duration m_BeginMargin = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
     double   m_BeginFactor = 1.5;                // predicted waits are taken this much longer for it
@@ -90,7 +93,7 @@
 
     Choice Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
 
-    void OnSent(const std::string& id, double prompt, TimePoint now);
+    void OnSent(const std::string& id, double prompt, TimePoint now); // prompt: tokens, 0 at plain services
     void OnFirstEvent(const std::string& id, double prompt);                                                  // its prompt is read
     void OnEnd(const std::string& id, ServerOutcome outcome, double unread_prompt, Duration took, TimePoint now); // every OnSent() once
     void OnReport(const std::string& id, const LoadReport& r, TimePoint now);
@@ -115,6 +118,8 @@
 
     bool     Fresh(const Server& s, TimePoint now) const { return s.m_ReportAt != TimePoint{} && now - s.m_ReportAt < m_Config.m_ReportMax; }
     double   InFlight(const Server& s, TimePoint now) const;
+    double   SentByOthers(const Server& s, TimePoint now) const; // since the last report, as believed
+    void     CountSent(TimePoint now);
     double   PredictModel(const Server& s, const EngineCosts& e, const RequestNeed& need, TimePoint now) const; // ms to the first event
     double   PredictPlain(const Server& s, const ServerEntry& entry, TimePoint now) const;                      // ms to the answer
     bool     Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
@@ -125,6 +130,9 @@
     Random                                  m_Random;    // breaks ties
     std::unordered_map<std::string, Server> m_Servers;   // by id
     uint32_t                                m_Routers = 0;
+    size_t                                  m_ModelCandidates = 1; // of the last choice for a model service
+    double                                  m_SentRate = 0;        // requests that this router sends to model servers, a second; moving mean
+    TimePoint                               m_SentAt{};            // of m_SentRate
 };
 
 } // namespace aldervale
--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -349,6 +349,8 @@
         return;
     case ChunkOutcome_Failed:
         p.m_PausedUntil = now + m_Config.m_StallPause;
+        if (p.m_Up && m_Config.m_ForgetStalled)
+            RemoveAllHave(p);
         return;
     }
 }
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -11,6 +11,8 @@
 //     a neighbour in the own data centre goes before one elsewhere, then the one with the fewest requests of ours.
 //   - A neighbour that refuses as busy is left alone for m_BusyPause; one that doesn't answer within m_ChunkTimeout for m_StallPause.
 //     One that sent m_CorruptMax corrupt chunks, and more than a fifth of all it sent, is set aside for good.
+//   - With m_ForgetStalled, a neighbour that doesn't answer no longer holds anything until OnHave() tells it again, so that the next in
+//     order fetches what only it had. Without it, a frozen box whose connections live could hold up everybody.
 //   - Uploads: at most m_UploadSlots at once, and no more than m_UploadBudget copies, but for a request marked urgent: every holder
 //     that the asker knows is over its budget.
 //
@@ -60,6 +62,7 @@
     unsigned     m_CorruptMax    = 3;                   // corrupt chunks before a neighbour may be set aside
     double       m_CorruptShare  = 0.2;                 // share of corrupt chunks above which it is
     Duration     m_OriginPause   = milliseconds(500);   // after a failed read from the origin
+    bool         m_ForgetStalled = false;               // what a neighbour that doesn't answer has counts for nothing until it tells again
     Duration     m_ImportPerRank = milliseconds(700);   // with importers: wait per rank before the next one fetches from another data centre
 };
 
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -21,7 +21,7 @@
 constexpr auto     kListRetry     = milliseconds(120);  //
 constexpr auto     kListMax       = milliseconds(1500); // for one answer with a list
 constexpr auto     kLinksSettle   = milliseconds(250);  // for links to come up before the origin is asked for pieces
-constexpr auto     kPieceMax      = milliseconds(1500); // for one piece from a neighbour
+constexpr auto     kPieceMax      = milliseconds(1200); // for one piece from a neighbour
 constexpr auto     kOriginMax     = milliseconds(2000); // for one piece from the origin
 constexpr unsigned kSlotsMin      = 1;                  // pieces asked of neighbours at once: as many as arrive in time
 constexpr unsigned kSlotsMax      = 4;                  //
@@ -43,6 +43,7 @@
     c.m_StallPause    = milliseconds(1000);
     c.m_ChunkTimeout  = kPieceMax;
     c.m_OriginPause   = milliseconds(150);
+    c.m_ForgetStalled = true;
     return c;
 }
 
@@ -174,6 +175,12 @@
     return 0;
 }
 
+size_t PieceTransfer::RankOf(uint64_t version) const
+{
+    const std::vector<std::string> members = Members(false);
+    return RendezvousRank(NameOf(version), members, m_Self.m_Name);
+}
+
 void PieceTransfer::SetPeers(std::vector<PeerBox> peers)
 {
     m_Peers = peers;
@@ -345,13 +352,21 @@
     for (const std::string& peer : m_Links.Up())
     {
         job->m_Exchange->OnPeerUp(peer, m_Links.SameDataCentre(peer));
-        wire::HaveUpdateT ask; // asks for what the peer has: updates sent before this job were not kept
-        ask.digest = NameOf(job->m_Version);
-        ask.reply  = true;
-        m_Links.Find(peer)->Send(EncodeFrame(0, ask));
+        AskWhatItHas(job->m_Version, peer); // updates sent before this job were not kept
     }
 }
 
+void PieceTransfer::AskWhatItHas(uint64_t version, const std::string& peer)
+{
+    const LinkPtr link = m_Links.Find(peer);
+    if (!link)
+        return;
+    wire::HaveUpdateT ask;
+    ask.digest = NameOf(version);
+    ask.reply  = true;
+    link->Send(EncodeFrame(0, ask));
+}
+
 void PieceTransfer::Pump(const std::shared_ptr<Job>& job)
 {
     if (job->m_Over || !job->m_Exchange)
@@ -385,6 +400,8 @@
         co_return;
     if (!f.m_Peer.empty() && (outcome == ChunkOutcome_Good || outcome == ChunkOutcome_Failed))
         AdaptSlots(*job, Now() - asked);
+    if (!f.m_Peer.empty() && outcome == ChunkOutcome_Failed)
+        AskWhatItHas(job->m_Version, f.m_Peer);
     job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, outcome, Now());
     if (outcome == ChunkOutcome_Good)
         job->m_News.push_back(f.m_Chunk);
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -44,6 +44,8 @@
     uint64_t Version() const { return m_Version; }           // under way, or fetched last; 0: none
     bool     Whole() const;
     uint64_t NewestWhole() const;                            // 0: none
+    size_t   Boxes() const { return Members(false).size(); } // of the service, this one included
+    size_t   RankOf(uint64_t version) const;                 // of this box in an order by hash that all boxes share
     const PieceSet* Find(uint64_t version) const;            // null: nothing
     uint64_t BytesFromOrigin() const { return m_BytesOrigin; }
     uint64_t BytesFromPeers() const { return m_BytesPeers; }
@@ -72,6 +74,7 @@
     void                    AdaptSlots(Job& job, Duration took);
     ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
     void                    Begin(const std::shared_ptr<Job>& job);
+    void                    AskWhatItHas(uint64_t version, const std::string& peer);
     void                    Pump(const std::shared_ptr<Job>& job);
     void                    OnUp(const std::string& peer);
     void                    OnDown(const std::string& peer);
--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -35,14 +35,13 @@
     return keep ? in.m_Fetching : target;
 }
 
-TimePoint StartPlan::TurnOf(uint64_t version) const
+TimePoint StartPlan::TurnOf(const PlanInput& in) const
 {
-    const auto named = m_Named.find(version);
+    const auto named = m_Named.find(in.m_Whole);
     if (named == m_Named.end())
         return {};
-    const uint64_t wave  = (m_Box ^ version * 0x9E3779B97F4A7C15ull) % m_Config.m_Waves; // Fibonacci hashing
-    const double   step  = m_Config.m_Waves > 1 ? (m_Config.m_LastWave - m_Config.m_FirstWave) / (m_Config.m_Waves - 1) : 0;
-    const double   share = m_Config.m_FirstWave + static_cast<double>(wave) * step;
+    const double place = in.m_Boxes > 1 ? static_cast<double>(in.m_Rank) / static_cast<double>(in.m_Boxes - 1) : 0;
+    const double share = m_Config.m_FirstTurn + place * (m_Config.m_LastTurn - m_Config.m_FirstTurn);
     return named->second + FromSeconds(ToSeconds(m_Config.m_Deadline) * share);
 }
 
@@ -50,7 +49,7 @@
 {
     if (!in.m_Reachable || in.m_Busy || in.m_Whole <= in.m_Held || now < m_OrderAfter)
         return 0;
-    const bool turn = in.m_Held == 0 || now >= TurnOf(in.m_Whole);
+    const bool turn = in.m_Held == 0 || now >= TurnOf(in);
     return turn ? in.m_Whole : 0;
 }
 
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -7,11 +7,11 @@
 //   - The newest named version is the target. A version that is being fetched when a newer one is named is given up, unless it was named
 //     m_KeepFetching or longer before the newer one: then it is nearly whole, and serving it bridges the time until the newer one is there.
 //   - Of the versions that are whole here the newest is started. A server that holds nothing starts at once. One that serves an older
-//     version waits for its turn: boxes are put in waves by a hash of box and version, so that not all leave the pool at once. The waves
-//     lie within the time that declared versions have to come into force.
+//     version waits for its turn: turns are spread evenly, in an order that every box computes alike, so that few leave the pool at once.
+//     They lie within the time that a version has to come into force.
 //
 // Usage:
-//   StartPlan p(config, hash_of_box);
+//   StartPlan p(config);
 //   p.OnNamed(7, now);
 //   uint64_t fetch = p.NextFetch(input);  uint64_t start = p.NextStart(input, now);      // 0: nothing to do
 
@@ -27,9 +27,8 @@
 struct StartPlanConfig
 {
     Duration m_Deadline     = milliseconds(8000); // from naming a version until no older one may begin a request
-    double   m_FirstWave    = 0.52;               // part of m_Deadline at which the first wave's turn comes
-    double   m_LastWave     = 0.75;               // and the last one's
-    unsigned m_Waves        = 4;                  //
+    double   m_FirstTurn    = 0.48;               // part of m_Deadline at which the first box's turn comes
+    double   m_LastTurn     = 0.80;               // and the last one's
     Duration m_KeepFetching = milliseconds(2500); // see the rules
     Duration m_OrderPause   = milliseconds(300);  // after an order that was refused or not answered
 };
@@ -42,12 +41,14 @@
     uint64_t m_Fetching   = 0;     // version being fetched, or fetched last; 0: none
     bool     m_FetchWhole = false; // all its pieces are here
     uint64_t m_Whole      = 0;     // newest version of which all pieces are here; 0: none
+    size_t   m_Rank       = 0;     // of this box in the order of turns for m_Whole
+    size_t   m_Boxes      = 1;     // that take turns
 };
 
 class StartPlan
 {
 public:
-    StartPlan(const StartPlanConfig& cfg, uint64_t box_hash) : m_Config(cfg), m_Box(box_hash) {}
+    explicit StartPlan(const StartPlanConfig& cfg) : m_Config(cfg) {}
 
     void     OnNamed(uint64_t version, TimePoint known_at); // older ones than the newest known are ignored
     void     OnOrderFailed(TimePoint now) { m_OrderAfter = now + m_Config.m_OrderPause; }
@@ -55,11 +56,10 @@
 
     uint64_t  NextFetch(const PlanInput& in) const;                // version whose pieces to get
     uint64_t  NextStart(const PlanInput& in, TimePoint now) const; // version to start
-    TimePoint TurnOf(uint64_t version) const;                      // when this box may leave the pool for it
+    TimePoint TurnOf(const PlanInput& in) const;                   // when this box may leave the pool for in.m_Whole
 
 private:
     StartPlanConfig               m_Config;       //
-    uint64_t                      m_Box;          // hash of the box's name
     std::map<uint64_t, TimePoint> m_Named;        // when each version became known here
     TimePoint                     m_OrderAfter{}; // no order before
 };
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr auto     kReportEvery = milliseconds(50);  // of the own server
+constexpr auto     kReportEvery = milliseconds(60);  // of the own server
 constexpr auto     kReportMax   = milliseconds(400); //
 constexpr unsigned kMissedMax   = 2;                 // reports in a row without an answer after which the server counts as lost
 constexpr auto     kPlanEvery   = milliseconds(50);  //
@@ -22,7 +22,7 @@
 } // namespace
 
 WeightKeeper::WeightKeeper(Daemon& daemon, const StartPlanConfig& plan, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher)
-    : m_Daemon(daemon), m_Server(server), m_Transfer(transfer), m_Publisher(publisher), m_Plan(plan, Hash64(daemon.Settings().m_Name))
+    : m_Daemon(daemon), m_Server(server), m_Transfer(transfer), m_Publisher(publisher), m_Plan(plan)
 {
 }
 
@@ -62,7 +62,7 @@
     r.m_Pace     = static_cast<float>(m_Report.m_Pace);
     r.m_Weights  = m_Reachable ? m_Report.m_Weights : 0;
     r.m_Target   = m_Plan.Target();
-    r.m_Starting = m_Ordering;
+    r.m_Starting = m_Ordering && m_Draining;
     m_Publisher.Publish(r);
 }
 
@@ -107,6 +107,8 @@
         in.m_Fetching   = m_Transfer.Version();
         in.m_FetchWhole = m_Transfer.Whole();
         in.m_Whole      = m_Transfer.NewestWhole();
+        in.m_Rank       = m_Transfer.RankOf(in.m_Whole);
+        in.m_Boxes      = m_Transfer.Boxes();
         const uint64_t fetch = m_Plan.NextFetch(in);
         if (fetch > 0)
             m_Transfer.Want(fetch);
@@ -136,6 +138,7 @@
 
 awaitable<void> WeightKeeper::DrainBriefly()
 {
+    m_Draining = true;
     Publish();
     co_await SleepFor(kTellRouters);
     const TimePoint end = Now() + kDrainMax;
@@ -152,14 +155,15 @@
     m_Ordering         = true;
     m_Ordered          = version;
     m_OrderedAt        = {};
-    co_await DrainBriefly();
-    const bool staged = co_await CheckStaged(set); // last, since pieces may turn bad where they lie
+    m_Draining         = false;
+    const bool staged  = co_await CheckStaged(set); // while the server still serves: what turns bad after it has no time to matter
     if (!staged)
     {
         m_Plan.OnOrderFailed(Now());
         m_Ordering = false;
         co_return;
     }
+    co_await DrainBriefly();
     LogEvent(Event_WeightsStaged, {{"model", m_Model}, {"version", version}});
     const StartOrder   order{m_Model, version, true, m_Report.m_Orders};
     const StartOutcome outcome = co_await m_Server.Start(order, Now() + kOrderMax);
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -44,6 +44,7 @@
     bool           m_Reachable = false; // it came lately
     unsigned       m_Missed    = 0;     // reports in a row
     bool           m_Ordering  = false; // a start is about to be ordered, or was and isn't done
+    bool           m_Draining  = false; // m_Ordering: and routers send nothing new any more
     uint64_t       m_Ordered   = 0;     // version of that start
     TimePoint      m_OrderedAt{};       // when the order was given; default: not yet
 };
--- a/tests/test_exchange.cpp
+++ b/tests/test_exchange.cpp
@@ -279,6 +279,58 @@
     BOOST_CHECK_NE(second[0].m_Peer, first[0].m_Peer);
 }
 
+// Seen on trouble-2 (seed 801153320391) of the bench: one box froze while only it had some chunks, and nobody went on for 8 s.
+BOOST_AUTO_TEST_CASE(what_only_a_frozen_neighbour_has_is_fetched_elsewhere)
+{
+    const ManifestPtr m = MakeTestManifest(4);
+    ExchangeConfig    cfg;
+    cfg.m_ForgetStalled = true;
+    Exchange x(m, cfg, {"me", "frozen"}, "me", {});
+    x.OnPeerUp("frozen", true);
+    x.OnHave("frozen", {}, true);
+    TimePoint now = TimePoint{} + seconds(1);
+    for (int round = 0; round < 40 && !x.Complete(); round++)
+    {
+        for (const Fetch& f : x.Next(now))
+            x.OnChunk(f.m_Chunk, f.m_Peer, f.m_Peer.empty() ? ChunkOutcome_Good : ChunkOutcome_Failed, now);
+        now += milliseconds(500);
+    }
+    BOOST_TEST(x.Complete());
+}
+
+BOOST_AUTO_TEST_CASE(each_chunk_is_imported_into_a_data_centre_by_one_box_and_by_the_next_only_after_a_while)
+{
+    const ManifestPtr              m     = MakeTestManifest(12);
+    const std::vector<std::string> here  = {"a", "b", "c"};
+    const ExchangeConfig           cfg   = {};
+    const TimePoint                start = TimePoint{} + seconds(1);
+    std::map<uint32_t, int>        asked;
+    std::vector<std::unique_ptr<Exchange>> boxes;
+    for (const std::string& name : here)
+    {
+        boxes.push_back(std::make_unique<Exchange>(m, cfg, std::vector<std::string>{"far"}, name, std::vector<uint32_t>()));
+        boxes.back()->SetImporters(here);
+        boxes.back()->OnPeerUp("far", false);
+        boxes.back()->OnHave("far", {}, true);
+    }
+    const auto ask = [&](Exchange& x, TimePoint now)
+    {
+        for (int i = 0; i < 12; i++)
+            for (const Fetch& f : x.Next(now))
+            {
+                asked[f.m_Chunk]++;
+                x.OnChunk(f.m_Chunk, f.m_Peer, ChunkOutcome_Good, now);
+            }
+    };
+    for (const auto& x : boxes)
+        ask(*x, start);
+    BOOST_TEST(asked.size() == 12u);
+    for (const auto& [chunk, n] : asked)
+        BOOST_TEST(n == 1);
+    ask(*boxes[0], start + 2 * cfg.m_ImportPerRank); // the others' chunks never came here: the next in order steps in
+    BOOST_TEST(boxes[0]->Complete());
+}
+
 BOOST_AUTO_TEST_CASE(urgent_request_passes_the_upload_budget)
 {
     const ManifestPtr m = MakeTestManifest(4);
