--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -1,8 +1,8 @@
 // aldervale-bench: the load side of scripts/bench. Sends requests at a fixed rate whether or not answers come back (open loop), checks
 // every answer byte by byte, and prints one JSON object. What ran twice, or ran although told "not run", is counted from the stand-ins.
+#include "common/hash.h"
 #include "connection/http.h"
 #include "process/daemon.h"
-#include "common/hash.h"
 #include "request/key_journal.h"
 #include <boost/json.hpp>
 #include <cxxopts.hpp>
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -53,10 +53,10 @@
 // A cut path or a machine without power says nothing: probes end the connection within some three seconds.
 void SetProbes(tcp::socket& socket)
 {
-    const int fd          = socket.native_handle();
-    const int on          = 1;
-    const int second      = 1;    // until the first probe, and between probes
-    const int unanswered  = 2;    // probes
+    const int fd                = socket.native_handle();
+    const int on                = 1;
+    const int second            = 1;    // until the first probe, and between probes
+    const int unanswered        = 2;    // probes
     const int unacknowledged_ms = 3000; // of bytes that were sent
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &second, sizeof second);
@@ -69,8 +69,8 @@
 
 struct HttpClient::Impl
 {
-    std::mutex                                     m_Mutex; // guards m_Idle
-    std::map<std::string, std::vector<IdleSocket>> m_Idle;  // by endpoint; newest last
+    std::mutex                                     m_Mutex;       // guards m_Idle
+    std::map<std::string, std::vector<IdleSocket>> m_Idle;        // by endpoint; newest last
     std::atomic<uint64_t>                          m_Connects{0}; // connections opened
 
     // A kept connection is moved to the executor of its next user: Beast's streams want all their handlers on one strand.
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,6 +1,6 @@
 // HTTP server over Boost.Beast. See http.h.
-#include "connection/http.h"
 #include "common/log.h"
+#include "connection/http.h"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
@@ -165,13 +165,13 @@
         return !ec;
     }
 
-    ServerStream&             m_Stream;         //
-    const HttpServerConfig&   m_Config;         //
-    bool                      m_KeepAlive;      // as the answer's head said, once it was sent
-    const std::atomic<bool>&  m_Closing;        // of the server
-    bool                      m_Broken = false; // a write failed or Abort() was called
-    bool                      m_Sent   = false; // an answer was begun
-    std::shared_ptr<Watch>    m_Watch = std::make_shared<Watch>();
+    ServerStream&            m_Stream;         //
+    const HttpServerConfig&  m_Config;         //
+    bool                     m_KeepAlive;      // as the answer's head said, once it was sent
+    const std::atomic<bool>& m_Closing;        // of the server
+    bool                     m_Broken = false; // a write failed or Abort() was called
+    bool                     m_Sent   = false; // an answer was begun
+    std::shared_ptr<Watch>   m_Watch  = std::make_shared<Watch>();
 };
 
 HttpRequest ToRequest(http::request<http::string_body>&& msg)
@@ -203,8 +203,8 @@
 }
 
 // False: the connection ended, or sent something that was answered and closes it.
-awaitable<bool> ReadRequest(HttpServer::Impl& impl, const HttpServerConfig& cfg, HttpServer::Impl::Connection& connection,
-                            beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser)
+awaitable<bool> ReadRequest(HttpServer::Impl& impl, const HttpServerConfig& cfg, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
+                            http::request_parser<http::string_body>& parser)
 {
     ServerStream& stream = *connection.m_Stream;
     parser.header_limit(static_cast<uint32_t>(cfg.m_HeadMax));
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -17,9 +17,9 @@
 // [SECTION] Connecting and listening
 
 #pragma once
-#include "connection/frame.h"
 #include "common/clock.h"
 #include "common/verdict.h"
+#include "connection/frame.h"
 #include <atomic>
 #include <boost/asio.hpp>
 #include <deque>
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -56,11 +56,11 @@
     awaitable<void> ReceiveLoop();
     awaitable<void> SubscribeLoop();
 
-    asio::io_context&     m_Ioc;     //
-    ProcessName           m_Self;    //
-    Handler               m_Handler; //
-    udp::socket           m_Socket;  //
-    std::vector<Endpoint> m_Boxes;   //
+    asio::io_context&     m_Ioc;          //
+    ProcessName           m_Self;         //
+    Handler               m_Handler;      //
+    udp::socket           m_Socket;       //
+    std::vector<Endpoint> m_Boxes;        //
     uint64_t              m_Declared = 0; // version of the declarations in force here
 };
 
--- a/src/external/model_server.h
+++ b/src/external/model_server.h
@@ -11,20 +11,20 @@
 
 struct ServerReport
 {
-    uint32_t m_Running = 0;        // requests in the batch
-    uint32_t m_Waiting = 0;        // requests taken, not yet in the batch
-    double   m_Pace    = 1;        // over 1: that much slower than declared
-    bool     m_Busy    = false;    // an order is under way
-    uint64_t m_Orders  = 0;        // orders taken since its start
-    uint64_t m_Weights = 0;        // version that it holds whole; 0: none
+    uint32_t m_Running = 0;     // requests in the batch
+    uint32_t m_Waiting = 0;     // requests taken, not yet in the batch
+    double   m_Pace    = 1;     // over 1: that much slower than declared
+    bool     m_Busy    = false; // an order is under way
+    uint64_t m_Orders  = 0;     // orders taken since its start
+    uint64_t m_Weights = 0;     // version that it holds whole; 0: none
 };
 
 struct StartOrder
 {
-    std::string m_Model;        //
-    uint64_t    m_Version = 0;  //
-    bool        m_Cut = false;  // cut off what runs; otherwise it finishes first
-    uint64_t    m_Orders = 0;   // the server's m_Orders as last seen: another value refuses the order
+    std::string m_Model;           //
+    uint64_t    m_Version = 0;     //
+    bool        m_Cut     = false; // cut off what runs; otherwise it finishes first
+    uint64_t    m_Orders  = 0;     // the server's m_Orders as last seen: another value refuses the order
 };
 
 enum StartOutcome
@@ -38,17 +38,17 @@
 class ModelServer
 {
 public:
-    virtual ~ModelServer()                                                                                                               = default;
-    virtual awaitable<Result<ServerReport>>         Report(TimePoint deadline)                                                           = 0;
-    virtual awaitable<StartOutcome>                 Start(StartOrder order, TimePoint deadline)                                          = 0;
-    virtual awaitable<Status>                       PutPiece(std::string model, uint32_t n, std::span<const uint8_t> bytes, TimePoint d) = 0;
-    virtual awaitable<Result<std::vector<uint8_t>>> GetPiece(std::string model, uint32_t n, TimePoint deadline)                          = 0; // NotFound: none lies there
-    virtual awaitable<Result<std::vector<uint32_t>>> ListPieces(std::string model, TimePoint deadline)                                   = 0;
+    virtual ~ModelServer()                                                                                                                = default;
+    virtual awaitable<Result<ServerReport>>          Report(TimePoint deadline)                                                           = 0;
+    virtual awaitable<StartOutcome>                  Start(StartOrder order, TimePoint deadline)                                          = 0;
+    virtual awaitable<Status>                        PutPiece(std::string model, uint32_t n, std::span<const uint8_t> bytes, TimePoint d) = 0;
+    virtual awaitable<Result<std::vector<uint8_t>>>  GetPiece(std::string model, uint32_t n, TimePoint deadline) = 0; // NotFound: none lies there
+    virtual awaitable<Result<std::vector<uint32_t>>> ListPieces(std::string model, TimePoint deadline)           = 0;
 };
 
 struct PieceList // of one version
 {
-    uint64_t                 m_Version = 0; //
+    uint64_t                 m_Version    = 0; //
     uint32_t                 m_PieceBytes = 0;
     std::vector<std::string> m_Digests; // SHA-256 of each piece, hex
 };
@@ -56,8 +56,8 @@
 class PieceOrigin
 {
 public:
-    virtual ~PieceOrigin()                                                                                                          = default;
-    virtual awaitable<Result<PieceList>>            ReadList(Endpoint at, std::string model, uint64_t version, TimePoint deadline)  = 0;
+    virtual ~PieceOrigin()                                                                                                         = default;
+    virtual awaitable<Result<PieceList>>            ReadList(Endpoint at, std::string model, uint64_t version, TimePoint deadline) = 0;
     virtual awaitable<Result<std::vector<uint8_t>>> ReadPiece(Endpoint at, std::string model, uint64_t version, uint32_t n, TimePoint deadline) = 0;
 };
 
--- a/src/external/row_source.h
+++ b/src/external/row_source.h
@@ -11,10 +11,10 @@
 
 struct Row
 {
-    std::string m_Key;           //
-    std::string m_Value;         // empty when gone
-    uint64_t    m_Version = 0;   // store version that wrote or dropped it
-    bool        m_Gone = false;  // changes only: the row was dropped
+    std::string m_Key;             //
+    std::string m_Value;           // empty when gone
+    uint64_t    m_Version = 0;     // store version that wrote or dropped it
+    bool        m_Gone    = false; // changes only: the row was dropped
 };
 
 struct RowRead
@@ -26,8 +26,8 @@
 class RowSource
 {
 public:
-    virtual ~RowSource()                                                                                        = default;
-    virtual awaitable<Result<RowRead>> ReadAll(std::string table, TimePoint deadline)                            = 0;
+    virtual ~RowSource()                                                              = default;
+    virtual awaitable<Result<RowRead>> ReadAll(std::string table, TimePoint deadline) = 0;
     // Waits up to `wait` for a change after `since`. ErrorCode_Stale: that history is gone, read the whole table.
     virtual awaitable<Result<RowRead>> ReadChanges(std::string table, uint64_t since, Duration wait, TimePoint deadline) = 0;
 };
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -70,7 +70,8 @@
 }
 
 Daemon::Daemon(const DaemonSettings& s, std::string_view program)
-    : m_Settings(s), m_Program(program), m_Incarnation(RandomSeed() >> 1), m_Ioc(static_cast<int>(s.m_Threads)), m_Signals(m_Ioc, SIGTERM, SIGINT, SIGHUP)
+    : m_Settings(s), m_Program(program), m_Incarnation(RandomSeed() >> 1), m_Ioc(static_cast<int>(s.m_Threads)),
+      m_Signals(m_Ioc, SIGTERM, SIGINT, SIGHUP)
 {
 }
 
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -65,9 +65,9 @@
     const DaemonSettings& Settings() const { return m_Settings; }
     uint64_t              Incarnation() const { return m_Incarnation; } // differs at every start
     bool                  Draining() const { return m_Draining.load(); }
-    void                  SetDrainMax(Duration d) { m_Settings.m_DrainMaxMs = ToMs(d); } // before Run()
-    void                  SetHooks(DaemonHooks hooks) { m_Hooks = std::move(hooks); } // before Run()
-    bool                  Ready() const;                                              // takes new work
+    void                  SetDrainMax(Duration d) { m_Settings.m_DrainMaxMs = ToMs(d); }                // before Run()
+    void                  SetHooks(DaemonHooks hooks) { m_Hooks = std::move(hooks); }                   // before Run()
+    bool                  Ready() const;                                                                // takes new work
     void                  SetReload(std::string file, std::function<std::vector<SettingFault>()> load); // before Run()
     awaitable<bool>       ServeOps(HttpRequest& req, HttpReply& reply); // answers /healthz, /readyz, /metrics, /statusz; false: another path
 
@@ -80,16 +80,16 @@
     void            Reload(std::string_view why);
     awaitable<void> DrainAndStop();
 
-    DaemonSettings              m_Settings;        //
-    std::string                 m_Program;         //
-    uint64_t                    m_Incarnation;     //
-    asio::io_context            m_Ioc;             //
-    asio::signal_set            m_Signals;         //
-    DaemonHooks                 m_Hooks;           //
-    std::unique_ptr<HttpServer> m_Ops;             // null when no ops_listen
-    std::atomic<bool>           m_Draining{false}; // never goes back to false
-    std::string                 m_SettingsFile;    // empty: none to watch
-    std::function<std::vector<SettingFault>()> m_Load; // reads the settings again; empty: no reload
+    DaemonSettings                             m_Settings;        //
+    std::string                                m_Program;         //
+    uint64_t                                   m_Incarnation;     //
+    asio::io_context                           m_Ioc;             //
+    asio::signal_set                           m_Signals;         //
+    DaemonHooks                                m_Hooks;           //
+    std::unique_ptr<HttpServer>                m_Ops;             // null when no ops_listen
+    std::atomic<bool>                          m_Draining{false}; // never goes back to false
+    std::string                                m_SettingsFile;    // empty: none to watch
+    std::function<std::vector<SettingFault>()> m_Load;            // reads the settings again; empty: no reload
 };
 
 using StartFunction = std::function<Status(Daemon&)>;
--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -27,14 +27,14 @@
 
 struct ServerEntry
 {
-    std::string m_Id;                // of this lifetime of the server
-    std::string m_Service;           //
-    Endpoint    m_Address;           //
-    std::string m_DataCentre;        //
-    unsigned    m_Slots    = 1;      // requests that it works on at the same time
-    bool        m_Draining = false;  // takes no new work
-    uint64_t    m_Weights  = 0;      // version of the weights it holds whole; 0: none, or no model server
-    uint64_t    m_RowVersion = 0;    // store version of the row
+    std::string m_Id;                 // of this lifetime of the server
+    std::string m_Service;            //
+    Endpoint    m_Address;            //
+    std::string m_DataCentre;         //
+    unsigned    m_Slots      = 1;     // requests that it works on at the same time
+    bool        m_Draining   = false; // takes no new work
+    uint64_t    m_Weights    = 0;     // version of the weights it holds whole; 0: none, or no model server
+    uint64_t    m_RowVersion = 0;     // store version of the row
 };
 
 class ServerDirectory
@@ -45,7 +45,7 @@
     void OnReadAll(std::vector<ServerEntry> entries, uint64_t store_version, TimePoint now); // whole list; what isn't in it is gone
     void OnStoreLost(TimePoint now);                                                         // it can't be reached
     void OnStoreReached(TimePoint now);                                                      // an answer came after OnStoreLost()
-    void Expire(TimePoint now);                                                              // drops what was kept over an outage; call every second or so
+    void Expire(TimePoint now); // drops what was kept over an outage; call every second or so
 
     std::vector<const ServerEntry*> Usable(std::string_view service) const; // ready; by id
     std::vector<const ServerEntry*> All(std::string_view service) const;    // draining ones too
@@ -56,7 +56,7 @@
 private:
     struct Known
     {
-        ServerEntry m_Entry;        //
+        ServerEntry m_Entry;          //
         bool        m_Lapsed = false; // its row went away during an outage; usable until the grace ends
     };
 
@@ -67,7 +67,7 @@
     uint64_t                                     m_StoreVersion = 0; // newest read; never falls
     uint64_t                                     m_Changes      = 0; //
     bool                                         m_Lost         = false;
-    TimePoint                                    m_SettledAt{};      // entries that went away before are believed gone only from here
+    TimePoint                                    m_SettledAt{}; // entries that went away before are believed gone only from here
 };
 
 } // namespace aldervale
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -47,15 +47,15 @@
     void            OnFailure(const Error& e);
     void            OnAnswer();
 
-    asio::io_context&   m_Ioc;             //
-    RowSource&          m_Source;          //
-    std::string         m_Table;           //
-    TableFollowerConfig m_Config;          //
-    TableHandlers       m_Handlers;        //
-    uint64_t            m_Since    = 0;    // store version up to which changes are known; never falls
+    asio::io_context&   m_Ioc;              //
+    RowSource&          m_Source;           //
+    std::string         m_Table;            //
+    TableFollowerConfig m_Config;           //
+    TableHandlers       m_Handlers;         //
+    uint64_t            m_Since    = 0;     // store version up to which changes are known; never falls
     bool                m_Synced   = false; // the whole table was read, and no history is missing since
-    unsigned            m_Failures = 0;    // in a row
-    uint64_t            m_Seed;            // of the pauses' random part
+    unsigned            m_Failures = 0;     // in a row
+    uint64_t            m_Seed;             // of the pauses' random part
 };
 
 } // namespace aldervale
--- a/src/programs/controller.cpp
+++ b/src/programs/controller.cpp
@@ -1,8 +1,8 @@
 // aldervale-controller: runs on every entry box; one of a data centre holds the lease and turns declarations into orders for the boxes
 // of that data centre. Standbys only read the lease row. All decisions are in Lease and PlanRollout.
+#include "common/log.h"
 #include "external/table_service.h"
 #include "process/lease.h"
-#include "common/log.h"
 #include "process/node.h"
 #include "version/rollout.h"
 
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -18,29 +18,29 @@
 
 struct AgentSettings
 {
-    std::string      m_Server;   // the model server on this box [server]
-    std::string      m_Service;  // name of the service that it belongs to [service]
-    PlatformSettings m_Platform; //
+    std::string      m_Server;                   // the model server on this box [server]
+    std::string      m_Service;                  // name of the service that it belongs to [service]
+    PlatformSettings m_Platform;                 //
     double           m_LinkMbps          = 0;    // of this box, each way; 0: no limit [weights.link_mbps]
     int64_t          m_WeightsDeadlineMs = 8000; // from naming a version until no older one may begin a request [weights.deadline_ms]
 };
 
 struct Agent // lives as long as the process
 {
-    AgentSettings                              m_Settings;  //
-    ServerDirectory                            m_Servers;   //
-    uint64_t                                   m_Declared = 0; // version in force
-    std::map<std::string, uint64_t>            m_Named;     // newest version by model; may come before the declarations
-    std::string                                m_Model;     // of the own service; empty until declared
+    AgentSettings                              m_Settings;             //
+    ServerDirectory                            m_Servers;              //
+    uint64_t                                   m_Declared = 0;         // version in force
+    std::map<std::string, uint64_t>            m_Named;                // newest version by model; may come before the declarations
+    std::string                                m_Model;                // of the own service; empty until declared
     bool                                       m_OperatorRead = false; // the table was read with the own service in it
-    std::unique_ptr<platform::StoreClient>     m_Store;     //
-    std::unique_ptr<platform::ModelServerHttp> m_Server;    //
-    platform::PieceOriginHttp                  m_Origin;    //
-    std::unique_ptr<LoadPublisher>             m_Publisher; //
-    std::unique_ptr<PieceTransfer>             m_Transfer;  //
-    std::unique_ptr<WeightKeeper>              m_Keeper;    //
-    std::shared_ptr<TableFollower>             m_Operator;  // declarations and named weights
-    std::shared_ptr<TableFollower>             m_List;      // backend servers: the other boxes
+    std::unique_ptr<platform::StoreClient>     m_Store;                //
+    std::unique_ptr<platform::ModelServerHttp> m_Server;               //
+    platform::PieceOriginHttp                  m_Origin;               //
+    std::unique_ptr<LoadPublisher>             m_Publisher;            //
+    std::unique_ptr<PieceTransfer>             m_Transfer;             //
+    std::unique_ptr<WeightKeeper>              m_Keeper;               //
+    std::shared_ptr<TableFollower>             m_Operator;             // declarations and named weights
+    std::shared_ptr<TableFollower>             m_List;                 // backend servers: the other boxes
 };
 
 std::vector<SettingSpec> DescribeAgent(AgentSettings& s)
@@ -69,7 +69,8 @@
     auto decoded = platform::DecodeConfig(row.m_Value);
     if (!decoded)
     {
-        LogEvent(Event_DeclarationsRefused, {{"row_version", row.m_Version}, {"field", decoded.error().m_Field}, {"what", decoded.error().m_Message}});
+        LogEvent(Event_DeclarationsRefused,
+                 {{"row_version", row.m_Version}, {"field", decoded.error().m_Field}, {"what", decoded.error().m_Message}});
         return;
     }
     const RouteTableSpec& spec = decoded.value();
@@ -160,8 +161,8 @@
     list.m_OnChanges = [&a](const RowRead& read) { OnServerRows(a, read, false); };
     list.m_OnLost    = [&a] { a.m_Servers.OnStoreLost(Now()); };
     list.m_OnReached = [&a] { a.m_Servers.OnStoreReached(Now()); };
-    a.m_Operator     = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
-    a.m_List         = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kServerTable), ListPace(), list);
+    a.m_Operator = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
+    a.m_List     = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kServerTable), ListPace(), list);
     a.m_Operator->Start();
     a.m_List->Start();
 }
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-constexpr auto kExpireEvery  = milliseconds(500);  // looks for servers kept over an outage of the store
+constexpr auto kExpireEvery   = milliseconds(500);  // looks for servers kept over an outage of the store
 constexpr auto kUnknownNaming = milliseconds(2500); // that older weights may be used when a version was named before the start
-constexpr auto kDrainNotice  = milliseconds(2600); // the balancer asks once a second, and twice before it sends callers elsewhere
+constexpr auto kDrainNotice   = milliseconds(2600); // the balancer asks once a second, and twice before it sends callers elsewhere
 
 struct RouterSettings
 {
@@ -29,17 +29,17 @@
 
 struct Router // lives as long as the process
 {
-    RouterSettings                         m_Settings; //
-    RoutingWorld                           m_World;    //
-    platform::RequestHeaders               m_Protocol; //
-    std::unique_ptr<platform::StoreClient> m_Store;    //
-    std::shared_ptr<TableFollower>         m_Operator; // declarations and named weights
+    RouterSettings                         m_Settings;             //
+    RoutingWorld                           m_World;                //
+    platform::RequestHeaders               m_Protocol;             //
+    std::unique_ptr<platform::StoreClient> m_Store;                //
+    std::shared_ptr<TableFollower>         m_Operator;             // declarations and named weights
     bool                                   m_OperatorRead = false; // the table was read once
-    std::shared_ptr<TableFollower>         m_List;     // backend servers
-    std::unique_ptr<LoadListener>          m_Loads;    //
-    std::unique_ptr<DirectServe>           m_Serve;    //
-    std::unique_ptr<HttpServer>            m_Http;     //
-    std::unique_ptr<HttpServer>            m_Ready;    //
+    std::shared_ptr<TableFollower>         m_List;                 // backend servers
+    std::unique_ptr<LoadListener>          m_Loads;                //
+    std::unique_ptr<DirectServe>           m_Serve;                //
+    std::unique_ptr<HttpServer>            m_Http;                 //
+    std::unique_ptr<HttpServer>            m_Ready;                //
 };
 
 std::vector<SettingSpec> DescribeRouter(RouterSettings& s)
@@ -90,8 +90,8 @@
     const uint64_t before = r.m_World.m_Routes ? r.m_World.m_Routes->Version() : 0;
     if (spec.value().m_Version <= before)
         return;
-    r.m_World.m_Routes   = std::make_shared<const RouteTable>(std::move(spec.value()));
-    r.m_World.m_RoutesAt = Now();
+    r.m_World.m_Routes        = std::make_shared<const RouteTable>(std::move(spec.value()));
+    r.m_World.m_RoutesAt      = Now();
     const RouteTableSpec& now = r.m_World.m_Routes->Spec();
     ApplyLimits(r, now.m_Limits);
     FollowBoxes(r);
@@ -112,7 +112,7 @@
         return;
     }
     // What was named before this process started was named at an unknown time: older weights get only a short while.
-    const Duration deadline = milliseconds(r.m_Settings.m_Serve.m_WeightsDeadlineMs);
+    const Duration  deadline = milliseconds(r.m_Settings.m_Serve.m_WeightsDeadlineMs);
     const TimePoint known_at = r.m_OperatorRead ? Now() : Now() - deadline + kUnknownNaming;
     NoteNamed(r.m_World, named.value().m_Model, named.value().m_Version, known_at);
 }
@@ -214,8 +214,8 @@
     list.m_OnChanges = [&r](const RowRead& read) { OnServerChanges(r, read); };
     list.m_OnLost    = [&r] { r.m_World.m_Servers.OnStoreLost(Now()); };
     list.m_OnReached = [&r] { r.m_World.m_Servers.OnStoreReached(Now()); };
-    r.m_Operator     = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
-    r.m_List         = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kServerTable), TableFollowerConfig{}, list);
+    r.m_Operator = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
+    r.m_List     = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kServerTable), TableFollowerConfig{}, list);
     r.m_Operator->Start();
     r.m_List->Start();
     asio::co_spawn(
@@ -255,8 +255,7 @@
         return internal.error();
     r.m_Serve = std::make_unique<DirectServe>(daemon, s.m_Serve, r.m_World, r.m_Protocol);
     r.m_Loads = std::make_unique<LoadListener>(daemon.Ioc(), ProcessName{daemon.Settings().m_Name, daemon.Settings().m_DataCentre},
-                                               [&r](const asio::ip::address& box, const LoadReport& report)
-                                               { r.m_Serve->OnReport(box, report); });
+                                               [&r](const asio::ip::address& box, const LoadReport& report) { r.m_Serve->OnReport(box, report); });
     r.m_Http  = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                             [&r](HttpRequest& req, HttpReply& reply) { return r.m_Serve->Handle(req, reply); });
     r.m_Ready = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
--- a/src/programs/platform_settings.h
+++ b/src/programs/platform_settings.h
@@ -7,10 +7,10 @@
 
 struct PlatformSettings
 {
-    std::string m_Store;           // the platform's metadata store [store]
-    std::string m_Ip;              // of this box [internal.ip]
-    int64_t     m_Port = 0;        // links and load reports between our processes; the same on all boxes [internal.port]
-    double      m_GraceS = 8;      // from SIGTERM until the process is killed [grace_s]
+    std::string m_Store;      // the platform's metadata store [store]
+    std::string m_Ip;         // of this box [internal.ip]
+    int64_t     m_Port   = 0; // links and load reports between our processes; the same on all boxes [internal.port]
+    double      m_GraceS = 8; // from SIGTERM until the process is killed [grace_s]
 };
 
 constexpr double kGraceUsed = 0.92; // part of the grace that a drain may take: ending itself takes time too
--- a/src/programs/router.cpp
+++ b/src/programs/router.cpp
@@ -1,7 +1,7 @@
 // aldervale-router: runs on every entry box. Takes callers' HTTP, admits, routes, retries; serves the resource API; spreads the
 // configuration. Wires RouterServe, ResourceApi and StoreSync to one Node.
-#include "external/weight_store.h"
 #include "common/log.h"
+#include "external/weight_store.h"
 #include "process/resource_api.h"
 
 using namespace aldervale;
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -7,11 +7,11 @@
 namespace
 {
 
-constexpr auto   kIdleRepeatable = seconds(4);         // a connection that rested longer isn't used: its server may have forgotten it
-constexpr auto   kIdleOnce       = milliseconds(700);  // the same where a failure on it could not be tried again
-constexpr auto   kEndSlack       = milliseconds(20);   // an exchange ends this long before the deadline, so that our answer is in time
-constexpr unsigned kPriorityResumed = 0;               // a stream that broke: its caller sees the pause until it goes on
-constexpr size_t kAnswerMax      = 64 * 1024 * 1024;   // bytes of an answer that is held until it is whole
+constexpr auto     kIdleRepeatable  = seconds(4);        // a connection that rested longer isn't used: its server may have forgotten it
+constexpr auto     kIdleOnce        = milliseconds(700); // the same where a failure on it could not be tried again
+constexpr auto     kEndSlack        = milliseconds(20);  // an exchange ends this long before the deadline, so that our answer is in time
+constexpr unsigned kPriorityResumed = 0;                 // a stream that broke: its caller sees the pause until it goes on
+constexpr size_t   kAnswerMax       = 64 * 1024 * 1024;  // bytes of an answer that is held until it is whole
 
 bool IsServerFault(unsigned status)
 {
@@ -46,19 +46,19 @@
 {
     const TimePoint sent_at = Now();
     ForwardFields   add;
-    add.m_ServerId    = server.m_Id;
-    add.m_Account     = call.m_Account != nullptr ? call.m_Account->m_Name : std::string();
-    add.m_Remaining   = call.Left(sent_at);
-    add.m_Priority    = call.m_Account != nullptr ? call.m_Account->m_Priority.value_or(call.m_Route->m_Priority) : call.m_Route->m_Priority;
-    add.m_Priority    = call.m_Events > 0 ? kPriorityResumed : add.m_Priority;
-    add.m_Weights     = ExpectedWeights(call, sent_at);
-    add.m_ResumeAfter = call.m_LastEvent;
+    add.m_ServerId            = server.m_Id;
+    add.m_Account             = call.m_Account != nullptr ? call.m_Account->m_Name : std::string();
+    add.m_Remaining           = call.Left(sent_at);
+    add.m_Priority            = call.m_Account != nullptr ? call.m_Account->m_Priority.value_or(call.m_Route->m_Priority) : call.m_Route->m_Priority;
+    add.m_Priority            = call.m_Events > 0 ? kPriorityResumed : add.m_Priority;
+    add.m_Weights             = ExpectedWeights(call, sent_at);
+    add.m_ResumeAfter         = call.m_LastEvent;
     const HttpRequest forward = m_Protocol.Forward(call.m_Request, add);
     HttpCallOptions   options;
-    options.m_ConnectMax = milliseconds(m_Settings.m_ConnectMs);
-    options.m_IdleMax    = call.m_Route->MayRepeat() ? Duration(kIdleRepeatable) : Duration(kIdleOnce);
-    options.m_Abort      = &call.m_Abort;
-    options.m_IsOurs     = [this, &call](const HttpResponse& head) { return m_Protocol.DecodeAnswer(head).m_RequestId == call.m_Caller.m_Id; };
+    options.m_ConnectMax       = milliseconds(m_Settings.m_ConnectMs);
+    options.m_IdleMax          = call.m_Route->MayRepeat() ? Duration(kIdleRepeatable) : Duration(kIdleOnce);
+    options.m_Abort            = &call.m_Abort;
+    options.m_IsOurs           = [this, &call](const HttpResponse& head) { return m_Protocol.DecodeAnswer(head).m_RequestId == call.m_Caller.m_Id; };
     const bool      may_resume = call.IsStream() && call.m_Route->MayRepeat();
     const TimePoint end_at     = call.m_Deadline - kEndSlack;
     const TimePoint head_until = may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
@@ -95,7 +95,9 @@
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerFault)
         call.m_MayHaveRun = true;
-    const TimePoint     now     = Now();
+    const TimePoint now = Now();
+    if (now >= end_at && end == AttemptEnd_MayHaveRun)
+        call.m_Why = "deadline reached";
     const ServerOutcome outcome = now >= end_at && end == AttemptEnd_MayHaveRun ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached);
     m_Choice.OnEnd(server.m_Id, outcome, first_event ? 0 : call.m_Caller.m_Prompt, now - sent_at, now);
     co_return end;
@@ -140,9 +142,9 @@
 awaitable<AttemptEnd> DirectServe::Impl::RelayStream(Call& call, HttpStream& stream, const std::string& server, bool& first_event)
 {
     EventSplitter   events;
-    const TimePoint end_at  = call.m_Deadline - kEndSlack;
-    const bool      resume  = call.m_Route->MayRepeat();
-    TimePoint       heard   = Now();
+    const TimePoint end_at = call.m_Deadline - kEndSlack;
+    const bool      resume = call.m_Route->MayRepeat();
+    TimePoint       heard  = Now();
     for (;;)
     {
         const Duration patience = milliseconds(first_event ? m_Settings.m_NextEventMs : m_Settings.m_FirstEventMs);
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -7,13 +7,13 @@
 namespace
 {
 
-constexpr auto     kMinLeft          = milliseconds(40);  // time before the deadline below which no attempt is begun
-constexpr auto     kNotReadyRetry    = milliseconds(300); // when to come back to a router that knows no declarations yet
-constexpr auto     kCameBackSlack    = milliseconds(60);  // a caller with less time than the route's limit by more than this was here before
-constexpr auto     kWeightsCheck     = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
-constexpr size_t   kVersionsRemembered = 8;               // of a model's weights, for their deadlines
-constexpr unsigned kRoutersAssumed   = 8;                 // sharing the retry budget, until reports say how many there are
-constexpr double   kBudgetShare      = 0.6;               // of the declared budget that routers use together: windows slide
+constexpr auto     kMinLeft            = milliseconds(40);   // time before the deadline below which no attempt is begun
+constexpr auto     kNotReadyRetry      = milliseconds(300);  // when to come back to a router that knows no declarations yet
+constexpr auto     kCameBackSlack      = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
+constexpr auto     kWeightsCheck       = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
+constexpr size_t   kVersionsRemembered = 8;                  // of a model's weights, for their deadlines
+constexpr unsigned kRoutersAssumed     = 8;                  // sharing the retry budget, until reports say how many there are
+constexpr double   kBudgetShare        = 0.6;                // of the declared budget that routers use together: windows slide
 
 Counter& OutcomeCounter(std::string_view outcome)
 {
@@ -127,18 +127,19 @@
 
 const ServerEntry* DirectServe::Impl::Admit(Call& call, TimePoint now)
 {
-    const std::vector<const ServerEntry*> servers = m_World.m_Servers.Usable(call.m_Service->m_Name);
+    const std::vector<const ServerEntry*> servers   = m_World.m_Servers.Usable(call.m_Service->m_Name);
     const std::vector<WeightsDeadline>    deadlines = WeightsDeadlines(call);
     RequestNeed                           need;
-    need.m_Service    = call.m_Service;
-    need.m_Goal       = call.m_Route->m_Goal;
-    need.m_Prompt     = call.m_Caller.m_Prompt;
-    need.m_Answer     = call.m_Caller.m_Answer;
-    need.m_CameBack   = !call.m_Tried.empty() || call.m_HeadSent || call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout) + kCameBackSlack < call.m_Route->m_Timeout;
+    need.m_Service  = call.m_Service;
+    need.m_Goal     = call.m_Route->m_Goal;
+    need.m_Prompt   = call.m_Caller.m_Prompt;
+    need.m_Answer   = call.m_Caller.m_Answer;
+    need.m_CameBack = !call.m_Tried.empty() || call.m_HeadSent ||
+                      call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout) + kCameBackSlack < call.m_Route->m_Timeout;
     need.m_WeightsDeadlines = deadlines;
-    need.m_DataCentre = m_Daemon.Settings().m_DataCentre;
-    need.m_Tried      = call.m_Tried;
-    call.m_Choice     = m_Choice.Choose(servers, need, now);
+    need.m_DataCentre       = m_Daemon.Settings().m_DataCentre;
+    need.m_Tried            = call.m_Tried;
+    call.m_Choice           = m_Choice.Choose(servers, need, now);
     if (call.m_Choice.m_Server == nullptr)
         call.m_Why = call.m_Choice.m_Candidates == 0 ? "no server can take it" : "no server would answer in time";
     return call.m_Choice.m_Server;
@@ -219,27 +220,26 @@
 
 static void LogCall(const Call& call, const RoutingWorld& world, TimePoint now)
 {
-    const auto          ms = [](Duration d) { return d == Duration::max() ? -1 : ToMs(d); };
+    const auto             ms      = [](Duration d) { return d == Duration::max() ? -1 : ToMs(d); };
     const std::string_view verdict = call.m_MayHaveRun || call.m_Events > 0 || call.m_Status == 200 ? "may-have-run" : "not-run";
-    LogEvent(Event_RequestSettled,
-             {{"id", call.m_Caller.m_Id},
-              {"route", call.m_Route != nullptr ? call.m_Route->m_Name : std::string()},
-              {"account", call.m_Account != nullptr ? call.m_Account->m_Name : std::string()},
-              {"declared", call.m_Routes ? call.m_Routes->Version() : 0},
-              {"declared_age_ms", ms(now - world.m_RoutesAt)},
-              {"status", call.m_Status},
-              {"verdict", verdict},
-              {"why", call.m_Why},
-              {"servers", boost::json::value_from(call.m_Tried)},
-              {"predicted_ms", ms(call.m_Choice.m_Predicted)},
-              {"report_age_ms", ms(call.m_Choice.m_ReportAge)},
-              {"in_flight", call.m_Choice.m_InFlight},
-              {"candidates", call.m_Choice.m_Candidates},
-              {"prompt", call.m_Caller.m_Prompt},
-              {"events", call.m_Events},
-              {"first_ms", call.m_FirstAt == TimePoint{} ? -1 : ToMs(call.m_FirstAt - call.m_StartedAt)},
-              {"gap_ms", ms(call.m_WorstGap)},
-              {"ms", ms(now - call.m_StartedAt)}});
+    LogEvent(Event_RequestSettled, {{"id", call.m_Caller.m_Id},
+                                    {"route", call.m_Route != nullptr ? call.m_Route->m_Name : std::string()},
+                                    {"account", call.m_Account != nullptr ? call.m_Account->m_Name : std::string()},
+                                    {"declared", call.m_Routes ? call.m_Routes->Version() : 0},
+                                    {"declared_age_ms", call.m_Routes ? ms(now - world.m_RoutesAt) : -1},
+                                    {"status", call.m_Status},
+                                    {"verdict", verdict},
+                                    {"why", call.m_Why},
+                                    {"servers", boost::json::value_from(call.m_Tried)},
+                                    {"predicted_ms", ms(call.m_Choice.m_Predicted)},
+                                    {"report_age_ms", ms(call.m_Choice.m_ReportAge)},
+                                    {"in_flight", call.m_Choice.m_InFlight},
+                                    {"candidates", call.m_Choice.m_Candidates},
+                                    {"prompt", call.m_Caller.m_Prompt},
+                                    {"events", call.m_Events},
+                                    {"first_ms", call.m_FirstAt == TimePoint{} ? -1 : ToMs(call.m_FirstAt - call.m_StartedAt)},
+                                    {"gap_ms", ms(call.m_WorstGap)},
+                                    {"ms", ms(now - call.m_StartedAt)}});
 }
 
 static void CountCall(const Call& call, TimePoint now)
@@ -254,11 +254,11 @@
     whole.Record(ToSeconds(now - call.m_StartedAt));
     if (call.m_FirstAt != TimePoint{})
         first.Record(ToSeconds(call.m_FirstAt - call.m_StartedAt));
-    Counter& c = call.m_Abort.Aborted()                          ? gone
-                 : call.m_Status == 503                          ? refused
-                 : call.m_Status >= 400 && call.m_Status < 500   ? denied
-                 : call.m_Status >= 500 || call.m_Status == 0    ? failed
-                                                                 : ok;
+    Counter& c = call.m_Abort.Aborted()                        ? gone
+                 : call.m_Status == 503                        ? refused
+                 : call.m_Status >= 400 && call.m_Status < 500 ? denied
+                 : call.m_Status >= 500 || call.m_Status == 0  ? failed
+                                                               : ok;
     c.Add(1);
 }
 
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -34,11 +34,11 @@
 
 struct DirectServeSettings
 {
-    double  m_RetryRatio      = 0.2;   // retries for each request, over all routers [retry.ratio]
-    int64_t m_RetryExtra      = 100;   // retries beyond that in a window, over all routers [retry.extra]
-    int64_t m_ConnectMs       = 300;   // longest wait for a new connection to a backend server [server.connect_ms]
-    int64_t m_FirstEventMs    = 2000;  // wait for a first event after which the next server is tried [server.first_event_ms]
-    int64_t m_NextEventMs     = 1500;  // the same between events [server.next_event_ms]
+    double  m_RetryRatio        = 0.2;  // retries for each request, over all routers [retry.ratio]
+    int64_t m_RetryExtra        = 100;  // retries beyond that in a window, over all routers [retry.extra]
+    int64_t m_ConnectMs         = 300;  // longest wait for a new connection to a backend server [server.connect_ms]
+    int64_t m_FirstEventMs      = 2000; // wait for a first event after which the next server is tried [server.first_event_ms]
+    int64_t m_NextEventMs       = 1500; // the same between events [server.next_event_ms]
     int64_t m_WeightsDeadlineMs = 8000; // from naming a version of weights until no older one may begin a request [weights.deadline_ms]
 };
 
@@ -53,11 +53,11 @@
 
 struct RoutingWorld // touched on one thread
 {
-    RouteTablePtr                        m_Routes;     // null until the first declarations are known; its version only rises
-    TimePoint                            m_RoutesAt{}; // when they were learned
-    ServerDirectory                      m_Servers;    //
+    RouteTablePtr                        m_Routes;               // null until the first declarations are known; its version only rises
+    TimePoint                            m_RoutesAt{};           // when they were learned
+    ServerDirectory                      m_Servers;              //
     bool                                 m_ServersKnown = false; // the list was read once
-    std::map<std::string, NamedVersions> m_Weights;    // by model; the newest few
+    std::map<std::string, NamedVersions> m_Weights;              // by model; the newest few
 };
 
 // A version was named, as learned at `known_at`; older ones than the newest known are ignored. True: it was news.
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -10,39 +10,39 @@
 
 enum AttemptEnd
 {
-    AttemptEnd_Answered,   // the caller has its answer, or was cut off because nothing better is possible
-    AttemptEnd_NotRun,     // the server did not run it, or was not reached
-    AttemptEnd_MayHaveRun, // no whole answer
+    AttemptEnd_Answered,    // the caller has its answer, or was cut off because nothing better is possible
+    AttemptEnd_NotRun,      // the server did not run it, or was not reached
+    AttemptEnd_MayHaveRun,  // no whole answer
     AttemptEnd_ServerFault, // a whole answer that says that the server failed; kept in Call::m_Fault
-    AttemptEnd_CallerGone, //
+    AttemptEnd_CallerGone,  //
 };
 
 struct Call // one caller's request, from its head to its last byte
 {
     Call(HttpRequest& request, HttpReply& reply) : m_Request(request), m_Reply(reply) {}
 
-    HttpRequest&             m_Request;          //
-    HttpReply&               m_Reply;            //
-    CallerRequest            m_Caller;           //
-    TimePoint                m_StartedAt;        //
-    TimePoint                m_Deadline;         // the caller's or the route's, whichever is first
-    RouteTablePtr            m_Routes;           // keeps m_Route, m_Account and m_Service alive
-    const Route*             m_Route   = nullptr; //
-    const ClientAccount*     m_Account = nullptr; // null: the route is public, or nobody needs a key
-    const Service*           m_Service = nullptr; //
-    HttpAbort                m_Abort;             // ends the exchange under way when the caller leaves
-    std::vector<std::string> m_Tried;             // servers that the request was sent to
-    bool                     m_MayHaveRun = false; // some server may have run it
-    bool                     m_HeadSent   = false; // the answer's head went to the caller
-    unsigned                 m_Events     = 0;     // streams: events passed on
-    std::string              m_LastEvent;          // streams: id of the last event passed on, or where the caller asked to go on
-    TimePoint                m_FirstAt{};          // when the first event or answer went to the caller
-    Duration                 m_WorstGap{};         // streams: longest pause between events
-    TimePoint                m_EventAt{};          // when the last event went to the caller
-    std::optional<HttpResponse> m_Fault;           // whole answer of a server that failed, if nothing better comes
-    Choice                   m_Choice;             // the last one made
-    std::string              m_Why;                // last thing that went wrong
-    unsigned                 m_Status = 0;         // answered to the caller
+    HttpRequest&                m_Request;            //
+    HttpReply&                  m_Reply;              //
+    CallerRequest               m_Caller;             //
+    TimePoint                   m_StartedAt;          //
+    TimePoint                   m_Deadline;           // the caller's or the route's, whichever is first
+    RouteTablePtr               m_Routes;             // keeps m_Route, m_Account and m_Service alive
+    const Route*                m_Route   = nullptr;  //
+    const ClientAccount*        m_Account = nullptr;  // null: the route is public, or nobody needs a key
+    const Service*              m_Service = nullptr;  //
+    HttpAbort                   m_Abort;              // ends the exchange under way when the caller leaves
+    std::vector<std::string>    m_Tried;              // servers that the request was sent to
+    bool                        m_MayHaveRun = false; // some server may have run it
+    bool                        m_HeadSent   = false; // the answer's head went to the caller
+    unsigned                    m_Events     = 0;     // streams: events passed on
+    std::string                 m_LastEvent;          // streams: id of the last event passed on, or where the caller asked to go on
+    TimePoint                   m_FirstAt{};          // when the first event or answer went to the caller
+    Duration                    m_WorstGap{};         // streams: longest pause between events
+    TimePoint                   m_EventAt{};          // when the last event went to the caller
+    std::optional<HttpResponse> m_Fault;              // whole answer of a server that failed, if nothing better comes
+    Choice                      m_Choice;             // the last one made
+    std::string                 m_Why;                // last thing that went wrong
+    unsigned                    m_Status = 0;         // answered to the caller
 
     Duration Left(TimePoint now) const { return m_Deadline - now; }
     bool     IsStream() const { return m_Route->m_Kind == RouteKind_Stream; }
@@ -50,29 +50,29 @@
 
 struct DirectServe::Impl
 {
-    Daemon&                m_Daemon;   //
-    DirectServeSettings    m_Settings; //
-    RoutingWorld&          m_World;    //
-    const RequestProtocol& m_Protocol; //
-    HttpClient             m_Client;   //
-    ServerChoice           m_Choice;   //
-    std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets; // by service
-    uint64_t               m_InFlight = 0;
+    Daemon&                                             m_Daemon;   //
+    DirectServeSettings                                 m_Settings; //
+    RoutingWorld&                                       m_World;    //
+    const RequestProtocol&                              m_Protocol; //
+    HttpClient                                          m_Client;   //
+    ServerChoice                                        m_Choice;   //
+    std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;  // by service
+    uint64_t                                            m_InFlight = 0;
 
     Impl(Daemon& daemon, const DirectServeSettings& s, RoutingWorld& world, const RequestProtocol& protocol);
 
-    std::optional<HttpResponse> Identify(Call& call);                      // an answer when the request can't go on
-    const ServerEntry*          Admit(Call& call, TimePoint now);          // null: refused
+    std::optional<HttpResponse>  Identify(Call& call);             // an answer when the request can't go on
+    const ServerEntry*           Admit(Call& call, TimePoint now); // null: refused
     std::vector<WeightsDeadline> WeightsDeadlines(const Call& call) const;
-    uint64_t                    ExpectedWeights(const Call& call, TimePoint now) const; // that the server must hold; 0: any
-    RetryBudget&                Budget(const std::string& service);
-    awaitable<void>             Serve(Call& call);
-    awaitable<AttemptEnd>       Attempt(Call& call, ServerEntry server);
-    awaitable<AttemptEnd>       RelayWhole(Call& call, HttpStream& stream);
-    awaitable<AttemptEnd>       RelayStream(Call& call, HttpStream& stream, const std::string& server, bool& first_event);
-    awaitable<void>             Settle(Call& call, AttemptEnd end);
-    awaitable<void>             Answer(Call& call, HttpResponse res);
-    bool                        TryAgain(Call& call, AttemptEnd end, TimePoint now);
+    uint64_t                     ExpectedWeights(const Call& call, TimePoint now) const; // that the server must hold; 0: any
+    RetryBudget&                 Budget(const std::string& service);
+    awaitable<void>              Serve(Call& call);
+    awaitable<AttemptEnd>        Attempt(Call& call, ServerEntry server);
+    awaitable<AttemptEnd>        RelayWhole(Call& call, HttpStream& stream);
+    awaitable<AttemptEnd>        RelayStream(Call& call, HttpStream& stream, const std::string& server, bool& first_event);
+    awaitable<void>              Settle(Call& call, AttemptEnd end);
+    awaitable<void>              Answer(Call& call, HttpResponse res);
+    bool                         TryAgain(Call& call, AttemptEnd end, TimePoint now);
 };
 
 } // namespace aldervale
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -59,7 +59,7 @@
     const double writers   = std::min<double>(in_flight, e.m_Slots);
     const double context   = (e.m_UsualPrompt + e.m_UsualAnswer / 2) / 1000;
     const double step      = e.m_StepMs + writers * (e.m_PerRequestMs + e.m_PerKContextMs * context);
-    const double read      = in_flight * e.m_UsualPrompt / e.m_ReadPerMs;            // ms spent on reading, against writing, by what is in flight
+    const double read      = in_flight * e.m_UsualPrompt / e.m_ReadPerMs; // ms spent on reading, against writing, by what is in flight
     const double share     = read / (read + in_flight * e.m_UsualAnswer * step / std::max(1.0, writers) + 1e-9);
     const double pass      = step * e.m_StepsPerPass / (1 - std::min(share, kReadShareMax));
     const double others    = Fresh(s, now) ? s.m_Report.m_Waiting * e.m_UsualPrompt : 0;
@@ -110,9 +110,9 @@
 {
     const double goal = ToMsReal(need.m_Goal);
     Choice       best;
-    double       best_cost    = 0;
-    double       best_ms      = 0;
-    bool         suspended    = true; // the best so far is one that should be left out
+    double       best_cost = 0;
+    double       best_ms   = 0;
+    bool         suspended = true; // the best so far is one that should be left out
     for (const ServerEntry* entry : candidates)
     {
         Server& s = m_Servers[entry->m_Id];
@@ -120,7 +120,7 @@
             continue;
         const bool     out     = now < s.m_SuspendedUntil;
         const uint64_t weights = Fresh(s, now) ? s.m_Report.m_Weights : entry->m_Weights;
-        const double ms   = need.m_Service->m_Engine ? PredictModel(s, *need.m_Service->m_Engine, need, now) : PredictPlain(s, *entry, now);
+        const double   ms      = need.m_Service->m_Engine ? PredictModel(s, *need.m_Service->m_Engine, need, now) : PredictPlain(s, *entry, now);
         if (need.m_Service->m_Engine && BeginsTooLate(weights, ms, need, now))
             continue;
         best.m_Candidates++;
@@ -137,7 +137,7 @@
         best_ms          = ms;
         suspended        = out;
     }
-    best.m_Predicted     = FromMs(best_ms);
+    best.m_Predicted = FromMs(best_ms);
     if (need.m_Service->m_Engine)
         m_ModelCandidates = best.m_Candidates;
     const double allowed = need.m_CameBack ? std::max(goal, ToMsReal(m_Config.m_LateMax)) : goal * m_Config.m_GoalShare;
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -40,8 +40,8 @@
     Duration m_SuspendMin  = milliseconds(300);  // first time that an unreachable server is left out; doubles
     Duration m_SuspendMax  = milliseconds(2400); //
     double   m_GoalShare   = 1.0;                // part of the objective that the predicted wait may take for a first attempt
-    double   m_TieMs       = 25;   // random part of a cost: routers with the same view don't all choose alike
-    double   m_OthersShare = 1.5;  // how much likelier than the mean a good server is chosen by other routers
+    double   m_TieMs       = 25;                 // random part of a cost: routers with the same view don't all choose alike
+    double   m_OthersShare = 1.5;                // how much likelier than the mean a good server is chosen by other routers
     double   m_BlindFactor = 3.0;                // own requests in flight stand for this many when no report is fresh
     Duration m_BeginMargin = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
     double   m_BeginFactor = 1.5;                // predicted waits are taken this much longer for it
@@ -65,14 +65,14 @@
 
 struct RequestNeed
 {
-    const Service*   m_Service      = nullptr;         //
-    Duration         m_Goal         = seconds(1);      // latency objective
-    double           m_Prompt       = 0;               // tokens in
-    double           m_Answer       = 0;               // tokens out
-    bool             m_CameBack     = false;           // the caller was refused before
-    std::span<const WeightsDeadline> m_WeightsDeadlines; // of versions named for this model, oldest first
-    std::string_view m_DataCentre;                     // of this router
-    std::span<const std::string> m_Tried;              // ids that this request reached already
+    const Service*                   m_Service  = nullptr;    //
+    Duration                         m_Goal     = seconds(1); // latency objective
+    double                           m_Prompt   = 0;          // tokens in
+    double                           m_Answer   = 0;          // tokens out
+    bool                             m_CameBack = false;      // the caller was refused before
+    std::span<const WeightsDeadline> m_WeightsDeadlines;      // of versions named for this model, oldest first
+    std::string_view                 m_DataCentre;            // of this router
+    std::span<const std::string>     m_Tried;                 // ids that this request reached already
 };
 
 struct Choice
@@ -80,9 +80,9 @@
     const ServerEntry* m_Server = nullptr;             // null: refused
     Duration           m_Predicted{};                  // time to the first event, or whole answer, of the best server
     Duration           m_RetryAfter{};                 // refusals only
-    Duration           m_ReportAge = Duration::max();  // of the report that decided; max: none
-    uint32_t           m_InFlight  = 0;                // requests believed at that server
-    uint64_t           m_Weights   = 0;                // version that it is believed to hold; 0: no model server
+    Duration           m_ReportAge  = Duration::max(); // of the report that decided; max: none
+    uint32_t           m_InFlight   = 0;               // requests believed at that server
+    uint64_t           m_Weights    = 0;               // version that it is believed to hold; 0: no model server
     size_t             m_Candidates = 0;               //
 };
 
@@ -94,7 +94,7 @@
     Choice Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
 
     void OnSent(const std::string& id, double prompt, TimePoint now); // prompt: tokens, 0 at plain services
-    void OnFirstEvent(const std::string& id, double prompt);                                                  // its prompt is read
+    void OnFirstEvent(const std::string& id, double prompt);          // its prompt is read
     void OnEnd(const std::string& id, ServerOutcome outcome, double unread_prompt, Duration took, TimePoint now); // every OnSent() once
     void OnReport(const std::string& id, const LoadReport& r, TimePoint now);
     void Forget(std::span<const ServerEntry* const> keep); // drops what is known of servers not in `keep`
@@ -104,16 +104,16 @@
 private:
     struct Server
     {
-        uint32_t   m_InFlight  = 0;               // of this router
-        double     m_Unread    = 0;               // prompt tokens of this router that no event has answered yet
-        LoadReport m_Report;                      //
-        TimePoint  m_ReportAt{};                  // default: never
-        uint32_t   m_SentSince  = 0;              // by this router since the report
-        uint32_t   m_EndedSince = 0;              //
-        double     m_FailShare  = 0;              // moving mean of outcomes, 0 to 1
-        double     m_MeanMs     = 0;              // moving mean of whole answers' times; plain services
-        unsigned   m_Unreachable = 0;             // in a row
-        TimePoint  m_SuspendedUntil{};            //
+        uint32_t   m_InFlight = 0;     // of this router
+        double     m_Unread   = 0;     // prompt tokens of this router that no event has answered yet
+        LoadReport m_Report;           //
+        TimePoint  m_ReportAt{};       // default: never
+        uint32_t   m_SentSince   = 0;  // by this router since the report
+        uint32_t   m_EndedSince  = 0;  //
+        double     m_FailShare   = 0;  // moving mean of outcomes, 0 to 1
+        double     m_MeanMs      = 0;  // moving mean of whole answers' times; plain services
+        unsigned   m_Unreachable = 0;  // in a row
+        TimePoint  m_SuspendedUntil{}; //
     };
 
     bool     Fresh(const Server& s, TimePoint now) const { return s.m_ReportAt != TimePoint{} && now - s.m_ReportAt < m_Config.m_ReportMax; }
@@ -126,12 +126,12 @@
     bool     BeginsTooLate(uint64_t weights, double predicted_ms, const RequestNeed& need, TimePoint now) const;
     Duration RetryAfter(const RequestNeed& need, double predicted_ms) const;
 
-    ServerChoiceConfig                      m_Config;    //
-    Random                                  m_Random;    // breaks ties
-    std::unordered_map<std::string, Server> m_Servers;   // by id
-    uint32_t                                m_Routers = 0;
+    ServerChoiceConfig                      m_Config;  //
+    Random                                  m_Random;  // breaks ties
+    std::unordered_map<std::string, Server> m_Servers; // by id
+    uint32_t                                m_Routers         = 0;
     size_t                                  m_ModelCandidates = 1; // of the last choice for a model service
-    double                                  m_SentRate = 0;        // requests that this router sends to model servers, a second; moving mean
+    double                                  m_SentRate        = 0; // requests that this router sends to model servers, a second; moving mean
     TimePoint                               m_SentAt{};            // of m_SentRate
 };
 
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -13,8 +13,8 @@
 // [SECTION] Stand-ins
 
 #pragma once
-#include "connection/http.h"
 #include "common/hash.h"
+#include "connection/http.h"
 #include "version/token_bucket.h"
 #include <boost/json.hpp>
 
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -163,13 +163,13 @@
     size_t                      m_ImportSelf = 0;  // own index in m_Importers
     std::vector<TimePoint>      m_FarSince;        // by chunk: when it was first seen elsewhere and nowhere here
     bool                        m_OriginHeld = false;
-    std::map<std::string, Peer> m_Peers;           //
-    std::vector<bool>           m_Have;            // verified chunks
-    uint32_t                    m_HaveCount = 0;   // invariant: number of true in m_Have
-    std::vector<uint8_t>        m_Flying;          // requests in flight by chunk
-    std::vector<uint16_t>       m_Holders;         // neighbours that have the chunk
-    std::vector<uint16_t>       m_Willing;         // those of them within their upload budget; invariant: <= m_Holders
-    std::vector<uint64_t>       m_Order;           // TieBreak() by chunk
+    std::map<std::string, Peer> m_Peers;         //
+    std::vector<bool>           m_Have;          // verified chunks
+    uint32_t                    m_HaveCount = 0; // invariant: number of true in m_Have
+    std::vector<uint8_t>        m_Flying;        // requests in flight by chunk
+    std::vector<uint16_t>       m_Holders;       // neighbours that have the chunk
+    std::vector<uint16_t>       m_Willing;       // those of them within their upload budget; invariant: <= m_Holders
+    std::vector<uint64_t>       m_Order;         // TieBreak() by chunk
     unsigned                    m_DownloadsFlying = 0;
     unsigned                    m_OriginFlying    = 0;
     unsigned                    m_UploadsFlying   = 0;
--- a/src/version/piece_links.cpp
+++ b/src/version/piece_links.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr auto   kNoThrow       = asio::as_tuple(asio::use_awaitable);
+constexpr auto   kNoThrow        = asio::as_tuple(asio::use_awaitable);
 constexpr size_t kNeighboursNear = 8;                 // dialled in the own data centre
 constexpr size_t kNeighboursFar  = 4;                 // and elsewhere
 constexpr auto   kDialEvery      = milliseconds(250); //
@@ -131,7 +131,7 @@
         if (!name.empty())
             m_Handlers.m_OnFrame(name, link, frame);
     };
-    h.m_OnClose  = [this](const LinkPtr& link) { OnClose(link); };
+    h.m_OnClose     = [this](const LinkPtr& link) { OnClose(link); };
     const auto link = std::make_shared<Link>(std::move(socket), side, LinkConfig{}, std::move(h));
     link->Start();
     if (peer.empty())
--- a/src/version/piece_links.h
+++ b/src/version/piece_links.h
@@ -25,9 +25,9 @@
 
 struct PieceLinkHandlers
 {
-    std::function<void(const std::string& peer)>                                    m_OnUp;    // first link to that peer
-    std::function<void(const std::string& peer)>                                    m_OnDown;  // last link to it ended
-    std::function<void(const std::string& peer, const LinkPtr&, const FrameBuf&)>   m_OnFrame; // not an answer to one of ours
+    std::function<void(const std::string& peer)>                                  m_OnUp;    // first link to that peer
+    std::function<void(const std::string& peer)>                                  m_OnDown;  // last link to it ended
+    std::function<void(const std::string& peer, const LinkPtr&, const FrameBuf&)> m_OnFrame; // not an answer to one of ours
 };
 
 class PieceLinks
@@ -35,11 +35,11 @@
 public:
     PieceLinks(asio::io_context& ioc, ProcessName self, PieceLinkHandlers handlers);
 
-    Status                   Listen(const Endpoint& at);
-    void                     SetPeers(std::vector<PeerBox> peers); // without the own box
-    LinkPtr                  Find(const std::string& peer) const;  // null: none
-    std::vector<std::string> Up() const;                           // peers with a link
-    bool                     SameDataCentre(const std::string& peer) const;
+    Status                         Listen(const Endpoint& at);
+    void                           SetPeers(std::vector<PeerBox> peers); // without the own box
+    LinkPtr                        Find(const std::string& peer) const;  // null: none
+    std::vector<std::string>       Up() const;                           // peers with a link
+    bool                           SameDataCentre(const std::string& peer) const;
     template <class MessageT> void Broadcast(const MessageT& message)
     {
         const FrameBytes frame = EncodeFrame(0, message);
@@ -48,12 +48,12 @@
     }
 
 private:
-    awaitable<void> AcceptLoop();
-    awaitable<void> DialLoop();
-    awaitable<void> Dial(PeerBox peer);
-    void            Adopt(tcp::socket socket, LinkSide side, std::string peer);
-    void            Name(const LinkPtr& link, const std::string& peer);
-    void            OnClose(const LinkPtr& link);
+    awaitable<void>      AcceptLoop();
+    awaitable<void>      DialLoop();
+    awaitable<void>      Dial(PeerBox peer);
+    void                 Adopt(tcp::socket socket, LinkSide side, std::string peer);
+    void                 Name(const LinkPtr& link, const std::string& peer);
+    void                 OnClose(const LinkPtr& link);
     std::vector<PeerBox> Neighbours() const;
 
     asio::io_context&                           m_Ioc;      //
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -10,26 +10,26 @@
 namespace
 {
 
-constexpr auto     kNoThrow       = asio::as_tuple(asio::use_awaitable);
-constexpr size_t   kVersionsKept  = 2;                  // in memory: the one in use and the one under way
-constexpr unsigned kUploadsMax    = 4;                  // waiting; more are refused as busy
-constexpr double   kUploadShare   = 0.85;               // of the box's link: the rest is for live answers
-constexpr size_t   kUploadQueued  = 4 * 1024;           // bytes left to send on a link below which the next piece may follow
-constexpr auto     kUploadPoll    = milliseconds(5);    // looks whether a link has taken a piece
-constexpr auto     kTellEvery     = milliseconds(30);   // news of pieces to neighbours
-constexpr auto     kListPerRank   = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
-constexpr auto     kListRetry     = milliseconds(120);  //
-constexpr auto     kListMax       = milliseconds(1500); // for one answer with a list
-constexpr auto     kLinksSettle   = milliseconds(250);  // for links to come up before the origin is asked for pieces
-constexpr auto     kPieceMax      = milliseconds(1200); // for one piece from a neighbour
-constexpr auto     kOriginMax     = milliseconds(2000); // for one piece from the origin
-constexpr unsigned kSlotsMin      = 1;                  // pieces asked of neighbours at once: as many as arrive in time
-constexpr unsigned kSlotsMax      = 4;                  //
-constexpr auto     kPieceSlow     = milliseconds(400);  // a piece that took longer queues on this box's link, before live requests
-constexpr auto     kPieceQuick    = milliseconds(220);  // one that took less leaves room for another
-constexpr auto     kOwnMax        = milliseconds(500);  // for one call to the own server
-constexpr auto     kPumpEvery     = milliseconds(200);  // looks at what to fetch next also without an event
-constexpr unsigned kBadListAfter  = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
+constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
+constexpr size_t   kVersionsKept = 2;                  // in memory: the one in use and the one under way
+constexpr unsigned kUploadsMax   = 4;                  // waiting; more are refused as busy
+constexpr double   kUploadShare  = 0.85;               // of the box's link: the rest is for live answers
+constexpr size_t   kUploadQueued = 4 * 1024;           // bytes left to send on a link below which the next piece may follow
+constexpr auto     kUploadPoll   = milliseconds(5);    // looks whether a link has taken a piece
+constexpr auto     kTellEvery    = milliseconds(30);   // news of pieces to neighbours
+constexpr auto     kListPerRank  = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
+constexpr auto     kListRetry    = milliseconds(120);  //
+constexpr auto     kListMax      = milliseconds(1500); // for one answer with a list
+constexpr auto     kLinksSettle  = milliseconds(250);  // for links to come up before the origin is asked for pieces
+constexpr auto     kPieceMax     = milliseconds(1200); // for one piece from a neighbour
+constexpr auto     kOriginMax    = milliseconds(2000); // for one piece from the origin
+constexpr unsigned kSlotsMin     = 1;                  // pieces asked of neighbours at once: as many as arrive in time
+constexpr unsigned kSlotsMax     = 4;                  //
+constexpr auto     kPieceSlow    = milliseconds(400);  // a piece that took longer queues on this box's link, before live requests
+constexpr auto     kPieceQuick   = milliseconds(220);  // one that took less leaves room for another
+constexpr auto     kOwnMax       = milliseconds(500);  // for one call to the own server
+constexpr auto     kPumpEvery    = milliseconds(200);  // looks at what to fetch next also without an event
+constexpr unsigned kBadListAfter = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
 
 ExchangeConfig TransferConfig()
 {
@@ -126,15 +126,15 @@
 
 struct PieceTransfer::Job
 {
-    uint64_t                  m_Version = 0;         //
-    TimePoint                 m_StartedAt{};         //
-    std::unique_ptr<Exchange> m_Exchange;            // null until the list is known
-    ManifestPtr               m_Manifest;            //
-    bool                      m_Over = false;        // whole, or given up
-    unsigned                  m_Slots = kSlotsMax;   // pieces asked of neighbours at once
-    unsigned                  m_Spoilt = 0;          // pieces from the origin that failed their digest
-    std::vector<uint32_t>     m_News;                // pieces not told to neighbours yet
-    TimePoint                 m_OriginFrom{};        // no piece is asked of the origin before
+    uint64_t                  m_Version = 0;        //
+    TimePoint                 m_StartedAt{};        //
+    std::unique_ptr<Exchange> m_Exchange;           // null until the list is known
+    ManifestPtr               m_Manifest;           //
+    bool                      m_Over   = false;     // whole, or given up
+    unsigned                  m_Slots  = kSlotsMax; // pieces asked of neighbours at once
+    unsigned                  m_Spoilt = 0;         // pieces from the origin that failed their digest
+    std::vector<uint32_t>     m_News;               // pieces not told to neighbours yet
+    TimePoint                 m_OriginFrom{};       // no piece is asked of the origin before
 };
 
 PieceTransfer::PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self, double link_bytes_s)
@@ -284,7 +284,7 @@
         if (!link || job->m_Over)
             continue;
         wire::ManifestGetT get;
-        get.digest                = NameOf(job->m_Version);
+        get.digest                   = NameOf(job->m_Version);
         const auto              ex   = co_await asio::this_coro::executor;
         const MailboxPtr        box  = link->OpenExchange(ex);
         const bool              sent = link->Send(EncodeFrame(box->Id(), get));
@@ -390,8 +390,8 @@
 
 awaitable<void> PieceTransfer::FetchPiece(std::shared_ptr<Job> job, Fetch f)
 {
-    ChunkOutcome outcome = ChunkOutcome_Failed;
-    const TimePoint asked = Now();
+    ChunkOutcome    outcome = ChunkOutcome_Failed;
+    const TimePoint asked   = Now();
     if (f.m_Peer.empty())
         outcome = co_await FromOrigin(job, f.m_Chunk);
     else
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -35,20 +35,20 @@
     // `link_bytes_s`: of this box, each way; live answers leave over the same link. 0: no limit.
     PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self, double link_bytes_s);
 
-    Status   Listen(const Endpoint& at) { return m_Links.Listen(at); }
-    void     SetModel(const std::string& model); // whose pieces are offered and fetched; empty: not known yet
-    void     SetOrigin(const Endpoint& at) { m_OriginAt = at; }
-    void     SetPeers(std::vector<PeerBox> peers);
-    void     Want(uint64_t version);                           // gives up another version that is under way
-    void     SetHeld(uint64_t version) { m_Held = version; } // that the own server holds: its staged pieces are offered too
-    uint64_t Version() const { return m_Version; }           // under way, or fetched last; 0: none
-    bool     Whole() const;
-    uint64_t NewestWhole() const;                            // 0: none
-    size_t   Boxes() const { return Members(false).size(); } // of the service, this one included
-    size_t   RankOf(uint64_t version) const;                 // of this box in an order by hash that all boxes share
-    const PieceSet* Find(uint64_t version) const;            // null: nothing
-    uint64_t BytesFromOrigin() const { return m_BytesOrigin; }
-    uint64_t BytesFromPeers() const { return m_BytesPeers; }
+    Status          Listen(const Endpoint& at) { return m_Links.Listen(at); }
+    void            SetModel(const std::string& model); // whose pieces are offered and fetched; empty: not known yet
+    void            SetOrigin(const Endpoint& at) { m_OriginAt = at; }
+    void            SetPeers(std::vector<PeerBox> peers);
+    void            Want(uint64_t version);                         // gives up another version that is under way
+    void            SetHeld(uint64_t version) { m_Held = version; } // that the own server holds: its staged pieces are offered too
+    uint64_t        Version() const { return m_Version; }           // under way, or fetched last; 0: none
+    bool            Whole() const;
+    uint64_t        NewestWhole() const;                            // 0: none
+    size_t          Boxes() const { return Members(false).size(); } // of the service, this one included
+    size_t          RankOf(uint64_t version) const;                 // of this box in an order by hash that all boxes share
+    const PieceSet* Find(uint64_t version) const;                   // null: nothing
+    uint64_t        BytesFromOrigin() const { return m_BytesOrigin; }
+    uint64_t        BytesFromPeers() const { return m_BytesPeers; }
 
 private:
     struct Job; // one Want() until it is whole or given up
@@ -68,39 +68,39 @@
         uint32_t m_Piece    = 0; //
     };
 
-    awaitable<void>         UploadLoop(); // one piece at a time, at the pace that live answers leave room for
-    awaitable<void>         SendPiece(const Upload& u);
-    awaitable<void>         TellLoop();
-    void                    AdaptSlots(Job& job, Duration took);
-    ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
-    void                    Begin(const std::shared_ptr<Job>& job);
-    void                    AskWhatItHas(uint64_t version, const std::string& peer);
-    void                    Pump(const std::shared_ptr<Job>& job);
-    void                    OnUp(const std::string& peer);
-    void                    OnDown(const std::string& peer);
-    void                    OnFrame(const std::string& peer, const LinkPtr& link, const FrameBuf& frame);
-    void                    OnHave(const std::string& peer, const wire::HaveUpdate& have);
-    void                    OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& get);
-    void                    OnListGet(const LinkPtr& link, uint64_t exchange, const wire::ManifestGet& get);
-    void                    TellAll(const LinkPtr& link);
+    awaitable<void>          UploadLoop(); // one piece at a time, at the pace that live answers leave room for
+    awaitable<void>          SendPiece(const Upload& u);
+    awaitable<void>          TellLoop();
+    void                     AdaptSlots(Job& job, Duration took);
+    ChunkOutcome             Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
+    void                     Begin(const std::shared_ptr<Job>& job);
+    void                     AskWhatItHas(uint64_t version, const std::string& peer);
+    void                     Pump(const std::shared_ptr<Job>& job);
+    void                     OnUp(const std::string& peer);
+    void                     OnDown(const std::string& peer);
+    void                     OnFrame(const std::string& peer, const LinkPtr& link, const FrameBuf& frame);
+    void                     OnHave(const std::string& peer, const wire::HaveUpdate& have);
+    void                     OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& get);
+    void                     OnListGet(const LinkPtr& link, uint64_t exchange, const wire::ManifestGet& get);
+    void                     TellAll(const LinkPtr& link);
     std::vector<std::string> Members(bool own_data_centre) const;
-    std::string             NameOf(uint64_t version) const;
+    std::string              NameOf(uint64_t version) const;
 
-    asio::io_context&            m_Ioc;       //
-    PieceOrigin&                 m_Origin;    //
-    ModelServer&                 m_Server;    //
-    ProcessName                  m_Self;      // m_Name is the listening address of the links
-    PieceLinks                   m_Links;     //
-    std::vector<PeerBox>         m_Peers;     //
-    std::optional<Endpoint>      m_OriginAt;  //
-    std::string                  m_Model;     //
+    asio::io_context&            m_Ioc;      //
+    PieceOrigin&                 m_Origin;   //
+    ModelServer&                 m_Server;   //
+    ProcessName                  m_Self;     // m_Name is the listening address of the links
+    PieceLinks                   m_Links;    //
+    std::vector<PeerBox>         m_Peers;    //
+    std::optional<Endpoint>      m_OriginAt; //
+    std::string                  m_Model;    //
     uint64_t                     m_Version = 0;
     uint64_t                     m_Held    = 0;
-    std::map<uint64_t, PieceSet> m_Sets;       // by version; at most kVersionsKept
-    std::shared_ptr<Job>         m_Job;        // null: nothing under way
-    std::deque<Upload>           m_Uploads;        // at most kUploadsMax
-    asio::steady_timer           m_UploadWake;     // cancelled when m_Uploads gets an entry
-    TokenBucket                  m_UploadBucket;   // bytes
+    std::map<uint64_t, PieceSet> m_Sets;         // by version; at most kVersionsKept
+    std::shared_ptr<Job>         m_Job;          // null: nothing under way
+    std::deque<Upload>           m_Uploads;      // at most kUploadsMax
+    asio::steady_timer           m_UploadWake;   // cancelled when m_Uploads gets an entry
+    TokenBucket                  m_UploadBucket; // bytes
     uint64_t                     m_BytesOrigin = 0;
     uint64_t                     m_BytesPeers  = 0;
 };
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -50,7 +50,7 @@
 
 json::object WeightKeeper::Describe() const
 {
-    return {{"model", m_Model},        {"held", m_Report.m_Weights},     {"target", m_Plan.Target()},
+    return {{"model", m_Model},         {"held", m_Report.m_Weights},       {"target", m_Plan.Target()},
             {"reachable", m_Reachable}, {"fetching", m_Transfer.Version()}, {"whole", m_Transfer.Whole()}};
 }
 
@@ -101,14 +101,14 @@
         if (m_Model.empty())
             continue;
         PlanInput in;
-        in.m_Reachable  = m_Reachable;
-        in.m_Busy       = m_Report.m_Busy;
-        in.m_Held       = m_Report.m_Weights;
-        in.m_Fetching   = m_Transfer.Version();
-        in.m_FetchWhole = m_Transfer.Whole();
-        in.m_Whole      = m_Transfer.NewestWhole();
-        in.m_Rank       = m_Transfer.RankOf(in.m_Whole);
-        in.m_Boxes      = m_Transfer.Boxes();
+        in.m_Reachable       = m_Reachable;
+        in.m_Busy            = m_Report.m_Busy;
+        in.m_Held            = m_Report.m_Weights;
+        in.m_Fetching        = m_Transfer.Version();
+        in.m_FetchWhole      = m_Transfer.Whole();
+        in.m_Whole           = m_Transfer.NewestWhole();
+        in.m_Rank            = m_Transfer.RankOf(in.m_Whole);
+        in.m_Boxes           = m_Transfer.Boxes();
         const uint64_t fetch = m_Plan.NextFetch(in);
         if (fetch > 0)
             m_Transfer.Want(fetch);
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -20,27 +20,27 @@
 public:
     WeightKeeper(Daemon& daemon, const StartPlanConfig& plan, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher);
 
-    void Start();
-    void SetModel(const std::string& model); // empty: not known yet, nothing is done
-    void OnNamed(uint64_t version, bool before_start); // before_start: at an unknown time before this process began
-    bool Serving() const { return m_Reachable && m_Report.m_Weights > 0; }
+    void         Start();
+    void         SetModel(const std::string& model);           // empty: not known yet, nothing is done
+    void         OnNamed(uint64_t version, bool before_start); // before_start: at an unknown time before this process began
+    bool         Serving() const { return m_Reachable && m_Report.m_Weights > 0; }
     json::object Describe() const;
 
 private:
     awaitable<void> ReportLoop();
     awaitable<void> PlanLoop();
     awaitable<void> StageAndStart(uint64_t version);
-    awaitable<void> DrainBriefly(); // routers send nothing new; what is short ends by itself
+    awaitable<void> DrainBriefly();                   // routers send nothing new; what is short ends by itself
     awaitable<bool> CheckStaged(const PieceSet& set); // true: every piece lies at the server as it should
     void            Publish();
 
-    Daemon&        m_Daemon;    //
-    ModelServer&   m_Server;    //
-    PieceTransfer& m_Transfer;  //
-    LoadPublisher& m_Publisher; //
-    StartPlan      m_Plan;      //
-    std::string    m_Model;     //
-    ServerReport   m_Report;    // last one
+    Daemon&        m_Daemon;            //
+    ModelServer&   m_Server;            //
+    PieceTransfer& m_Transfer;          //
+    LoadPublisher& m_Publisher;         //
+    StartPlan      m_Plan;              //
+    std::string    m_Model;             //
+    ServerReport   m_Report;            // last one
     bool           m_Reachable = false; // it came lately
     unsigned       m_Missed    = 0;     // reports in a row
     bool           m_Ordering  = false; // a start is about to be ordered, or was and isn't done
--- a/tests/test_exchange.cpp
+++ b/tests/test_exchange.cpp
@@ -300,11 +300,11 @@
 
 BOOST_AUTO_TEST_CASE(each_chunk_is_imported_into_a_data_centre_by_one_box_and_by_the_next_only_after_a_while)
 {
-    const ManifestPtr              m     = MakeTestManifest(12);
-    const std::vector<std::string> here  = {"a", "b", "c"};
-    const ExchangeConfig           cfg   = {};
-    const TimePoint                start = TimePoint{} + seconds(1);
-    std::map<uint32_t, int>        asked;
+    const ManifestPtr                      m     = MakeTestManifest(12);
+    const std::vector<std::string>         here  = {"a", "b", "c"};
+    const ExchangeConfig                   cfg   = {};
+    const TimePoint                        start = TimePoint{} + seconds(1);
+    std::map<uint32_t, int>                asked;
     std::vector<std::unique_ptr<Exchange>> boxes;
     for (const std::string& name : here)
     {
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -148,7 +148,8 @@
 // One box: a thread of its own, as a process would have.
 struct Box
 {
-    Box(const std::string& name, FakeOrigin& origin, const std::string& data_centre) : m_Daemon(TestSettings(name, data_centre), "test"), m_Dc(data_centre)
+    Box(const std::string& name, FakeOrigin& origin, const std::string& data_centre)
+        : m_Daemon(TestSettings(name, data_centre), "test"), m_Dc(data_centre)
     {
         m_Transfer  = std::make_unique<PieceTransfer>(m_Daemon.Ioc(), origin, m_Server, ProcessName{m_At.ToString(), data_centre}, 0);
         m_Publisher = std::make_unique<LoadPublisher>(m_Daemon.Ioc(), data_centre);
@@ -215,7 +216,8 @@
 
     bool StartedWhole()
     {
-        return std::all_of(m_Boxes.begin(), m_Boxes.end(), [](const auto& b)
+        return std::all_of(m_Boxes.begin(), m_Boxes.end(),
+                           [](const auto& b)
                            {
                                std::lock_guard lock(b->m_Server.m_Mutex);
                                return b->m_Server.m_StartedWhole;
@@ -328,9 +330,9 @@
     LoadListener     listener(router.m_Daemon.Ioc(), {"router", "dc-1"},
                               [&](const asio::ip::address&, const LoadReport& r)
                               {
-                                  reports++;
-                                  serving += r.m_Weights == 1 ? 1 : 0;
-                              });
+                              reports++;
+                              serving += r.m_Weights == 1 ? 1 : 0;
+                          });
     BOOST_REQUIRE(listener.Listen(FreeEndpoint()).has_value());
     listener.SetBoxes({boxes.m_Boxes[0]->m_At});
     router.Run();
--- a/tests/test_routes.cpp
+++ b/tests/test_routes.cpp
@@ -100,29 +100,32 @@
 
 BOOST_AUTO_TEST_CASE(properties_of_event_streams)
 {
-    ALDERVALE_PROPERTY("however the bytes are cut, the same events come out, and nothing of a broken one", [] {
-        std::string text;
-        const int   n = *rc::gen::inRange(0, 12);
-        for (int i = 0; i < n; i++)
-            text += "id: " + std::to_string(i) + "\ndata: " + std::string(static_cast<size_t>(*rc::gen::inRange(0, 40)), 'x') + "\n\n";
-        const std::string part = *rc::gen::element<std::string>("", "id: 99\ndata: never whole");
-        const std::string sent = text + part;
-        EventSplitter     s;
-        std::string       out;
-        size_t            events = 0;
-        for (size_t at = 0; at < sent.size();)
-        {
-            const size_t step = static_cast<size_t>(*rc::gen::inRange(1, 30));
-            s.Feed(std::string_view(sent).substr(at, step));
-            at += step;
-            for (const StreamEvent& e : All(s))
-            {
-                RC_ASSERT(e.m_Id == std::to_string(events));
-                out += e.m_Bytes;
-                events++;
-            }
-        }
-        RC_ASSERT(out == text);
-        RC_ASSERT(s.Left() == part.size());
-    });
+    ALDERVALE_PROPERTY("however the bytes are cut, the same events come out, and nothing of a broken one",
+                       []
+                       {
+                           std::string text;
+                           const int   n = *rc::gen::inRange(0, 12);
+                           for (int i = 0; i < n; i++)
+                               text +=
+                                   "id: " + std::to_string(i) + "\ndata: " + std::string(static_cast<size_t>(*rc::gen::inRange(0, 40)), 'x') + "\n\n";
+                           const std::string part = *rc::gen::element<std::string>("", "id: 99\ndata: never whole");
+                           const std::string sent = text + part;
+                           EventSplitter     s;
+                           std::string       out;
+                           size_t            events = 0;
+                           for (size_t at = 0; at < sent.size();)
+                           {
+                               const size_t step = static_cast<size_t>(*rc::gen::inRange(1, 30));
+                               s.Feed(std::string_view(sent).substr(at, step));
+                               at += step;
+                               for (const StreamEvent& e : All(s))
+                               {
+                                   RC_ASSERT(e.m_Id == std::to_string(events));
+                                   out += e.m_Bytes;
+                                   events++;
+                               }
+                           }
+                           RC_ASSERT(out == text);
+                           RC_ASSERT(s.Left() == part.size());
+                       });
 }
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -225,67 +225,72 @@
 
 BOOST_AUTO_TEST_CASE(properties_of_choices)
 {
-    ALDERVALE_PROPERTY("a chosen server is a candidate that was not tried, and a refusal says when to come back", [] {
-        const Service s = *rc::gen::arbitrary<bool>() ? ModelService() : PlainService();
-        Fleet         fleet;
-        const int     n = *rc::gen::inRange(0, 6);
-        for (int i = 0; i < n; i++)
-            fleet.m_Entries.push_back(Entry("s" + std::to_string(i), s.m_Name, *rc::gen::element<std::string>("dc-1", "dc-2")));
-        ServerChoice c({}, 7);
-        for (int i = 0; i < n; i++)
-        {
-            if (*rc::gen::arbitrary<bool>())
-                c.OnReport("s" + std::to_string(i), Load(*rc::gen::inRange(0u, 9u), *rc::gen::inRange(0u, 9u), *rc::gen::inRange(0u, 3u)), kStart);
-            for (int k = *rc::gen::inRange(0, 4); k > 0; k--)
-                c.OnSent("s" + std::to_string(i), 500, kStart);
-        }
-        std::vector<std::string> tried;
-        for (int i = 0; i < n; i++)
-            if (*rc::gen::arbitrary<bool>())
-                tried.push_back("s" + std::to_string(i));
-        RequestNeed need = Need(s, *rc::gen::inRange(0, 5000));
-        need.m_Tried     = tried;
-        need.m_CameBack  = *rc::gen::arbitrary<bool>();
-        const Choice x   = c.Choose(fleet.Candidates(), need, kStart + milliseconds(*rc::gen::inRange(0, 3000)));
-        if (x.m_Server == nullptr)
-        {
-            RC_ASSERT(x.m_RetryAfter > Duration::zero());
-            RC_ASSERT(x.m_RetryAfter <= seconds(2));
-            return;
-        }
-        RC_ASSERT(std::find(tried.begin(), tried.end(), x.m_Server->m_Id) == tried.end());
-    });
-    ALDERVALE_PROPERTY("in flight never goes below zero, whatever the order of reports and ends", [] {
-        const Service s = ModelService();
-        const Fleet   fleet{{Entry("a", "model")}};
-        ServerChoice  c({}, 3);
-        int           open = 0;
-        TimePoint     now  = kStart;
-        for (int step = *rc::gen::inRange(0, 60); step > 0; step--)
-        {
-            now += milliseconds(*rc::gen::inRange(0, 400));
-            switch (*rc::gen::inRange(0, 3))
-            {
-            case 0:
-                c.OnSent("a", 100, now);
-                open++;
-                break;
-            case 1:
-                if (open > 0)
-                    c.OnEnd("a", ServerOutcome_Good, 100, milliseconds(5), now);
-                open -= open > 0 ? 1 : 0;
-                break;
-            default:
-                c.OnReport("a", Load(*rc::gen::inRange(0u, 3u), 0), now);
-            }
-            RequestNeed need = Need(s);
-            need.m_CameBack  = true;
-            const Choice x   = c.Choose(fleet.Candidates(), need, now);
-            RC_ASSERT(x.m_InFlight < 1000u);
-            if (x.m_Server != nullptr)
-                RC_ASSERT(static_cast<int>(x.m_InFlight) >= open);
-        }
-    });
+    ALDERVALE_PROPERTY("a chosen server is a candidate that was not tried, and a refusal says when to come back",
+                       []
+                       {
+                           const Service s = *rc::gen::arbitrary<bool>() ? ModelService() : PlainService();
+                           Fleet         fleet;
+                           const int     n = *rc::gen::inRange(0, 6);
+                           for (int i = 0; i < n; i++)
+                               fleet.m_Entries.push_back(Entry("s" + std::to_string(i), s.m_Name, *rc::gen::element<std::string>("dc-1", "dc-2")));
+                           ServerChoice c({}, 7);
+                           for (int i = 0; i < n; i++)
+                           {
+                               if (*rc::gen::arbitrary<bool>())
+                                   c.OnReport("s" + std::to_string(i),
+                                              Load(*rc::gen::inRange(0u, 9u), *rc::gen::inRange(0u, 9u), *rc::gen::inRange(0u, 3u)), kStart);
+                               for (int k = *rc::gen::inRange(0, 4); k > 0; k--)
+                                   c.OnSent("s" + std::to_string(i), 500, kStart);
+                           }
+                           std::vector<std::string> tried;
+                           for (int i = 0; i < n; i++)
+                               if (*rc::gen::arbitrary<bool>())
+                                   tried.push_back("s" + std::to_string(i));
+                           RequestNeed need = Need(s, *rc::gen::inRange(0, 5000));
+                           need.m_Tried     = tried;
+                           need.m_CameBack  = *rc::gen::arbitrary<bool>();
+                           const Choice x   = c.Choose(fleet.Candidates(), need, kStart + milliseconds(*rc::gen::inRange(0, 3000)));
+                           if (x.m_Server == nullptr)
+                           {
+                               RC_ASSERT(x.m_RetryAfter > Duration::zero());
+                               RC_ASSERT(x.m_RetryAfter <= seconds(2));
+                               return;
+                           }
+                           RC_ASSERT(std::find(tried.begin(), tried.end(), x.m_Server->m_Id) == tried.end());
+                       });
+    ALDERVALE_PROPERTY("in flight never goes below zero, whatever the order of reports and ends",
+                       []
+                       {
+                           const Service s = ModelService();
+                           const Fleet   fleet{{Entry("a", "model")}};
+                           ServerChoice  c({}, 3);
+                           int           open = 0;
+                           TimePoint     now  = kStart;
+                           for (int step = *rc::gen::inRange(0, 60); step > 0; step--)
+                           {
+                               now += milliseconds(*rc::gen::inRange(0, 400));
+                               switch (*rc::gen::inRange(0, 3))
+                               {
+                               case 0:
+                                   c.OnSent("a", 100, now);
+                                   open++;
+                                   break;
+                               case 1:
+                                   if (open > 0)
+                                       c.OnEnd("a", ServerOutcome_Good, 100, milliseconds(5), now);
+                                   open -= open > 0 ? 1 : 0;
+                                   break;
+                               default:
+                                   c.OnReport("a", Load(*rc::gen::inRange(0u, 3u), 0), now);
+                               }
+                               RequestNeed need = Need(s);
+                               need.m_CameBack  = true;
+                               const Choice x   = c.Choose(fleet.Candidates(), need, now);
+                               RC_ASSERT(x.m_InFlight < 1000u);
+                               if (x.m_Server != nullptr)
+                                   RC_ASSERT(static_cast<int>(x.m_InFlight) >= open);
+                           }
+                       });
 }
 
 //-----------------------------------------------------------------------------
--- a/tests/test_start_plan.cpp
+++ b/tests/test_start_plan.cpp
@@ -97,21 +97,23 @@
 
 BOOST_AUTO_TEST_CASE(turns_lie_within_the_deadline_and_are_spread_evenly)
 {
-    ALDERVALE_PROPERTY("every box's turn lies between the first and the last one, later for a higher rank", [] {
-        const StartPlanConfig cfg;
-        StartPlan             p(cfg);
-        p.OnNamed(2, kStart);
-        PlanInput in    = Reachable(1);
-        in.m_Whole      = 2;
-        in.m_Boxes      = *rc::gen::inRange<size_t>(1, 60);
-        TimePoint       before{};
-        for (in.m_Rank = 0; in.m_Rank < in.m_Boxes; in.m_Rank++)
-        {
-            const double share = ToSeconds(p.TurnOf(in) - kStart) / ToSeconds(cfg.m_Deadline);
-            RC_ASSERT(share >= cfg.m_FirstTurn - 1e-6);
-            RC_ASSERT(share <= cfg.m_LastTurn + 1e-6);
-            RC_ASSERT(p.TurnOf(in) > before);
-            before = p.TurnOf(in);
-        }
-    });
+    ALDERVALE_PROPERTY("every box's turn lies between the first and the last one, later for a higher rank",
+                       []
+                       {
+                           const StartPlanConfig cfg;
+                           StartPlan             p(cfg);
+                           p.OnNamed(2, kStart);
+                           PlanInput in = Reachable(1);
+                           in.m_Whole   = 2;
+                           in.m_Boxes   = *rc::gen::inRange<size_t>(1, 60);
+                           TimePoint before{};
+                           for (in.m_Rank = 0; in.m_Rank < in.m_Boxes; in.m_Rank++)
+                           {
+                               const double share = ToSeconds(p.TurnOf(in) - kStart) / ToSeconds(cfg.m_Deadline);
+                               RC_ASSERT(share >= cfg.m_FirstTurn - 1e-6);
+                               RC_ASSERT(share <= cfg.m_LastTurn + 1e-6);
+                               RC_ASSERT(p.TurnOf(in) > before);
+                               before = p.TurnOf(in);
+                           }
+                       });
 }
--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -1,6 +1,6 @@
 // Accounting, burn and its report, histograms.
-#include "process/burn_report.h"
 #include "common/metrics.h"
+#include "process/burn_report.h"
 #include "request/usage.h"
 #include "support.h"
 
