Store: fewer answers taken while tables change

Now an answer without rows is followed by a pause of 0.7 s, agents look at the list every 5 s, routers gather its changes for 0.5 s.

--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -23,7 +23,7 @@
     for (;;)
     {
         const bool ok    = m_Synced ? co_await ReadChanges() : co_await ReadAll();
-        Duration   pause = m_Config.m_Gather;
+        Duration   pause = m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
         if (!ok)
         {
             pause = std::min(m_Config.m_RetryMax, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
@@ -47,8 +47,9 @@
         LogEvent(Event_StoreReadStale, {{"table", m_Table}, {"version", read.value().m_StoreVersion}, {"known", m_Since}});
         co_return true;
     }
-    m_Since  = read.value().m_StoreVersion;
-    m_Synced = true;
+    m_Since   = read.value().m_StoreVersion;
+    m_Synced  = true;
+    m_Changed = true;
     m_Handlers.m_OnAll(read.value());
     co_return true;
 }
@@ -72,7 +73,8 @@
     OnAnswer();
     if (read.value().m_StoreVersion < m_Since)
         co_return true;
-    m_Since = read.value().m_StoreVersion;
+    m_Since   = read.value().m_StoreVersion;
+    m_Changed = !read.value().m_Rows.empty();
     m_Handlers.m_OnChanges(read.value());
     co_return true;
 }
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -18,6 +18,7 @@
     Duration m_Wait     = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
     Duration m_Margin   = milliseconds(1200); // for the answer beyond m_Wait
     Duration m_Gather   = milliseconds(350);  // pause after changes, so that a series of them is taken together
+    Duration m_Quiet    = milliseconds(700);  // pause after an answer without changes: changes of other tables end standing requests too
     Duration m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
     Duration m_RetryMax = milliseconds(800);  //
     Duration m_ReadMax  = milliseconds(1500); // for a read of the whole table
@@ -54,6 +55,7 @@
     TableHandlers       m_Handlers;         //
     uint64_t            m_Since    = 0;     // store version up to which changes are known; never falls
     bool                m_Synced   = false; // the whole table was read, and no history is missing since
+    bool                m_Changed  = true;  // the last answer held rows
     unsigned            m_Failures = 0;     // in a row
     uint64_t            m_Seed;             // of the pauses' random part
 };
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -146,7 +146,8 @@
 TableFollowerConfig ListPace()
 {
     TableFollowerConfig c;
-    c.m_Gather = milliseconds(2000);
+    c.m_Gather = milliseconds(5000);
+    c.m_Quiet  = milliseconds(5000);
     return c;
 }
 
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -203,6 +203,14 @@
 // Start
 //-----------------------------------------------------------------------------
 
+// Entries change singly and often; a leaving server must be known well within two seconds.
+TableFollowerConfig ListPace()
+{
+    TableFollowerConfig c;
+    c.m_Gather = milliseconds(500);
+    return c;
+}
+
 void FollowStore(Daemon& daemon, Router& r)
 {
     r.m_Store = std::make_unique<platform::StoreClient>(ParseEndpoint(r.m_Settings.m_Platform.m_Store).value());
@@ -215,7 +223,7 @@
     list.m_OnLost    = [&r] { r.m_World.m_Servers.OnStoreLost(Now()); };
     list.m_OnReached = [&r] { r.m_World.m_Servers.OnStoreReached(Now()); };
     r.m_Operator = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
-    r.m_List     = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kServerTable), TableFollowerConfig{}, list);
+    r.m_List     = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kServerTable), ListPace(), list);
     r.m_Operator->Start();
     r.m_List->Start();
     asio::co_spawn(
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -7,11 +7,11 @@
 namespace
 {
 
-constexpr auto     kIdleRepeatable  = seconds(4);        // a connection that rested longer isn't used: its server may have forgotten it
-constexpr auto     kIdleOnce        = milliseconds(0);   // a server may have forgotten a resting connection: a request that runs once gets a new one
-constexpr auto     kEndSlack        = milliseconds(20);  // an exchange ends this long before the deadline, so that our answer is in time
-constexpr unsigned kPriorityResumed = 0;                 // a stream that broke: its caller sees the pause until it goes on
-constexpr size_t   kAnswerMax       = 64 * 1024 * 1024;  // bytes of an answer that is held until it is whole
+constexpr auto     kIdleRepeatable  = seconds(4);       // a connection that rested longer isn't used: its server may have forgotten it
+constexpr auto     kIdleOnce        = milliseconds(0);  // a server may have forgotten a resting connection: a request that runs once gets a new one
+constexpr auto     kEndSlack        = milliseconds(20); // an exchange ends this long before the deadline, so that our answer is in time
+constexpr unsigned kPriorityResumed = 0;                // a stream that broke: its caller sees the pause until it goes on
+constexpr size_t   kAnswerMax       = 64 * 1024 * 1024; // bytes of an answer that is held until it is whole
 
 bool IsServerFault(unsigned status)
 {
