--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -13,6 +13,8 @@
 constexpr double kMeanStep     = 0.1;  // weight of the newest answer in m_MeanMs
 constexpr double kPlainUsualMs = 50;   // of a plain service's answer before one was seen
 constexpr double kRateWindowS  = 2;    // over which the rate of sending is a mean
+constexpr double kRefusedWindowS = 2.5; // over which the share of refused first attempts is a mean
+constexpr double kFewFirsts      = 5;   // first attempts below which that share says little
 constexpr double kWayMs        = 3;    // of a request and its first event between boxes
 constexpr double kReadShareMax = 0.8;  // of an engine's time
 constexpr double kRetryMinMs   = 150;  // shortest and longest wait that a refusal asks for
@@ -106,6 +108,31 @@
     return FromMs(std::clamp(over, kRetryMinMs, kRetryMaxMs));
 }
 
+// What a prompt longer than usual adds to the wait, ms; negative for a shorter one.
+static double OwnPart(const RequestNeed& need)
+{
+    return (need.m_Prompt - need.m_Service->m_Engine->m_UsualPrompt) / need.m_Service->m_Engine->m_ReadPerMs;
+}
+
+double ServerChoice::AllowedMs(const RequestNeed& need) const
+{
+    const double goal = ToMsReal(need.m_Goal);
+    if (!need.m_CameBack)
+        return goal * m_Config.m_GoalShare;
+    const double late    = std::max(goal, ToMsReal(m_Config.m_LateMax));
+    const double refused = m_FirstRefused / (m_FirstSeen + kFewFirsts);
+    const double lenient = std::max(0.0, 1 - refused / m_Config.m_StrictAt);
+    return goal + lenient * (late - goal);
+}
+
+void ServerChoice::CountFirst(bool refused, TimePoint now)
+{
+    const double keep = m_FirstAt == TimePoint{} ? 0 : std::exp(-ToSeconds(now - m_FirstAt) / kRefusedWindowS);
+    m_FirstSeen       = m_FirstSeen * keep + 1;
+    m_FirstRefused    = m_FirstRefused * keep + (refused ? 1 : 0);
+    m_FirstAt         = now;
+}
+
 Choice ServerChoice::Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
 {
     const double goal = ToMsReal(need.m_Goal);
@@ -140,8 +167,9 @@
     best.m_Predicted = FromMs(best_ms);
     if (need.m_Service->m_Engine)
         m_ModelCandidates = best.m_Candidates;
-    const double allowed = need.m_CameBack ? std::max(goal, ToMsReal(m_Config.m_LateMax)) : goal * m_Config.m_GoalShare;
-    const bool   late    = need.m_Service->m_Engine.has_value() && best_ms > allowed;
+    const bool late = need.m_Service->m_Engine.has_value() && best_ms - OwnPart(need) > AllowedMs(need);
+    if (need.m_Service->m_Engine && !need.m_CameBack)
+        CountFirst(late || best.m_Server == nullptr, now);
     if (best.m_Server == nullptr || late)
     {
         best.m_RetryAfter = RetryAfter(need, best.m_Server == nullptr ? goal : best_ms);
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -12,8 +12,10 @@
 //     time that doubles. When all are left out, all are candidates again: no view of ours may empty a service.
 //   - A server whose weights are older than a named version is left out when the request would begin after that version's deadline.
 //   - A server in another data centre costs m_FarPenalty more.
-//   - A first attempt of a caller is refused when no server is predicted to answer within its objective; a caller that comes back after a
-//     refusal is taken up to m_LateMax. A refusal says when the best server is predicted to be free enough.
+//   - A first attempt of a caller is refused when no server is predicted to answer within its objective. For this a request counts with the
+//     usual prompt, not its own, so that long ones aren't refused before short ones. A refusal says when to come back.
+//   - A caller that comes back is taken up to m_LateMax while few are refused: a short overload. While many are, it is held to the
+//     objective as well: otherwise those that came back would fill the queues for ever, and every answer would be late.
 //
 // Usage:
 //   ServerChoice c(config);
@@ -39,7 +41,8 @@
     Duration m_LateMax     = milliseconds(1800); // predicted wait up to which a caller that came back is taken
     Duration m_SuspendMin  = milliseconds(300);  // first time that an unreachable server is left out; doubles
     Duration m_SuspendMax  = milliseconds(2400); //
-    double   m_GoalShare   = 1.0;                // part of the objective that the predicted wait may take for a first attempt
+    double   m_GoalShare   = 0.9;                // part of the objective that the predicted wait may take for a first attempt
+    double   m_StrictAt    = 0.5;                // share of refused first attempts from which on nobody is taken late
     double   m_TieMs       = 25;                 // random part of a cost: routers with the same view don't all choose alike
     double   m_OthersShare = 1.5;                // how much likelier than the mean a good server is chosen by other routers
     double   m_BlindFactor = 3.0;                // own requests in flight stand for this many when no report is fresh
@@ -124,6 +127,8 @@
     double   PredictPlain(const Server& s, const ServerEntry& entry, TimePoint now) const;                      // ms to the answer
     bool     Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
     bool     BeginsTooLate(uint64_t weights, double predicted_ms, const RequestNeed& need, TimePoint now) const;
+    double   AllowedMs(const RequestNeed& need) const; // predicted wait up to which the request is taken
+    void     CountFirst(bool refused, TimePoint now);
     Duration RetryAfter(const RequestNeed& need, double predicted_ms) const;
 
     ServerChoiceConfig                      m_Config;  //
@@ -131,6 +136,9 @@
     std::unordered_map<std::string, Server> m_Servers; // by id
     uint32_t                                m_Routers         = 0;
     size_t                                  m_ModelCandidates = 1; // of the last choice for a model service
+    double                                  m_FirstSeen    = 0;        // first attempts for model services, older ones counting less
+    double                                  m_FirstRefused = 0;        // those of them that were refused
+    TimePoint                               m_FirstAt{};               // of both counts
     double                                  m_SentRate        = 0; // requests that this router sends to model servers, a second; moving mean
     TimePoint                               m_SentAt{};            // of m_SentRate
 };
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -143,6 +143,42 @@
     BOOST_TEST(c.Choose(fleet.Candidates(), need, kStart).m_Candidates == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(long_prompts_are_not_refused_before_short_ones)
+{
+    const Service s = ModelService();
+    const Fleet   fleet{{Entry("a", "model")}};
+    for (uint32_t running = 0; running < 8; running++)
+    {
+        ServerChoice c({}, 1);
+        c.OnReport("a", Load(running, 0), kStart);
+        const bool small = c.Choose(fleet.Candidates(), Need(s, 50), kStart).m_Server != nullptr;
+        const bool large = c.Choose(fleet.Candidates(), Need(s, 4000), kStart).m_Server != nullptr;
+        BOOST_TEST(small == large);
+    }
+}
+
+// Seen on mixed days of the bench without a scale-out: callers that came back were always taken, and for 25 s every answer was late.
+BOOST_AUTO_TEST_CASE(in_a_lasting_overload_callers_that_come_back_are_held_to_the_objective_too)
+{
+    const Service s = ModelService();
+    const Fleet   fleet{{Entry("a", "model")}};
+    ServerChoice  c({}, 1);
+    RequestNeed   back = Need(s);
+    back.m_CameBack    = true;
+    TimePoint now      = kStart;
+    c.OnReport("a", Load(4, 1), now);
+    BOOST_TEST(c.Choose(fleet.Candidates(), back, now).m_Server != nullptr); // a short one: better late than never
+    for (int i = 0; i < 60; i++)
+    {
+        now += milliseconds(50);
+        c.OnReport("a", Load(4, 1), now);
+        BOOST_TEST(c.Choose(fleet.Candidates(), Need(s), now).m_Server == nullptr);
+    }
+    BOOST_TEST(c.Choose(fleet.Candidates(), back, now).m_Server == nullptr);
+    c.OnReport("a", Load(0, 0), now);
+    BOOST_TEST(c.Choose(fleet.Candidates(), back, now).m_Server != nullptr);
+}
+
 // Seen on trouble-2 of the bench: a stream was taken up at a server with older weights shortly before the deadline and began after it.
 BOOST_AUTO_TEST_CASE(a_request_that_would_wait_past_the_deadline_of_weights_does_not_go_to_older_ones)
 {
