--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -41,8 +41,8 @@
     Duration m_LateMax     = milliseconds(1800); // predicted wait up to which a caller that came back is taken
     Duration m_SuspendMin  = milliseconds(300);  // first time that an unreachable server is left out; doubles
     Duration m_SuspendMax  = milliseconds(2400); //
-    double   m_GoalShare   = 0.9;                // part of the objective that the predicted wait may take for a first attempt
-    double   m_StrictAt    = 0.5;                // share of refused first attempts from which on nobody is taken late
+    double   m_GoalShare   = 0.8;                // part of the objective that the predicted wait may take for a first attempt
+    double   m_StrictAt    = 0.35;               // share of refused first attempts from which on nobody is taken late
     double   m_TieMs       = 25;                 // random part of a cost: routers with the same view don't all choose alike
     double   m_OthersShare = 1.5;                // how much likelier than the mean a good server is chosen by other routers
     double   m_BlindFactor = 3.0;                // own requests in flight stand for this many when no report is fresh
