--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -17,6 +17,7 @@
 constexpr size_t   kUploadQueued = 4 * 1024;           // bytes left to send on a link below which the next piece may follow
 constexpr auto     kUploadPoll   = milliseconds(5);    // looks whether a link has taken a piece
 constexpr auto     kTellEvery    = milliseconds(30);   // news of pieces to neighbours
+constexpr auto     kTellIdle      = milliseconds(250);  // looks for such news while nothing is fetched
 constexpr auto     kListPerRank  = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
 constexpr auto     kListRetry    = milliseconds(120);  //
 constexpr auto     kListMax      = milliseconds(1500); // for one answer with a list
@@ -623,7 +624,8 @@
 {
     for (;;)
     {
-        co_await Pause(kTellEvery);
+        const bool idle = !m_Job || (m_Job->m_Over && m_Job->m_News.empty());
+        co_await Pause(idle ? kTellIdle : kTellEvery);
         if (!m_Job || m_Job->m_News.empty())
             continue;
         wire::HaveUpdateT have;
