--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -23,7 +23,8 @@
     for (;;)
     {
         const bool ok    = m_Synced ? co_await ReadChanges() : co_await ReadAll();
-        Duration   pause = m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
+        const bool urgent = !m_Handlers.m_Urgent || m_Handlers.m_Urgent();
+        Duration   pause  = !urgent ? m_Config.m_Calm : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
         if (!ok)
         {
             pause = std::min(m_Config.m_RetryMax, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
