--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -11,8 +11,9 @@
 namespace beast = boost::beast;
 namespace http  = boost::beast::http;
 
-constexpr auto   kNoThrow   = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kFirstRead = 4096; // bytes asked for while a connection is idle
+constexpr auto   kNoThrow     = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kFirstRead   = 4096;             // bytes asked for while a connection is idle
+constexpr auto   kAcceptPause = milliseconds(20); // after a connection that could not be taken
 
 using ServerStream = beast::basic_stream<tcp, asio::any_io_executor>;
 
@@ -310,8 +311,7 @@
             break;
         if (ec) // out of descriptors, say: let others finish
         {
-            asio::steady_timer pause(impl->m_Ioc, milliseconds(20));
-            co_await pause.async_wait(kNoThrow);
+            co_await SleepFor(kAcceptPause);
             continue;
         }
         asio::co_spawn(
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -330,4 +330,10 @@
     return acceptor;
 }
 
+awaitable<void> SleepFor(Duration d)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, d);
+    co_await timer.async_wait(kNoThrow);
+}
+
 } // namespace aldervale
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -15,6 +15,7 @@
 // [SECTION] Mailbox
 // [SECTION] Link
 // [SECTION] Connecting and listening
+// [SECTION] Waiting
 
 #pragma once
 #include "common/clock.h"
@@ -162,4 +163,11 @@
                                           std::optional<asio::any_io_executor> owner = std::nullopt); // owner: executor of the socket
 Result<tcp::acceptor>          ListenTcp(asio::any_io_executor ex, const Endpoint& at);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Waiting
+//-----------------------------------------------------------------------------
+
+// Suspends the calling coroutine.
+awaitable<void> SleepFor(Duration d);
+
 } // namespace aldervale
--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -48,12 +48,6 @@
     return a.m_Weights == b.m_Weights && a.m_Starting == b.m_Starting;
 }
 
-awaitable<void> Pause(Duration d)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, d);
-    co_await timer.async_wait(kNoThrow);
-}
-
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -104,7 +98,7 @@
         ask.declared    = m_Declared;
         for (const Endpoint& box : m_Boxes)
             SendDatagram(m_Socket, udp::endpoint(box.m_Address, box.m_Port), ask);
-        co_await Pause(m_Boxes.empty() ? Duration(kNearEvery) : Duration(kSubscribeEvery));
+        co_await SleepFor(m_Boxes.empty() ? Duration(kNearEvery) : Duration(kSubscribeEvery));
     }
 }
 
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -286,10 +286,4 @@
                    });
 }
 
-awaitable<void> SleepFor(Duration d)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, d);
-    co_await timer.async_wait(asio::as_tuple(use_awaitable));
-}
-
 } // namespace aldervale
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -100,7 +100,4 @@
 // Runs a coroutine on its own strand; an escaping exception ends the process, as it is a fault of ours.
 void Spawn(asio::io_context& ioc, awaitable<void> task);
 
-// Suspends the calling coroutine.
-awaitable<void> SleepFor(Duration d);
-
 } // namespace aldervale
--- a/src/version/piece_links.cpp
+++ b/src/version/piece_links.cpp
@@ -104,8 +104,7 @@
             if (!m_Links.contains(peer.Name()) && m_Dialled.insert(peer.Name()).second)
                 asio::co_spawn(
                     m_Ioc, [this, peer] { return Dial(peer); }, asio::detached);
-        asio::steady_timer timer(m_Ioc, kDialEvery);
-        co_await timer.async_wait(kNoThrow);
+        co_await SleepFor(kDialEvery);
     }
 }
 
