Load reports: one loop receives datagrams for both ends

LoadListener and LoadPublisher each had the same loop that reads a datagram, checks it and casts it; now ReceiveFrames() does it and hands the frame to OnFrame(). The translation to the wire's table stands beside the one from it, so that a new field is added in one place.

--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -33,11 +33,42 @@
     return !ec;
 }
 
+using FrameHandler = std::function<void(const wire::Frame& frame, const udp::endpoint& from)>;
+
+// Hands on every datagram that is a whole frame, until the socket closes.
+awaitable<void> ReceiveFrames(udp::socket& socket, FrameHandler handler)
+{
+    std::vector<uint8_t> buf(kDatagramMax);
+    udp::endpoint        from;
+    for (;;)
+    {
+        auto [ec, n] = co_await socket.async_receive_from(asio::buffer(buf), from, kNoThrow);
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (ec || CheckFrame(std::span(buf.data(), n)) != FrameStatus_Ok)
+            continue;
+        handler(*flatbuffers::GetRoot<wire::Frame>(buf.data()), from);
+    }
+}
+
 LoadReport FromWire(const wire::LoadState& s)
 {
     return {s.running(), s.waiting(), s.pace(), s.weights(), s.target(), s.starting(), s.routers()};
 }
 
+wire::LoadStateT ToWire(const LoadReport& r)
+{
+    wire::LoadStateT s;
+    s.running  = r.m_Running;
+    s.waiting  = r.m_Waiting;
+    s.pace     = r.m_Pace;
+    s.weights  = r.m_Weights;
+    s.target   = r.m_Target;
+    s.starting = r.m_Starting;
+    s.routers  = r.m_Routers;
+    return s;
+}
+
 bool SameLoad(const LoadReport& a, const LoadReport& b)
 {
     return a.m_Running == b.m_Running && a.m_Waiting == b.m_Waiting && a.m_Weights == b.m_Weights && a.m_Starting == b.m_Starting;
@@ -64,28 +95,18 @@
     const Status opened = OpenUdp(m_Socket, at);
     if (!opened)
         return opened;
-    asio::co_spawn(
-        m_Ioc, [this] { return ReceiveLoop(); }, asio::detached);
+    const FrameHandler on_frame = [this](const wire::Frame& frame, const udp::endpoint& from) { OnFrame(frame, from); };
+    asio::co_spawn(m_Ioc, ReceiveFrames(m_Socket, on_frame), asio::detached);
     asio::co_spawn(
         m_Ioc, [this] { return SubscribeLoop(); }, asio::detached);
     return Ok();
 }
 
-awaitable<void> LoadListener::ReceiveLoop()
+void LoadListener::OnFrame(const wire::Frame& frame, const udp::endpoint& from)
 {
-    std::vector<uint8_t> buf(kDatagramMax);
-    udp::endpoint        from;
-    for (;;)
-    {
-        auto [ec, n] = co_await m_Socket.async_receive_from(asio::buffer(buf), from, kNoThrow);
-        if (ec == asio::error::operation_aborted)
-            co_return;
-        if (ec || CheckFrame(std::span(buf.data(), n)) != FrameStatus_Ok)
-            continue;
-        const wire::LoadState* s = flatbuffers::GetRoot<wire::Frame>(buf.data())->body_as_LoadState();
-        if (s != nullptr)
-            m_Handler(from.address(), FromWire(*s));
-    }
+    const wire::LoadState* s = frame.body_as_LoadState();
+    if (s != nullptr)
+        m_Handler(from.address(), FromWire(*s));
 }
 
 awaitable<void> LoadListener::SubscribeLoop()
@@ -115,44 +136,27 @@
     const Status opened = OpenUdp(m_Socket, at);
     if (!opened)
         return opened;
-    asio::co_spawn(
-        m_Socket.get_executor(), [this] { return ReceiveLoop(); }, asio::detached);
+    const FrameHandler on_frame = [this](const wire::Frame& frame, const udp::endpoint& from) { OnFrame(frame, from); };
+    asio::co_spawn(m_Socket.get_executor(), ReceiveFrames(m_Socket, on_frame), asio::detached);
     return Ok();
 }
 
-awaitable<void> LoadPublisher::ReceiveLoop()
+void LoadPublisher::OnFrame(const wire::Frame& frame, const udp::endpoint& from)
 {
-    std::vector<uint8_t> buf(kDatagramMax);
-    udp::endpoint        from;
-    for (;;)
-    {
-        auto [ec, n] = co_await m_Socket.async_receive_from(asio::buffer(buf), from, kNoThrow);
-        if (ec == asio::error::operation_aborted)
-            co_return;
-        if (ec || CheckFrame(std::span(buf.data(), n)) != FrameStatus_Ok)
-            continue;
-        const wire::LoadSubscribe* ask = flatbuffers::GetRoot<wire::Frame>(buf.data())->body_as_LoadSubscribe();
-        if (ask == nullptr)
-            continue;
-        Subscriber& s = m_Subscribers[from];
-        s.m_AskedAt   = Now();
-        s.m_Near      = ask->data_centre() != nullptr && ask->data_centre()->string_view() == m_DataCentre;
-    }
+    const wire::LoadSubscribe* ask = frame.body_as_LoadSubscribe();
+    if (ask == nullptr)
+        return;
+    Subscriber& s = m_Subscribers[from];
+    s.m_AskedAt   = Now();
+    s.m_Near      = ask->data_centre() != nullptr && ask->data_centre()->string_view() == m_DataCentre;
 }
 
 void LoadPublisher::Publish(LoadReport report)
 {
     const TimePoint now = Now();
     std::erase_if(m_Subscribers, [&](const auto& item) { return now - item.second.m_AskedAt > kSubscribeKeep; });
-    report.m_Routers = static_cast<uint32_t>(m_Subscribers.size());
-    wire::LoadStateT state;
-    state.running  = report.m_Running;
-    state.waiting  = report.m_Waiting;
-    state.pace     = report.m_Pace;
-    state.weights  = report.m_Weights;
-    state.target   = report.m_Target;
-    state.starting = report.m_Starting;
-    state.routers  = report.m_Routers;
+    report.m_Routers             = static_cast<uint32_t>(m_Subscribers.size());
+    const wire::LoadStateT state = ToWire(report);
     for (auto& [to, s] : m_Subscribers)
     {
         const Duration every = SameLoad(report, s.m_Last) ? Duration(kUnchangedEvery) : s.m_Near ? Duration(kNearEvery) : Duration(kFarEvery);
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -53,7 +53,7 @@
     void   SetDeclared(uint64_t version) { m_Declared = version; }
 
 private:
-    awaitable<void> ReceiveLoop();
+    void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
     awaitable<void> SubscribeLoop();
 
     asio::io_context&     m_Ioc;          //
@@ -80,13 +80,13 @@
 private:
     struct Subscriber
     {
-        TimePoint  m_AskedAt{}; //
-        TimePoint  m_SentAt{};  //
-        LoadReport m_Last;      // as sent
-        bool       m_Near = false;
+        TimePoint  m_AskedAt{};    //
+        TimePoint  m_SentAt{};     //
+        LoadReport m_Last;         // as sent
+        bool       m_Near = false; // in the own data centre
     };
 
-    awaitable<void> ReceiveLoop();
+    void OnFrame(const wire::Frame& frame, const udp::endpoint& from);
 
     udp::socket                         m_Socket;      //
     std::string                         m_DataCentre;  //
