Platform programs: one place that follows the store's tables

The router and the agent each decoded the operators' rows and the list of servers, logged what they refused and set up two followers, in copies that had begun to differ. PlatformTables does that once; the programs keep what they do with the news. A dropped row inside a read of the whole list, which the store never sends (RowRead), is now refused by the agent too, as it was by the router: the read drops it anyway.

--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -1,12 +1,8 @@
 // aldervale-platform-agent: beside each model server of the users' platform. Brings its weights to the newest named version and tells
 // routers its load. It is the only one that gives its server orders, and keeps nothing that must last.
 #include "common/log.h"
-#include "platform/declarations_decode.h"
 #include "platform/model_server_http.h"
-#include "platform/names.h"
-#include "platform/store_client.h"
-#include "platform_settings.h"
-#include "process/table_follower.h"
+#include "platform_tables.h"
 #include "version/weight_keeper.h"
 
 using namespace aldervale;
@@ -28,19 +24,17 @@
 struct Agent // lives as long as the process
 {
     AgentSettings                              m_Settings;             //
-    ServerDirectory                            m_Servers;              //
+    ServerDirectory                            m_Servers;              // the other boxes
     uint64_t                                   m_Declared = 0;         // version in force
     std::map<std::string, uint64_t>            m_Named;                // newest version by model; may come before the declarations
     std::string                                m_Model;                // of the own service; empty until declared
-    bool                                       m_OperatorRead = false; // the table was read with the own service in it
-    std::unique_ptr<platform::StoreClient>     m_Store;                //
+    bool                                       m_OperatorRead = false; // the operators' table was read with the own service in it
+    std::unique_ptr<PlatformTables>            m_Tables;               //
     std::unique_ptr<platform::ModelServerHttp> m_Server;               //
     platform::PieceOriginHttp                  m_Origin;               //
     std::unique_ptr<LoadPublisher>             m_Publisher;            //
     std::unique_ptr<PieceTransfer>             m_Transfer;             //
     std::unique_ptr<WeightKeeper>              m_Keeper;               //
-    std::shared_ptr<TableFollower>             m_Operator;             // declarations and named weights
-    std::shared_ptr<TableFollower>             m_List;                 // backend servers: the other boxes
 };
 
 std::vector<SettingSpec> DescribeAgent(AgentSettings& s)
@@ -64,16 +58,8 @@
         a.m_Keeper->OnNamed(it->second, !a.m_OperatorRead);
 }
 
-void OnConfigRow(Agent& a, const Row& row)
+void OnConfig(Agent& a, const RouteTableSpec& spec, uint64_t row_version)
 {
-    auto decoded = platform::DecodeConfig(row.m_Value);
-    if (!decoded)
-    {
-        LogEvent(Event_DeclarationsRefused,
-                 {{"row_version", row.m_Version}, {"field", decoded.error().m_Field}, {"what", decoded.error().m_Message}});
-        return;
-    }
-    const RouteTableSpec& spec = decoded.value();
     if (spec.m_Version <= a.m_Declared)
         return;
     a.m_Declared = spec.m_Version;
@@ -84,36 +70,16 @@
             a.m_Model = s.m_Engine->m_Model;
     a.m_Keeper->SetModel(a.m_Model);
     TellNamed(a);
-    LogEvent(Event_DeclarationsInForce, {{"version", spec.m_Version}, {"row_version", row.m_Version}, {"model", a.m_Model}});
+    LogEvent(Event_DeclarationsInForce, {{"version", spec.m_Version}, {"row_version", row_version}, {"model", a.m_Model}});
 }
 
-void OnWeightsRow(Agent& a, const Row& row)
+void OnNamed(Agent& a, const platform::NamedWeights& named)
 {
-    const auto named = platform::DecodeWeights(row);
-    if (!named)
-    {
-        LogEvent(Event_RowRefused, {{"key", row.m_Key}, {"what", named.error().m_Message}});
-        return;
-    }
-    uint64_t& newest = a.m_Named[named.value().m_Model];
-    newest           = std::max(newest, named.value().m_Version);
+    uint64_t& newest = a.m_Named[named.m_Model];
+    newest           = std::max(newest, named.m_Version);
     TellNamed(a);
 }
 
-void OnOperatorRows(Agent& a, const RowRead& read)
-{
-    const Row* config = nullptr; // the newest one: those before it in the same read are never in force
-    for (const Row& row : read.m_Rows)
-        if (!row.m_Gone && platform::IsConfigRow(row))
-            config = &row;
-    if (config != nullptr)
-        OnConfigRow(a, *config);
-    for (const Row& row : read.m_Rows)
-        if (!row.m_Gone && platform::IsWeightsRow(row))
-            OnWeightsRow(a, row);
-    a.m_OperatorRead = a.m_OperatorRead || !a.m_Model.empty();
-}
-
 void FollowPeers(Agent& a)
 {
     std::vector<PeerBox> peers;
@@ -122,26 +88,6 @@
     a.m_Transfer->SetPeers(std::move(peers));
 }
 
-void OnServerRows(Agent& a, const RowRead& read, bool all)
-{
-    std::vector<ServerEntry> entries;
-    for (const Row& row : read.m_Rows)
-    {
-        auto entry = row.m_Gone ? Result<ServerEntry>(MakeError(ErrorCode_NotFound, "gone")) : platform::DecodeServer(row);
-        if (entry && all)
-            entries.push_back(std::move(entry.value()));
-        else if (entry)
-            a.m_Servers.OnRow(std::move(entry.value()));
-        else if (row.m_Gone)
-            a.m_Servers.OnRowGone(row.m_Key, row.m_Version, Now());
-        else
-            LogEvent(Event_RowRefused, {{"key", row.m_Key}, {"field", entry.error().m_Field}, {"what", entry.error().m_Message}});
-    }
-    if (all)
-        a.m_Servers.OnReadAll(std::move(entries), read.m_StoreVersion, Now());
-    FollowPeers(a);
-}
-
 // Each answer of the store is priced, and the other boxes matter only while weights move.
 TableFollowerConfig ListPace()
 {
@@ -153,19 +99,12 @@
 
 void FollowStore(Daemon& daemon, Agent& a)
 {
-    a.m_Store = std::make_unique<platform::StoreClient>(ParseEndpoint(a.m_Settings.m_Platform.m_Store).value());
-    TableHandlers operators;
-    operators.m_OnAll     = [&a](const RowRead& read) { OnOperatorRows(a, read); };
-    operators.m_OnChanges = operators.m_OnAll;
-    TableHandlers list;
-    list.m_OnAll     = [&a](const RowRead& read) { OnServerRows(a, read, true); };
-    list.m_OnChanges = [&a](const RowRead& read) { OnServerRows(a, read, false); };
-    list.m_OnLost    = [&a] { a.m_Servers.OnStoreLost(Now()); };
-    list.m_OnReached = [&a] { a.m_Servers.OnStoreReached(Now()); };
-    a.m_Operator = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
-    a.m_List     = std::make_shared<TableFollower>(daemon.Ioc(), *a.m_Store, std::string(platform::kServerTable), ListPace(), list);
-    a.m_Operator->Start();
-    a.m_List->Start();
+    PlatformHandlers h;
+    h.m_OnConfig       = [&a](const RouteTableSpec& spec, uint64_t row_version) { OnConfig(a, spec, row_version); };
+    h.m_OnNamed        = [&a](const platform::NamedWeights& named) { OnNamed(a, named); };
+    h.m_OnOperatorRead = [&a] { a.m_OperatorRead = a.m_OperatorRead || !a.m_Model.empty(); };
+    h.m_OnServers      = [&a](bool) { FollowPeers(a); };
+    a.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, ListPace(), a.m_Servers, h);
 }
 
 Status StartAgent(Daemon& daemon, Agent& a)
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -2,12 +2,8 @@
 // model servers' boxes, and serves callers from backend servers directly. It keeps nothing and gives no orders.
 #include "common/log.h"
 #include "connection/load_channel.h"
-#include "platform/declarations_decode.h"
-#include "platform/names.h"
 #include "platform/request_headers.h"
-#include "platform/store_client.h"
-#include "platform_settings.h"
-#include "process/table_follower.h"
+#include "platform_tables.h"
 #include "request/direct_serve.h"
 
 using namespace aldervale;
@@ -29,17 +25,15 @@
 
 struct Router // lives as long as the process
 {
-    RouterSettings                         m_Settings;             //
-    RoutingWorld                           m_World;                //
-    platform::RequestHeaders               m_Protocol;             //
-    std::unique_ptr<platform::StoreClient> m_Store;                //
-    std::shared_ptr<TableFollower>         m_Operator;             // declarations and named weights
-    bool                                   m_OperatorRead = false; // the table was read once
-    std::shared_ptr<TableFollower>         m_List;                 // backend servers
-    std::unique_ptr<LoadListener>          m_Loads;                //
-    std::unique_ptr<DirectServe>           m_Serve;                //
-    std::unique_ptr<HttpServer>            m_Http;                 //
-    std::unique_ptr<HttpServer>            m_Ready;                //
+    RouterSettings                  m_Settings;             //
+    RoutingWorld                    m_World;                //
+    platform::RequestHeaders        m_Protocol;             //
+    std::unique_ptr<PlatformTables> m_Tables;               //
+    bool                            m_OperatorRead = false; // the operators' table was read once
+    std::unique_ptr<LoadListener>   m_Loads;                //
+    std::unique_ptr<DirectServe>    m_Serve;                //
+    std::unique_ptr<HttpServer>     m_Http;                 //
+    std::unique_ptr<HttpServer>     m_Ready;                //
 };
 
 std::vector<SettingSpec> DescribeRouter(RouterSettings& s)
@@ -79,56 +73,29 @@
     r.m_Http->SetConfig(c);
 }
 
-void OnConfigRow(Router& r, const Row& row)
+void OnConfig(Router& r, const RouteTableSpec& spec, uint64_t row_version)
 {
-    auto spec = platform::DecodeConfig(row.m_Value);
-    if (!spec)
-    {
-        LogEvent(Event_DeclarationsRefused, {{"row_version", row.m_Version}, {"field", spec.error().m_Field}, {"what", spec.error().m_Message}});
-        return;
-    }
     const uint64_t before = r.m_World.m_Routes ? r.m_World.m_Routes->Version() : 0;
-    if (spec.value().m_Version <= before)
+    if (spec.m_Version <= before)
         return;
-    r.m_World.m_Routes        = std::make_shared<const RouteTable>(std::move(spec.value()));
-    r.m_World.m_RoutesAt      = Now();
-    const RouteTableSpec& now = r.m_World.m_Routes->Spec();
-    ApplyLimits(r, now.m_Limits);
+    r.m_World.m_Routes   = std::make_shared<const RouteTable>(spec);
+    r.m_World.m_RoutesAt = Now();
+    ApplyLimits(r, spec.m_Limits);
     FollowBoxes(r);
-    r.m_Loads->SetDeclared(now.m_Version);
-    LogEvent(Event_DeclarationsInForce, {{"version", now.m_Version},
+    r.m_Loads->SetDeclared(spec.m_Version);
+    LogEvent(Event_DeclarationsInForce, {{"version", spec.m_Version},
                                          {"before", before},
-                                         {"row_version", row.m_Version},
-                                         {"routes", now.m_Routes.size()},
-                                         {"accounts", now.m_Accounts.size()}});
+                                         {"row_version", row_version},
+                                         {"routes", spec.m_Routes.size()},
+                                         {"accounts", spec.m_Accounts.size()}});
 }
 
-void OnWeightsRow(Router& r, const Row& row)
+void OnNamed(Router& r, const platform::NamedWeights& named)
 {
-    const auto named = platform::DecodeWeights(row);
-    if (!named)
-    {
-        LogEvent(Event_RowRefused, {{"key", row.m_Key}, {"what", named.error().m_Message}});
-        return;
-    }
     // What was named before this process started was named at an unknown time: older weights get only a short while.
     const Duration  deadline = milliseconds(r.m_Settings.m_Serve.m_WeightsDeadlineMs);
     const TimePoint known_at = r.m_OperatorRead ? Now() : Now() - deadline + kUnknownNaming;
-    NoteNamed(r.m_World, named.value().m_Model, named.value().m_Version, known_at);
-}
-
-void OnOperatorRows(Router& r, const RowRead& read)
-{
-    const Row* config = nullptr; // the newest one: those before it in the same read are never in force
-    for (const Row& row : read.m_Rows)
-        if (!row.m_Gone && platform::IsConfigRow(row))
-            config = &row;
-    if (config != nullptr)
-        OnConfigRow(r, *config);
-    for (const Row& row : read.m_Rows)
-        if (!row.m_Gone && platform::IsWeightsRow(row))
-            OnWeightsRow(r, row);
-    r.m_OperatorRead = true;
+    NoteNamed(r.m_World, named.m_Model, named.m_Version, known_at);
 }
 
 //-----------------------------------------------------------------------------
@@ -145,47 +112,11 @@
                                   {"row_version", e.m_RowVersion}});
 }
 
-std::optional<ServerEntry> DecodeOrLog(const Row& row)
+void OnServers(Router& r, bool changed)
 {
-    auto entry = platform::DecodeServer(row);
-    if (entry)
-        return std::move(entry.value());
-    LogEvent(Event_RowRefused, {{"key", row.m_Key}, {"field", entry.error().m_Field}, {"what", entry.error().m_Message}});
-    return std::nullopt;
-}
-
-void OnServerList(Router& r, const RowRead& read)
-{
-    std::vector<ServerEntry> entries;
-    for (const Row& row : read.m_Rows)
-        if (auto entry = DecodeOrLog(row))
-            entries.push_back(std::move(*entry));
-    for (const ServerEntry& e : entries)
-        LogServer(e);
-    r.m_World.m_Servers.OnReadAll(std::move(entries), read.m_StoreVersion, Now());
-    r.m_World.m_ServersKnown = true;
-    FollowBoxes(r);
-    r.m_Serve->OnServersChanged();
-}
-
-void OnServerChanges(Router& r, const RowRead& read)
-{
-    const uint64_t before = r.m_World.m_Servers.Changes();
-    for (const Row& row : read.m_Rows)
-    {
-        if (row.m_Gone)
-        {
-            LogEvent(Event_ServerUnlisted, {{"server", row.m_Key}, {"row_version", row.m_Version}});
-            r.m_World.m_Servers.OnRowGone(row.m_Key, row.m_Version, Now());
-        }
-        else if (auto entry = DecodeOrLog(row))
-        {
-            LogServer(*entry);
-            r.m_World.m_Servers.OnRow(std::move(*entry));
-        }
-    }
-    if (r.m_World.m_Servers.Changes() == before)
+    if (!changed)
         return;
+    r.m_World.m_ServersKnown = true;
     FollowBoxes(r);
     r.m_Serve->OnServersChanged();
 }
@@ -213,19 +144,14 @@
 
 void FollowStore(Daemon& daemon, Router& r)
 {
-    r.m_Store = std::make_unique<platform::StoreClient>(ParseEndpoint(r.m_Settings.m_Platform.m_Store).value());
-    TableHandlers operators;
-    operators.m_OnAll     = [&r](const RowRead& read) { OnOperatorRows(r, read); };
-    operators.m_OnChanges = operators.m_OnAll;
-    TableHandlers list;
-    list.m_OnAll     = [&r](const RowRead& read) { OnServerList(r, read); };
-    list.m_OnChanges = [&r](const RowRead& read) { OnServerChanges(r, read); };
-    list.m_OnLost    = [&r] { r.m_World.m_Servers.OnStoreLost(Now()); };
-    list.m_OnReached = [&r] { r.m_World.m_Servers.OnStoreReached(Now()); };
-    r.m_Operator = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
-    r.m_List     = std::make_shared<TableFollower>(daemon.Ioc(), *r.m_Store, std::string(platform::kServerTable), ListPace(), list);
-    r.m_Operator->Start();
-    r.m_List->Start();
+    PlatformHandlers h;
+    h.m_OnConfig       = [&r](const RouteTableSpec& spec, uint64_t row_version) { OnConfig(r, spec, row_version); };
+    h.m_OnNamed        = [&r](const platform::NamedWeights& named) { OnNamed(r, named); };
+    h.m_OnOperatorRead = [&r] { r.m_OperatorRead = true; };
+    h.m_OnListed       = LogServer;
+    h.m_OnUnlisted     = [](const Row& row) { LogEvent(Event_ServerUnlisted, {{"server", row.m_Key}, {"row_version", row.m_Version}}); };
+    h.m_OnServers      = [&r](bool changed) { OnServers(r, changed); };
+    r.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, ListPace(), r.m_World.m_Servers, h);
     asio::co_spawn(
         daemon.Ioc(), [&r] { return ExpireLoop(r); }, asio::detached);
 }
@@ -248,8 +174,8 @@
     hooks.m_Describe = [&r]
     {
         return json::object{{"declared", r.m_World.m_Routes ? r.m_World.m_Routes->Version() : 0},
-                            {"store_reachable", r.m_Operator->Reachable() && r.m_List->Reachable()},
-                            {"store_calls", r.m_Store->Calls()},
+                            {"store_reachable", r.m_Tables->Reachable()},
+                            {"store_calls", r.m_Tables->Calls()},
                             {"in_flight", r.m_Serve->InFlight()}};
     };
     return hooks;
--- /dev/null
+++ b/src/programs/platform_tables.cpp
@@ -0,0 +1,119 @@
+// Following the platform's tables. See platform_tables.h.
+#include "platform_tables.h"
+#include "common/log.h"
+#include "platform/names.h"
+
+namespace aldervale
+{
+
+namespace
+{
+
+std::optional<ServerEntry> DecodeServerOrLog(const Row& row)
+{
+    auto entry = platform::DecodeServer(row);
+    if (entry)
+        return std::move(entry.value());
+    LogEvent(Event_RowRefused, {{"key", row.m_Key}, {"field", entry.error().m_Field}, {"what", entry.error().m_Message}});
+    return std::nullopt;
+}
+
+} // namespace
+
+PlatformTables::PlatformTables(asio::io_context& ioc, const PlatformSettings& s, const TableFollowerConfig& list_pace, ServerDirectory& servers,
+                               PlatformHandlers handlers)
+    : m_Store(ParseEndpoint(s.m_Store).value()), m_Servers(servers), m_Handlers(std::move(handlers))
+{
+    TableHandlers operators;
+    operators.m_OnAll     = [this](const RowRead& read) { OnOperatorRows(read); };
+    operators.m_OnChanges = operators.m_OnAll;
+    TableHandlers list;
+    list.m_OnAll     = [this](const RowRead& read) { OnServerList(read); };
+    list.m_OnChanges = [this](const RowRead& read) { OnServerChanges(read); };
+    list.m_OnLost    = [this] { m_Servers.OnStoreLost(Now()); };
+    list.m_OnReached = [this] { m_Servers.OnStoreReached(Now()); };
+    m_Operator       = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
+    m_List           = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kServerTable), list_pace, list);
+    m_Operator->Start();
+    m_List->Start();
+}
+
+//-----------------------------------------------------------------------------
+// The operators' table
+//-----------------------------------------------------------------------------
+
+void PlatformTables::OnConfigRow(const Row& row)
+{
+    const auto spec = platform::DecodeConfig(row.m_Value);
+    if (!spec)
+    {
+        LogEvent(Event_DeclarationsRefused, {{"row_version", row.m_Version}, {"field", spec.error().m_Field}, {"what", spec.error().m_Message}});
+        return;
+    }
+    m_Handlers.m_OnConfig(spec.value(), row.m_Version);
+}
+
+void PlatformTables::OnWeightsRow(const Row& row)
+{
+    const auto named = platform::DecodeWeights(row);
+    if (!named)
+    {
+        LogEvent(Event_RowRefused, {{"key", row.m_Key}, {"what", named.error().m_Message}});
+        return;
+    }
+    m_Handlers.m_OnNamed(named.value());
+}
+
+void PlatformTables::OnOperatorRows(const RowRead& read)
+{
+    const Row* config = nullptr; // the newest one: those before it in the same read are never in force
+    for (const Row& row : read.m_Rows)
+        if (!row.m_Gone && platform::IsConfigRow(row))
+            config = &row;
+    if (config != nullptr)
+        OnConfigRow(*config);
+    for (const Row& row : read.m_Rows)
+        if (!row.m_Gone && platform::IsWeightsRow(row))
+            OnWeightsRow(row);
+    m_Handlers.m_OnOperatorRead();
+}
+
+//-----------------------------------------------------------------------------
+// The list of servers
+//-----------------------------------------------------------------------------
+
+void PlatformTables::OnServerList(const RowRead& read)
+{
+    std::vector<ServerEntry> entries;
+    for (const Row& row : read.m_Rows)
+        if (auto entry = DecodeServerOrLog(row))
+            entries.push_back(std::move(*entry));
+    if (m_Handlers.m_OnListed)
+        for (const ServerEntry& e : entries)
+            m_Handlers.m_OnListed(e);
+    m_Servers.OnReadAll(std::move(entries), read.m_StoreVersion, Now());
+    m_Handlers.m_OnServers(true);
+}
+
+void PlatformTables::OnServerChanges(const RowRead& read)
+{
+    const uint64_t before = m_Servers.Changes();
+    for (const Row& row : read.m_Rows)
+    {
+        if (row.m_Gone)
+        {
+            if (m_Handlers.m_OnUnlisted)
+                m_Handlers.m_OnUnlisted(row);
+            m_Servers.OnRowGone(row.m_Key, row.m_Version, Now());
+        }
+        else if (auto entry = DecodeServerOrLog(row))
+        {
+            if (m_Handlers.m_OnListed)
+                m_Handlers.m_OnListed(*entry);
+            m_Servers.OnRow(std::move(*entry));
+        }
+    }
+    m_Handlers.m_OnServers(m_Servers.Changes() != before);
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/programs/platform_tables.h
@@ -0,0 +1,52 @@
+// aldervale: the two tables of the platform's store that its router and its agent follow
+//
+// The operators' table holds the declarations and the named weights, the other one the backend servers. Rows that can't be decoded are
+// logged and left out. The list of servers goes straight into a ServerDirectory, which also hears of the store's outages.
+//
+// Usage:
+//   PlatformTables tables(ioc, settings, list_pace, directory, handlers);   // follows from now on
+//   json["store_reachable"] = tables.Reachable();
+
+#pragma once
+#include "platform/declarations_decode.h"
+#include "platform/store_client.h"
+#include "platform_settings.h"
+#include "process/table_follower.h"
+
+namespace aldervale
+{
+
+struct PlatformHandlers
+{
+    std::function<void(const RouteTableSpec& spec, uint64_t row_version)> m_OnConfig;       // declarations, perhaps ones known already
+    std::function<void(const platform::NamedWeights& named)>              m_OnNamed;        // a version of weights, perhaps a known one
+    std::function<void()>                                                 m_OnOperatorRead; // after what one read of the operators' table told
+    std::function<void(const ServerEntry& entry)>                         m_OnListed;       // before it goes into the directory; may be empty
+    std::function<void(const Row& row)>                                   m_OnUnlisted;     // before it leaves the directory; may be empty
+    std::function<void(bool changed)>                                     m_OnServers;      // the directory took a read; the first one changes it
+};
+
+class PlatformTables // lives as long as the process
+{
+public:
+    PlatformTables(asio::io_context& ioc, const PlatformSettings& s, const TableFollowerConfig& list_pace, ServerDirectory& servers,
+                   PlatformHandlers handlers);
+
+    bool     Reachable() const { return m_Operator->Reachable() && m_List->Reachable(); }
+    uint64_t Calls() const { return m_Store.Calls(); } // of the store; each is priced
+
+private:
+    void OnConfigRow(const Row& row);
+    void OnWeightsRow(const Row& row);
+    void OnOperatorRows(const RowRead& read);
+    void OnServerList(const RowRead& read);
+    void OnServerChanges(const RowRead& read);
+
+    platform::StoreClient          m_Store;    //
+    ServerDirectory&               m_Servers;  //
+    PlatformHandlers               m_Handlers; //
+    std::shared_ptr<TableFollower> m_Operator; // declarations and named weights
+    std::shared_ptr<TableFollower> m_List;     // backend servers
+};
+
+} // namespace aldervale
