Router: an attempt in steps

Attempt() and RelayStream() held some sixty lines each: what is sent, the exchange, reading the answer's kind, events and the head to the caller. Each step is now a function of its own, in the order of the way of a request, and the deadline's case is named once instead of tested twice.

--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -42,29 +42,45 @@
 
 } // namespace
 
+//-----------------------------------------------------------------------------
+// The exchange
+//-----------------------------------------------------------------------------
+
+ForwardFields DirectServe::Impl::FieldsFor(const Call& call, const ServerEntry& server, TimePoint now) const
+{
+    const unsigned of_route = call.m_Route->m_Priority;
+    const unsigned declared = call.m_Account != nullptr ? call.m_Account->m_Priority.value_or(of_route) : of_route;
+    ForwardFields  add;
+    add.m_ServerId    = server.m_Id;
+    add.m_Account     = call.m_Account != nullptr ? call.m_Account->m_Name : std::string();
+    add.m_Remaining   = call.Left(now);
+    add.m_Priority    = call.m_Events > 0 ? kPriorityResumed : declared;
+    add.m_Weights     = ExpectedWeights(call, now);
+    add.m_ResumeAfter = call.m_LastEvent;
+    return add;
+}
+
+HttpCallOptions DirectServe::Impl::OptionsFor(Call& call) const
+{
+    HttpCallOptions options;
+    options.m_ConnectMax = milliseconds(m_Settings.m_ConnectMs);
+    options.m_IdleMax    = call.m_Route->MayRepeat() ? Duration(kIdleRepeatable) : Duration(kIdleOnce);
+    options.m_Abort      = &call.m_Abort;
+    options.m_IsOurs     = [this, &call](const HttpResponse& head) { return m_Protocol.DecodeAnswer(head).m_RequestId == call.m_Caller.m_Id; };
+    return options;
+}
+
 awaitable<AttemptEnd> DirectServe::Impl::Attempt(Call& call, ServerEntry server)
 {
-    const TimePoint sent_at = Now();
-    ForwardFields   add;
-    add.m_ServerId            = server.m_Id;
-    add.m_Account             = call.m_Account != nullptr ? call.m_Account->m_Name : std::string();
-    add.m_Remaining           = call.Left(sent_at);
-    add.m_Priority            = call.m_Account != nullptr ? call.m_Account->m_Priority.value_or(call.m_Route->m_Priority) : call.m_Route->m_Priority;
-    add.m_Priority            = call.m_Events > 0 ? kPriorityResumed : add.m_Priority;
-    add.m_Weights             = ExpectedWeights(call, sent_at);
-    add.m_ResumeAfter         = call.m_LastEvent;
-    const HttpRequest forward = m_Protocol.Forward(call.m_Request, add);
-    HttpCallOptions   options;
-    options.m_ConnectMax       = milliseconds(m_Settings.m_ConnectMs);
-    options.m_IdleMax          = call.m_Route->MayRepeat() ? Duration(kIdleRepeatable) : Duration(kIdleOnce);
-    options.m_Abort            = &call.m_Abort;
-    options.m_IsOurs           = [this, &call](const HttpResponse& head) { return m_Protocol.DecodeAnswer(head).m_RequestId == call.m_Caller.m_Id; };
-    const bool      may_resume = call.IsStream() && call.m_Route->MayRepeat();
-    const TimePoint end_at     = call.m_Deadline - kEndSlack;
-    const TimePoint head_until = may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
+    const TimePoint       sent_at    = Now();
+    const HttpRequest     forward    = m_Protocol.Forward(call.m_Request, FieldsFor(call, server, sent_at));
+    const HttpCallOptions options    = OptionsFor(call);
+    const bool            may_resume = call.IsStream() && call.m_Route->MayRepeat();
+    const TimePoint       end_at     = call.m_Deadline - kEndSlack;
+    const TimePoint       head_until = may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
 
     m_Choice.OnSent(server.m_Id, call.m_Caller.m_Prompt, sent_at);
-    bool       first_event = false; // an event, or a whole answer, came
+    bool       first_event = false; // an event came
     bool       reached     = true;  // the request may have arrived
     AttemptEnd end         = AttemptEnd_MayHaveRun;
     auto       opened      = co_await m_Client.Open(server.m_Address, forward, head_until, options);
@@ -79,30 +95,40 @@
     if (opened)
     {
         const HttpStreamPtr stream = std::move(opened.value());
-        const ServerAnswer  answer = m_Protocol.DecodeAnswer(stream->Head());
-        if (answer.m_NotRun)
-        {
-            end        = AttemptEnd_NotRun;
-            call.m_Why = "server " + server.m_Id + " refused with " + std::to_string(stream->Head().m_Status);
-            co_await ReadToEnd(*stream, Now() + milliseconds(m_Settings.m_ConnectMs));
-        }
-        else if (answer.m_Stream && stream->Head().m_Status == 200)
-            end = co_await RelayStream(call, *stream, server.m_Id, first_event);
-        else
-            end = co_await RelayWhole(call, *stream);
+        end                        = co_await Relay(call, *stream, server.m_Id, first_event);
     }
     if (call.m_Abort.Aborted())
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerFault)
         call.m_MayHaveRun = true;
-    const TimePoint now = Now();
-    if (now >= end_at && end == AttemptEnd_MayHaveRun)
+    const TimePoint now      = Now();
+    const bool      too_late = now >= end_at && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
+    if (too_late)
         call.m_Why = "deadline reached";
-    const ServerOutcome outcome = now >= end_at && end == AttemptEnd_MayHaveRun ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached);
+    const ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached);
     m_Choice.OnEnd(server.m_Id, outcome, first_event ? 0 : call.m_Caller.m_Prompt, now - sent_at, now);
     co_return end;
 }
 
+//-----------------------------------------------------------------------------
+// Passing the answer on
+//-----------------------------------------------------------------------------
+
+awaitable<AttemptEnd> DirectServe::Impl::Relay(Call& call, HttpStream& stream, const std::string& server, bool& first_event)
+{
+    const unsigned     status = stream.Head().m_Status;
+    const ServerAnswer answer = m_Protocol.DecodeAnswer(stream.Head());
+    if (answer.m_NotRun)
+    {
+        call.m_Why = "server " + server + " refused with " + std::to_string(status);
+        co_await ReadToEnd(stream, Now() + milliseconds(m_Settings.m_ConnectMs));
+        co_return AttemptEnd_NotRun;
+    }
+    if (answer.m_Stream && status == 200)
+        co_return co_await RelayStream(call, stream, server, first_event);
+    co_return co_await RelayWhole(call, stream);
+}
+
 awaitable<AttemptEnd> DirectServe::Impl::RelayWhole(Call& call, HttpStream& stream)
 {
     HttpResponse res = {stream.Head().m_Status, m_Protocol.CallerFields(stream.Head()), {}};
@@ -139,6 +165,37 @@
     co_return AttemptEnd_Answered;
 }
 
+// Takes all whole events that have come: those of one read go on together.
+static std::string TakeEvents(Call& call, EventSplitter& events)
+{
+    std::string out;
+    while (std::optional<StreamEvent> e = events.Next())
+    {
+        out += e->m_Bytes;
+        call.m_LastEvent = e->m_Id.empty() ? call.m_LastEvent : e->m_Id;
+        call.m_Events++;
+    }
+    return out;
+}
+
+awaitable<bool> DirectServe::Impl::PassOn(Call& call, const HttpResponse& head, const std::string& events, TimePoint heard)
+{
+    if (!call.m_HeadSent)
+    {
+        call.m_HeadSent         = true;
+        call.m_Status           = head.m_Status;
+        call.m_FirstAt          = heard;
+        const HttpFields fields = m_Protocol.CallerFields(head);
+        const bool       begun  = co_await call.m_Reply.Start(call.m_Status, fields);
+        if (!begun)
+            co_return false;
+    }
+    else
+        call.m_WorstGap = std::max(call.m_WorstGap, heard - call.m_EventAt);
+    call.m_EventAt = heard;
+    co_return co_await call.m_Reply.Write(events);
+}
+
 awaitable<AttemptEnd> DirectServe::Impl::RelayStream(Call& call, HttpStream& stream, const std::string& server, bool& first_event)
 {
     EventSplitter   events;
@@ -157,13 +214,7 @@
         if (piece.value().m_Done)
             break;
         events.Feed(piece.value().m_Bytes);
-        std::string out; // all events of one read go on together
-        while (std::optional<StreamEvent> e = events.Next())
-        {
-            out += e->m_Bytes;
-            call.m_LastEvent = e->m_Id.empty() ? call.m_LastEvent : e->m_Id;
-            call.m_Events++;
-        }
+        const std::string out = TakeEvents(call, events);
         if (out.empty())
             continue;
         heard = Now();
@@ -172,20 +223,7 @@
             first_event = true;
             m_Choice.OnFirstEvent(server, call.m_Caller.m_Prompt);
         }
-        if (!call.m_HeadSent)
-        {
-            call.m_HeadSent        = true;
-            call.m_Status          = stream.Head().m_Status;
-            call.m_FirstAt         = heard;
-            const HttpFields head  = m_Protocol.CallerFields(stream.Head());
-            const bool       begun = co_await call.m_Reply.Start(call.m_Status, head);
-            if (!begun)
-                co_return AttemptEnd_CallerGone;
-        }
-        else
-            call.m_WorstGap = std::max(call.m_WorstGap, heard - call.m_EventAt);
-        call.m_EventAt     = heard;
-        const bool written = co_await call.m_Reply.Write(out);
+        const bool written = co_await PassOn(call, stream.Head(), out, heard);
         if (!written)
             co_return AttemptEnd_CallerGone;
     }
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -50,14 +50,14 @@
 
 struct DirectServe::Impl
 {
-    Daemon&                                             m_Daemon;   //
-    DirectServeSettings                                 m_Settings; //
-    RoutingWorld&                                       m_World;    //
-    const RequestProtocol&                              m_Protocol; //
-    HttpClient                                          m_Client;   //
-    ServerChoice                                        m_Choice;   //
-    std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;  // by service
-    uint64_t                                            m_InFlight = 0;
+    Daemon&                                             m_Daemon;       //
+    DirectServeSettings                                 m_Settings;     //
+    RoutingWorld&                                       m_World;        //
+    const RequestProtocol&                              m_Protocol;     //
+    HttpClient                                          m_Client;       //
+    ServerChoice                                        m_Choice;       //
+    std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;      // by service
+    uint64_t                                            m_InFlight = 0; // requests from their head to their last byte
 
     Impl(Daemon& daemon, const DirectServeSettings& s, RoutingWorld& world, const RequestProtocol& protocol);
 
@@ -68,8 +68,12 @@
     RetryBudget&                 Budget(const std::string& service);
     awaitable<void>              Serve(Call& call);
     awaitable<AttemptEnd>        Attempt(Call& call, ServerEntry server);
+    ForwardFields                FieldsFor(const Call& call, const ServerEntry& server, TimePoint now) const;
+    HttpCallOptions              OptionsFor(Call& call) const; // refers to the call
+    awaitable<AttemptEnd>        Relay(Call& call, HttpStream& stream, const std::string& server, bool& first_event);
     awaitable<AttemptEnd>        RelayWhole(Call& call, HttpStream& stream);
     awaitable<AttemptEnd>        RelayStream(Call& call, HttpStream& stream, const std::string& server, bool& first_event);
+    awaitable<bool>              PassOn(Call& call, const HttpResponse& head, const std::string& events, TimePoint heard); // false: caller gone
     awaitable<void>              Settle(Call& call, AttemptEnd end);
     awaitable<void>              Answer(Call& call, HttpResponse res);
     bool                         TryAgain(Call& call, AttemptEnd end, TimePoint now);
