Router: what it believes of the world is a module of its own

NoteNamed() stood among the members of DirectServe, and three places went over the declared services' servers by hand, two of them over a copy of all services for each report. RoutingWorld, NoteNamed() and ForEachServer() are now in routing_world.h.

--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -57,9 +57,12 @@
 void FollowBoxes(Router& r)
 {
     std::vector<Endpoint> boxes;
-    for (const Service& s : r.m_World.m_Routes ? r.m_World.m_Routes->Spec().m_Services : std::vector<Service>())
-        for (const ServerEntry* e : s.m_Engine ? r.m_World.m_Servers.All(s.m_Name) : std::vector<const ServerEntry*>())
-            boxes.push_back({e->m_Address.m_Address, static_cast<uint16_t>(r.m_Settings.m_Platform.m_Port)});
+    const auto            add = [&](const Service& s, const ServerEntry& e)
+    {
+        if (s.m_Engine)
+            boxes.push_back({e.m_Address.m_Address, static_cast<uint16_t>(r.m_Settings.m_Platform.m_Port)});
+    };
+    ForEachServer(r.m_World, add);
     r.m_Loads->SetBoxes(std::move(boxes));
 }
 
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -7,13 +7,12 @@
 namespace
 {
 
-constexpr auto     kMinLeft            = milliseconds(40);   // time before the deadline below which no attempt is begun
-constexpr auto     kNotReadyRetry      = milliseconds(300);  // when to come back to a router that knows no declarations yet
-constexpr auto     kCameBackSlack      = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
-constexpr auto     kWeightsCheck       = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
-constexpr size_t   kVersionsRemembered = 8;                  // of a model's weights, for their deadlines
-constexpr unsigned kRoutersAssumed     = 8;                  // sharing the retry budget, until reports say how many there are
-constexpr double   kBudgetShare        = 0.6;                // of the declared budget that routers use together: windows slide
+constexpr auto     kMinLeft        = milliseconds(40);   // time before the deadline below which no attempt is begun
+constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
+constexpr auto     kCameBackSlack  = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
+constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
+constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
+constexpr double   kBudgetShare    = 0.6;                // of the declared budget that routers use together: windows slide
 
 Counter& OutcomeCounter(std::string_view outcome)
 {
@@ -293,34 +292,17 @@
     LogCall(call, impl->m_World, now);
 }
 
-bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, TimePoint known_at)
-{
-    NamedVersions& versions = world.m_Weights[model];
-    const uint64_t newest   = versions.empty() ? 1 : versions.rbegin()->first;
-    if (version <= newest)
-        return false;
-    versions[version] = known_at;
-    if (versions.size() > kVersionsRemembered)
-        versions.erase(versions.begin());
-    LogEvent(Event_WeightsNamed, {{"model", model}, {"version", version}, {"before", newest}});
-    return true;
-}
-
 void DirectServe::OnReport(const asio::ip::address& box, const LoadReport& report)
 {
-    const TimePoint now = Now();
-    for (const Service& s : m_Impl->m_World.m_Routes ? m_Impl->m_World.m_Routes->Spec().m_Services : std::vector<Service>())
+    const TimePoint now  = Now();
+    const auto      note = [&](const Service& s, const ServerEntry& e)
     {
-        if (!s.m_Engine)
-            continue;
-        for (const ServerEntry* e : m_Impl->m_World.m_Servers.All(s.m_Name))
-        {
-            if (e->m_Address.m_Address != box)
-                continue;
-            m_Impl->m_Choice.OnReport(e->m_Id, report, now);
-            NoteNamed(m_Impl->m_World, s.m_Engine->m_Model, report.m_Target, now); // its agent may reach the store when we don't
-        }
-    }
+        if (!s.m_Engine || e.m_Address.m_Address != box)
+            return;
+        m_Impl->m_Choice.OnReport(e.m_Id, report, now);
+        NoteNamed(m_Impl->m_World, s.m_Engine->m_Model, report.m_Target, now); // its agent may reach the store when we don't
+    };
+    ForEachServer(m_Impl->m_World, note);
 }
 
 void DirectServe::OnServersChanged()
@@ -328,9 +310,7 @@
     if (!m_Impl->m_World.m_Routes)
         return;
     std::vector<const ServerEntry*> all;
-    for (const Service& s : m_Impl->m_World.m_Routes->Spec().m_Services)
-        for (const ServerEntry* e : m_Impl->m_World.m_Servers.All(s.m_Name))
-            all.push_back(e);
+    ForEachServer(m_Impl->m_World, [&](const Service&, const ServerEntry& e) { all.push_back(&e); });
     m_Impl->m_Choice.Forget(all);
 }
 
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -16,13 +16,13 @@
 //
 // Index of this file:
 // [SECTION] Settings
-// [SECTION] RoutingWorld
 // [SECTION] DirectServe
 
 #pragma once
 #include "process/daemon.h"
 #include "request/request_protocol.h"
 #include "request/retry.h"
+#include "request/routing_world.h"
 #include "request/server_choice.h"
 
 namespace aldervale
@@ -44,25 +44,6 @@
 
 std::vector<SettingSpec> DescribeDirectServe(DirectServeSettings& s);
 
-//-----------------------------------------------------------------------------
-// [SECTION] RoutingWorld: what a router believes of the world
-//-----------------------------------------------------------------------------
-
-// Versions of a model's weights and when this process learned of each. A version's deadline stays when a newer one is named.
-using NamedVersions = std::map<uint64_t, TimePoint>;
-
-struct RoutingWorld // touched on one thread
-{
-    RouteTablePtr                        m_Routes;               // null until the first declarations are known; its version only rises
-    TimePoint                            m_RoutesAt{};           // when they were learned
-    ServerDirectory                      m_Servers;              //
-    bool                                 m_ServersKnown = false; // the list was read once
-    std::map<std::string, NamedVersions> m_Weights;              // by model; the newest few
-};
-
-// A version was named, as learned at `known_at`; older ones than the newest known are ignored. True: it was news.
-bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, TimePoint known_at);
-
 //-----------------------------------------------------------------------------
 // [SECTION] DirectServe
 //-----------------------------------------------------------------------------
