--- a/src/process/server_directory.cpp
+++ b/src/process/server_directory.cpp
@@ -64,7 +64,7 @@
     m_StoreVersion = store_version;
 }
 
-void ServerDirectory::OnStoreLost(TimePoint)
+void ServerDirectory::OnStoreLost()
 {
     m_Lost = true;
 }
@@ -85,22 +85,23 @@
     m_Changes += dropped;
 }
 
-std::vector<const ServerEntry*> ServerDirectory::Usable(std::string_view service) const
+std::vector<const ServerEntry*> ServerDirectory::Of(std::string_view service, bool with_draining) const
 {
     std::vector<const ServerEntry*> out;
     for (const auto& [id, known] : m_Known)
-        if (known.m_Entry.m_Service == service && !known.m_Entry.m_Draining)
+        if (known.m_Entry.m_Service == service && (with_draining || !known.m_Entry.m_Draining))
             out.push_back(&known.m_Entry);
     return out;
 }
 
+std::vector<const ServerEntry*> ServerDirectory::Usable(std::string_view service) const
+{
+    return Of(service, false);
+}
+
 std::vector<const ServerEntry*> ServerDirectory::All(std::string_view service) const
 {
-    std::vector<const ServerEntry*> out;
-    for (const auto& [id, known] : m_Known)
-        if (known.m_Entry.m_Service == service)
-            out.push_back(&known.m_Entry);
-    return out;
+    return Of(service, true);
 }
 
 const ServerEntry* ServerDirectory::Find(std::string_view id) const
--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -11,7 +11,7 @@
 //
 // Usage:
 //   ServerDirectory d;
-//   d.OnRow(entry, row_version); d.OnRowGone(id, row_version, now); d.OnReadAll(rows, store_version, now);
+//   d.OnRow(entry); d.OnRowGone(id, row_version, now); d.OnReadAll(entries, store_version, now);
 //   for (const ServerEntry* s : d.Usable("books")) ...
 
 #pragma once
@@ -43,7 +43,7 @@
     void OnRow(ServerEntry entry);
     void OnRowGone(std::string_view id, uint64_t row_version, TimePoint now);
     void OnReadAll(std::vector<ServerEntry> entries, uint64_t store_version, TimePoint now); // whole list; what isn't in it is gone
-    void OnStoreLost(TimePoint now);                                                         // it can't be reached
+    void OnStoreLost();                                                                      // it can't be reached
     void OnStoreReached(TimePoint now);                                                      // an answer came after OnStoreLost()
     void Expire(TimePoint now); // drops what was kept over an outage; call every second or so
 
@@ -60,14 +60,16 @@
         bool        m_Lapsed = false; // its row went away during an outage; usable until the grace ends
     };
 
+    std::vector<const ServerEntry*> Of(std::string_view service, bool with_draining) const;
+
     bool Unsettled(TimePoint now) const { return m_Lost || now < m_SettledAt; }
 
-    std::map<std::string, Known, std::less<>>    m_Known;            // by id
-    std::map<std::string, uint64_t, std::less<>> m_GoneAt;           // row version at which an id went away, against late rows
-    uint64_t                                     m_StoreVersion = 0; // newest read; never falls
-    uint64_t                                     m_Changes      = 0; //
-    bool                                         m_Lost         = false;
-    TimePoint                                    m_SettledAt{}; // entries that went away before are believed gone only from here
+    std::map<std::string, Known, std::less<>>    m_Known;                // by id
+    std::map<std::string, uint64_t, std::less<>> m_GoneAt;               // row version at which an id went away, against late rows
+    uint64_t                                     m_StoreVersion = 0;     // newest read; never falls
+    uint64_t                                     m_Changes      = 0;     //
+    bool                                         m_Lost         = false; // the store can't be reached
+    TimePoint                                    m_SettledAt{};          // entries that went away before are believed gone only from here
 };
 
 } // namespace aldervale
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -30,7 +30,7 @@
     TableHandlers list;
     list.m_OnAll     = [this](const RowRead& read) { OnServerList(read); };
     list.m_OnChanges = [this](const RowRead& read) { OnServerChanges(read); };
-    list.m_OnLost    = [this] { m_Servers.OnStoreLost(Now()); };
+    list.m_OnLost    = [this] { m_Servers.OnStoreLost(); };
     list.m_OnReached = [this] { m_Servers.OnStoreReached(Now()); };
     m_Operator       = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
     m_List           = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kServerTable), list_pace, list);
--- a/src/version/piece_links.h
+++ b/src/version/piece_links.h
@@ -36,7 +36,7 @@
     PieceLinks(asio::io_context& ioc, ProcessName self, PieceLinkHandlers handlers);
 
     Status                         Listen(const Endpoint& at);
-    void                           SetPeers(std::vector<PeerBox> peers); // without the own box
+    void                           SetPeers(std::vector<PeerBox> peers); // the own box may be among them
     LinkPtr                        Find(const std::string& peer) const;  // null: none
     std::vector<std::string>       Up() const;                           // peers with a link
     bool                           SameDataCentre(const std::string& peer) const;
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -37,7 +37,7 @@
     ServerDirectory d;
     d.OnRow(Entry("lives", "plain", "dc-1", 1));
     d.OnRow(Entry("dead", "plain", "dc-1", 2));
-    d.OnStoreLost(kStart);
+    d.OnStoreLost();
     d.OnStoreReached(kStart + seconds(4));
     d.OnReadAll({}, 20, kStart + seconds(4));
     BOOST_TEST(d.Usable("plain").size() == 2u);
