--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -47,6 +47,14 @@
     return std::visit(Visitor{}, v);
 }
 
+struct CommandLine
+{
+    std::string              m_File;              // of the settings; empty: none
+    std::vector<std::string> m_Overrides;         // KEY=VALUE, over the file's
+    bool                     m_CheckOnly = false; //
+    std::optional<int>       m_Exit;              // nothing is to be run: the exit code
+};
+
 void PrintSettings(std::span<const SettingSpec> specs)
 {
     std::cout << "\nSettings (TOML):\n";
@@ -213,18 +221,13 @@
     return code.load();
 }
 
-int RunDaemon(int argc, char** argv, std::string_view program, std::string_view summary, std::vector<SettingSpec> specs, DaemonSettings& settings,
-              const StartFunction& start)
+static CommandLine ParseCommandLine(int argc, char** argv, std::string_view program, std::string_view summary, std::span<const SettingSpec> specs)
 {
-    const std::vector<SettingSpec> shared = DescribeDaemon(settings);
-    specs.insert(specs.begin(), shared.begin(), shared.end());
     cxxopts::Options options{std::string(program), std::string(summary)};
     options.add_options()("s,settings", "settings file (TOML)", cxxopts::value<std::string>()->default_value(""))(
         "set", "one setting as KEY=VALUE, over the file's", cxxopts::value<std::vector<std::string>>()->default_value({}))(
         "check-settings", "check the settings and stop")("version", "print the version")("h,help", "print this page");
-    std::string              file;
-    std::vector<std::string> overrides;
-    bool                     check_only = false;
+    CommandLine out;
     try
     {
         const auto args = options.parse(argc, argv);
@@ -232,28 +235,41 @@
         {
             std::cout << options.help();
             PrintSettings(specs);
-            return 0;
+            out.m_Exit = 0;
+            return out;
         }
         if (args.count("version") > 0)
         {
             std::cout << program << " " << kVersion << "\n";
-            return 0;
+            out.m_Exit = 0;
+            return out;
         }
-        file       = args["settings"].as<std::string>();
-        overrides  = args.count("set") > 0 ? args["set"].as<std::vector<std::string>>() : std::vector<std::string>();
-        check_only = args.count("check-settings") > 0;
+        out.m_File      = args["settings"].as<std::string>();
+        out.m_Overrides = args.count("set") > 0 ? args["set"].as<std::vector<std::string>>() : std::vector<std::string>();
+        out.m_CheckOnly = args.count("check-settings") > 0;
     }
     catch (const std::exception& e)
     {
         std::cerr << program << ": " << e.what() << "\n";
-        return 2;
+        out.m_Exit = 2;
     }
-    const std::vector<SettingFault> faults = LoadSettings(file, overrides, specs);
+    return out;
+}
+
+int RunDaemon(int argc, char** argv, std::string_view program, std::string_view summary, std::vector<SettingSpec> specs, DaemonSettings& settings,
+              const StartFunction& start)
+{
+    const std::vector<SettingSpec> shared = DescribeDaemon(settings);
+    specs.insert(specs.begin(), shared.begin(), shared.end());
+    const CommandLine line = ParseCommandLine(argc, argv, program, summary, specs);
+    if (line.m_Exit)
+        return *line.m_Exit;
+    const std::vector<SettingFault> faults = LoadSettings(line.m_File, line.m_Overrides, specs);
     for (const SettingFault& f : faults)
         std::cerr << FormatFault(f) << "\n";
     if (!faults.empty())
         return 2;
-    if (check_only)
+    if (line.m_CheckOnly)
     {
         std::cout << "settings are good\n";
         return 0;
@@ -264,7 +280,7 @@
     // Never freed: what main() holds (kept HTTP connections, timers) refers to its io_context until the process ends.
     static Daemon* const process = new Daemon(settings, program);
     Daemon&              daemon  = *process;
-    daemon.SetReload(file, [file, overrides, specs] { return LoadSettings(file, overrides, specs); });
+    daemon.SetReload(line.m_File, [line, specs] { return LoadSettings(line.m_File, line.m_Overrides, specs); });
     const Status ops = daemon.Start();
     const Status own = ops ? start(daemon) : ops;
     if (!own)
