HTTP: members of the server together and with true comments; one error for lost answers

The mutex's comment named the acceptor, which it doesn't guard, and not the connections, which stood behind the constructor. The client built the same error of a lost answer in two places.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -117,6 +117,13 @@
     return seconds(std::atoi(std::string(text.substr(at + 8)).c_str())) - kIdleMargin;
 }
 
+// The request was sent, at least in part: it may have run.
+Error AnswerError(const std::string& what, const boost::system::error_code& ec)
+{
+    const ErrorCode code = ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable;
+    return MakeError(code, what + ec.message(), {}, Verdict_MayHaveRun);
+}
+
 class BeastStream : public HttpStream
 {
 public:
@@ -166,8 +173,7 @@
         m_Parser->get().body().size = m_Piece.size();
         auto [ec, n]                = co_await http::async_read_some(Stream(), m_Connection->m_Buffer, *m_Parser, kNoThrow);
         if (ec && ec != http::error::need_buffer)
-            co_return MakeError(ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable, "answer broken off: " + ec.message(), {},
-                                Verdict_MayHaveRun);
+            co_return AnswerError("answer broken off: ", ec);
         const size_t got = m_Piece.size() - m_Parser->get().body().size;
         if (got == 0 && m_Parser->is_done())
             co_return Done();
@@ -271,8 +277,7 @@
     const TimePoint                 head_until = ec ? std::min(deadline, Now() + kLateHeadMax) : deadline;
     const boost::system::error_code head_ec    = co_await answer->ReadHead(head_until);
     if (head_ec)
-        co_return MakeError(head_ec == beast::error::timeout ? ErrorCode_Timeout : ErrorCode_Unavailable,
-                            "no answer from " + key + ": " + head_ec.message(), {}, Verdict_MayHaveRun);
+        co_return AnswerError("no answer from " + key + ": ", head_ec);
     co_return HttpStreamPtr(std::move(answer));
 }
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -19,22 +19,22 @@
 
 struct HttpServer::Impl
 {
-    asio::io_context&            m_Ioc;             //
-    HttpHandler                  m_Handler;         //
-    std::mutex                   m_Mutex;           // guards m_Config and m_Acceptor
-    HttpServerConfig             m_Config;          //
-    std::optional<tcp::acceptor> m_Acceptor;        // none when not listening
-    std::atomic<bool>            m_Stopping{false}; // never goes back to false
-    std::atomic<bool>            m_Closing{false};  // answers close their connections; never goes back to false
-
-    Impl(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler) : m_Ioc(ioc), m_Handler(std::move(handler)), m_Config(cfg) {}
-
     struct Connection // one that is being served
     {
-        ServerStream* m_Stream; //
+        ServerStream* m_Stream; // null once it ended
         bool          m_Idle;   // no byte of a request has come since the last answer; touched on the stream's strand
     };
-    std::set<std::shared_ptr<Connection>> m_Connections; // guarded by m_Mutex; an entry is there as long as its stream
+
+    asio::io_context&                     m_Ioc;             //
+    HttpHandler                           m_Handler;         //
+    std::mutex                            m_Mutex;           // guards m_Config and m_Connections
+    HttpServerConfig                      m_Config;          //
+    std::set<std::shared_ptr<Connection>> m_Connections;     // an entry is there as long as its stream
+    std::optional<tcp::acceptor>          m_Acceptor;        // none when not listening; set once, before the first connection
+    std::atomic<bool>                     m_Stopping{false}; // never goes back to false
+    std::atomic<bool>                     m_Closing{false};  // answers close their connections; never goes back to false
+
+    Impl(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler) : m_Ioc(ioc), m_Handler(std::move(handler)), m_Config(cfg) {}
 
     HttpServerConfig Config()
     {
