--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -58,43 +58,34 @@
 // Identify
 //-----------------------------------------------------------------------------
 
+HttpResponse DirectServe::Impl::Refuse(Call& call, unsigned status, std::string_view why, Duration retry) const
+{
+    call.m_Why = why;
+    return m_Protocol.OwnAnswer(call.m_Caller, status, why, retry);
+}
+
 std::optional<HttpResponse> DirectServe::Impl::Identify(Call& call)
 {
     auto decoded = m_Protocol.DecodeRequest(call.m_Request);
     if (!decoded)
-    {
-        call.m_Why = decoded.error().m_Message;
-        return m_Protocol.OwnAnswer(call.m_Caller, 400, call.m_Why, {});
-    }
+        return Refuse(call, 400, decoded.error().m_Message, {});
     call.m_Caller    = std::move(decoded.value());
     call.m_LastEvent = call.m_Caller.m_ResumeAfter;
     call.m_Routes    = m_World.m_Routes;
     if (!call.m_Routes || !m_World.m_ServersKnown)
-    {
-        call.m_Why = "declarations not known yet";
-        return m_Protocol.OwnAnswer(call.m_Caller, 503, call.m_Why, kNotReadyRetry);
-    }
+        return Refuse(call, 503, "declarations not known yet", kNotReadyRetry);
     call.m_Route = call.m_Routes->FindRoute(call.m_Caller.m_Host, call.m_Request.Path());
     if (call.m_Route == nullptr)
-    {
-        call.m_Why = "no route";
-        return m_Protocol.OwnAnswer(call.m_Caller, 404, call.m_Why, {});
-    }
+        return Refuse(call, 404, "no route", {});
     if (call.m_Routes->NeedsKey(*call.m_Route))
     {
         call.m_Account = call.m_Routes->FindAccount(call.m_Caller.m_Key);
         if (call.m_Account == nullptr)
-        {
-            call.m_Why = "unknown key";
-            return m_Protocol.OwnAnswer(call.m_Caller, 401, call.m_Why, {});
-        }
+            return Refuse(call, 401, "unknown key", {});
     }
     call.m_Service = call.m_Routes->FindService(PickTarget(*call.m_Route, call.m_Caller.m_Id).m_Service);
     if (call.m_Service == nullptr)
-    {
-        call.m_Why = "route names a service that isn't declared";
-        return m_Protocol.OwnAnswer(call.m_Caller, 503, call.m_Why, kNotReadyRetry);
-    }
+        return Refuse(call, 503, "route names a service that isn't declared", kNotReadyRetry);
     const Duration limit = std::min(call.m_Route->m_Timeout, call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout));
     call.m_Deadline      = call.m_StartedAt + limit;
     return std::nullopt;
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -61,6 +61,7 @@
 
     Impl(Daemon& daemon, const DirectServeSettings& s, RoutingWorld& world, const RequestProtocol& protocol);
 
+    HttpResponse                 Refuse(Call& call, unsigned status, std::string_view why, Duration retry) const; // retry: zero: says none
     std::optional<HttpResponse>  Identify(Call& call);             // an answer when the request can't go on
     const ServerEntry*           Admit(Call& call, TimePoint now); // null: refused
     std::vector<WeightsDeadline> WeightsDeadlines(const Call& call) const;
