--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -7,13 +7,12 @@
 namespace
 {
 
-constexpr auto     kMinLeft            = milliseconds(40);   // time before the deadline below which no attempt is begun
-constexpr auto     kNotReadyRetry      = milliseconds(300);  // when to come back to a router that knows no declarations yet
-constexpr auto     kCameBackSlack      = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
-constexpr auto     kWeightsCheck       = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
-constexpr size_t   kVersionsRemembered = 8;                  // of a model's weights, for their deadlines
-constexpr unsigned kRoutersAssumed     = 8;                  // sharing the retry budget, until reports say how many there are
-constexpr double   kBudgetShare        = 0.6;                // of the declared budget that routers use together: windows slide
+constexpr auto     kMinLeft        = milliseconds(40);   // time before the deadline below which no attempt is begun
+constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
+constexpr auto     kCameBackSlack  = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
+constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
+constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
+constexpr double   kBudgetShare    = 0.6;                // of the declared budget that routers use together: windows slide
 
 Counter& OutcomeCounter(std::string_view outcome)
 {
@@ -59,43 +58,34 @@
 // Identify
 //-----------------------------------------------------------------------------
 
+HttpResponse DirectServe::Impl::Refuse(Call& call, unsigned status, std::string_view why, Duration retry) const
+{
+    call.m_Why = why;
+    return m_Protocol.OwnAnswer(call.m_Caller, status, why, retry);
+}
+
 std::optional<HttpResponse> DirectServe::Impl::Identify(Call& call)
 {
     auto decoded = m_Protocol.DecodeRequest(call.m_Request);
     if (!decoded)
-    {
-        call.m_Why = decoded.error().m_Message;
-        return m_Protocol.OwnAnswer(call.m_Caller, 400, call.m_Why, {});
-    }
+        return Refuse(call, 400, decoded.error().m_Message, {});
     call.m_Caller    = std::move(decoded.value());
     call.m_LastEvent = call.m_Caller.m_ResumeAfter;
     call.m_Routes    = m_World.m_Routes;
     if (!call.m_Routes || !m_World.m_ServersKnown)
-    {
-        call.m_Why = "declarations not known yet";
-        return m_Protocol.OwnAnswer(call.m_Caller, 503, call.m_Why, kNotReadyRetry);
-    }
+        return Refuse(call, 503, "declarations not known yet", kNotReadyRetry);
     call.m_Route = call.m_Routes->FindRoute(call.m_Caller.m_Host, call.m_Request.Path());
     if (call.m_Route == nullptr)
-    {
-        call.m_Why = "no route";
-        return m_Protocol.OwnAnswer(call.m_Caller, 404, call.m_Why, {});
-    }
+        return Refuse(call, 404, "no route", {});
     if (call.m_Routes->NeedsKey(*call.m_Route))
     {
         call.m_Account = call.m_Routes->FindAccount(call.m_Caller.m_Key);
         if (call.m_Account == nullptr)
-        {
-            call.m_Why = "unknown key";
-            return m_Protocol.OwnAnswer(call.m_Caller, 401, call.m_Why, {});
-        }
+            return Refuse(call, 401, "unknown key", {});
     }
     call.m_Service = call.m_Routes->FindService(PickTarget(*call.m_Route, call.m_Caller.m_Id).m_Service);
     if (call.m_Service == nullptr)
-    {
-        call.m_Why = "route names a service that isn't declared";
-        return m_Protocol.OwnAnswer(call.m_Caller, 503, call.m_Why, kNotReadyRetry);
-    }
+        return Refuse(call, 503, "route names a service that isn't declared", kNotReadyRetry);
     const Duration limit = std::min(call.m_Route->m_Timeout, call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout));
     call.m_Deadline      = call.m_StartedAt + limit;
     return std::nullopt;
@@ -293,34 +283,17 @@
     LogCall(call, impl->m_World, now);
 }
 
-bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, TimePoint known_at)
-{
-    NamedVersions& versions = world.m_Weights[model];
-    const uint64_t newest   = versions.empty() ? 1 : versions.rbegin()->first;
-    if (version <= newest)
-        return false;
-    versions[version] = known_at;
-    if (versions.size() > kVersionsRemembered)
-        versions.erase(versions.begin());
-    LogEvent(Event_WeightsNamed, {{"model", model}, {"version", version}, {"before", newest}});
-    return true;
-}
-
 void DirectServe::OnReport(const asio::ip::address& box, const LoadReport& report)
 {
-    const TimePoint now = Now();
-    for (const Service& s : m_Impl->m_World.m_Routes ? m_Impl->m_World.m_Routes->Spec().m_Services : std::vector<Service>())
+    const TimePoint now  = Now();
+    const auto      note = [&](const Service& s, const ServerEntry& e)
     {
-        if (!s.m_Engine)
-            continue;
-        for (const ServerEntry* e : m_Impl->m_World.m_Servers.All(s.m_Name))
-        {
-            if (e->m_Address.m_Address != box)
-                continue;
-            m_Impl->m_Choice.OnReport(e->m_Id, report, now);
-            NoteNamed(m_Impl->m_World, s.m_Engine->m_Model, report.m_Target, now); // its agent may reach the store when we don't
-        }
-    }
+        if (!s.m_Engine || e.m_Address.m_Address != box)
+            return;
+        m_Impl->m_Choice.OnReport(e.m_Id, report, now);
+        NoteNamed(m_Impl->m_World, s.m_Engine->m_Model, report.m_Target, now); // its agent may reach the store when we don't
+    };
+    ForEachServer(m_Impl->m_World, note);
 }
 
 void DirectServe::OnServersChanged()
@@ -328,9 +301,7 @@
     if (!m_Impl->m_World.m_Routes)
         return;
     std::vector<const ServerEntry*> all;
-    for (const Service& s : m_Impl->m_World.m_Routes->Spec().m_Services)
-        for (const ServerEntry* e : m_Impl->m_World.m_Servers.All(s.m_Name))
-            all.push_back(e);
+    ForEachServer(m_Impl->m_World, [&](const Service&, const ServerEntry& e) { all.push_back(&e); });
     m_Impl->m_Choice.Forget(all);
 }
 
