Agents know the set of boxes before they share out the origin's pieces

Change: the list is followed closely until the own server serves, and while something is fetched; an empty box begins when the set of boxes has rested for 0.9 s (2.5 s at most).

--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -22,8 +22,8 @@
 {
     for (;;)
     {
-        const bool ok    = m_Synced ? co_await ReadChanges() : co_await ReadAll();
-        const bool urgent = !m_Handlers.m_Urgent || m_Handlers.m_Urgent();
+        const bool ok     = m_Synced ? co_await ReadChanges() : co_await ReadAll();
+        const bool urgent = !m_Config.m_Urgent || m_Config.m_Urgent();
         Duration   pause  = !urgent ? m_Config.m_Calm : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
         if (!ok)
         {
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -15,14 +15,15 @@
 
 struct TableFollowerConfig
 {
-    Duration m_Wait     = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
-    Duration m_Margin   = milliseconds(1200); // for the answer beyond m_Wait
-    Duration m_Gather   = milliseconds(350);  // pause after changes, so that a series of them is taken together
-    Duration m_Calm     = milliseconds(5000); // pause after any answer while changes aren't urgent
-    Duration m_Quiet    = milliseconds(700);  // pause after an answer without changes: changes of other tables end standing requests too
-    Duration m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
-    Duration m_RetryMax = milliseconds(800);  //
-    Duration m_ReadMax  = milliseconds(1500); // for a read of the whole table
+    Duration              m_Wait   = milliseconds(6000);   // of the standing request: bounds how long a silent loss of the store goes unseen
+    Duration              m_Margin = milliseconds(1200);   // for the answer beyond m_Wait
+    Duration              m_Gather = milliseconds(350);    // pause after changes, so that a series of them is taken together
+    Duration              m_Calm   = milliseconds(5000);   // pause after any answer while changes aren't urgent
+    Duration              m_Quiet  = milliseconds(700);    // pause after an answer without changes: changes of other tables end standing requests too
+    std::function<bool()> m_Urgent;                        // changes matter now: short pauses; empty: always
+    Duration              m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
+    Duration              m_RetryMax = milliseconds(800);  //
+    Duration              m_ReadMax  = milliseconds(1500); // for a read of the whole table
 };
 
 struct TableHandlers
@@ -31,7 +32,6 @@
     std::function<void(const RowRead&)> m_OnChanges; // rows that changed or went away; may be empty
     std::function<void()>               m_OnLost;    // the store can't be reached; once until m_OnReached
     std::function<void()>               m_OnReached; // it answered again; before the rows of that answer
-    std::function<bool()>               m_Urgent;    // changes matter at once: short pauses; empty: always
 };
 
 class TableFollower : public std::enable_shared_from_this<TableFollower>
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -88,12 +88,11 @@
     a.m_Transfer->SetPeers(std::move(peers));
 }
 
-// Each answer of the store is priced, and the other boxes matter only while weights move.
-TableFollowerConfig ListPace()
+// Each answer of the store is priced, and the other boxes matter only while weights move: until the own server serves, and in a fetch.
+TableFollowerConfig ListPace(const Agent& a)
 {
     TableFollowerConfig c;
-    c.m_Gather = milliseconds(5000);
-    c.m_Quiet  = milliseconds(5000);
+    c.m_Urgent = [&a] { return !a.m_Keeper->Serving() || a.m_Transfer->UnderWay(); };
     return c;
 }
 
@@ -104,7 +103,7 @@
     h.m_OnNamed        = [&a](const platform::NamedWeights& named) { OnNamed(a, named); };
     h.m_OnOperatorRead = [&a] { a.m_OperatorRead = a.m_OperatorRead || !a.m_Model.empty(); };
     h.m_OnServers      = [&a](bool) { FollowPeers(a); };
-    a.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, ListPace(), a.m_Servers, h);
+    a.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, ListPace(a), a.m_Servers, h);
 }
 
 Status StartAgent(Daemon& daemon, Agent& a)
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -9,16 +9,16 @@
 namespace
 {
 
-constexpr double kFailStep     = 0.15; // weight of the newest outcome in m_FailShare
-constexpr double kMeanStep     = 0.1;  // weight of the newest answer in m_MeanMs
-constexpr double kPlainUsualMs = 50;   // of a plain service's answer before one was seen
-constexpr double kRateWindowS  = 2;    // over which the rate of sending is a mean
-constexpr double kRefusedWindowS = 2.5; // over which the share of refused first attempts is a mean
-constexpr double kFewFirsts      = 5;   // first attempts below which that share says little
-constexpr double kWayMs        = 3;    // of a request and its first event between boxes
-constexpr double kReadShareMax = 0.8;  // of an engine's time
-constexpr double kRetryMinMs   = 150;  // shortest and longest wait that a refusal asks for
-constexpr double kRetryMaxMs   = 1500; //
+constexpr double kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
+constexpr double kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
+constexpr double kPlainUsualMs   = 50;   // of a plain service's answer before one was seen
+constexpr double kRateWindowS    = 2;    // over which the rate of sending is a mean
+constexpr double kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
+constexpr double kFewFirsts      = 5;    // first attempts below which that share says little
+constexpr double kWayMs          = 3;    // of a request and its first event between boxes
+constexpr double kReadShareMax   = 0.8;  // of an engine's time
+constexpr double kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
+constexpr double kRetryMaxMs     = 1500; //
 
 double ToMsReal(Duration d)
 {
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -136,10 +136,10 @@
     std::unordered_map<std::string, Server> m_Servers; // by id
     uint32_t                                m_Routers         = 0;
     size_t                                  m_ModelCandidates = 1; // of the last choice for a model service
-    double                                  m_FirstSeen    = 0;        // first attempts for model services, older ones counting less
-    double                                  m_FirstRefused = 0;        // those of them that were refused
-    TimePoint                               m_FirstAt{};               // of both counts
-    double                                  m_SentRate        = 0; // requests that this router sends to model servers, a second; moving mean
+    double                                  m_FirstSeen       = 0; // first attempts for model services, older ones counting less
+    double                                  m_FirstRefused    = 0; // those of them that were refused
+    TimePoint                               m_FirstAt{};           // of both counts
+    double                                  m_SentRate = 0;        // requests that this router sends to model servers, a second; moving mean
     TimePoint                               m_SentAt{};            // of m_SentRate
 };
 
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -17,10 +17,12 @@
 constexpr size_t   kUploadQueued = 4 * 1024;           // bytes left to send on a link below which the next piece may follow
 constexpr auto     kUploadPoll   = milliseconds(5);    // looks whether a link has taken a piece
 constexpr auto     kTellEvery    = milliseconds(30);   // news of pieces to neighbours
-constexpr auto     kTellIdle      = milliseconds(250);  // looks for such news while nothing is fetched
+constexpr auto     kTellIdle     = milliseconds(250);  // looks for such news while nothing is fetched
 constexpr auto     kListPerRank  = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
 constexpr auto     kListRetry    = milliseconds(120);  //
 constexpr auto     kListMax      = milliseconds(1500); // for one answer with a list
+constexpr auto     kPeersRest    = milliseconds(900);  // an empty box begins when the set of boxes hasn't changed for this long
+constexpr auto     kPeersMax     = milliseconds(2500); // but no later than this
 constexpr auto     kLinksSettle  = milliseconds(250);  // for links to come up before the origin is asked for pieces
 constexpr auto     kPieceMax     = milliseconds(1200); // for one piece from a neighbour
 constexpr auto     kOriginMax    = milliseconds(2000); // for one piece from the origin
@@ -182,8 +184,16 @@
     return RendezvousRank(NameOf(version), members, m_Self.m_Name);
 }
 
+bool PieceTransfer::UnderWay() const
+{
+    return m_Job && !m_Job->m_Over;
+}
+
 void PieceTransfer::SetPeers(std::vector<PeerBox> peers)
 {
+    const auto same = [](const PeerBox& a, const PeerBox& b) { return a.m_Address == b.m_Address; };
+    if (!std::equal(peers.begin(), peers.end(), m_Peers.begin(), m_Peers.end(), same))
+        m_PeersAt = Now();
     m_Peers = peers;
     m_Links.SetPeers(std::move(peers));
 }
@@ -242,6 +252,7 @@
     if (job->m_Over)
         co_return;
     co_await TakeStaged(job);
+    co_await AwaitPeers(job);
     Begin(job);
     while (!job->m_Over)
     {
@@ -336,8 +347,19 @@
     }
 }
 
+// After a loss of power all boxes come back within seconds. Who fetches which piece from the origin follows from the set of boxes, so an
+// empty box waits until the set rests: otherwise each would fetch the share of those that it doesn't know yet.
+awaitable<void> PieceTransfer::AwaitPeers(std::shared_ptr<Job> job)
+{
+    const TimePoint latest = job->m_StartedAt + kPeersMax;
+    while (m_Held == 0 && !job->m_Over && Now() < latest && Now() < m_PeersAt + kPeersRest)
+        co_await Pause(kListRetry);
+}
+
 void PieceTransfer::Begin(const std::shared_ptr<Job>& job)
 {
+    if (job->m_Over)
+        return;
     const PieceSet&       set = m_Sets[job->m_Version];
     std::vector<uint32_t> present;
     for (uint32_t n = 0; n < set.m_Pieces.size(); n++)
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -44,6 +44,7 @@
     uint64_t        Version() const { return m_Version; }           // under way, or fetched last; 0: none
     bool            Whole() const;
     uint64_t        NewestWhole() const;                            // 0: none
+    bool            UnderWay() const;                               // something is being fetched
     size_t          Boxes() const { return Members(false).size(); } // of the service, this one included
     size_t          RankOf(uint64_t version) const;                 // of this box in an order by hash that all boxes share
     const PieceSet* Find(uint64_t version) const;                   // null: nothing
@@ -73,6 +74,7 @@
     awaitable<void>          TellLoop();
     void                     AdaptSlots(Job& job, Duration took);
     ChunkOutcome             Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
+    awaitable<void>          AwaitPeers(std::shared_ptr<Job> job);
     void                     Begin(const std::shared_ptr<Job>& job);
     void                     AskWhatItHas(uint64_t version, const std::string& peer);
     void                     Pump(const std::shared_ptr<Job>& job);
@@ -86,14 +88,15 @@
     std::vector<std::string> Members(bool own_data_centre) const;
     std::string              NameOf(uint64_t version) const;
 
-    asio::io_context&            m_Ioc;      //
-    PieceOrigin&                 m_Origin;   //
-    ModelServer&                 m_Server;   //
-    ProcessName                  m_Self;     // m_Name is the listening address of the links
-    PieceLinks                   m_Links;    //
-    std::vector<PeerBox>         m_Peers;    //
-    std::optional<Endpoint>      m_OriginAt; //
-    std::string                  m_Model;    //
+    asio::io_context&            m_Ioc;       //
+    PieceOrigin&                 m_Origin;    //
+    ModelServer&                 m_Server;    //
+    ProcessName                  m_Self;      // m_Name is the listening address of the links
+    PieceLinks                   m_Links;     //
+    std::vector<PeerBox>         m_Peers;     //
+    TimePoint                    m_PeersAt{}; // when the set of peers changed last
+    std::optional<Endpoint>      m_OriginAt;  //
+    std::string                  m_Model;     //
     uint64_t                     m_Version = 0;
     uint64_t                     m_Held    = 0;
     std::map<uint64_t, PieceSet> m_Sets;         // by version; at most kVersionsKept
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -11,7 +11,7 @@
 constexpr auto     kReportEvery = milliseconds(75);  // of the own server
 constexpr auto     kReportMax   = milliseconds(400); //
 constexpr unsigned kMissedMax   = 2;                 // reports in a row without an answer after which the server counts as lost
-constexpr auto     kPlanEvery   = milliseconds(100);  //
+constexpr auto     kPlanEvery   = milliseconds(100); //
 constexpr auto     kPieceMax    = milliseconds(800); // for putting or reading one piece
 constexpr auto     kOrderMax    = milliseconds(800); // for the answer to an order
 constexpr auto     kOrderDone   = seconds(6);        // an order that shows no effect for this long is given again
