A spoilt list of digests is not taken back from neighbours; true verdicts and counts; one race

A server's 201 or 404 was logged as not-run; a stream broken off counted as answered; the retry budget kept its assumed number of routers.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -245,8 +245,8 @@
 
     ~Registration()
     {
-        m_Connection->m_Stream = nullptr; // on the stream's strand: a posted close finds nothing
-        std::lock_guard lock(m_Impl.m_Mutex);
+        std::lock_guard lock(m_Impl.m_Mutex); // CloseAfterAnswer() reads m_Stream under it
+        m_Connection->m_Stream = nullptr;     // on the stream's strand: a posted close finds nothing
         m_Impl.m_Connections.erase(m_Connection);
     }
 
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -160,7 +160,8 @@
         call.m_Fault = std::move(res);
         co_return AttemptEnd_ServerFault;
     }
-    call.m_FirstAt = Now();
+    call.m_FirstAt    = Now();
+    call.m_MayHaveRun = true; // for the log: the answer is a server's, whatever its status
     co_await Answer(call, std::move(res));
     co_return AttemptEnd_Answered;
 }
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -41,6 +41,11 @@
 
 RetryBudget& DirectServe::Impl::Budget(const std::string& service)
 {
+    if (m_BudgetRouters == 0 && m_Choice.RoutersHint() > 0) // known for the first time
+    {
+        m_BudgetRouters = m_Choice.RoutersHint();
+        m_Budgets.clear();
+    }
     std::unique_ptr<RetryBudget>& b = m_Budgets[service];
     if (!b)
     {
@@ -188,6 +193,7 @@
         co_return;
     if (call.m_HeadSent)
     {
+        call.m_BrokenOff = true;
         call.m_Reply.Abort(); // the caller sees a broken answer, and may take it up after the last event
         co_return;
     }
@@ -244,11 +250,11 @@
     whole.Record(ToSeconds(now - call.m_StartedAt));
     if (call.m_FirstAt != TimePoint{})
         first.Record(ToSeconds(call.m_FirstAt - call.m_StartedAt));
-    Counter& c = call.m_Abort.Aborted()                        ? gone
-                 : call.m_Status == 503                        ? refused
-                 : call.m_Status >= 400 && call.m_Status < 500 ? denied
-                 : call.m_Status >= 500 || call.m_Status == 0  ? failed
-                                                               : ok;
+    Counter& c = call.m_Abort.Aborted()                                           ? gone
+                 : call.m_Status == 503                                           ? refused
+                 : call.m_Status >= 400 && call.m_Status < 500                    ? denied
+                 : call.m_Status >= 500 || call.m_Status == 0 || call.m_BrokenOff ? failed
+                                                                                  : ok;
     c.Add(1);
 }
 
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -33,6 +33,7 @@
     HttpAbort                   m_Abort;              // ends the exchange under way when the caller leaves
     std::vector<std::string>    m_Tried;              // servers that the request was sent to
     bool                        m_MayHaveRun = false; // some server may have run it
+    bool                        m_BrokenOff  = false; // the answer was begun and ended before its end
     bool                        m_HeadSent   = false; // the answer's head went to the caller
     unsigned                    m_Events     = 0;     // streams: events passed on
     std::string                 m_LastEvent;          // streams: id of the last event passed on, or where the caller asked to go on
@@ -50,14 +51,15 @@
 
 struct DirectServe::Impl
 {
-    Daemon&                                             m_Daemon;       //
-    DirectServeSettings                                 m_Settings;     //
-    RoutingWorld&                                       m_World;        //
-    const RequestProtocol&                              m_Protocol;     //
-    HttpClient                                          m_Client;       //
-    ServerChoice                                        m_Choice;       //
-    std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;      // by service
-    uint64_t                                            m_InFlight = 0; // requests from their head to their last byte
+    Daemon&                                             m_Daemon;            //
+    DirectServeSettings                                 m_Settings;          //
+    RoutingWorld&                                       m_World;             //
+    const RequestProtocol&                              m_Protocol;          //
+    HttpClient                                          m_Client;            //
+    ServerChoice                                        m_Choice;            //
+    std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;           // by service
+    uint32_t                                            m_BudgetRouters = 0; // routers that m_Budgets were built for; 0: assumed
+    uint64_t                                            m_InFlight      = 0; // requests from their head to their last byte
 
     Impl(Daemon& daemon, const DirectServeSettings& s, RoutingWorld& world, const RequestProtocol& protocol);
 
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -15,6 +15,7 @@
 constexpr double kRateWindowS    = 2;    // over which the rate of sending is a mean
 constexpr double kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
 constexpr double kFewFirsts      = 5;    // first attempts below which that share says little
+constexpr double kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
 constexpr double kWayMs          = 3;    // of a request and its first event between boxes
 constexpr double kReadShareMax   = 0.8;  // of an engine's time
 constexpr double kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
@@ -152,7 +153,7 @@
             continue;
         best.m_Candidates++;
         const double far  = entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
-        const double tie  = static_cast<double>(m_Random() >> 11) * 0x1p-53 * m_Config.m_TieMs;
+        const double tie  = static_cast<double>(m_Random() >> 11) * 0x1p-53 * (need.m_Service->m_Engine ? m_Config.m_TieMs : kPlainTieMs);
         const double cost = ms + far + tie + s.m_FailShare * m_Config.m_FailWeight * goal;
         if (best.m_Server != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
             continue;
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -266,12 +266,15 @@
     PieceSet& set = m_Sets[job->m_Version];
     if (set.m_List)
         co_return true;
-    const bool from_peers = co_await ListFromPeers(job);
+    const bool doubted    = m_DoubtedList == job->m_Version;
+    bool       from_peers = false;
+    if (!doubted)
+        from_peers = co_await ListFromPeers(job);
     if (from_peers)
         co_return true;
     const std::vector<std::string> members = Members(true);
     const size_t                   rank    = RendezvousRank(NameOf(job->m_Version), members, m_Self.m_Name);
-    const bool                     turn    = Now() >= job->m_StartedAt + static_cast<int>(rank) * kListPerRank;
+    const bool                     turn    = doubted || Now() >= job->m_StartedAt + static_cast<int>(rank) * kListPerRank;
     if (!turn || !m_OriginAt || job->m_Over)
         co_return false;
     auto list = co_await m_Origin.ReadList(*m_OriginAt, m_Model, job->m_Version, Now() + kListMax);
@@ -282,6 +285,7 @@
     }
     if (job->m_Over)
         co_return false;
+    m_DoubtedList     = m_DoubtedList == job->m_Version ? 0 : m_DoubtedList;
     PieceSet& now_set = m_Sets[job->m_Version];
     now_set.m_List    = std::make_shared<PieceList>(std::move(list.value()));
     now_set.m_Pieces.resize(now_set.m_List->m_Digests.size());
@@ -503,6 +507,7 @@
     const uint64_t version = job->m_Version;
     job->m_Over            = true;
     m_Sets.erase(version);
+    m_DoubtedList = version; // neighbours may have taken the spoilt list from here
     Want(version);
     co_return outcome;
 }
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -99,11 +99,12 @@
     std::string                  m_Model;     //
     uint64_t                     m_Version = 0;
     uint64_t                     m_Held    = 0;
-    std::map<uint64_t, PieceSet> m_Sets;         // by version; at most kVersionsKept
-    std::shared_ptr<Job>         m_Job;          // null: nothing under way
-    std::deque<Upload>           m_Uploads;      // at most kUploadsMax
-    asio::steady_timer           m_UploadWake;   // cancelled when m_Uploads gets an entry
-    TokenBucket                  m_UploadBucket; // bytes
+    std::map<uint64_t, PieceSet> m_Sets;            // by version; at most kVersionsKept
+    std::shared_ptr<Job>         m_Job;             // null: nothing under way
+    std::deque<Upload>           m_Uploads;         // at most kUploadsMax
+    asio::steady_timer           m_UploadWake;      // cancelled when m_Uploads gets an entry
+    TokenBucket                  m_UploadBucket;    // bytes
+    uint64_t                     m_DoubtedList = 0; // version whose list of digests is read from the origin again, not from neighbours
     uint64_t                     m_BytesOrigin = 0;
     uint64_t                     m_BytesPeers  = 0;
 };
