--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -23,7 +23,7 @@
 namespace aldervale
 {
 
-constexpr auto kLapseGrace = milliseconds(2200); // servers write their entries again within about two seconds of the store's return
+constexpr auto kLapseGrace = milliseconds(1900); // servers write their entries again within about two seconds of the store's return
 
 struct ServerEntry
 {
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -22,7 +22,7 @@
     Duration              m_Quiet  = milliseconds(700);    // pause after an answer without changes: changes of other tables end standing requests too
     std::function<bool()> m_Urgent;                        // changes matter now: short pauses; empty: always
     Duration              m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
-    Duration              m_RetryMax = milliseconds(800);  //
+    Duration              m_RetryMax = milliseconds(500);  //
     Duration              m_ReadMax  = milliseconds(1500); // for a read of the whole table
 };
 
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr auto kExpireEvery   = milliseconds(500);  // looks for servers kept over an outage of the store
+constexpr auto kExpireEvery   = milliseconds(100);  // looks for servers kept over an outage of the store
 constexpr auto kUnknownNaming = milliseconds(2500); // that older weights may be used when a version was named before the start
 constexpr auto kDrainNotice   = milliseconds(2600); // the balancer asks once a second, and twice before it sends callers elsewhere
 
