--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -2,7 +2,6 @@
 #include "process/table_follower.h"
 #include "common/hash.h"
 #include "common/log.h"
-#include "process/daemon.h"
 
 namespace aldervale
 {
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -119,12 +119,6 @@
     return e == std::errc() && end == number.data() + number.size() ? std::optional<uint64_t>(v) : std::nullopt;
 }
 
-awaitable<void> Pause(Duration d)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, d);
-    co_await timer.async_wait(kNoThrow);
-}
-
 } // namespace
 
 struct PieceTransfer::Job
@@ -247,7 +241,7 @@
     {
         listed = co_await ObtainList(job);
         if (!listed)
-            co_await Pause(kListRetry);
+            co_await SleepFor(kListRetry);
     }
     if (job->m_Over)
         co_return;
@@ -257,7 +251,7 @@
     while (!job->m_Over)
     {
         Pump(job);
-        co_await Pause(kPumpEvery);
+        co_await SleepFor(kPumpEvery);
     }
 }
 
@@ -357,7 +351,7 @@
 {
     const TimePoint latest = job->m_StartedAt + kPeersMax;
     while (m_Held == 0 && !job->m_Over && Now() < latest && Now() < m_PeersAt + kPeersRest)
-        co_await Pause(kListRetry);
+        co_await SleepFor(kListRetry);
 }
 
 void PieceTransfer::Begin(const std::shared_ptr<Job>& job)
@@ -629,11 +623,11 @@
         co_return;
     }
     const TimePoint go = m_UploadBucket.Reserve(static_cast<double>(bytes->size()), Now());
-    co_await Pause(go - Now());
+    co_await SleepFor(go - Now());
     u.m_Link->Send(EncodeChunk(u.m_Exchange, NameOf(u.m_Version), u.m_Piece, *bytes));
     const TimePoint until = Now() + kPieceMax; // a neighbour that reads slowly may not hold up the others for longer
     while (u.m_Link->Queued() > kUploadQueued && !u.m_Link->Closed() && Now() < until)
-        co_await Pause(kUploadPoll);
+        co_await SleepFor(kUploadPoll);
 }
 
 void PieceTransfer::OnListGet(const LinkPtr& link, uint64_t exchange, const wire::ManifestGet& get)
@@ -652,7 +646,7 @@
     for (;;)
     {
         const bool idle = !m_Job || (m_Job->m_Over && m_Job->m_News.empty());
-        co_await Pause(idle ? kTellIdle : kTellEvery);
+        co_await SleepFor(idle ? kTellIdle : kTellEvery);
         if (!m_Job || m_Job->m_News.empty())
             continue;
         wire::HaveUpdateT have;
