--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -13,8 +13,9 @@
 
 void TableFollower::Start()
 {
+    // A strand: the store's connections end reads by timers, which may not run beside the read on another thread.
     asio::co_spawn(
-        m_Ioc, [self = shared_from_this()] { return self->Run(); }, asio::detached);
+        asio::make_strand(m_Ioc), [self = shared_from_this()] { return self->Run(); }, asio::detached);
 }
 
 awaitable<void> TableFollower::Run()
