Weights: up to eight pieces asked at once, one request a box at the origin

Cause: a box moved 24 pieces a second where its link carries 37: four requests at a time, each some 170 ms in the queues of busy neighbours. Ruled out: the origin (it keeps 33 of 37 pieces a second) and a box's upload share (66% busy).

--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -12,7 +12,7 @@
 
 constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
 constexpr size_t   kVersionsKept = 2;                  // in memory: the one in use and the one under way
-constexpr unsigned kUploadsMax   = 4;                  // waiting; more are refused as busy
+constexpr unsigned kUploadsMax   = 6;                  // waiting; more are refused as busy
 constexpr double   kUploadShare  = 0.85;               // of the box's link: the rest is for live answers
 constexpr size_t   kUploadQueued = 4 * 1024;           // bytes left to send on a link below which the next piece may follow
 constexpr auto     kUploadPoll   = milliseconds(5);    // looks whether a link has taken a piece
@@ -27,7 +27,7 @@
 constexpr auto     kPieceMax     = milliseconds(1200); // for one piece from a neighbour
 constexpr auto     kOriginMax    = milliseconds(2000); // for one piece from the origin
 constexpr unsigned kSlotsMin     = 1;                  // pieces asked of neighbours at once: as many as arrive in time
-constexpr unsigned kSlotsMax     = 4;                  //
+constexpr unsigned kSlotsMax     = 8;                  //
 constexpr auto     kPieceSlow    = milliseconds(400);  // a piece that took longer queues on this box's link, before live requests
 constexpr auto     kPieceQuick   = milliseconds(220);  // one that took less leaves room for another
 constexpr auto     kOwnMax       = milliseconds(500);  // for one call to the own server
@@ -38,7 +38,7 @@
 {
     ExchangeConfig c;
     c.m_DownloadSlots = kSlotsMax;
-    c.m_OriginSlots   = 2;
+    c.m_OriginSlots   = 1; // the origin takes few connections, and each box waits there as long with one as with two
     c.m_PerPeer       = 2;
     c.m_OriginRanks   = 64; // no cap on copies: a piece that is nowhere must be had, each further rank only steps in later
     c.m_TakeOver      = milliseconds(900);
