--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -130,6 +130,7 @@
     Duration                                 m_IdleMax    = seconds(10);        // a kept connection that rested longer isn't used
     std::function<bool(const HttpResponse&)> m_IsOurs;                          // false for an answer to another request: it is skipped
     HttpAbort*                               m_Abort = nullptr;                 // must outlive the call and its stream
+    bool                                     m_Keep  = true;                    // the connection is kept for later calls; else closed after this one
     bool                                     m_Probe = false;                   // keep-alive probes: a peer that falls silent is seen in seconds
 };
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -232,7 +232,7 @@
             for (const auto& f : m_Parser->get()) // Beast puts trailers behind the head's fields
                 if (FindField(m_Head.m_Fields, std::string_view(f.name_string().data(), f.name_string().size())).empty())
                     m_Trailers.push_back({std::string(f.name_string()), std::string(f.value())});
-            if (m_Parser->keep_alive() && m_Connection->m_Buffer.size() == 0 && Stream().socket().is_open())
+            if (m_Options.m_Keep && m_Parser->keep_alive() && m_Connection->m_Buffer.size() == 0 && Stream().socket().is_open())
                 m_Impl->PutIdle(m_Key, Stream().release_socket(), KeepFor(m_Head.m_Fields));
             m_Connection.reset();
         }
@@ -249,7 +249,7 @@
     std::vector<char>                 m_Piece;      //
 };
 
-http::request<http::string_body> ToMessage(const HttpRequest& req, const std::string& host)
+http::request<http::string_body> ToMessage(const HttpRequest& req, const std::string& host, bool keep)
 {
     http::request<http::string_body> msg(http::verb::get, req.m_Target, 11);
     msg.method_string(req.m_Method);
@@ -258,7 +258,7 @@
     if (msg.find(http::field::host) == msg.end())
         msg.set(http::field::host, host);
     msg.body() = req.m_Body;
-    msg.keep_alive(true);
+    msg.keep_alive(keep);
     msg.prepare_payload();
     return msg;
 }
@@ -267,7 +267,7 @@
 awaitable<Result<HttpStreamPtr>> OpenOn(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c, const HttpRequest& req,
                                         TimePoint deadline, HttpCallOptions options)
 {
-    http::request<http::string_body> msg = ToMessage(req, key);
+    http::request<http::string_body> msg = ToMessage(req, key, options.m_Keep);
     c->m_Stream.expires_at(deadline);
     auto answer  = std::make_unique<BeastStream>(impl, key, std::move(c), std::move(options));
     auto [ec, n] = co_await http::async_write(answer->Stream(), msg, kNoThrow);
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -64,7 +64,7 @@
         return;
     a.m_Declared = spec.m_Version;
     if (spec.m_Origin)
-        a.m_Transfer->SetOrigin(spec.m_Origin->m_Address);
+        a.m_Transfer->SetOrigin(*spec.m_Origin);
     for (const Service& s : spec.m_Services)
         if (s.m_Name == a.m_Settings.m_Service && s.m_Engine && s.m_Engine->m_Pieces > 0)
             a.m_Model = s.m_Engine->m_Model;
--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -182,8 +182,9 @@
         m_NextWake = t;
 }
 
-// Chunk c starts at member c mod n and goes on with the next; members known dead don't count, so the ones behind them move up.
-// Walking back from the own place gives the chunks of rank 0, 1, ... without looking at all chunks for each.
+// With n sharers, chunk c starts at member c mod n and goes on with the next sharer. The members behind the sharers come in rounds of n: one
+// in round r stands r places behind the sharer at its own place. Members known dead don't count, so the ones behind them move up. Walking
+// back from the own place gives the chunks of rank 0, 1, ... without looking at all chunks for each.
 std::optional<uint32_t> Exchange::BestFromOrigin(TimePoint now)
 {
     std::optional<uint32_t> best;
@@ -198,20 +199,23 @@
             consider(c);
     if (m_Config.m_Mode != ExchangeMode_Spread || m_Self == SIZE_MAX)
         return best;
-    const size_t n = m_Members.size();
-    for (size_t c = m_Self; c < m_Have.size(); c += n)
+    const size_t n     = std::min(m_Members.size(), std::max<size_t>(1, m_Config.m_OriginSharers));
+    const size_t place = m_Self % n;
+    const size_t round = m_Self / n;
+    for (size_t c = place; round == 0 && c < m_Have.size(); c += n)
         consider(static_cast<uint32_t>(c));
     if (best || m_OriginFlying > 0)
         return best;
-    // All members have the same number of chunks to fetch first and share the origin's link, so they end at about the same time: from
+    // All sharers have the same number of chunks to fetch first and share the origin's link, so they end at about the same time: from
     // when the own ones are done, the wait before stepping in for others is counted. A slow origin thus delays it by itself.
     if (!m_OwnOriginDoneAt)
-        m_OwnOriginDoneAt = now;
-    size_t rank = 0;
-    for (size_t back = 1; back < n; back++)
+        m_OwnOriginDoneAt = round == 0 ? now : now + m_Config.m_SharersTime;
+    size_t rank = round;
+    for (size_t back = round == 0 ? 1 : 0; back < n; back++)
     {
-        const size_t first = (m_Self + n - back) % n;
-        rank += m_GoneMembers.contains(first) ? 0 : 1; // live members from `first` up to, and without, the own place
+        const size_t first = (place + n - back) % n;
+        if (back > 0)
+            rank += m_GoneMembers.contains(first) ? 0 : 1; // live sharers from `first` up to, and without, the own place
         if (rank >= m_Config.m_OriginRanks)
             break;
         const TimePoint due = *m_OwnOriginDoneAt + static_cast<int>(rank) * m_Config.m_TakeOver;
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -4,8 +4,8 @@
 //
 // How it decides:
 //   - Each chunk has its fetchers from the origin in an order that every box computes alike: the members of the scope, permuted by
-//     hash, take the chunks in turn, so that each member fetches the same number. The next in order steps in m_TakeOver after its own
-//     share is done, if the chunk is still nowhere among the neighbours, but never beyond m_OriginRanks members a chunk: that is the
+//     hash, take the chunks in turn, so that each member fetches the same number; only the first m_OriginSharers of them do, for the origin
+//     takes few connections, and the others stand behind these. The next in order steps in m_TakeOver after its own share is done, if the chunk is still nowhere among the neighbours, but never beyond m_OriginRanks members a chunk: that is the
 //     hard cap on copies.
 //   - All else comes from neighbours, rarest chunk first, ties by a hash of box and chunk so that neighbours ask for different ones;
 //     a neighbour in the own data centre goes before one elsewhere, then the one with the fewest requests of ours.
@@ -54,6 +54,8 @@
     unsigned     m_UploadSlots   = 3;                   // uploads in flight, more are refused as busy
     unsigned     m_PerPeer       = 1;                   // requests in flight to one neighbour
     double       m_UploadBudget  = 1.05;                // copies of the version this box uploads unless asked urgently
+    size_t       m_OriginSharers = SIZE_MAX;            // members that share out the chunks among them; the others only step in
+    Duration     m_SharersTime   = milliseconds(2500);  // that the sharers have before the wait of the others is counted
     unsigned     m_OriginRanks   = 3;                   // members that may fetch one chunk from the origin: hard cap on copies
     Duration     m_TakeOver      = milliseconds(1500);  // wait per rank before the next in order steps in, from when its own share is done
     Duration     m_BusyPause     = milliseconds(30);    // after a busy answer
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -32,9 +32,10 @@
 constexpr auto     kPieceQuick   = milliseconds(220);  // one that took less leaves room for another
 constexpr auto     kOwnMax       = milliseconds(500);  // for one call to the own server
 constexpr auto     kPumpEvery    = milliseconds(200);  // looks at what to fetch next also without an event
+constexpr double   kOriginShare  = 0.75;               // of the connections that the origin takes, for sharing out its pieces; the rest is for lists and those who step in
 constexpr unsigned kBadListAfter = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
 
-ExchangeConfig TransferConfig()
+ExchangeConfig TransferConfig(const std::optional<WeightOrigin>& origin)
 {
     ExchangeConfig c;
     c.m_DownloadSlots = kSlotsMax;
@@ -47,6 +48,8 @@
     c.m_ChunkTimeout  = kPieceMax;
     c.m_OriginPause   = milliseconds(150);
     c.m_ForgetStalled = true;
+    if (origin && origin->m_MaxConnections > 0)
+        c.m_OriginSharers = static_cast<size_t>(origin->m_MaxConnections * kOriginShare);
     return c;
 }
 
@@ -271,7 +274,7 @@
     const bool                     turn    = doubted || Now() >= job->m_StartedAt + static_cast<int>(rank) * kListPerRank;
     if (!turn || !m_OriginAt || job->m_Over)
         co_return false;
-    auto list = co_await m_Origin.ReadList(*m_OriginAt, m_Model, job->m_Version, Now() + kListMax);
+    auto list = co_await m_Origin.ReadList(m_OriginAt->m_Address, m_Model, job->m_Version, Now() + kListMax);
     if (!list || !UsableList(list.value()))
     {
         LogEvent(Event_OriginUnreachable, {{"version", job->m_Version}, {"what", list ? "list of digests is spoilt" : list.error().m_Message}});
@@ -365,7 +368,7 @@
             present.push_back(n);
     job->m_Manifest = ToManifest(NameOf(job->m_Version), *set.m_List);
     job->m_News     = present;
-    job->m_Exchange = std::make_unique<Exchange>(job->m_Manifest, TransferConfig(), Members(false), m_Self.m_Name, present);
+    job->m_Exchange = std::make_unique<Exchange>(job->m_Manifest, TransferConfig(m_OriginAt), Members(false), m_Self.m_Name, present);
     job->m_Exchange->SetImporters(Members(true));
     // A box that holds an older version has its links, and nobody has the newer one yet.
     const bool at_once = m_Held > 0 || m_Peers.empty();
@@ -484,7 +487,7 @@
 
 awaitable<ChunkOutcome> PieceTransfer::FromOrigin(std::shared_ptr<Job> job, uint32_t n)
 {
-    auto bytes = co_await m_Origin.ReadPiece(*m_OriginAt, m_Model, job->m_Version, n, Now() + kOriginMax);
+    auto bytes = co_await m_Origin.ReadPiece(m_OriginAt->m_Address, m_Model, job->m_Version, n, Now() + kOriginMax);
     if (!bytes || job->m_Over)
     {
         if (!bytes)
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -13,6 +13,7 @@
 #include "external/model_server.h"
 #include "version/exchange.h"
 #include "version/piece_links.h"
+#include "version/route_table.h"
 #include "version/token_bucket.h"
 #include <deque>
 
@@ -37,7 +38,7 @@
 
     Status          Listen(const Endpoint& at) { return m_Links.Listen(at); }
     void            SetModel(const std::string& model); // whose pieces are offered and fetched; empty: not known yet
-    void            SetOrigin(const Endpoint& at) { m_OriginAt = at; }
+    void            SetOrigin(const WeightOrigin& origin) { m_OriginAt = origin; }
     void            SetPeers(std::vector<PeerBox> peers);
     void            Want(uint64_t version);                         // gives up another version that is under way
     void            SetHeld(uint64_t version) { m_Held = version; } // that the own server holds: its staged pieces are offered too
@@ -95,7 +96,7 @@
     PieceLinks                   m_Links;     //
     std::vector<PeerBox>         m_Peers;     //
     TimePoint                    m_PeersAt{}; // when the set of peers changed last
-    std::optional<Endpoint>      m_OriginAt;  //
+    std::optional<WeightOrigin>  m_OriginAt;  // as declared
     std::string                  m_Model;     //
     uint64_t                     m_Version = 0;
     uint64_t                     m_Held    = 0;
--- a/tests/test_exchange.cpp
+++ b/tests/test_exchange.cpp
@@ -28,12 +28,11 @@
 // Boxes in a ring of neighbours; time moves in ticks of 10 ms; a transfer takes one tick.
 struct FakeFleet
 {
-    FakeFleet(size_t boxes, uint32_t chunks, const Faults& faults, uint64_t seed)
+    FakeFleet(size_t boxes, uint32_t chunks, const Faults& faults, uint64_t seed, const ExchangeConfig& cfg = {})
         : m_Manifest(MakeTestManifest(chunks)), m_Faults(faults), m_Random(seed)
     {
         for (size_t i = 0; i < boxes; i++)
             m_Names.push_back("box-" + std::to_string(i));
-        ExchangeConfig cfg;
         for (size_t i = 0; i < boxes; i++)
             m_Boxes.push_back(std::make_unique<Exchange>(m_Manifest, cfg, m_Names, m_Names[i], std::vector<uint32_t>()));
         for (size_t i = 0; i < boxes; i++)
@@ -176,6 +175,49 @@
         BOOST_CHECK_EQUAL(box->BytesFromOrigin(), 10 * kChunkSizeMin);
 }
 
+BOOST_AUTO_TEST_CASE(an_origin_that_takes_few_connections_is_read_by_few_members)
+{
+    constexpr size_t   kSharers = 5;
+    constexpr uint32_t kChunks  = 60;
+    ExchangeConfig     cfg;
+    cfg.m_OriginSharers = kSharers;
+    FakeFleet fleet(17, kChunks, {}, 7, cfg);
+    BOOST_REQUIRE(fleet.Run(20'000));
+    size_t readers = 0;
+    for (const auto& box : fleet.m_Boxes)
+    {
+        readers += box->BytesFromOrigin() > 0 ? 1 : 0;
+        if (box->BytesFromOrigin() > 0)
+            BOOST_CHECK_EQUAL(box->BytesFromOrigin(), kChunks / kSharers * kChunkSizeMin);
+    }
+    BOOST_TEST(readers == kSharers);
+    BOOST_TEST(fleet.m_OriginReads == kChunks);
+}
+
+BOOST_AUTO_TEST_CASE(members_behind_the_sharers_step_in_when_these_are_silent)
+{
+    constexpr uint32_t kChunks = 20;
+    const auto         m       = MakeTestManifest(kChunks);
+    ExchangeConfig     cfg;
+    cfg.m_OriginSharers = 2;
+    cfg.m_OriginRanks   = 64;
+    std::vector<std::string> members;
+    for (int i = 0; i < 9; i++)
+        members.push_back("box-" + std::to_string(i));
+    for (const std::string& self : members) // alone: nobody else is heard of
+    {
+        Exchange  x(m, cfg, members, self, {});
+        TimePoint now{};
+        for (int step = 0; step < 10'000 && !x.Complete(); step++)
+        {
+            for (const Fetch& f : x.Next(now))
+                x.OnChunk(f.m_Chunk, f.m_Peer, ChunkOutcome_Good, now);
+            now += milliseconds(10);
+        }
+        BOOST_TEST(x.Complete());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(copy_completes_under_deaths_and_corruption_within_the_origin_cap)
 {
     ALDERVALE_PROPERTY("all that live complete; no chunk is read from the origin beyond the cap",
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -170,7 +170,7 @@
 
     void Start(const std::vector<PeerBox>& peers)
     {
-        m_Transfer->SetOrigin(m_At); // the fake doesn't look at it
+        m_Transfer->SetOrigin({m_At, 0, 0}); // the fake doesn't look at it
         m_Transfer->SetPeers(peers);
         m_Keeper->SetModel("m");
         m_Keeper->Start();
