Origin: as many boxes share out its pieces as fill its link, each on one connection

Cause: 36 sharers put a second of pieces into the origin's link, and the answer to a new connection's first packet waits behind them: 1,201 connections timed out after 400 ms. Now a piece waits some 320 ms there (declared link and piece size), connections last for the own share.

--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -190,8 +190,7 @@
     std::optional<uint32_t> best;
     const auto              consider = [&](uint32_t c)
     {
-        const bool wanted = !m_Have[c] && m_Flying[c] == 0 && m_Holders[c] == 0;
-        if (wanted && (!best || m_Order[c] < m_Order[*best]))
+        if (WantedFromOrigin(c) && (!best || m_Order[c] < m_Order[*best]))
             best = c;
     };
     if (m_Config.m_Mode == ExchangeMode_OriginOnly || (m_Config.m_Mode == ExchangeMode_Chain && m_Self == 0))
@@ -199,7 +198,7 @@
             consider(c);
     if (m_Config.m_Mode != ExchangeMode_Spread || m_Self == SIZE_MAX)
         return best;
-    const size_t n     = std::min(m_Members.size(), std::max<size_t>(1, m_Config.m_OriginSharers));
+    const size_t n     = Sharers();
     const size_t place = m_Self % n;
     const size_t round = m_Self / n;
     for (size_t c = place; round == 0 && c < m_Have.size(); c += n)
@@ -230,6 +229,25 @@
     return best;
 }
 
+size_t Exchange::Sharers() const
+{
+    return std::max<size_t>(1, std::min(m_Members.size(), m_Config.m_OriginSharers));
+}
+
+bool Exchange::WantedFromOrigin(uint32_t chunk) const
+{
+    return !m_Have[chunk] && m_Flying[chunk] == 0 && m_Holders[chunk] == 0;
+}
+
+bool Exchange::SharesMore() const
+{
+    const size_t n = Sharers();
+    for (size_t c = m_Self; m_Self < n && c < m_Have.size(); c += n)
+        if (WantedFromOrigin(static_cast<uint32_t>(c)))
+            return true;
+    return false;
+}
+
 void Exchange::PickFromOrigin(std::vector<Fetch>& out, TimePoint now)
 {
     if (m_OriginHeld)
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -111,6 +111,7 @@
     void                     OnChunk(uint32_t chunk, const std::string& peer, ChunkOutcome outcome, TimePoint now);
     bool                     Complete() const { return m_HaveCount == m_Manifest->m_ChunkCount; }
     bool                     Has(uint32_t chunk) const { return m_Have[chunk]; }
+    bool                     SharesMore() const; // chunks of the own share are left that are neither here nor in flight
     uint32_t                 HaveCount() const { return m_HaveCount; }
     std::optional<TimePoint> NextWake() const { return m_NextWake; } // when Next() may have more to say without an event
 
@@ -141,6 +142,8 @@
     };
 
     std::optional<uint32_t> BestFromOrigin(TimePoint now); // also moves m_NextWake
+    size_t                  Sharers() const;               // members that share out the origin's chunks; at least 1
+    bool                    WantedFromOrigin(uint32_t chunk) const;
     bool                    Usable(const Peer& p, TimePoint now) const;
     void                    AddHave(Peer& p, uint32_t chunk);
     void                    RemoveHave(Peer& p, uint32_t chunk);
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -32,10 +32,25 @@
 constexpr auto     kPieceQuick   = milliseconds(220);  // one that took less leaves room for another
 constexpr auto     kOwnMax       = milliseconds(500);  // for one call to the own server
 constexpr auto     kPumpEvery    = milliseconds(200);  // looks at what to fetch next also without an event
-constexpr double   kOriginShare  = 0.75;               // of the connections that the origin takes, for sharing out its pieces; the rest is for lists and those who step in
+constexpr double   kOriginShare  = 0.75;               // of the connections that the origin takes, at most for sharing out its pieces
+constexpr auto     kOriginQueue  = milliseconds(320);  // that a piece waits on the origin's link behind others: well under kOriginMax
+constexpr size_t   kSharersMin   = 4;                  //
+constexpr double   kBytesPerMbit = 1e6 / 8;            //
 constexpr unsigned kBadListAfter = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
 
-ExchangeConfig TransferConfig(const std::optional<WeightOrigin>& origin)
+// Boxes that share out the origin's pieces, one request each: enough to fill its link, few enough that a piece waits there for kOriginQueue,
+// and some of the connections that it takes are left to others.
+size_t OriginSharers(const std::optional<WeightOrigin>& origin, uint32_t piece_bytes)
+{
+    size_t n = SIZE_MAX;
+    if (origin && origin->m_MaxConnections > 0)
+        n = static_cast<size_t>(origin->m_MaxConnections * kOriginShare);
+    if (origin && origin->m_Mbps > 0 && piece_bytes > 0)
+        n = std::min(n, static_cast<size_t>(ToSeconds(kOriginQueue) * origin->m_Mbps * kBytesPerMbit / piece_bytes));
+    return std::max(n, kSharersMin);
+}
+
+ExchangeConfig TransferConfig(const std::optional<WeightOrigin>& origin, uint32_t piece_bytes)
 {
     ExchangeConfig c;
     c.m_DownloadSlots = kSlotsMax;
@@ -48,8 +63,7 @@
     c.m_ChunkTimeout  = kPieceMax;
     c.m_OriginPause   = milliseconds(150);
     c.m_ForgetStalled = true;
-    if (origin && origin->m_MaxConnections > 0)
-        c.m_OriginSharers = static_cast<size_t>(origin->m_MaxConnections * kOriginShare);
+    c.m_OriginSharers = OriginSharers(origin, piece_bytes);
     return c;
 }
 
@@ -368,7 +382,7 @@
             present.push_back(n);
     job->m_Manifest = ToManifest(NameOf(job->m_Version), *set.m_List);
     job->m_News     = present;
-    job->m_Exchange = std::make_unique<Exchange>(job->m_Manifest, TransferConfig(m_OriginAt), Members(false), m_Self.m_Name, present);
+    job->m_Exchange = std::make_unique<Exchange>(job->m_Manifest, TransferConfig(m_OriginAt, set.m_List->m_PieceBytes), Members(false), m_Self.m_Name, present);
     job->m_Exchange->SetImporters(Members(true));
     // A box that holds an older version has its links, and nobody has the newer one yet.
     const bool at_once = m_Held > 0 || m_Peers.empty();
@@ -487,7 +501,7 @@
 
 awaitable<ChunkOutcome> PieceTransfer::FromOrigin(std::shared_ptr<Job> job, uint32_t n)
 {
-    auto bytes = co_await m_Origin.ReadPiece(m_OriginAt->m_Address, m_Model, job->m_Version, n, Now() + kOriginMax);
+    auto bytes = co_await m_Origin.ReadPiece(m_OriginAt->m_Address, m_Model, job->m_Version, n, job->m_Exchange->SharesMore(), Now() + kOriginMax);
     if (!bytes || job->m_Over)
     {
         if (!bytes)
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -42,7 +42,7 @@
         co_return list;
     }
 
-    awaitable<Result<std::vector<uint8_t>>> ReadPiece(Endpoint, std::string, uint64_t version, uint32_t n, TimePoint) override
+    awaitable<Result<std::vector<uint8_t>>> ReadPiece(Endpoint, std::string, uint64_t version, uint32_t n, bool, TimePoint) override
     {
         m_Reads++;
         if (m_Down)
