Versions are heard of from neighbours, lists asked of those that have them; agents read the store less

Cause, versions: an agent learned of a version 0.1 to 0.45 s after its naming, then asked neighbour after neighbour for the list. Now the first to read of it tells its neighbours, and who has the list says so. A dark origin puts off stepping in for others, so that not all boxes read the same few pieces when it is back.

--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -6,6 +6,9 @@
 namespace aldervale
 {
 
+constexpr uint64_t kCalmParts = 64;         // lengths that a calm pause may have
+constexpr auto     kCalmMean  = seconds(5); // of calm pauses when nothing else is said
+
 TableFollower::TableFollower(asio::io_context& ioc, RowSource& source, std::string table, const TableFollowerConfig& cfg, TableHandlers handlers)
     : m_Ioc(ioc), m_Source(source), m_Table(std::move(table)), m_Config(cfg), m_Handlers(std::move(handlers)), m_Seed(RandomSeed())
 {
@@ -24,7 +27,7 @@
     {
         const bool ok     = m_Synced ? co_await ReadChanges() : co_await ReadAll();
         const bool urgent = !m_Config.m_Urgent || m_Config.m_Urgent();
-        Duration   pause  = !urgent ? m_Config.m_Calm : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
+        Duration   pause  = !urgent ? CalmPause() : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
         if (!ok)
         {
             pause = std::min(m_Config.m_RetryMax, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
@@ -34,6 +37,14 @@
     }
 }
 
+// Processes that were woken by the same change would else all look away together, and none of them would see the next one soon.
+Duration TableFollower::CalmPause()
+{
+    const auto     part = static_cast<int>(Hash64(m_Table, ++m_Seed) % kCalmParts);
+    const Duration mean = m_Config.m_Calm ? m_Config.m_Calm() : Duration(kCalmMean);
+    return mean * (2 * part + 1) / static_cast<int>(kCalmParts); // evenly between nothing and twice the mean
+}
+
 awaitable<bool> TableFollower::ReadAll()
 {
     const auto read = co_await m_Source.ReadAll(m_Table, Now() + m_Config.m_ReadMax);
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -15,15 +15,15 @@
 
 struct TableFollowerConfig
 {
-    Duration              m_Wait   = milliseconds(6000);   // of the standing request: bounds how long a silent loss of the store goes unseen
-    Duration              m_Margin = milliseconds(1200);   // for the answer beyond m_Wait
-    Duration              m_Gather = milliseconds(350);    // pause after changes, so that a series of them is taken together
-    Duration              m_Calm   = milliseconds(5000);   // pause after any answer while changes aren't urgent
-    Duration              m_Quiet  = milliseconds(700);    // pause after an answer without changes: changes of other tables end standing requests too
-    std::function<bool()> m_Urgent;                        // changes matter now: short pauses; empty: always
-    Duration              m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
-    Duration              m_RetryMax = milliseconds(500);  //
-    Duration              m_ReadMax  = milliseconds(1500); // for a read of the whole table
+    Duration                  m_Wait   = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
+    Duration                  m_Margin = milliseconds(1200); // for the answer beyond m_Wait
+    Duration                  m_Gather = milliseconds(350);  // pause after changes, so that a series of them is taken together
+    Duration                  m_Quiet = milliseconds(700); // pause after an answer without changes: changes of other tables end standing requests too
+    std::function<bool()>     m_Urgent;                    // changes matter now: short pauses; empty: always
+    std::function<Duration()> m_Calm;                      // mean pause after any answer while changes aren't urgent; empty: 5 s
+    Duration                  m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
+    Duration                  m_RetryMax = milliseconds(500);  //
+    Duration                  m_ReadMax  = milliseconds(1500); // for a read of the whole table
 };
 
 struct TableHandlers
@@ -45,6 +45,7 @@
 
 private:
     awaitable<void> Run();
+    Duration        CalmPause();
     awaitable<bool> ReadAll();     // false: failed
     awaitable<bool> ReadChanges(); // false: failed
     void            OnFailure(const Error& e);
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -10,7 +10,10 @@
 namespace
 {
 
-constexpr double kBytesPerMbit = 1e6 / 8;
+constexpr double kBytesPerMbit     = 1e6 / 8;
+constexpr auto   kOperatorPause    = milliseconds(75);   // for each box of the service: some agent looks again within twice this, on average
+constexpr auto   kOperatorPauseMin = milliseconds(1500); //
+constexpr auto   kOperatorPauseMax = milliseconds(8000); // declarations must reach an agent, too: the origin's address stands there
 
 struct AgentSettings
 {
@@ -88,12 +91,25 @@
     a.m_Transfer->SetPeers(std::move(peers));
 }
 
-// Each answer of the store is priced, and the other boxes matter only while weights move: until the own server serves, and in a fetch.
-TableFollowerConfig ListPace(const Agent& a)
+// The more agents there are, the sooner one of them reads of a version; and each reads the whole declarations when these change.
+Duration OperatorPause(size_t boxes)
 {
-    TableFollowerConfig c;
-    c.m_Urgent = [&a] { return !a.m_Keeper->Serving() || a.m_Transfer->UnderWay(); };
-    return c;
+    return std::clamp<Duration>(kOperatorPause * static_cast<int>(boxes), kOperatorPauseMin, kOperatorPauseMax);
+}
+
+// Each answer of the store is priced. The other boxes matter only while weights move: until the own server serves, and in a fetch. What the
+// operators declare matters little here, and of a new version an agent hears from the neighbour that reads of it first.
+TablePaces Paces(const Agent& a)
+{
+    TablePaces p;
+    p.m_List.m_Urgent     = [&a] { return !a.m_Keeper->Serving() || a.m_Transfer->UnderWay(); };
+    p.m_Operator.m_Urgent = [&a] { return !a.m_OperatorRead || !a.m_Keeper->Serving(); };
+    p.m_Operator.m_Calm   = [&a] { return OperatorPause(a.m_Transfer->Boxes()); };
+    p.m_Operator.m_Wait   = milliseconds(15'000); // a loss that goes unseen matters less here than on a router
+    p.m_List.m_Wait       = p.m_Operator.m_Wait;
+    p.m_List.m_Gather     = milliseconds(700); // boxes come by the dozen when all start; who fetches what is settled once they rest
+    p.m_List.m_Quiet      = milliseconds(1500);
+    return p;
 }
 
 void FollowStore(Daemon& daemon, Agent& a)
@@ -103,7 +119,7 @@
     h.m_OnNamed        = [&a](const platform::NamedWeights& named) { OnNamed(a, named); };
     h.m_OnOperatorRead = [&a] { a.m_OperatorRead = a.m_OperatorRead || !a.m_Model.empty(); };
     h.m_OnServers      = [&a](bool) { FollowPeers(a); };
-    a.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, ListPace(a), a.m_Servers, h);
+    a.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, Paces(a), a.m_Servers, h);
 }
 
 Status StartAgent(Daemon& daemon, Agent& a)
@@ -119,6 +135,7 @@
     StartPlanConfig plan;
     plan.m_Deadline = milliseconds(a.m_Settings.m_WeightsDeadlineMs);
     a.m_Keeper      = std::make_unique<WeightKeeper>(daemon, plan, *a.m_Server, *a.m_Transfer, *a.m_Publisher);
+    a.m_Transfer->SetOnHeard([&a](uint64_t version) { a.m_Keeper->OnNamed(version, false); }); // a neighbour may read the store sooner
     DaemonHooks hooks;
     hooks.m_Ready    = [&a] { return a.m_Keeper->Serving(); };
     hooks.m_Describe = [&a] { return a.m_Keeper->Describe(); };
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -138,11 +138,11 @@
 //-----------------------------------------------------------------------------
 
 // Entries change singly and often; a leaving server must be known well within two seconds.
-TableFollowerConfig ListPace()
+TablePaces Paces()
 {
-    TableFollowerConfig c;
-    c.m_Gather = milliseconds(500);
-    return c;
+    TablePaces p;
+    p.m_List.m_Gather = milliseconds(500);
+    return p;
 }
 
 void FollowStore(Daemon& daemon, Router& r)
@@ -154,7 +154,7 @@
     h.m_OnListed       = LogServer;
     h.m_OnUnlisted     = [](const Row& row) { LogEvent(Event_ServerUnlisted, {{"server", row.m_Key}, {"row_version", row.m_Version}}); };
     h.m_OnServers      = [&r](bool changed) { OnServers(r, changed); };
-    r.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, ListPace(), r.m_World.m_Servers, h);
+    r.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, Paces(), r.m_World.m_Servers, h);
     asio::co_spawn(
         daemon.Ioc(), [&r] { return ExpireLoop(r); }, asio::detached);
 }
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-PlatformTables::PlatformTables(asio::io_context& ioc, const PlatformSettings& s, const TableFollowerConfig& list_pace, ServerDirectory& servers,
+PlatformTables::PlatformTables(asio::io_context& ioc, const PlatformSettings& s, const TablePaces& paces, ServerDirectory& servers,
                                PlatformHandlers handlers)
     : m_Store(ParseEndpoint(s.m_Store).value()), m_Servers(servers), m_Handlers(std::move(handlers))
 {
@@ -32,8 +32,8 @@
     list.m_OnChanges = [this](const RowRead& read) { OnServerChanges(read); };
     list.m_OnLost    = [this] { m_Servers.OnStoreLost(); };
     list.m_OnReached = [this] { m_Servers.OnStoreReached(Now()); };
-    m_Operator       = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kOperatorTable), TableFollowerConfig{}, operators);
-    m_List           = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kServerTable), list_pace, list);
+    m_Operator       = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kOperatorTable), paces.m_Operator, operators);
+    m_List           = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kServerTable), paces.m_List, list);
     m_Operator->Start();
     m_List->Start();
 }
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -26,11 +26,16 @@
     std::function<void(bool changed)>                                     m_OnServers;      // the directory took a read; the first one changes it
 };
 
+struct TablePaces // how closely each table is followed
+{
+    TableFollowerConfig m_Operator; //
+    TableFollowerConfig m_List;     //
+};
+
 class PlatformTables // lives as long as the process
 {
 public:
-    PlatformTables(asio::io_context& ioc, const PlatformSettings& s, const TableFollowerConfig& list_pace, ServerDirectory& servers,
-                   PlatformHandlers handlers);
+    PlatformTables(asio::io_context& ioc, const PlatformSettings& s, const TablePaces& paces, ServerDirectory& servers, PlatformHandlers handlers);
 
     bool     Reachable() const { return m_Operator->Reachable() && m_List->Reachable(); }
     uint64_t Calls() const { return m_Store.Calls(); } // of the store; each is priced
--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -339,7 +339,7 @@
         if (outcome == ChunkOutcome_Good)
             m_BytesOrigin += length;
         else
-            m_OriginPausedUntil = now + m_Config.m_OriginPause;
+            OnOriginFailed(outcome, now);
         return;
     }
     m_DownloadsFlying--;
@@ -377,6 +377,15 @@
     }
 }
 
+// While the origin is down nobody's share gets done. The wait before stepping in for others begins anew, or all would read the same few
+// chunks at once when it is back.
+void Exchange::OnOriginFailed(ChunkOutcome outcome, TimePoint now)
+{
+    m_OriginPausedUntil = now + m_Config.m_OriginPause;
+    if (outcome == ChunkOutcome_Failed && m_OwnOriginDoneAt)
+        m_OwnOriginDoneAt = std::max(*m_OwnOriginDoneAt, now);
+}
+
 std::vector<uint32_t> Exchange::HaveList() const
 {
     std::vector<uint32_t> out;
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -5,8 +5,8 @@
 // How it decides:
 //   - Each chunk has its fetchers from the origin in an order that every box computes alike: the members of the scope, permuted by
 //     hash, take the chunks in turn, so that each member fetches the same number; only the first m_OriginSharers of them do, for the origin
-//     takes few connections, and the others stand behind these. The next in order steps in m_TakeOver after its own share is done, if the chunk is still nowhere among the neighbours, but never beyond m_OriginRanks members a chunk: that is the
-//     hard cap on copies.
+//     takes few connections, and the others stand behind these. The next in order steps in m_TakeOver after its own share is done, if the chunk is
+//     still nowhere among the neighbours, but never beyond m_OriginRanks members a chunk: that is the hard cap on copies.
 //   - All else comes from neighbours, rarest chunk first, ties by a hash of box and chunk so that neighbours ask for different ones;
 //     a neighbour in the own data centre goes before one elsewhere, then the one with the fewest requests of ours.
 //   - A neighbour that refuses as busy is left alone for m_BusyPause; one that doesn't answer within m_ChunkTimeout for m_StallPause.
@@ -142,7 +142,8 @@
     };
 
     std::optional<uint32_t> BestFromOrigin(TimePoint now); // also moves m_NextWake
-    size_t                  Sharers() const;               // members that share out the origin's chunks; at least 1
+    void                    OnOriginFailed(ChunkOutcome outcome, TimePoint now);
+    size_t                  Sharers() const; // members that share out the origin's chunks; at least 1
     bool                    WantedFromOrigin(uint32_t chunk) const;
     bool                    Usable(const Peer& p, TimePoint now) const;
     void                    AddHave(Peer& p, uint32_t chunk);
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -19,7 +19,7 @@
 constexpr auto     kTellEvery    = milliseconds(30);   // news of pieces to neighbours
 constexpr auto     kTellIdle     = milliseconds(250);  // looks for such news while nothing is fetched
 constexpr auto     kListPerRank  = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
-constexpr auto     kListRetry    = milliseconds(120);  //
+constexpr auto     kListRetry    = milliseconds(30);   // looks whether a neighbour has the list
 constexpr auto     kListMax      = milliseconds(1500); // for one answer with a list
 constexpr auto     kPeersRest    = milliseconds(900);  // an empty box begins when the set of boxes hasn't changed for this long
 constexpr auto     kPeersMax     = milliseconds(2500); // but no later than this
@@ -148,6 +148,7 @@
     unsigned                  m_Slots  = kSlotsMax; // pieces asked of neighbours at once
     unsigned                  m_Spoilt = 0;         // pieces from the origin that failed their digest
     std::vector<uint32_t>     m_News;               // pieces not told to neighbours yet
+    std::set<std::string>     m_Listed;             // neighbours that have the list of digests
     TimePoint                 m_OriginFrom{};       // no piece is asked of the origin before
 };
 
@@ -247,6 +248,10 @@
     m_Job->m_Version   = version;
     m_Job->m_StartedAt = Now();
     LogEvent(Event_VersionFetchStarted, {{"model", m_Model}, {"version", version}});
+    wire::HaveUpdateT ask; // neighbours learn of the version by it, and say what they have
+    ask.digest = NameOf(version);
+    ask.reply  = true;
+    m_Links.Broadcast(ask);
     asio::co_spawn(
         m_Ioc, [this, job = m_Job] { return Run(job); }, asio::detached);
 }
@@ -300,12 +305,22 @@
     PieceSet& now_set = m_Sets[job->m_Version];
     now_set.m_List    = std::make_shared<PieceList>(std::move(list.value()));
     now_set.m_Pieces.resize(now_set.m_List->m_Digests.size());
+    TellListed(job->m_Version);
     co_return true;
 }
 
+void PieceTransfer::TellListed(uint64_t version)
+{
+    wire::HaveUpdateT have;
+    have.digest = NameOf(version);
+    have.listed = true;
+    m_Links.Broadcast(have);
+}
+
 awaitable<bool> PieceTransfer::ListFromPeers(std::shared_ptr<Job> job)
 {
-    for (const std::string& peer : m_Links.Up())
+    const std::set<std::string> listed = job->m_Listed; // more may be heard of meanwhile
+    for (const std::string& peer : listed)
     {
         const LinkPtr link = m_Links.Find(peer);
         if (!link || job->m_Over)
@@ -328,6 +343,7 @@
         PieceSet& set = m_Sets[job->m_Version];
         set.m_List    = std::make_shared<PieceList>(std::move(*list));
         set.m_Pieces.resize(set.m_List->m_Digests.size());
+        TellListed(job->m_Version);
         co_return true;
     }
     co_return false;
@@ -382,7 +398,8 @@
             present.push_back(n);
     job->m_Manifest = ToManifest(NameOf(job->m_Version), *set.m_List);
     job->m_News     = present;
-    job->m_Exchange = std::make_unique<Exchange>(job->m_Manifest, TransferConfig(m_OriginAt, set.m_List->m_PieceBytes), Members(false), m_Self.m_Name, present);
+    job->m_Exchange =
+        std::make_unique<Exchange>(job->m_Manifest, TransferConfig(m_OriginAt, set.m_List->m_PieceBytes), Members(false), m_Self.m_Name, present);
     job->m_Exchange->SetImporters(Members(true));
     // A box that holds an older version has its links, and nobody has the newer one yet.
     const bool at_once = m_Held > 0 || m_Peers.empty();
@@ -534,10 +551,11 @@
         wire::HaveUpdateT have;
         have.digest = NameOf(version);
         have.whole  = set.Whole();
+        have.listed = set.m_List != nullptr;
         for (uint32_t n = 0; !have.whole && n < set.m_Pieces.size(); n++)
             if (set.m_Pieces[n])
                 have.added.push_back(n);
-        if (have.whole || !have.added.empty())
+        if (have.listed)
             link->Send(EncodeFrame(0, have));
     }
     if (m_Held == 0 || m_Sets.contains(m_Held) || m_Model.empty())
@@ -581,7 +599,16 @@
 
 void PieceTransfer::OnHave(const std::string& peer, const wire::HaveUpdate& have)
 {
-    if (!m_Job || m_Job->m_Over || !m_Job->m_Exchange || have.digest() == nullptr || have.digest()->string_view() != NameOf(m_Job->m_Version))
+    const std::optional<uint64_t> version = VersionOf(have.digest(), m_Model);
+    if (!version)
+        return;
+    if (*version > m_Version && m_OnHeard)
+        m_OnHeard(*version); // before anything else: it may begin a new job
+    if (!m_Job || m_Job->m_Over || *version != m_Job->m_Version)
+        return;
+    if (have.listed())
+        m_Job->m_Listed.insert(peer);
+    if (!m_Job->m_Exchange)
         return;
     const std::span<const uint32_t> added =
         have.added() != nullptr ? std::span<const uint32_t>(have.added()->data(), have.added()->size()) : std::span<const uint32_t>();
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -40,7 +40,8 @@
     void            SetModel(const std::string& model); // whose pieces are offered and fetched; empty: not known yet
     void            SetOrigin(const WeightOrigin& origin) { m_OriginAt = origin; }
     void            SetPeers(std::vector<PeerBox> peers);
-    void            Want(uint64_t version);                         // gives up another version that is under way
+    void            SetOnHeard(std::function<void(uint64_t version)> fn) { m_OnHeard = std::move(fn); } // a neighbour knows of this version
+    void            Want(uint64_t version);                                                             // gives up another version that is under way
     void            SetHeld(uint64_t version) { m_Held = version; } // that the own server holds: its staged pieces are offered too
     uint64_t        Version() const { return m_Version; }           // under way, or fetched last; 0: none
     bool            Whole() const;
@@ -77,6 +78,7 @@
     ChunkOutcome             Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
     awaitable<void>          AwaitPeers(std::shared_ptr<Job> job);
     void                     Begin(const std::shared_ptr<Job>& job);
+    void                     TellListed(uint64_t version); // that this box has the list of digests
     void                     AskWhatItHas(uint64_t version, const std::string& peer);
     void                     Pump(const std::shared_ptr<Job>& job);
     void                     OnUp(const std::string& peer);
@@ -89,25 +91,26 @@
     std::vector<std::string> Members(bool own_data_centre) const;
     std::string              NameOf(uint64_t version) const;
 
-    asio::io_context&            m_Ioc;       //
-    PieceOrigin&                 m_Origin;    //
-    ModelServer&                 m_Server;    //
-    ProcessName                  m_Self;      // m_Name is the listening address of the links
-    PieceLinks                   m_Links;     //
-    std::vector<PeerBox>         m_Peers;     //
-    TimePoint                    m_PeersAt{}; // when the set of peers changed last
-    std::optional<WeightOrigin>  m_OriginAt;  // as declared
-    std::string                  m_Model;     //
-    uint64_t                     m_Version = 0;
-    uint64_t                     m_Held    = 0;
-    std::map<uint64_t, PieceSet> m_Sets;            // by version; at most kVersionsKept
-    std::shared_ptr<Job>         m_Job;             // null: nothing under way
-    std::deque<Upload>           m_Uploads;         // at most kUploadsMax
-    asio::steady_timer           m_UploadWake;      // cancelled when m_Uploads gets an entry
-    TokenBucket                  m_UploadBucket;    // bytes
-    uint64_t                     m_DoubtedList = 0; // version whose list of digests is read from the origin again, not from neighbours
-    uint64_t                     m_BytesOrigin = 0;
-    uint64_t                     m_BytesPeers  = 0;
+    asio::io_context&             m_Ioc;       //
+    PieceOrigin&                  m_Origin;    //
+    ModelServer&                  m_Server;    //
+    ProcessName                   m_Self;      // m_Name is the listening address of the links
+    PieceLinks                    m_Links;     //
+    std::vector<PeerBox>          m_Peers;     //
+    TimePoint                     m_PeersAt{}; // when the set of peers changed last
+    std::optional<WeightOrigin>   m_OriginAt;  // as declared
+    std::string                   m_Model;     //
+    uint64_t                      m_Version = 0;
+    uint64_t                      m_Held    = 0;
+    std::map<uint64_t, PieceSet>  m_Sets;            // by version; at most kVersionsKept
+    std::shared_ptr<Job>          m_Job;             // null: nothing under way
+    std::deque<Upload>            m_Uploads;         // at most kUploadsMax
+    asio::steady_timer            m_UploadWake;      // cancelled when m_Uploads gets an entry
+    TokenBucket                   m_UploadBucket;    // bytes
+    std::function<void(uint64_t)> m_OnHeard;         // may be empty
+    uint64_t                      m_DoubtedList = 0; // version whose list of digests is read from the origin again, not from neighbours
+    uint64_t                      m_BytesOrigin = 0;
+    uint64_t                      m_BytesPeers  = 0;
 };
 
 } // namespace aldervale
