--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -20,7 +20,7 @@
         m_Named.erase(m_Named.begin());
 }
 
-uint64_t StartPlan::NextFetch(const PlanInput& in) const
+uint64_t StartPlan::NextFetch(const PlanInput& in, TimePoint now) const
 {
     const uint64_t target = Target();
     if (!in.m_Reachable || in.m_Held >= target || in.m_Whole >= target)
@@ -31,8 +31,11 @@
     const auto older = m_Named.find(in.m_Fetching);
     const auto newer = m_Named.upper_bound(in.m_Fetching);
     const bool known = older != m_Named.end() && newer != m_Named.end();
-    const bool keep  = known && newer->second - older->second >= m_Config.m_KeepFetching;
-    return keep ? in.m_Fetching : target;
+    if (!known)
+        return target;
+    const bool nearly  = newer->second - older->second >= m_Config.m_KeepFetching;
+    const bool in_time = now < older->second + FromSeconds(ToSeconds(m_Config.m_Deadline) * m_Config.m_KeepUntil);
+    return nearly && in_time ? in.m_Fetching : target;
 }
 
 TimePoint StartPlan::TurnOf(const PlanInput& in) const
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -6,6 +6,7 @@
 // Rules:
 //   - The newest named version is the target. A version that is being fetched when a newer one is named is given up, unless it was named
 //     m_KeepFetching or longer before the newer one: then it is nearly whole, and serving it bridges the time until the newer one is there.
+//     It is given up all the same when it isn't whole m_KeepUntil into its time: the origin fails, and the newer one would come too late too.
 //   - Of the versions that are whole here the newest is started. A server that holds nothing starts at once. One that serves an older
 //     version waits for its turn: turns are spread evenly, in an order that every box computes alike, so that few leave the pool at once.
 //     They lie within the time that a version has to come into force.
@@ -30,6 +31,7 @@
     double   m_FirstTurn    = 0.48;               // part of m_Deadline at which the first box's turn comes
     double   m_LastTurn     = 0.80;               // and the last one's
     Duration m_KeepFetching = milliseconds(2500); // see the rules
+    double   m_KeepUntil    = 0.7;                // part of m_Deadline; see the rules
     Duration m_OrderPause   = milliseconds(300);  // after an order that was refused or not answered
 };
 
@@ -54,7 +56,7 @@
     void     OnOrderFailed(TimePoint now) { m_OrderAfter = now + m_Config.m_OrderPause; }
     uint64_t Target() const { return m_Named.empty() ? 1 : m_Named.rbegin()->first; } // versions begin at 1
 
-    uint64_t  NextFetch(const PlanInput& in) const;                // version whose pieces to get
+    uint64_t  NextFetch(const PlanInput& in, TimePoint now) const; // version whose pieces to get
     uint64_t  NextStart(const PlanInput& in, TimePoint now) const; // version to start
     TimePoint TurnOf(const PlanInput& in) const;                   // when this box may leave the pool for in.m_Whole
 
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -109,7 +109,7 @@
         in.m_Whole           = m_Transfer.NewestWhole();
         in.m_Rank            = m_Transfer.RankOf(in.m_Whole);
         in.m_Boxes           = m_Transfer.Boxes();
-        const uint64_t fetch = m_Plan.NextFetch(in);
+        const uint64_t fetch = m_Plan.NextFetch(in, Now());
         if (fetch > 0)
             m_Transfer.Want(fetch);
         const uint64_t start = m_Ordering ? 0 : m_Plan.NextStart(in, Now());
--- a/tests/test_start_plan.cpp
+++ b/tests/test_start_plan.cpp
@@ -23,12 +23,12 @@
 {
     StartPlan p({});
     PlanInput in = Reachable(0);
-    BOOST_TEST(p.NextFetch(in) == 1u);
+    BOOST_TEST(p.NextFetch(in, kStart) == 1u);
     BOOST_TEST(p.NextStart(in, kStart) == 0u);
     in.m_Fetching   = 1;
     in.m_FetchWhole = true;
     in.m_Whole      = 1;
-    BOOST_TEST(p.NextFetch(in) == 0u);
+    BOOST_TEST(p.NextFetch(in, kStart) == 0u);
     BOOST_TEST(p.NextStart(in, kStart) == 1u);
     in.m_Held = 1;
     BOOST_TEST(p.NextStart(in, kStart) == 0u);
@@ -55,7 +55,7 @@
     PlanInput in  = Reachable(1);
     in.m_Fetching = 2;
     p.OnNamed(3, kStart + seconds(1));
-    BOOST_TEST(p.NextFetch(in) == 3u);
+    BOOST_TEST(p.NextFetch(in, kStart + seconds(1)) == 3u);
 }
 
 BOOST_AUTO_TEST_CASE(a_fetch_that_is_nearly_whole_is_ended_before_the_newer_version_is_fetched)
@@ -65,13 +65,25 @@
     PlanInput in  = Reachable(1);
     in.m_Fetching = 2;
     p.OnNamed(3, kStart + seconds(4));
-    BOOST_TEST(p.NextFetch(in) == 2u);
+    BOOST_TEST(p.NextFetch(in, kStart + seconds(4)) == 2u);
     in.m_FetchWhole = true;
     in.m_Whole      = 2;
-    BOOST_TEST(p.NextFetch(in) == 3u);
+    BOOST_TEST(p.NextFetch(in, kStart + seconds(4)) == 3u);
     BOOST_TEST(p.NextStart(in, p.TurnOf(in)) == 2u); // meanwhile the older one serves
 }
 
+BOOST_AUTO_TEST_CASE(a_fetch_that_hangs_gives_way_to_the_newer_version_before_its_time_is_up)
+{
+    const StartPlanConfig cfg;
+    StartPlan             p(cfg);
+    p.OnNamed(2, kStart);
+    p.OnNamed(3, kStart + seconds(3));
+    PlanInput in  = Reachable(1);
+    in.m_Fetching = 2;
+    BOOST_TEST(p.NextFetch(in, kStart + seconds(4)) == 2u);
+    BOOST_TEST(p.NextFetch(in, kStart + cfg.m_Deadline) == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(versions_never_go_back)
 {
     StartPlan p({});
@@ -80,7 +92,7 @@
     BOOST_TEST(p.Target() == 5u);
     PlanInput in = Reachable(5);
     in.m_Whole   = 4;
-    BOOST_TEST(p.NextFetch(in) == 0u);
+    BOOST_TEST(p.NextFetch(in, kStart) == 0u);
     BOOST_TEST(p.NextStart(in, kStart + seconds(60)) == 0u);
 }
 
