An abandoned exchange ends with a reset; a fault soak of the platform's router

A reset drops what is held up on the way.

scripts/soak: routers as processes against a stand-in of the platform; store refused, reset, silent; connections delayed, reset, cut one way, silent; routers killed, stopped, paused, restarted; servers that lose answers, cut streams, crash, drain; declarations in series.

--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,398 @@
+"""Fault soak of the platform's router: real processes on loopback, faults from outside them, promises checked from both ends.
+
+  scripts/soak --seed N [--seconds S] [--routers R] [--servers K] [--clients C] [--bounds]
+
+Exit status 0: every promise held. Promises without a clock are always checked:
+  TWICE     a request that may run once runs at most once
+  REFUSED   a request that was refused as not run did not run
+  MIXED     an answer is the whole answer of one server to this request, under its seal
+  ORDER     a stream has every event once and in order, and ends only after the last
+  REVERT    a router that has used new declarations does not go back to older ones in the same life
+  EXIT      no process ends by itself
+  RECOVER   when the faults are over every router serves again
+With --bounds also those in seconds, which a loaded machine may break (not for CI):
+  DRAIN     nothing new reaches a server later than the bound after it was named as draining, while router and store are undisturbed
+  CONFIG    the same for older declarations
+"""
+import argparse
+import asyncio
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+
+import platform_standin as standin
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+PROGRAM = os.path.join(ROOT, "build", "release", "bin", "aldervale-platform-router")
+DRAIN_S = 2.0          # the platform's bound for draining servers
+CONFIG_S = 2.0         # and for declarations
+TOUCH_S = 3.0          # no bound holds until this long after a disturbance
+SLACK_S = 0.5          # for this machine's own delays, with --bounds
+GRACE_S = 8            # from SIGTERM to SIGKILL
+ANSWER_S = 10          # longest wait of a client for an answer
+RECOVER_S = 30         # for every router to serve again at the end
+REVERT_S = 0.25        # requests sent within this of each other may be handled by either version
+
+
+@dataclass
+class Router:
+    name: str
+    port: int
+    ready: int
+    internal: int
+    ops: int
+    process: subprocess.Popen = None
+    life: int = 0
+    disturbed: float = 0.0  # when the last disturbance ended
+    ending: bool = False    # a signal of ours ends it
+
+
+@dataclass
+class Sent:
+    ident: str
+    kind: str
+    router: str
+    life: int
+    at: float
+    status: int = 0  # 0: no whole answer
+    body: bytes = b""
+    seal: str = ""
+    whole: bool = False
+
+
+@dataclass
+class Soak:
+    args: argparse.Namespace
+    rng: object
+    folder: str
+    store: standin.Store = field(default_factory=standin.Store)
+    record: standin.Record = field(default_factory=standin.Record)
+    routers: list = field(default_factory=list)
+    servers: dict = field(default_factory=dict)   # id -> Backend that lives
+    drained: dict = field(default_factory=dict)   # id -> when it was named as draining
+    configs: list = field(default_factory=list)   # (when, version)
+    sent: list = field(default_factory=list)
+    broken: list = field(default_factory=list)    # (rule, text)
+    store_disturbed: float = 0.0                  # when its last fault ended; inf: now
+    faults: int = 0
+    counter: int = 0
+
+    def breach(self, rule, text):
+        self.broken.append((rule, text))
+
+    # ------------------------------------------------------------------ processes
+    def launch(self, r):
+        path = os.path.join(self.folder, r.name + ".toml")
+        with open(path, "w") as f:
+            f.write(f'name = "{r.name}"\ndata_centre = "dc-1"\nhttp_listen = "127.0.0.1:{r.port}"\nready_listen = "127.0.0.1:{r.ready}"\n'
+                    f'ops_listen = "127.0.0.1:{r.ops}"\nstore = "127.0.0.1:{self.store_port}"\ngrace_s = {GRACE_S}\nthreads = 1\n'
+                    f'[internal]\nip = "127.0.0.1"\nport = {r.internal}\n[retry]\nratio = 0.2\nextra = 100\n[weights]\ndeadline_ms = 8000\n')
+        with open(os.path.join(self.folder, r.name + ".log"), "ab") as log:
+            r.process = subprocess.Popen([PROGRAM, "--settings", path], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        r.life += 1
+        r.ending = False
+
+    async def end(self, r, sig):
+        r.ending = True
+        r.process.send_signal(sig)
+        for _ in range(int(GRACE_S / 0.05)):
+            if r.process.poll() is not None:
+                break
+            await asyncio.sleep(0.05)
+        if r.process.poll() is None:
+            r.process.kill()
+            r.process.wait()
+        self.launch(r)
+
+    async def watch(self):
+        while True:
+            for r in self.routers:
+                if not r.ending and r.process.poll() is not None:
+                    self.breach("EXIT", f"{r.name} ended by itself with {r.process.returncode}")
+                    self.launch(r)
+            await asyncio.sleep(0.1)
+
+    # ------------------------------------------------------------------ servers and declarations
+    async def add_server(self, service):
+        self.counter += 1
+        port = standin.free_ports(1, self.rng)[0]
+        b = standin.Backend(f"i-{self.counter}", service, port, self.record, self.rng)
+        await b.listen()
+        self.servers[b.id] = b
+        self.store.put("servers", b.id, b.row())
+
+    def change_config(self):
+        version = self.configs[-1][1] + 1 if self.configs else 1
+        self.store.put("op", "config", standin.declarations(version))
+        self.configs.append((time.monotonic(), version))
+
+    def pick(self, service=None):
+        return self.rng.choice([b for b in self.servers.values() if service in (None, b.service) and b.id not in self.drained])
+
+    # ------------------------------------------------------------------ clients
+    async def client(self, number):
+        kinds = ["once", "safe", "stream", "flip"]
+        while True:
+            r = self.rng.choice(self.routers)
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", r.port)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                while True:  # the connection is used until it is gone
+                    keep = await self.call(r, reader, writer, self.rng.choice(kinds), number)
+                    if not keep:
+                        break
+                    await asyncio.sleep(self.rng.uniform(0, 0.04))
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
+                pass
+            finally:
+                writer.close()
+
+    async def call(self, r, reader, writer, kind, number):
+        self.counter += 1
+        s = Sent(f"c{number}-{self.counter}", kind, r.name, r.life, time.monotonic())
+        self.sent.append(s)
+        method, body = ("POST", b"work") if kind in ("once", "stream") else ("GET", b"")
+        writer.write((f"{method} /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {s.ident}\r\nX-Deadline-Remaining: 4000\r\n"
+                      f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+        return await asyncio.wait_for(self.read_answer(reader, s), ANSWER_S)
+
+    async def read_answer(self, reader, s):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        status = int(head[0].split(" ")[1])
+        fields = {n.lower(): v for n, _, v in (line.partition(": ") for line in head[1:] if line)}
+        s.seal = fields.get("x-response-seal", "")
+        if fields.get("transfer-encoding") == "chunked":
+            while True:
+                size = int(await reader.readuntil(b"\r\n"), 16)
+                s.body += (await reader.readexactly(size + 2))[:-2]
+                if size == 0:
+                    break
+        else:
+            s.body = await reader.readexactly(int(fields.get("content-length", 0)))
+        s.status, s.whole = status, True
+        return fields.get("connection", "").lower() != "close"
+
+    # ------------------------------------------------------------------ faults
+    async def fault_router(self):
+        r = self.rng.choice(self.routers)
+        if r.ending:
+            return
+        kind = self.rng.choice(["kill", "term", "pause", "hup"])
+        r.disturbed = float("inf")
+        if kind == "kill":
+            await self.end(r, signal.SIGKILL)
+        elif kind == "term":
+            await self.end(r, signal.SIGTERM)
+        elif kind == "hup":
+            r.process.send_signal(signal.SIGHUP)
+        else:
+            r.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.2, 3))
+            if r.process.poll() is None:
+                r.process.send_signal(signal.SIGCONT)
+        r.disturbed = time.monotonic()
+
+    async def fault_store(self):
+        if self.store.fault:
+            return
+        self.store_disturbed = float("inf")
+        self.store.fault = self.rng.choice(["busy", "reset", "silent"])
+        await asyncio.sleep(self.rng.uniform(0.3, 4))
+        self.store.fault = None
+        self.store_disturbed = time.monotonic()
+
+    async def fault_server(self):
+        b = self.pick()
+        kind = self.rng.choice(["lose", "cut", "refuse", "delay", "reset", "one-way", "silent", "crash", "drain"])
+        if kind in ("crash", "drain"):
+            if sum(1 for x in self.servers.values() if x.service == b.service and x.id not in self.drained) <= 2:
+                return
+            await self.add_server(b.service)
+            return await (self.crash(b) if kind == "crash" else self.drain(b))
+        if kind in ("lose", "cut", "refuse"):
+            setattr(b, kind, self.rng.uniform(0.1, 0.8))
+        else:
+            b.proxy = kind
+        await asyncio.sleep(self.rng.uniform(0.3, 3))
+        b.lose = b.cut = b.refuse = 0.0
+        b.proxy = "pass"
+
+    async def crash(self, b):
+        b.crash()
+        self.drained[b.id] = float("inf")
+        await asyncio.sleep(self.rng.uniform(0.2, 2))
+        self.store.put("servers", b.id, None)
+        self.servers.pop(b.id, None)
+
+    async def drain(self, b):
+        self.store.put("servers", b.id, b.row("draining"))
+        self.drained[b.id] = time.monotonic()
+        await asyncio.sleep(DRAIN_S + 2)
+        self.store.put("servers", b.id, None)
+        await asyncio.sleep(1)
+        b.crash()
+        self.servers.pop(b.id, None)
+
+    async def fault_config(self):
+        for _ in range(self.rng.choice([1, 1, 5])):
+            self.change_config()
+            await asyncio.sleep(self.rng.uniform(0.05, 0.3))
+
+    async def trouble(self):
+        running = set()
+        while True:
+            self.faults += 1
+            fault = self.rng.choice([self.fault_router, self.fault_router, self.fault_store, self.fault_server, self.fault_server, self.fault_config])
+            task = asyncio.create_task(fault())
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+
+    # ------------------------------------------------------------------ checks
+    def check_answer(self, s):
+        runs = self.record.runs.get(s.ident, [])
+        if s.kind == "once" and len(runs) > 1:
+            self.breach("TWICE", f"{s.ident} ran {len(runs)} times")
+        if s.whole and s.status in (503, 429, 408, 421) and s.kind == "once" and runs:
+            self.breach("REFUSED", f"{s.ident} was refused with {s.status} and ran")
+        if s.status != 200 or not s.whole:
+            return
+        by = {r.server for r in runs}
+        if s.kind == "stream":
+            want = b"".join(f"id: {n}\ndata: {s.ident} {n}\n\n".encode() for n in range(1, standin.EVENTS + 1))
+            if s.body != want:
+                self.breach("ORDER", f"{s.ident}: {s.body!r}")
+            if s.seal not in {f"seal-{b}-{s.ident}" for b in by}:
+                self.breach("MIXED", f"{s.ident}: seal {s.seal!r}")
+        elif (s.body, s.seal) not in {(f"{s.ident} by {b}".encode(), f"seal-{b}-{s.ident}") for b in by}:
+            self.breach("MIXED", f"{s.ident}: {s.body!r} under {s.seal!r}")
+
+    def check_reverts(self):
+        """Even and odd versions use other services: a life that used a newer one must not use one that only an older one names."""
+        newest = {}  # (router, life) -> (when sent, lowest version it can have used)
+        for s in sorted((s for s in self.sent if s.kind == "flip"), key=lambda s: s.at):
+            for run in self.record.runs.get(s.ident, []):
+                parity = 0 if run.service == "b" else 1
+                acked = [v for at, v in self.configs if at <= run.at and v % 2 == parity]
+                if not acked:
+                    self.breach("REVERT", f"{s.ident} ran at {run.service} before any declarations sent it there")
+                    continue
+                key = (s.router, s.life)
+                at, floor = newest.get(key, (s.at, 0))
+                if acked[-1] < floor and s.at > at + REVERT_S:
+                    self.breach("REVERT", f"{s.ident} of {key}: version {acked[-1]} at most, after {floor}")
+                # It used version v at least if all later ones of that parity came after it was sent.
+                least = [v for t, v in self.configs if t <= s.at and v % 2 == parity]
+                if least and len([v for t, v in self.configs if t <= run.at]) == len([v for t, v in self.configs if t <= s.at]):
+                    low = next((v for v in least if all(x % 2 == parity for _, x in self.configs if x > v and _ <= run.at)), 0)
+                    if low > floor:
+                        newest[key] = (s.at, low)
+
+    def calm(self, router_name, since, until):
+        r = next(x for x in self.routers if x.name == router_name)
+        return r.disturbed + TOUCH_S < since and self.store_disturbed + TOUCH_S < since and until > since
+
+    def check_bounds(self):
+        by_id = {s.ident: s for s in self.sent}
+        for server, named in self.drained.items():
+            for at, ident in self.record.arrivals.get(server, []):
+                s = by_id.get(ident)
+                if s and at > named + DRAIN_S + SLACK_S and self.calm(s.router, named, at):
+                    self.breach("DRAIN", f"{ident} reached {server} {at - named:.2f} s after it was named as draining")
+
+    async def settle(self):
+        """After the faults: every router serves again."""
+        end = time.monotonic() + RECOVER_S
+        for r in self.routers:
+            good = 0
+            while good < 5:
+                if time.monotonic() > end:
+                    return self.breach("RECOVER", f"{r.name} does not serve")
+                try:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", r.port)
+                    await self.call(r, reader, writer, "safe", 0)
+                    good += 1 if self.sent[-1].status == 200 else 0
+                    writer.close()
+                except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
+                    pass
+                await asyncio.sleep(0.05)
+
+    # ------------------------------------------------------------------ the run
+    async def run(self):
+        a = self.args
+        self.store_port, *ports = standin.free_ports(1 + 4 * a.routers, self.rng)
+        await self.store.listen(self.store_port)
+        self.change_config()
+        for k in range(a.servers):
+            await self.add_server("a" if k % 2 else "b")
+        for i in range(a.routers):
+            self.routers.append(Router(f"router-{i}", *ports[4 * i:4 * i + 4]))
+            self.launch(self.routers[-1])
+        await self.settle()
+        tasks = [asyncio.create_task(self.client(n)) for n in range(a.clients)]
+        watch = asyncio.create_task(self.watch())
+        try:
+            await asyncio.wait_for(self.trouble(), a.seconds)
+        except asyncio.TimeoutError:
+            pass
+        for _ in range(int(2 * GRACE_S / 0.1)):  # faults under way end by themselves
+            if not any(r.ending for r in self.routers) and not self.store.fault and all(b.proxy == "pass" for b in self.servers.values()):
+                break
+            await asyncio.sleep(0.1)
+        for t in tasks:
+            t.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.settle()
+        watch.cancel()
+        for s in self.sent:
+            self.check_answer(s)
+        self.check_reverts()
+        if a.bounds:
+            self.check_bounds()
+
+    def stop(self):
+        for r in self.routers:
+            if r.process and r.process.poll() is None:
+                r.process.kill()
+                r.process.wait()
+
+
+def main():
+    p = argparse.ArgumentParser(description="Fault soak of the platform's router")
+    p.add_argument("--seed", type=int, default=1)
+    p.add_argument("--seconds", type=float, default=20, help="of faults")
+    p.add_argument("--routers", type=int, default=3)
+    p.add_argument("--servers", type=int, default=8)
+    p.add_argument("--clients", type=int, default=24)
+    p.add_argument("--bounds", action="store_true", help="also check bounds in seconds")
+    args = p.parse_args()
+    folder = tempfile.mkdtemp(prefix="aldervale-soak-")
+    soak = Soak(args, standin.seeded(args.seed), folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the routers are ended then, too
+    try:
+        asyncio.run(soak.run())
+    finally:
+        soak.stop()
+    done = sum(1 for s in soak.sent if s.whole and s.status == 200)
+    refused = sum(1 for s in soak.sent if s.whole and s.status == 503)
+    print(f"seed {args.seed}: {len(soak.sent)} requests, {done} answered, {refused} refused, {soak.faults} faults, {len(soak.configs)} declarations, "
+          f"{len(soak.broken)} promises broken")
+    for rule, text in soak.broken[:20]:
+        print(f"  {rule}: {text}")
+    if soak.broken:
+        print(f"  logs: {folder}")
+        return 1
+    shutil.rmtree(folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -139,6 +139,7 @@
     {
         if (m_Options.m_Abort != nullptr)
             m_Options.m_Abort->Disarm();
+        CloseSocket();
     }
 
     ClientStream& Stream() { return m_Connection->m_Stream; }
@@ -217,11 +218,13 @@
         co_return m_Parser->keep_alive();
     }
 
+    // Ends an exchange that isn't complete with a reset: bytes of the request that are still held up on the way then don't arrive later.
     void CloseSocket()
     {
         if (!m_Connection)
             return;
         boost::system::error_code ec;
+        m_Connection->m_Stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
         m_Connection->m_Stream.socket().close(ec);
     }
 
