--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -80,6 +80,7 @@
     broken: list = field(default_factory=list)    # (rule, text)
     store_disturbed: float = 0.0                  # when its last fault ended; inf: now
     faults: int = 0
+    over: bool = False                            # clients stop; wait_for() of Python 3.11 can lose a cancellation
     counter: int = 0
 
     def breach(self, rule, text):
@@ -137,7 +138,7 @@
     # ------------------------------------------------------------------ clients
     async def client(self, number):
         kinds = ["once", "safe", "stream", "flip"]
-        while True:
+        while not self.over:
             r = self.rng.choice(self.routers)
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", r.port)
@@ -145,7 +146,7 @@
                 await asyncio.sleep(0.05)
                 continue
             try:
-                while True:  # the connection is used until it is gone
+                while not self.over:  # the connection is used until it is gone
                     keep = await self.call(r, reader, writer, self.rng.choice(kinds), number)
                     if not keep:
                         break
@@ -347,8 +348,7 @@
             if not any(r.ending for r in self.routers) and not self.store.fault and all(b.proxy == "pass" for b in self.servers.values()):
                 break
             await asyncio.sleep(0.1)
-        for t in tasks:
-            t.cancel()
+        self.over = True
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.settle()
         watch.cancel()
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -53,7 +53,7 @@
     ForwardFields  add;
     add.m_ServerId    = server.m_Id;
     add.m_Account     = call.m_Account != nullptr ? call.m_Account->m_Name : std::string();
-    add.m_Remaining   = TimeFor(call, now);
+    add.m_Remaining   = call.Left(now);
     add.m_Priority    = call.m_Events > 0 ? kPriorityResumed : declared;
     add.m_Weights     = ExpectedWeights(call, now);
     add.m_ResumeAfter = call.m_LastEvent;
@@ -76,7 +76,7 @@
     const HttpRequest     forward    = m_Protocol.Forward(call.m_Request, FieldsFor(call, server, sent_at));
     const HttpCallOptions options    = OptionsFor(call);
     const bool            may_resume = call.IsStream() && call.m_Route->MayRepeat();
-    const TimePoint       end_at     = sent_at + TimeFor(call, sent_at) - kEndSlack; // the server stops then
+    const TimePoint       end_at     = call.m_Deadline - kEndSlack;
     const TimePoint       head_until = may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
 
     m_Choice.OnSent(server.m_Id, call.m_Caller.m_Prompt, sent_at);
@@ -102,7 +102,7 @@
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerFault)
         call.m_MayHaveRun = true;
     const TimePoint now      = Now();
-    const bool      too_late = now >= end_at && end == AttemptEnd_MayHaveRun; // the time given ended it: no fault of the server
+    const bool      too_late = now >= end_at && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
     if (too_late)
         call.m_Why = "deadline reached";
     const ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached);
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -11,8 +11,6 @@
 constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
 constexpr auto     kCameBackSlack  = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
 constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
-constexpr auto     kNamedLate      = milliseconds(1100); // after its naming at the store by which a version is known here at the latest, on a calm day
-constexpr auto     kTimeMin        = milliseconds(1);    // of a request, as a server is told
 constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
 constexpr double   kBudgetShare    = 0.6;                // of the declared budget that routers use together: windows slide
 
@@ -122,17 +120,6 @@
     return 0;
 }
 
-// A server that stood still begins what waits in its queue when it wakes, unless the time it was given has passed. So one with older weights
-// is given none beyond the deadline of newer ones.
-Duration DirectServe::Impl::TimeFor(const Call& call, TimePoint now) const
-{
-    Duration left = call.Left(now);
-    for (const WeightsDeadline& d : WeightsDeadlines(call))
-        if (call.m_Choice.m_Weights < d.m_Version)
-            left = std::min<Duration>(left, d.m_At - kNamedLate - now);
-    return std::max<Duration>(left, kTimeMin);
-}
-
 const ServerEntry* DirectServe::Impl::Admit(Call& call, TimePoint now)
 {
     const std::vector<const ServerEntry*> servers   = m_World.m_Servers.Usable(call.m_Service->m_Name);
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -68,7 +68,6 @@
     const ServerEntry*           Admit(Call& call, TimePoint now); // null: refused
     std::vector<WeightsDeadline> WeightsDeadlines(const Call& call) const;
     uint64_t                     ExpectedWeights(const Call& call, TimePoint now) const; // that the server must hold; 0: any
-    Duration                     TimeFor(const Call& call, TimePoint now) const;         // that the chosen server may spend on the request
     RetryBudget&                 Budget(const std::string& service);
     awaitable<void>              Serve(Call& call);
     awaitable<AttemptEnd>        Attempt(Call& call, ServerEntry server);
