--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -103,7 +103,7 @@
 {
     TablePaces p;
     p.m_List.m_Urgent     = [&a] { return !a.m_Keeper->Serving() || a.m_Transfer->UnderWay(); };
-    p.m_Operator.m_Urgent = [&a] { return !a.m_OperatorRead || !a.m_Keeper->Serving(); };
+    p.m_Operator.m_Urgent = [&a] { return !a.m_OperatorRead; };
     p.m_Operator.m_Calm   = [&a] { return OperatorPause(a.m_Transfer->Boxes()); };
     p.m_Operator.m_Wait   = milliseconds(15'000); // a loss that goes unseen matters less here than on a router
     p.m_List.m_Wait       = p.m_Operator.m_Wait;
