--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -14,6 +14,12 @@
 {
 }
 
+Duration GatherPause(const TableFollowerConfig& cfg, size_t bytes)
+{
+    const Duration pause = cfg.m_Gather + cfg.m_GatherPerKb * static_cast<int64_t>(bytes) / 1000;
+    return std::max(cfg.m_Gather, std::min(pause, cfg.m_GatherMax));
+}
+
 void TableFollower::Start()
 {
     // A strand: the store's connections end reads by timers, which may not run beside the read on another thread.
@@ -27,7 +33,7 @@
     {
         const bool ok     = m_Synced ? co_await ReadChanges() : co_await ReadAll();
         const bool urgent = !m_Config.m_Urgent || m_Config.m_Urgent();
-        Duration   pause  = !urgent ? CalmPause() : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
+        Duration   pause  = !urgent ? CalmPause() : m_Changed ? GatherPause(m_Config, m_Bytes) : m_Config.m_Quiet;
         if (!ok)
         {
             pause = std::min(m_Config.m_RetryMax, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
@@ -87,6 +93,9 @@
         co_return true;
     m_Since   = read.value().m_StoreVersion;
     m_Changed = !read.value().m_Rows.empty();
+    m_Bytes   = 0;
+    for (const Row& row : read.value().m_Rows)
+        m_Bytes += row.m_Value.size();
     m_Handlers.m_OnChanges(read.value());
     co_return true;
 }
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -15,9 +15,11 @@
 
 struct TableFollowerConfig
 {
-    Duration                  m_Wait   = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
-    Duration                  m_Margin = milliseconds(1200); // for the answer beyond m_Wait
-    Duration                  m_Gather = milliseconds(350);  // pause after changes, so that a series of them is taken together
+    Duration                  m_Wait        = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
+    Duration                  m_Margin      = milliseconds(1200); // for the answer beyond m_Wait
+    Duration                  m_Gather      = milliseconds(350);  // pause after changes, so that a series of them is taken together
+    Duration                  m_GatherPerKb = milliseconds(8);    // added to m_Gather for each 1,000 bytes of changes
+    Duration                  m_GatherMax   = milliseconds(900);  // of both: well under the two seconds in which declarations must be in force
     Duration                  m_Quiet = milliseconds(700); // pause after an answer without changes: changes of other tables end standing requests too
     std::function<bool()>     m_Urgent;                    // changes matter now: short pauses; empty: always
     std::function<Duration()> m_Calm;                      // mean pause after any answer while changes aren't urgent; empty: 5 s
@@ -26,7 +28,7 @@
     Duration                  m_ReadMax  = milliseconds(1500); // for a read of the whole table
 };
 
-struct TableHandlers
+struct TableHandlers // what becomes of the rows
 {
     std::function<void(const RowRead&)> m_OnAll;     // the whole table
     std::function<void(const RowRead&)> m_OnChanges; // rows that changed or went away; may be empty
@@ -34,6 +36,10 @@
     std::function<void()>               m_OnReached; // it answered again; before the rows of that answer
 };
 
+// Pause after an answer with changes of so many bytes. In a series of changes each answer is as long as the last, and all processes of a
+// data centre read it over the same link: the longer it is, the more rarely it is read.
+Duration GatherPause(const TableFollowerConfig& cfg, size_t bytes);
+
 class TableFollower : public std::enable_shared_from_this<TableFollower>
 {
 public:
@@ -59,6 +65,7 @@
     uint64_t            m_Since    = 0;     // store version up to which changes are known; never falls
     bool                m_Synced   = false; // the whole table was read, and no history is missing since
     bool                m_Changed  = true;  // the last answer held rows
+    size_t              m_Bytes    = 0;     // of values in the last answer with changes
     unsigned            m_Failures = 0;     // in a row
     uint64_t            m_Seed;             // of the pauses' random part
 };
