Piece transfer: one file a job

piece_transfer.cpp had 700 lines: state of the sets, the job, single pieces, the list of digests, news between neighbours, uploads and JSON stood in one file, under two dozen constants of which each part uses a few. One had to read all of it to find who obtains the list.

Now one file each, named in piece_transfer_internal.h, which holds the job and the four constants that parts share. The header's private functions stand in the same groups. ObtainList() gave way to ListFromOrigin() for its second half; what both sources of a list did to take it in is TakeList(). "A job is under way" is UnderWay() everywhere. The public part of the header is unchanged.

--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -54,15 +54,7 @@
     uint64_t        BytesFromPeers() const { return m_BytesPeers; }
 
 private:
-    struct Job; // one Want() until it is whole or given up
-
-    awaitable<void>         Run(std::shared_ptr<Job> job);
-    awaitable<bool>         ObtainList(std::shared_ptr<Job> job);
-    awaitable<bool>         ListFromPeers(std::shared_ptr<Job> job);
-    awaitable<void>         TakeStaged(std::shared_ptr<Job> job);
-    awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
-    awaitable<ChunkOutcome> FromPeer(std::shared_ptr<Job> job, Fetch f);
-    awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
+    struct Job;   // one Want() until it is whole or given up
     struct Upload // asked for, not sent yet
     {
         LinkPtr  m_Link;         //
@@ -71,26 +63,45 @@
         uint32_t m_Piece    = 0; //
     };
 
-    awaitable<void>          UploadLoop(); // one piece at a time, at the pace that live answers leave room for
-    awaitable<void>          SendPiece(const Upload& u);
-    awaitable<void>          TellLoop();
-    void                     AdaptSlots(Job& job, Duration took);
-    ChunkOutcome             Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
-    awaitable<void>          AwaitPeers(std::shared_ptr<Job> job);
-    void                     Begin(const std::shared_ptr<Job>& job);
-    void                     TellListed(uint64_t version); // that this box has the list of digests
-    void                     AskWhatItHas(uint64_t version, const std::string& peer);
-    void                     Pump(const std::shared_ptr<Job>& job);
-    void                     OnUp(const std::string& peer);
-    void                     OnDown(const std::string& peer);
-    void                     OnFrame(const std::string& peer, const LinkPtr& link, const FrameBuf& frame);
-    void                     OnHave(const std::string& peer, const wire::HaveUpdate& have);
-    void                     OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& get);
-    void                     OnListGet(const LinkPtr& link, uint64_t exchange, const wire::ManifestGet& get);
-    void                     TellAll(const LinkPtr& link);
     std::vector<std::string> Members(bool own_data_centre) const;
     std::string              NameOf(uint64_t version) const;
 
+    // One job (piece_transfer_job.cpp)
+    awaitable<void> Run(std::shared_ptr<Job> job);
+    awaitable<void> TakeStaged(std::shared_ptr<Job> job);
+    awaitable<void> AwaitPeers(std::shared_ptr<Job> job);
+    void            Begin(const std::shared_ptr<Job>& job);
+    void            Pump(const std::shared_ptr<Job>& job);
+
+    // One piece (piece_transfer_fetch.cpp)
+    awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
+    awaitable<ChunkOutcome> FromPeer(std::shared_ptr<Job> job, Fetch f);
+    awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
+    ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
+    void                    AdaptSlots(Job& job, Duration took);
+
+    // The list of digests (piece_transfer_list.cpp)
+    awaitable<bool> ObtainList(std::shared_ptr<Job> job); // true: it is here
+    awaitable<bool> ListFromPeers(std::shared_ptr<Job> job);
+    awaitable<bool> ListFromOrigin(std::shared_ptr<Job> job);
+    void            TakeList(uint64_t version, PieceList list); // a usable one
+    void            OnListGet(const LinkPtr& link, uint64_t exchange, const wire::ManifestGet& get);
+
+    // Who has what (piece_transfer_news.cpp)
+    awaitable<void> TellLoop();
+    void            TellAll(const LinkPtr& link);
+    void            TellListed(uint64_t version); // that this box has the list of digests
+    void            AskWhatItHas(uint64_t version, const std::string& peer);
+    void            OnUp(const std::string& peer);
+    void            OnDown(const std::string& peer);
+    void            OnFrame(const std::string& peer, const LinkPtr& link, const FrameBuf& frame);
+    void            OnHave(const std::string& peer, const wire::HaveUpdate& have);
+
+    // Pieces for neighbours (piece_transfer_uploads.cpp)
+    awaitable<void> UploadLoop(); // one piece at a time, at the pace that live answers leave room for
+    awaitable<void> SendPiece(const Upload& u);
+    void            OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& get);
+
     asio::io_context&             m_Ioc;       //
     PieceOrigin&                  m_Origin;    //
     ModelServer&                  m_Server;    //
--- /dev/null
+++ b/src/version/piece_transfer_fetch.cpp
@@ -0,0 +1,116 @@
+// Fetching one piece, from a neighbour or the origin. See piece_transfer.h.
+#include "common/log.h"
+#include "version/piece_transfer_internal.h"
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr auto     kOriginMax    = milliseconds(2000); // for one piece from the origin
+constexpr unsigned kSlotsMin     = 1;                  // pieces asked of neighbours at once, at least
+constexpr auto     kPieceSlow    = milliseconds(400);  // a piece that took longer queues on this box's link, before live requests
+constexpr auto     kPieceQuick   = milliseconds(220);  // one that took less leaves room for another
+constexpr unsigned kBadListAfter = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
+
+} // namespace
+
+awaitable<void> PieceTransfer::FetchPiece(std::shared_ptr<Job> job, Fetch f)
+{
+    ChunkOutcome    outcome = ChunkOutcome_Failed;
+    const TimePoint asked   = Now();
+    if (f.m_Peer.empty())
+        outcome = co_await FromOrigin(job, f.m_Chunk);
+    else
+        outcome = co_await FromPeer(job, f);
+    if (job->m_Over)
+        co_return;
+    if (!f.m_Peer.empty() && (outcome == ChunkOutcome_Good || outcome == ChunkOutcome_Failed))
+        AdaptSlots(*job, Now() - asked);
+    if (!f.m_Peer.empty() && outcome == ChunkOutcome_Failed)
+        AskWhatItHas(job->m_Version, f.m_Peer);
+    job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, outcome, Now());
+    if (outcome == ChunkOutcome_Good)
+        job->m_News.push_back(f.m_Chunk);
+    Pump(job);
+}
+
+// A link that is narrower than declared shows in the time that pieces take.
+void PieceTransfer::AdaptSlots(Job& job, Duration took)
+{
+    if (took > kPieceSlow)
+        job.m_Slots = std::max(kSlotsMin, job.m_Slots - 1);
+    else if (took < kPieceQuick)
+        job.m_Slots = std::min(kSlotsMax, job.m_Slots + 1);
+    job.m_Exchange->SetDownloadSlots(job.m_Slots);
+}
+
+ChunkOutcome PieceTransfer::Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from)
+{
+    PieceSet& set = m_Sets[job.m_Version];
+    if (Sha256(bytes) != ChunkDigest(*job.m_Manifest, n))
+    {
+        LogEvent(Event_ChunkCorrupt, {{"version", job.m_Version}, {"piece", n}, {"from", from}});
+        return ChunkOutcome_Corrupt;
+    }
+    if (!set.m_Pieces[n])
+    {
+        set.m_Pieces[n] = std::make_shared<const std::vector<uint8_t>>(std::move(bytes));
+        set.m_Count++;
+    }
+    return ChunkOutcome_Good;
+}
+
+awaitable<ChunkOutcome> PieceTransfer::FromPeer(std::shared_ptr<Job> job, Fetch f)
+{
+    const LinkPtr link = m_Links.Find(f.m_Peer);
+    if (!link)
+        co_return ChunkOutcome_Failed;
+    wire::ChunkGetT get;
+    get.digest                   = NameOf(job->m_Version);
+    get.index                    = f.m_Chunk;
+    const auto              ex   = co_await asio::this_coro::executor;
+    const MailboxPtr        box  = link->OpenExchange(ex);
+    const bool              sent = link->Send(EncodeFrame(box->Id(), get));
+    std::optional<FrameBuf> answer;
+    if (sent)
+        answer = co_await box->Pop(Now() + kPieceMax);
+    link->CloseExchange(box->Id());
+    if (!answer || job->m_Over)
+        co_return ChunkOutcome_Failed;
+    if (const wire::ChunkRefused* refused = answer->Get()->body_as_ChunkRefused())
+        co_return refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing;
+    const wire::ChunkData* data = answer->Get()->body_as_ChunkData();
+    if (data == nullptr || data->bytes() == nullptr || data->index() != f.m_Chunk)
+        co_return ChunkOutcome_Corrupt;
+    m_BytesPeers += data->bytes()->size();
+    std::vector<uint8_t> bytes(data->bytes()->begin(), data->bytes()->end());
+    co_return Keep(*job, f.m_Chunk, std::move(bytes), f.m_Peer);
+}
+
+awaitable<ChunkOutcome> PieceTransfer::FromOrigin(std::shared_ptr<Job> job, uint32_t n)
+{
+    auto bytes = co_await m_Origin.ReadPiece(m_OriginAt->m_Address, m_Model, job->m_Version, n, job->m_Exchange->SharesMore(), Now() + kOriginMax);
+    if (!bytes || job->m_Over)
+    {
+        if (!bytes)
+            LogEvent(Event_OriginUnreachable, {{"version", job->m_Version}, {"piece", n}, {"what", bytes.error().m_Message}});
+        co_return ChunkOutcome_Failed;
+    }
+    m_BytesOrigin += bytes.value().size();
+    const ChunkOutcome outcome = Keep(*job, n, std::move(bytes.value()), "origin");
+    job->m_Spoilt += outcome == ChunkOutcome_Corrupt ? 1 : 0;
+    if (job->m_Spoilt < kBadListAfter)
+        co_return outcome;
+    // Either the origin spoils much, or the list is wrong: a fresh list decides. What is here is checked against it when it is used.
+    LogEvent(Event_ManifestRefused, {{"version", job->m_Version}, {"what", "many pieces fail their digests; reading the list again"}});
+    const uint64_t version = job->m_Version;
+    job->m_Over            = true;
+    m_Sets.erase(version);
+    m_DoubtedList = version; // neighbours may have taken the spoilt list from here
+    Want(version);
+    co_return outcome;
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/version/piece_transfer_list.cpp
@@ -0,0 +1,99 @@
+// The list of digests: obtaining it, and handing it on. See piece_transfer.h.
+#include "common/log.h"
+#include "version/piece_transfer_internal.h"
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr auto kListPerRank = milliseconds(350);  // how long each box in order waits for a neighbour's list before it asks the origin
+constexpr auto kListMax     = milliseconds(1500); // for one answer with a list
+
+} // namespace
+
+awaitable<bool> PieceTransfer::ObtainList(std::shared_ptr<Job> job)
+{
+    if (m_Sets[job->m_Version].m_List)
+        co_return true;
+    const bool doubted    = m_DoubtedList == job->m_Version;
+    bool       from_peers = false;
+    if (!doubted)
+        from_peers = co_await ListFromPeers(job);
+    if (from_peers)
+        co_return true;
+    const std::vector<std::string> members = Members(true);
+    const size_t                   rank    = RendezvousRank(NameOf(job->m_Version), members, m_Self.m_Name);
+    const bool                     turn    = doubted || Now() >= job->m_StartedAt + static_cast<int>(rank) * kListPerRank;
+    if (!turn || !m_OriginAt || job->m_Over)
+        co_return false;
+    const bool read = co_await ListFromOrigin(job);
+    co_return read;
+}
+
+awaitable<bool> PieceTransfer::ListFromPeers(std::shared_ptr<Job> job)
+{
+    const std::set<std::string> listed = job->m_Listed; // more may be heard of meanwhile
+    for (const std::string& peer : listed)
+    {
+        const LinkPtr link = m_Links.Find(peer);
+        if (!link || job->m_Over)
+            continue;
+        wire::ManifestGetT get;
+        get.digest                   = NameOf(job->m_Version);
+        const auto              ex   = co_await asio::this_coro::executor;
+        const MailboxPtr        box  = link->OpenExchange(ex);
+        const bool              sent = link->Send(EncodeFrame(box->Id(), get));
+        std::optional<FrameBuf> answer;
+        if (sent)
+            answer = co_await box->Pop(Now() + kOwnMax);
+        link->CloseExchange(box->Id());
+        const wire::ManifestData* data = answer ? answer->Get()->body_as_ManifestData() : nullptr;
+        if (data == nullptr || !data->found() || data->json() == nullptr || job->m_Over)
+            continue;
+        auto list = ListFromJson(data->json()->string_view());
+        if (!list || list->m_Version != job->m_Version || !UsableList(*list))
+            continue;
+        TakeList(job->m_Version, std::move(*list));
+        co_return true;
+    }
+    co_return false;
+}
+
+awaitable<bool> PieceTransfer::ListFromOrigin(std::shared_ptr<Job> job)
+{
+    auto list = co_await m_Origin.ReadList(m_OriginAt->m_Address, m_Model, job->m_Version, Now() + kListMax);
+    if (!list || !UsableList(list.value()))
+    {
+        LogEvent(Event_OriginUnreachable, {{"version", job->m_Version}, {"what", list ? "list of digests is spoilt" : list.error().m_Message}});
+        co_return false;
+    }
+    if (job->m_Over)
+        co_return false;
+    if (m_DoubtedList == job->m_Version)
+        m_DoubtedList = 0;
+    TakeList(job->m_Version, std::move(list.value()));
+    co_return true;
+}
+
+void PieceTransfer::TakeList(uint64_t version, PieceList list)
+{
+    PieceSet& set = m_Sets[version];
+    set.m_List    = std::make_shared<PieceList>(std::move(list));
+    set.m_Pieces.resize(set.m_List->m_Digests.size());
+    TellListed(version);
+}
+
+void PieceTransfer::OnListGet(const LinkPtr& link, uint64_t exchange, const wire::ManifestGet& get)
+{
+    const std::optional<uint64_t> version = VersionOf(get.digest(), m_Model);
+    const PieceSet*               set     = version ? Find(*version) : nullptr;
+    wire::ManifestDataT           data;
+    data.found = set != nullptr && set->m_List;
+    if (data.found)
+        data.json = ListToJson(*set->m_List);
+    link->Send(EncodeFrame(exchange, data));
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/version/piece_transfer_news.cpp
@@ -0,0 +1,122 @@
+// Who has what: telling neighbours, and hearing of it. See piece_transfer.h.
+#include "version/piece_transfer_internal.h"
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr auto kTellEvery = milliseconds(30);  // news of pieces to neighbours
+constexpr auto kTellIdle  = milliseconds(250); // looks for such news while nothing is fetched
+
+} // namespace
+
+void PieceTransfer::TellAll(const LinkPtr& link)
+{
+    for (const auto& [version, set] : m_Sets)
+    {
+        wire::HaveUpdateT have;
+        have.digest = NameOf(version);
+        have.whole  = set.Whole();
+        have.listed = set.m_List != nullptr;
+        for (uint32_t n = 0; !have.whole && n < set.m_Pieces.size(); n++)
+            if (set.m_Pieces[n])
+                have.added.push_back(n);
+        if (have.listed)
+            link->Send(EncodeFrame(0, have));
+    }
+    if (m_Held == 0 || m_Sets.contains(m_Held) || m_Model.empty())
+        return;
+    wire::HaveUpdateT held; // lies staged at the own server; each piece is checked by whoever takes it
+    held.digest = NameOf(m_Held);
+    held.whole  = true;
+    link->Send(EncodeFrame(0, held));
+}
+
+void PieceTransfer::TellListed(uint64_t version)
+{
+    wire::HaveUpdateT have;
+    have.digest = NameOf(version);
+    have.listed = true;
+    m_Links.Broadcast(have);
+}
+
+awaitable<void> PieceTransfer::TellLoop()
+{
+    for (;;)
+    {
+        const bool idle = !m_Job || (m_Job->m_Over && m_Job->m_News.empty());
+        co_await SleepFor(idle ? kTellIdle : kTellEvery);
+        if (!m_Job || m_Job->m_News.empty())
+            continue;
+        wire::HaveUpdateT have;
+        have.digest = NameOf(m_Job->m_Version);
+        have.added  = std::move(m_Job->m_News);
+        m_Job->m_News.clear();
+        m_Links.Broadcast(have);
+    }
+}
+
+void PieceTransfer::AskWhatItHas(uint64_t version, const std::string& peer)
+{
+    const LinkPtr link = m_Links.Find(peer);
+    if (!link)
+        return;
+    wire::HaveUpdateT ask;
+    ask.digest = NameOf(version);
+    ask.reply  = true;
+    link->Send(EncodeFrame(0, ask));
+}
+
+void PieceTransfer::OnUp(const std::string& peer)
+{
+    if (UnderWay() && m_Job->m_Exchange)
+        m_Job->m_Exchange->OnPeerUp(peer, m_Links.SameDataCentre(peer));
+    TellAll(m_Links.Find(peer));
+}
+
+void PieceTransfer::OnDown(const std::string& peer)
+{
+    if (UnderWay() && m_Job->m_Exchange)
+        m_Job->m_Exchange->OnPeerDown(peer);
+}
+
+void PieceTransfer::OnFrame(const std::string& peer, const LinkPtr& link, const FrameBuf& frame)
+{
+    const wire::Frame& f = *frame.Get();
+    switch (f.body_type())
+    {
+    case wire::Body::HaveUpdate:
+        if (f.body_as_HaveUpdate()->reply())
+            TellAll(link);
+        return OnHave(peer, *f.body_as_HaveUpdate());
+    case wire::Body::ChunkGet:
+        return OnChunkGet(link, f.exchange(), *f.body_as_ChunkGet());
+    case wire::Body::ManifestGet:
+        return OnListGet(link, f.exchange(), *f.body_as_ManifestGet());
+    default:
+        return;
+    }
+}
+
+void PieceTransfer::OnHave(const std::string& peer, const wire::HaveUpdate& have)
+{
+    const std::optional<uint64_t> version = VersionOf(have.digest(), m_Model);
+    if (!version)
+        return;
+    if (*version > m_Version && m_OnHeard)
+        m_OnHeard(*version); // before anything else: it may begin a new job
+    if (!UnderWay() || *version != m_Job->m_Version)
+        return;
+    if (have.listed())
+        m_Job->m_Listed.insert(peer);
+    if (!m_Job->m_Exchange)
+        return;
+    const std::span<const uint32_t> added =
+        have.added() != nullptr ? std::span<const uint32_t>(have.added()->data(), have.added()->size()) : std::span<const uint32_t>();
+    m_Job->m_Exchange->OnHave(peer, added, have.whole());
+    Pump(m_Job);
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/version/piece_transfer_uploads.cpp
@@ -0,0 +1,75 @@
+// Pieces for neighbours, one at a time. See piece_transfer.h.
+#include "version/piece_transfer_internal.h"
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned kUploadsMax   = 6;               // waiting; more are refused as busy
+constexpr size_t   kUploadQueued = 4 * 1024;        // bytes left to send on a link below which the next piece may follow
+constexpr auto     kUploadPoll   = milliseconds(5); // looks whether a link has taken a piece
+
+} // namespace
+
+void PieceTransfer::OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& get)
+{
+    const std::optional<uint64_t> version = VersionOf(get.digest(), m_Model);
+    wire::ChunkRefusedT           refused;
+    refused.index = get.index();
+    refused.busy  = m_Uploads.size() >= kUploadsMax;
+    if (!version || refused.busy)
+    {
+        link->Send(EncodeFrame(exchange, refused));
+        return;
+    }
+    m_Uploads.push_back({link, exchange, *version, get.index()});
+    m_UploadWake.cancel();
+}
+
+awaitable<void> PieceTransfer::UploadLoop()
+{
+    for (;;)
+    {
+        if (m_Uploads.empty())
+        {
+            m_UploadWake.expires_after(seconds(60));
+            co_await m_UploadWake.async_wait(kNoThrow);
+            continue;
+        }
+        const Upload u = m_Uploads.front();
+        co_await SendPiece(u);
+        m_Uploads.pop_front();
+    }
+}
+
+awaitable<void> PieceTransfer::SendPiece(const Upload& u)
+{
+    PieceBytes      bytes;
+    const PieceSet* set = Find(u.m_Version);
+    if (set != nullptr && u.m_Piece < set->m_Pieces.size())
+        bytes = set->m_Pieces[u.m_Piece];
+    if (!bytes && u.m_Version == m_Held)
+    {
+        auto staged = co_await m_Server.GetPiece(m_Model, u.m_Piece, Now() + kOwnMax);
+        if (staged)
+            bytes = std::make_shared<const std::vector<uint8_t>>(std::move(staged.value()));
+    }
+    if (!bytes)
+    {
+        wire::ChunkRefusedT refused;
+        refused.index = u.m_Piece;
+        u.m_Link->Send(EncodeFrame(u.m_Exchange, refused));
+        co_return;
+    }
+    const TimePoint go = m_UploadBucket.Reserve(static_cast<double>(bytes->size()), Now());
+    co_await SleepFor(go - Now());
+    u.m_Link->Send(EncodeChunk(u.m_Exchange, NameOf(u.m_Version), u.m_Piece, *bytes));
+    const TimePoint until = Now() + kPieceMax; // a neighbour that reads slowly may not hold up the others for longer
+    while (u.m_Link->Queued() > kUploadQueued && !u.m_Link->Closed() && Now() < until)
+        co_await SleepFor(kUploadPoll);
+}
+
+} // namespace aldervale
