Exchange: BestFromOrigin() in steps with names

One function held the baselines, the own share, the time from which the wait is counted, and the walk over others' shares, with the own share's condition inside the head of a loop; SharesMore() walked the own share a second time in its own words.

BestOfStride(), BestOfOwnShare(), OwnShareDoneAt() and BestOfOthersShares() now do one of these each, and SharesMore() asks BestOfOwnShare(). The order of chunks and the times are the same.

--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -182,49 +182,80 @@
         m_NextWake = t;
 }
 
-// With n sharers, chunk c starts at member c mod n and goes on with the next sharer. The members behind the sharers come in rounds of n: one
-// in round r stands r places behind the sharer at its own place. Members known dead don't count, so the ones behind them move up. Walking
-// back from the own place gives the chunks of rank 0, 1, ... without looking at all chunks for each.
 std::optional<uint32_t> Exchange::BestFromOrigin(TimePoint now)
+{
+    switch (m_Config.m_Mode)
+    {
+    case ExchangeMode_OriginOnly:
+        return BestOfStride(0, 1);
+    case ExchangeMode_Chain:
+        return m_Self == 0 ? BestOfStride(0, 1) : std::nullopt;
+    case ExchangeMode_Spread:
+        break;
+    }
+    if (m_Self == SIZE_MAX) // not in the scope: no share, and no place behind others
+        return std::nullopt;
+    const std::optional<uint32_t> own = BestOfOwnShare();
+    if (own || m_OriginFlying > 0)
+        return own;
+    return BestOfOthersShares(now);
+}
+
+// The wanted chunk that goes first by m_Order, of `first`, `first` + `stride`, ...
+std::optional<uint32_t> Exchange::BestOfStride(size_t first, size_t stride) const
 {
     std::optional<uint32_t> best;
-    const auto              consider = [&](uint32_t c)
+    for (size_t i = first; i < m_Have.size(); i += stride)
     {
+        const auto c = static_cast<uint32_t>(i);
         if (WantedFromOrigin(c) && (!best || m_Order[c] < m_Order[*best]))
             best = c;
-    };
-    if (m_Config.m_Mode == ExchangeMode_OriginOnly || (m_Config.m_Mode == ExchangeMode_Chain && m_Self == 0))
-        for (uint32_t c = 0; c < m_Have.size(); c++)
-            consider(c);
-    if (m_Config.m_Mode != ExchangeMode_Spread || m_Self == SIZE_MAX)
-        return best;
-    const size_t n     = Sharers();
-    const size_t place = m_Self % n;
-    const size_t round = m_Self / n;
-    for (size_t c = place; round == 0 && c < m_Have.size(); c += n)
-        consider(static_cast<uint32_t>(c));
-    if (best || m_OriginFlying > 0)
-        return best;
-    // All sharers have the same number of chunks to fetch first and share the origin's link, so they end at about the same time: from
-    // when the own ones are done, the wait before stepping in for others is counted. A slow origin thus delays it by itself.
+    }
+    return best;
+}
+
+std::optional<uint32_t> Exchange::BestOfOwnShare() const
+{
+    const size_t n = Sharers();
+    return m_Self < n ? BestOfStride(m_Self, n) : std::nullopt;
+}
+
+// All sharers have the same number of chunks to fetch first and share the origin's link, so they end at about the same time: from when the
+// own ones are done, the wait before stepping in for others is counted. A slow origin thus delays it by itself.
+TimePoint Exchange::OwnShareDoneAt(TimePoint now)
+{
     if (!m_OwnOriginDoneAt)
-        m_OwnOriginDoneAt = round == 0 ? now : now + m_Config.m_SharersTime;
-    size_t rank = round;
-    for (size_t back = round == 0 ? 1 : 0; back < n; back++)
+        m_OwnOriginDoneAt = m_Self < Sharers() ? now : now + m_Config.m_SharersTime;
+    return *m_OwnOriginDoneAt;
+}
+
+// With n sharers, chunk c starts at member c mod n and goes on with the next sharer. The members behind the sharers come in rounds of n: one
+// in round r stands r places behind the sharer at its own place. Members known dead don't count, so the ones behind them move up. Walking
+// back from the own place gives the chunks of rank 0, 1, ... without looking at all chunks for each.
+std::optional<uint32_t> Exchange::BestOfOthersShares(TimePoint now)
+{
+    const size_t            n     = Sharers();
+    const size_t            place = m_Self % n;
+    const size_t            round = m_Self / n;
+    const TimePoint         since = OwnShareDoneAt(now);
+    std::optional<uint32_t> best;
+    size_t                  rank = round;
+    for (size_t back = round == 0 ? 1 : 0; back < n; back++) // a sharer's own share, 0 places back, is done
     {
         const size_t first = (place + n - back) % n;
         if (back > 0)
             rank += m_GoneMembers.contains(first) ? 0 : 1; // live sharers from `first` up to, and without, the own place
         if (rank >= m_Config.m_OriginRanks)
             break;
-        const TimePoint due = *m_OwnOriginDoneAt + static_cast<int>(rank) * m_Config.m_TakeOver;
+        const TimePoint due = since + static_cast<int>(rank) * m_Config.m_TakeOver;
         if (now < due)
         {
             WakeAt(due);
             continue;
         }
-        for (size_t c = first; c < m_Have.size(); c += n)
-            consider(static_cast<uint32_t>(c));
+        const std::optional<uint32_t> c = BestOfStride(first, n);
+        if (c && (!best || m_Order[*c] < m_Order[*best]))
+            best = c;
     }
     return best;
 }
@@ -241,11 +272,7 @@
 
 bool Exchange::SharesMore() const
 {
-    const size_t n = Sharers();
-    for (size_t c = m_Self; m_Self < n && c < m_Have.size(); c += n)
-        if (WantedFromOrigin(static_cast<uint32_t>(c)))
-            return true;
-    return false;
+    return BestOfOwnShare().has_value();
 }
 
 void Exchange::PickFromOrigin(std::vector<Fetch>& out, TimePoint now)
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -142,6 +142,10 @@
     };
 
     std::optional<uint32_t> BestFromOrigin(TimePoint now); // also moves m_NextWake
+    std::optional<uint32_t> BestOfStride(size_t first, size_t stride) const;
+    std::optional<uint32_t> BestOfOwnShare() const;
+    std::optional<uint32_t> BestOfOthersShares(TimePoint now); // whose turn to step in has come; also moves m_NextWake
+    TimePoint               OwnShareDoneAt(TimePoint now);     // sets m_OwnOriginDoneAt when asked first
     void                    OnOriginFailed(ChunkOutcome outcome, TimePoint now);
     size_t                  Sharers() const; // members that share out the origin's chunks; at least 1
     bool                    WantedFromOrigin(uint32_t chunk) const;
