Soak: check_reverts() in short steps

The check mixed the list of versions known at two times, the floor of each life and one long generator in which a variable named `_` was compared; one comment told another rule than the code's. Now named_by() and oldest_unopposed() give the lists, check_revert() judges one run, and comments say why the floor waits for REVERT_S and when it rises.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -65,6 +65,14 @@
     whole: bool = False
 
 
+def oldest_unopposed(possible, named):
+    """The oldest of the `possible` versions, all of one parity, after which none of the other parity is named; 0: none is."""
+    for v in possible:
+        if all(later in possible for later in named if later > v):
+            return v
+    return 0
+
+
 @dataclass
 class Soak:
     args: argparse.Namespace
@@ -275,26 +283,34 @@
         elif (s.body, s.seal) not in {(f"{s.ident} by {b}".encode(), f"seal-{b}-{s.ident}") for b in by}:
             self.breach("MIXED", f"{s.ident}: {s.body!r} under {s.seal!r}")
 
+    def named_by(self, when):
+        return [version for named_at, version in self.configs if named_at <= when]
+
     def check_reverts(self):
-        """Even and odd versions use other services: a life that used a newer one must not use one that only an older one names."""
-        newest = {}  # (router, life) -> (when sent, lowest version it can have used)
+        """Even and odd versions send /flip/ to other services, so the service of a run tells the parity of the version that its router used.
+        A life that used a newer version must not use one that only an older one names."""
+        floors = {}  # (router, life) -> (when the request was sent that showed it, version that this life uses at least)
         for s in sorted((s for s in self.sent if s.kind == "flip"), key=lambda s: s.at):
             for run in self.record.runs.get(s.ident, []):
-                parity = 0 if run.service == "b" else 1
-                acked = [v for at, v in self.configs if at <= run.at and v % 2 == parity]
-                if not acked:
-                    self.breach("REVERT", f"{s.ident} ran at {run.service} before any declarations sent it there")
-                    continue
-                key = (s.router, s.life)
-                at, floor = newest.get(key, (s.at, 0))
-                if acked[-1] < floor and s.at > at + REVERT_S:
-                    self.breach("REVERT", f"{s.ident} of {key}: version {acked[-1]} at most, after {floor}")
-                # It used version v at least if all later ones of that parity came after it was sent.
-                least = [v for t, v in self.configs if t <= s.at and v % 2 == parity]
-                if least and len([v for t, v in self.configs if t <= run.at]) == len([v for t, v in self.configs if t <= s.at]):
-                    low = next((v for v in least if all(x % 2 == parity for _, x in self.configs if x > v and _ <= run.at)), 0)
-                    if low > floor:
-                        newest[key] = (s.at, low)
+                self.check_revert(s, run, floors)
+
+    def check_revert(self, s, run, floors):
+        parity = 0 if run.service == "b" else 1
+        named = self.named_by(run.at)
+        possible = [v for v in named if v % 2 == parity]
+        if not possible:
+            return self.breach("REVERT", f"{s.ident} ran at {run.service} before any declarations sent it there")
+        life = (s.router, s.life)
+        floor_since, floor = floors.get(life, (s.at, 0))
+        # Requests sent close to each other may overtake each other, so the floor holds only from REVERT_S after it was shown.
+        if possible[-1] < floor and s.at > floor_since + REVERT_S:
+            self.breach("REVERT", f"{s.ident} of {life}: version {possible[-1]} at most, after {floor}")
+        # The floor rises only by a run that no change of declarations came close to: none between sending and running.
+        if named != self.named_by(s.at):
+            return
+        shown = oldest_unopposed(possible, named)
+        if shown > floor:
+            floors[life] = (s.at, shown)
 
     def calm(self, router_name, since, until):
         r = next(x for x in self.routers if x.name == router_name)
