Soak's stand-in: faults told one by one

The head of Backend named a fault "slowness" that is a mode of the proxy, and didn't say which attribute is which fault. one() is handle(): it handles one request. The import inside free_ports() stands with the others.

--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import random
+import socket
 import time
 from dataclasses import dataclass, field
 
@@ -117,8 +118,9 @@
 
 
 class Backend:
-    """One lifetime of a backend server, behind its proxy. Faults by share: lost answers, cut streams, refusals, slowness.
-    Modes of the proxy: "pass", "delay", "reset", "one-way" (answers are lost), "silent"."""
+    """One lifetime of a backend server, behind its proxy. Faults by share of requests: `lose` (it runs, the answer is lost), `cut` (a stream
+    breaks within an event), `refuse` (it says that it did not run the request).
+    Modes of the proxy: "pass", "delay", "reset", "one-way" (answers are lost), "silent" (nothing passes either way)."""
 
     def __init__(self, ident, service, port, record, rng):
         self.id, self.service, self.port, self.record, self.rng = ident, service, port, record, rng
@@ -143,7 +145,7 @@
         self.writers.add(writer)
         try:
             while True:
-                await self.one(await read_request(reader), writer)
+                await self.handle(await read_request(reader), writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the caller left, or the run is over
         finally:
@@ -160,7 +162,7 @@
             writer.write(data)
             await writer.drain()
 
-    async def one(self, req, writer):
+    async def handle(self, req, writer):
         if self.proxy == "silent":
             return await asyncio.sleep(STORE_SILENCE_S)
         ident = req.fields["x-request-id"]
@@ -209,7 +211,6 @@
 
 def free_ports(count, rng):
     """Ports that nobody listens on now, below the range from which the system takes its own."""
-    import socket
     out = []
     while len(out) < count:
         port = rng.randrange(12_000, 30_000)
