Comments of the followers and the weight keeper say what the code does

The head of table_follower.h knew nothing of urgent and calm pauses nor of the strand; "may be empty" stood at a handler that is called unchecked, and m_Changed also rises by a read of the whole table. weight_keeper.h left out the short drain before a start, and its usage lacked the plan. The usage of platform_tables.h named a list_pace that is `paces` for both tables. Comments only.

--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -1,7 +1,9 @@
 // aldervale: keeps up with one table of the platform's store
 //
-// Reads the table whole, then its changes with a standing request, and tells a handler. While the store fails it tries again with growing
-// pauses; when the history it needs is gone it reads the whole table anew. Reads that lag behind what was seen are dropped.
+// Reads the table whole, then its changes with standing requests, and tells a handler. Each request is priced, so it pauses after each
+// answer: shortly while changes are urgent, by a random length around m_Calm while they aren't. While the store fails it tries again with
+// growing pauses; when the history it needs is gone it reads the whole table anew. Reads that lag behind what was seen are dropped.
+// It runs on a strand of its own, and so do the handlers: with several I/O threads two followers may call theirs at once.
 //
 // Usage:
 //   auto f = std::make_shared<TableFollower>(ioc, source, "servers", TableFollowerConfig{}, handlers);
@@ -15,13 +17,13 @@
 
 struct TableFollowerConfig
 {
-    Duration                  m_Wait   = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
-    Duration                  m_Margin = milliseconds(1200); // for the answer beyond m_Wait
-    Duration                  m_Gather = milliseconds(350);  // pause after changes, so that a series of them is taken together
-    Duration                  m_Quiet = milliseconds(700); // pause after an answer without changes: changes of other tables end standing requests too
-    std::function<bool()>     m_Urgent;                    // changes matter now: short pauses; empty: always
-    std::function<Duration()> m_Calm;                      // mean pause after any answer while changes aren't urgent; empty: 5 s
-    Duration                  m_RetryMin = milliseconds(100);  // first pause after a failure; doubles
+    Duration                  m_Wait   = milliseconds(6000);   // of the standing request: bounds how long a silent loss of the store goes unseen
+    Duration                  m_Margin = milliseconds(1200);   // for the answer beyond m_Wait
+    Duration                  m_Gather = milliseconds(350);    // urgent: pause after changes, so that a series of them is taken together
+    Duration                  m_Quiet  = milliseconds(700);    // urgent: pause after no changes; those of other tables end standing requests, too
+    std::function<bool()>     m_Urgent;                        // changes matter now; empty: always
+    std::function<Duration()> m_Calm;                          // not urgent: mean pause after any answer; empty: 5 s
+    Duration                  m_RetryMin = milliseconds(100);  // pause after a failure, urgent or not; doubles with each in a row
     Duration                  m_RetryMax = milliseconds(500);  //
     Duration                  m_ReadMax  = milliseconds(1500); // for a read of the whole table
 };
@@ -29,9 +31,9 @@
 struct TableHandlers
 {
     std::function<void(const RowRead&)> m_OnAll;     // the whole table
-    std::function<void(const RowRead&)> m_OnChanges; // rows that changed or went away; may be empty
-    std::function<void()>               m_OnLost;    // the store can't be reached; once until m_OnReached
-    std::function<void()>               m_OnReached; // it answered again; before the rows of that answer
+    std::function<void(const RowRead&)> m_OnChanges; // rows that changed or went away; none: the answer came without
+    std::function<void()>               m_OnLost;    // the store can't be reached; once until m_OnReached; may be empty
+    std::function<void()>               m_OnReached; // it answered again; before the rows of that answer; may be empty
 };
 
 class TableFollower : public std::enable_shared_from_this<TableFollower>
@@ -58,9 +60,9 @@
     TableHandlers       m_Handlers;         //
     uint64_t            m_Since    = 0;     // store version up to which changes are known; never falls
     bool                m_Synced   = false; // the whole table was read, and no history is missing since
-    bool                m_Changed  = true;  // the last answer held rows
+    bool                m_Changed  = true;  // the last answer was the whole table, or held changes
     unsigned            m_Failures = 0;     // in a row
-    uint64_t            m_Seed;             // of the pauses' random part
+    uint64_t            m_Seed;             // of the pauses' random part; differs by process
 };
 
 } // namespace aldervale
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -4,7 +4,7 @@
 // logged and left out. The list of servers goes straight into a ServerDirectory, which also hears of the store's outages.
 //
 // Usage:
-//   PlatformTables tables(ioc, settings, list_pace, directory, handlers);   // follows from now on
+//   PlatformTables tables(ioc, settings, paces, directory, handlers);   // follows from now on
 //   json["store_reachable"] = tables.Reachable();
 
 #pragma once
@@ -28,8 +28,8 @@
 
 struct TablePaces // how closely each table is followed
 {
-    TableFollowerConfig m_Operator; //
-    TableFollowerConfig m_List;     //
+    TableFollowerConfig m_Operator; // declarations and named weights
+    TableFollowerConfig m_List;     // backend servers
 };
 
 class PlatformTables // lives as long as the process
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -1,10 +1,11 @@
 // aldervale: keeps the weights of one box's model server at the newest named version
 //
 // The shell around StartPlan and PieceTransfer: watches the own server's report, which is fresh and free on its box, tells routers of it,
-// fetches what the plan asks for, checks every piece where it lies, and orders the start.
+// fetches what the plan asks for, checks every piece where it lies while the server still serves, has routers send nothing new for a short
+// while, and orders the start.
 //
 // Usage (src/programs/platform_agent.cpp):
-//   WeightKeeper k(daemon, server, transfer, publisher);
+//   WeightKeeper k(daemon, plan, server, transfer, publisher);
 //   k.SetModel("model"); k.OnNamed(version); k.Start();
 
 #pragma once
@@ -41,10 +42,10 @@
     StartPlan      m_Plan;              //
     std::string    m_Model;             //
     ServerReport   m_Report;            // last one
-    bool           m_Reachable = false; // it came lately
-    unsigned       m_Missed    = 0;     // reports in a row
-    bool           m_Ordering  = false; // a start is about to be ordered, or was and isn't done
-    bool           m_Draining  = false; // m_Ordering: and routers send nothing new any more
+    bool           m_Reachable = false; // reports come: fewer than kMissedMax in a row were missed
+    unsigned       m_Missed    = 0;     // reports in a row without an answer
+    bool           m_Ordering  = false; // pieces are being checked for a start, or it was ordered and isn't done
+    bool           m_Draining  = false; // says something only with m_Ordering: routers are told to send nothing new
     uint64_t       m_Ordered   = 0;     // version of that start
     TimePoint      m_OrderedAt{};       // when the order was given; default: not yet
 };
