--- a/src/external/model_server.h
+++ b/src/external/model_server.h
@@ -56,8 +56,8 @@
 class PieceOrigin
 {
 public:
-    virtual ~PieceOrigin()                                                                                                         = default;
-    virtual awaitable<Result<PieceList>>            ReadList(Endpoint at, std::string model, uint64_t version, TimePoint deadline) = 0;
+    virtual ~PieceOrigin()                                                                                              = default;
+    virtual awaitable<Result<PieceList>> ReadList(Endpoint at, std::string model, uint64_t version, TimePoint deadline) = 0;
     // `keep`: another piece will be read soon; else the connection is closed, for the origin takes few from all boxes together.
     virtual awaitable<Result<std::vector<uint8_t>>> ReadPiece(Endpoint at, std::string model, uint64_t version, uint32_t n, bool keep,
                                                               TimePoint deadline) = 0;
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -7,14 +7,14 @@
 namespace
 {
 
-constexpr auto     kMinLeft        = milliseconds(40);   // time before the deadline below which no attempt is begun
-constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
-constexpr auto     kCameBackSlack  = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
-constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
-constexpr auto     kNamedLate      = milliseconds(1100); // after its naming at the store by which a version is known here at the latest, on a calm day
-constexpr auto     kTimeMin        = milliseconds(1);    // of a request, as a server is told
-constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
-constexpr double   kBudgetShare    = 0.6;                // of the declared budget that routers use together: windows slide
+constexpr auto     kMinLeft       = milliseconds(40);   // time before the deadline below which no attempt is begun
+constexpr auto     kNotReadyRetry = milliseconds(300);  // when to come back to a router that knows no declarations yet
+constexpr auto     kCameBackSlack = milliseconds(60);   // a caller with less time than the route's limit by more than this was here before
+constexpr auto     kWeightsCheck  = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
+constexpr auto     kNamedLate     = milliseconds(1100); // after its naming at the store by which a version is known here at the latest, on a calm day
+constexpr auto     kTimeMin       = milliseconds(1);    // of a request, as a server is told
+constexpr unsigned kRoutersAssumed = 8;                 // sharing the retry budget, until reports say how many there are
+constexpr double   kBudgetShare    = 0.6;               // of the declared budget that routers use together: windows slide
 
 Counter& OutcomeCounter(std::string_view outcome)
 {
