A follower gives a slow store longer after each failure; the try with rarer reads is taken back

Tried and reverted: pauses that grow with the length of answers. Looked at again: routers of one region stood at version 16 when 105 was in force, for seconds. After one failure a read asks with a wait of 1 ms and gave up after 1.2 s, with 60 KB to come over a link shared by 13 routers: each answer given up had used the link for nothing. Now the time limit grows with failures, to 6 s. Test an_answer_that_takes_longer_than_the_first_time_limit_is_had_in_the_end is red without it.

--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -6,20 +6,16 @@
 namespace aldervale
 {
 
-constexpr uint64_t kCalmParts = 64;         // lengths that a calm pause may have
-constexpr auto     kCalmMean  = seconds(5); // of calm pauses when nothing else is said
+constexpr unsigned kFailuresCounted = 8;                  // beyond which patience no longer grows
+constexpr auto     kPatienceMax     = milliseconds(6000); // for one answer: as long as a standing request may be silent anyway
+constexpr uint64_t kCalmParts       = 64;                 // lengths that a calm pause may have
+constexpr auto     kCalmMean        = seconds(5);         // of calm pauses when nothing else is said
 
 TableFollower::TableFollower(asio::io_context& ioc, RowSource& source, std::string table, const TableFollowerConfig& cfg, TableHandlers handlers)
     : m_Ioc(ioc), m_Source(source), m_Table(std::move(table)), m_Config(cfg), m_Handlers(std::move(handlers)), m_Seed(RandomSeed())
 {
 }
 
-Duration GatherPause(const TableFollowerConfig& cfg, size_t bytes)
-{
-    const Duration pause = cfg.m_Gather + cfg.m_GatherPerKb * static_cast<int64_t>(bytes) / 1000;
-    return std::max(cfg.m_Gather, std::min(pause, cfg.m_GatherMax));
-}
-
 void TableFollower::Start()
 {
     // A strand: the store's connections end reads by timers, which may not run beside the read on another thread.
@@ -33,7 +29,7 @@
     {
         const bool ok     = m_Synced ? co_await ReadChanges() : co_await ReadAll();
         const bool urgent = !m_Config.m_Urgent || m_Config.m_Urgent();
-        Duration   pause  = !urgent ? CalmPause() : m_Changed ? GatherPause(m_Config, m_Bytes) : m_Config.m_Quiet;
+        Duration   pause  = !urgent ? CalmPause() : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
         if (!ok)
         {
             pause = std::min(m_Config.m_RetryMax, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
@@ -53,7 +49,7 @@
 
 awaitable<bool> TableFollower::ReadAll()
 {
-    const auto read = co_await m_Source.ReadAll(m_Table, Now() + m_Config.m_ReadMax);
+    const auto read = co_await m_Source.ReadAll(m_Table, Now() + Patience(m_Config.m_ReadMax));
     if (!read)
     {
         OnFailure(read.error());
@@ -76,7 +72,7 @@
 {
     // After a failure a short wait: the answer itself is the news that the store is back.
     const Duration wait = m_Failures > 0 ? milliseconds(1) : m_Config.m_Wait;
-    const auto     read = co_await m_Source.ReadChanges(m_Table, m_Since, wait, Now() + wait + m_Config.m_Margin);
+    const auto     read = co_await m_Source.ReadChanges(m_Table, m_Since, wait, Now() + wait + Patience(m_Config.m_Margin));
     if (!read)
     {
         if (read.error().m_Code != ErrorCode_Stale)
@@ -93,13 +89,17 @@
         co_return true;
     m_Since   = read.value().m_StoreVersion;
     m_Changed = !read.value().m_Rows.empty();
-    m_Bytes   = 0;
-    for (const Row& row : read.value().m_Rows)
-        m_Bytes += row.m_Value.size();
     m_Handlers.m_OnChanges(read.value());
     co_return true;
 }
 
+// Where answers are long and the way is narrow, one that is given up has used the way for nothing; if all did so at the same time limit
+// again and again, none would ever get its answer.
+Duration TableFollower::Patience(Duration first) const
+{
+    return std::min<Duration>(first * (1u + std::min(m_Failures, kFailuresCounted)), std::max<Duration>(first, kPatienceMax));
+}
+
 void TableFollower::OnFailure(const Error& e)
 {
     m_Failures++;
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -17,17 +17,15 @@
 
 struct TableFollowerConfig
 {
-    Duration                  m_Wait        = milliseconds(6000); // of the standing request: bounds how long a silent loss of the store goes unseen
-    Duration                  m_Margin      = milliseconds(1200); // for the answer beyond m_Wait
-    Duration                  m_Gather      = milliseconds(350);  // urgent: pause after changes, so that a series of them is taken together
-    Duration                  m_GatherPerKb = milliseconds(8);    // added to m_Gather for each 1,000 bytes of changes
-    Duration                  m_GatherMax   = milliseconds(900);  // of both: well under the two seconds in which declarations must be in force
-    Duration                  m_Quiet       = milliseconds(700);  // urgent: pause after no changes; those of other tables end standing requests, too
-    std::function<bool()>     m_Urgent;                           // changes matter now; empty: always
-    std::function<Duration()> m_Calm;                             // not urgent: mean pause after any answer; empty: 5 s
-    Duration                  m_RetryMin = milliseconds(100);     // pause after a failure, urgent or not; doubles with each in a row
-    Duration                  m_RetryMax = milliseconds(500);     //
-    Duration                  m_ReadMax  = milliseconds(1500);    // for a read of the whole table
+    Duration                  m_Wait   = milliseconds(6000);   // of the standing request: bounds how long a silent loss of the store goes unseen
+    Duration                  m_Margin = milliseconds(1200);   // for the answer beyond m_Wait; longer after each failure in a row
+    Duration                  m_Gather = milliseconds(350);    // urgent: pause after changes, so that a series of them is taken together
+    Duration                  m_Quiet  = milliseconds(700);    // urgent: pause after no changes; those of other tables end standing requests, too
+    std::function<bool()>     m_Urgent;                        // changes matter now; empty: always
+    std::function<Duration()> m_Calm;                          // not urgent: mean pause after any answer; empty: 5 s
+    Duration                  m_RetryMin = milliseconds(100);  // pause after a failure, urgent or not; doubles with each in a row
+    Duration                  m_RetryMax = milliseconds(500);  //
+    Duration                  m_ReadMax  = milliseconds(1500); // for a read of the whole table
 };
 
 struct TableHandlers // what becomes of the rows
@@ -38,10 +36,6 @@
     std::function<void()>               m_OnReached; // it answered again; before the rows of that answer; may be empty
 };
 
-// Pause after an answer with changes of so many bytes. In a series of changes each answer is as long as the last, and all processes of a
-// data centre read it over the same link: the longer it is, the more rarely it is read.
-Duration GatherPause(const TableFollowerConfig& cfg, size_t bytes);
-
 class TableFollower : public std::enable_shared_from_this<TableFollower>
 {
 public:
@@ -54,8 +48,9 @@
 private:
     awaitable<void> Run();
     Duration        CalmPause();
-    awaitable<bool> ReadAll();     // false: failed
-    awaitable<bool> ReadChanges(); // false: failed
+    awaitable<bool> ReadAll();                      // false: failed
+    awaitable<bool> ReadChanges();                  // false: failed
+    Duration        Patience(Duration first) const; // for an answer, after the failures so far
     void            OnFailure(const Error& e);
     void            OnAnswer();
 
@@ -67,7 +62,6 @@
     uint64_t            m_Since    = 0;     // store version up to which changes are known; never falls
     bool                m_Synced   = false; // the whole table was read, and no history is missing since
     bool                m_Changed  = true;  // the last answer was the whole table, or held changes
-    size_t              m_Bytes    = 0;     // of values in the last answer with changes
     unsigned            m_Failures = 0;     // in a row
     uint64_t            m_Seed;             // of the pauses' random part; differs by process
 };
