--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -6,10 +6,10 @@
 namespace aldervale
 {
 
-constexpr unsigned kFailuresCounted = 8;                  // beyond which patience no longer grows
-constexpr auto     kPatienceMax     = milliseconds(6000); // for one answer: as long as a standing request may be silent anyway
-constexpr uint64_t kCalmParts       = 64;                 // lengths that a calm pause may have
-constexpr auto     kCalmMean        = seconds(5);         // of calm pauses when nothing else is said
+constexpr unsigned kFailuresCounted = 8;            // beyond which patience no longer grows
+constexpr auto kPatienceMax   = milliseconds(2400); // for one answer: a store that was silent is found again well within three seconds of its return
+constexpr uint64_t kCalmParts = 64;                 // lengths that a calm pause may have
+constexpr auto     kCalmMean  = seconds(5);         // of calm pauses when nothing else is said
 
 TableFollower::TableFollower(asio::io_context& ioc, RowSource& source, std::string table, const TableFollowerConfig& cfg, TableHandlers handlers)
     : m_Ioc(ioc), m_Source(source), m_Table(std::move(table)), m_Config(cfg), m_Handlers(std::move(handlers)), m_Seed(RandomSeed())
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -1,6 +1,6 @@
 // aldervale: the chunk exchange, which decides for one version on one box what to fetch from whom
 //
-// Pure: events and times in, fetches out. The shell (agent_weights.cpp) owns links, HTTP, staging and the token bucket.
+// Pure: events and times in, fetches out. The shells (agent_weights.cpp, piece_transfer.h) own links, HTTP, staging and token buckets.
 //
 // How it decides:
 //   - Each chunk has its fetchers from the origin in an order that every box computes alike: the members of the scope, permuted by
