A fetch begins with three pieces at once, and a narrow link halves them

Ruled out: the router's prediction (it left 1.1 s). Now three at first, one more after a quick piece, half after a slow one. Test a_link_that_turns_out_to_be_narrow_soon_has_few_pieces_on_the_way holds the sum.

--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -30,6 +30,13 @@
     bool                             Whole() const { return m_List && m_Count == m_Pieces.size(); }
 };
 
+constexpr unsigned kPieceSlotsFirst = 3; // pieces asked of neighbours at once when a fetch begins: the link may be narrower than declared
+constexpr unsigned kPieceSlotsMax   = 8; // and at most
+
+// Pieces asked at once after one that took so long. Live requests queue behind all that are on the way to this box, so a link that turns
+// out to be narrow is left with half as many.
+unsigned NextPieceSlots(unsigned slots, Duration took);
+
 class PieceTransfer
 {
 public:
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -9,9 +9,6 @@
 {
 
 constexpr auto     kOriginMax    = milliseconds(2000); // for one piece from the origin
-constexpr unsigned kSlotsMin     = 1;                  // pieces asked of neighbours at once, at least
-constexpr auto     kPieceSlow    = milliseconds(400);  // a piece that took longer queues on this box's link, before live requests
-constexpr auto     kPieceQuick   = milliseconds(220);  // one that took less leaves room for another
 constexpr unsigned kBadListAfter = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
 
 } // namespace
@@ -36,13 +33,18 @@
     Pump(job);
 }
 
-// A link that is narrower than declared shows in the time that pieces take.
+unsigned NextPieceSlots(unsigned slots, Duration took)
+{
+    constexpr auto kSlow  = milliseconds(400); // longer: pieces queue on this box's link
+    constexpr auto kQuick = milliseconds(220); // less: there is room for another
+    if (took > kSlow)
+        return std::max(1u, slots / 2);
+    return took < kQuick ? std::min(kPieceSlotsMax, slots + 1) : slots;
+}
+
 void PieceTransfer::AdaptSlots(Job& job, Duration took)
 {
-    if (took > kPieceSlow)
-        job.m_Slots = std::max(kSlotsMin, job.m_Slots - 1);
-    else if (took < kPieceQuick)
-        job.m_Slots = std::min(kSlotsMax, job.m_Slots + 1);
+    job.m_Slots = NextPieceSlots(job.m_Slots, took);
     job.m_Exchange->SetDownloadSlots(job.m_Slots);
 }
 
--- a/src/version/piece_transfer_internal.h
+++ b/src/version/piece_transfer_internal.h
@@ -15,10 +15,9 @@
 namespace aldervale
 {
 
-constexpr auto     kListRetry = milliseconds(30);   // looks whether a neighbour has the list
-constexpr auto     kOwnMax    = milliseconds(500);  // for one call to the own server
-constexpr auto     kPieceMax  = milliseconds(1200); // for one piece from a neighbour
-constexpr unsigned kSlotsMax  = 8;                  // pieces asked of neighbours at once, at most
+constexpr auto kListRetry = milliseconds(30);   // looks whether a neighbour has the list
+constexpr auto kOwnMax    = milliseconds(500);  // for one call to the own server
+constexpr auto kPieceMax  = milliseconds(1200); // for one piece from a neighbour
 
 // Names of versions and lists of digests as they cross between boxes (piece_wire.cpp)
 std::string              VersionName(std::string_view model, uint64_t version);
@@ -29,16 +28,16 @@
 
 struct PieceTransfer::Job
 {
-    uint64_t                  m_Version = 0;        //
-    TimePoint                 m_StartedAt{};        //
-    std::unique_ptr<Exchange> m_Exchange;           // null until the list is known
-    ManifestPtr               m_Manifest;           //
-    bool                      m_Over   = false;     // whole, or given up
-    unsigned                  m_Slots  = kSlotsMax; // pieces asked of neighbours at once
-    unsigned                  m_Spoilt = 0;         // pieces from the origin that failed their digest
-    std::vector<uint32_t>     m_News;               // pieces not told to neighbours yet
-    std::set<std::string>     m_Listed;             // neighbours that have the list of digests
-    TimePoint                 m_OriginFrom{};       // no piece is asked of the origin before
+    uint64_t                  m_Version = 0;               //
+    TimePoint                 m_StartedAt{};               //
+    std::unique_ptr<Exchange> m_Exchange;                  // null until the list is known
+    ManifestPtr               m_Manifest;                  //
+    bool                      m_Over   = false;            // whole, or given up
+    unsigned                  m_Slots  = kPieceSlotsFirst; // pieces asked of neighbours at once
+    unsigned                  m_Spoilt = 0;                // pieces from the origin that failed their digest
+    std::vector<uint32_t>     m_News;                      // pieces not told to neighbours yet
+    std::set<std::string>     m_Listed;                    // neighbours that have the list of digests
+    TimePoint                 m_OriginFrom{};              // no piece is asked of the origin before
 };
 
 } // namespace aldervale
--- a/src/version/piece_transfer_job.cpp
+++ b/src/version/piece_transfer_job.cpp
@@ -33,7 +33,7 @@
 ExchangeConfig TransferConfig(const std::optional<WeightOrigin>& origin, uint32_t piece_bytes)
 {
     ExchangeConfig c;
-    c.m_DownloadSlots = kSlotsMax;
+    c.m_DownloadSlots = kPieceSlotsFirst;
     c.m_OriginSlots   = 1; // the origin takes few connections, and each box waits there as long with one as with two
     c.m_PerPeer       = 2;
     c.m_OriginRanks   = 64; // no cap on copies: a piece that is nowhere must be had, each further rank only steps in later
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -345,3 +345,20 @@
     BOOST_TEST(Eventually([&] { return reports.load() > seen; }));
     router.Stop();
 }
+
+BOOST_AUTO_TEST_CASE(a_link_that_turns_out_to_be_narrow_soon_has_few_pieces_on_the_way)
+{
+    constexpr int kPieceMs = 216; // of 24 KiB at an eighth of the declared link
+    unsigned      slots    = kPieceSlotsFirst;
+    unsigned      most     = 0;
+    for (int i = 0; i < 12; i++)
+    {
+        most  = std::max(most, slots);
+        slots = NextPieceSlots(slots, milliseconds(kPieceMs * static_cast<int>(slots)));
+    }
+    BOOST_TEST(most * kPieceMs < 700u); // the longest wait of a live request behind pieces, ms
+    BOOST_TEST(slots <= 2u);
+    for (int i = 0; i < 12; i++)
+        slots = NextPieceSlots(slots, milliseconds(100));
+    BOOST_TEST(slots == kPieceSlotsMax);
+}
