A router learns from agents when versions were named

A version named between two others was not learned at all after a restart, since the store keeps the newest naming only. Change: reports carry each version named after the one held, with its age as the agent knows it; a sure time replaces an assumed one. Ruled out: the store tells no time of a row. Tests: test_routing_world (new), a_plan_tells_since_when_newer_versions_than_the_held_one_are_named, a_report_tells_what_was_named_and_how_long_ago.

--- a/src/common/load_report.h
+++ b/src/common/load_report.h
@@ -1,19 +1,27 @@
 // aldervale: what a model server's box tells routers of its load
 #pragma once
 #include <cstdint>
+#include <vector>
 
 namespace aldervale
 {
 
+struct NamedAge // a version of weights that should replace older ones
+{
+    uint64_t m_Version                         = 0;
+    int64_t  m_AgeMs                           = -1; // since it was named, as the agent learned; negative: it was named before the agent started
+    bool     operator==(const NamedAge&) const = default;
+};
+
 struct LoadReport
 {
-    uint32_t m_Running  = 0;     // requests in the batch
-    uint32_t m_Waiting  = 0;     // requests taken, not yet in the batch
-    float    m_Pace     = 1;     // over 1: the engine is that much slower than declared
-    uint64_t m_Weights  = 0;     // version that it holds whole; 0: none, takes no requests
-    uint64_t m_Target   = 0;     // version that it should hold, as its agent knows
-    bool     m_Starting = false; // it takes nothing new: another version is being started
-    uint32_t m_Routers  = 0;     // routers that asked for its reports lately
+    uint32_t              m_Running  = 0;     // requests in the batch
+    uint32_t              m_Waiting  = 0;     // requests taken, not yet in the batch
+    float                 m_Pace     = 1;     // over 1: the engine is that much slower than declared
+    uint64_t              m_Weights  = 0;     // version that it holds whole; 0: none, takes no requests
+    bool                  m_Starting = false; // it takes nothing new: another version is being started
+    uint32_t              m_Routers  = 0;     // routers that asked for its reports lately
+    std::vector<NamedAge> m_Named;            // newest version named, and each other one that is newer than m_Weights
 };
 
 } // namespace aldervale
--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -53,7 +53,17 @@
 
 LoadReport FromWire(const wire::LoadState& s)
 {
-    return {s.running(), s.waiting(), s.pace(), s.weights(), s.target(), s.starting(), s.routers()};
+    LoadReport r;
+    r.m_Running  = s.running();
+    r.m_Waiting  = s.waiting();
+    r.m_Pace     = s.pace();
+    r.m_Weights  = s.weights();
+    r.m_Starting = s.starting();
+    r.m_Routers  = s.routers();
+    if (s.named() != nullptr)
+        for (const wire::NamedWeights* n : *s.named())
+            r.m_Named.push_back({n->version(), n->age_ms()});
+    return r;
 }
 
 wire::LoadStateT ToWire(const LoadReport& r)
@@ -63,9 +73,10 @@
     s.waiting  = r.m_Waiting;
     s.pace     = r.m_Pace;
     s.weights  = r.m_Weights;
-    s.target   = r.m_Target;
     s.starting = r.m_Starting;
     s.routers  = r.m_Routers;
+    for (const NamedAge& n : r.m_Named)
+        s.named.emplace_back(n.m_Version, n.m_AgeMs);
     return s;
 }
 
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -135,7 +135,8 @@
     StartPlanConfig plan;
     plan.m_Deadline = milliseconds(a.m_Settings.m_WeightsDeadlineMs);
     a.m_Keeper      = std::make_unique<WeightKeeper>(daemon, plan, *a.m_Server, *a.m_Transfer, *a.m_Publisher);
-    a.m_Transfer->SetOnHeard([&a](uint64_t version) { a.m_Keeper->OnNamed(version, false); }); // a neighbour may read the store sooner
+    // A neighbour may read the store sooner. What is heard of before the own first read may have been named before this process started.
+    a.m_Transfer->SetOnHeard([&a](uint64_t version) { a.m_Keeper->OnNamed(version, !a.m_OperatorRead); });
     DaemonHooks hooks;
     hooks.m_Ready    = [&a] { return a.m_Keeper->Serving(); };
     hooks.m_Describe = [&a] { return a.m_Keeper->Describe(); };
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -11,9 +11,8 @@
 namespace
 {
 
-constexpr auto kExpireEvery   = milliseconds(100);  // looks for servers kept over an outage of the store
-constexpr auto kUnknownNaming = milliseconds(2500); // that older weights may be used when a version was named before the start
-constexpr auto kDrainNotice   = milliseconds(2600); // the balancer asks once a second, and twice before it sends callers elsewhere
+constexpr auto kExpireEvery = milliseconds(100);  // looks for servers kept over an outage of the store
+constexpr auto kDrainNotice = milliseconds(2600); // the balancer asks once a second, and twice before it sends callers elsewhere
 
 struct RouterSettings
 {
@@ -95,10 +94,10 @@
 
 void OnNamed(Router& r, const platform::NamedWeights& named)
 {
-    // What was named before this process started was named at an unknown time: older weights get only a short while.
-    const Duration  deadline = milliseconds(r.m_Settings.m_Serve.m_WeightsDeadlineMs);
-    const TimePoint known_at = r.m_OperatorRead ? Now() : Now() - deadline + kUnknownNaming;
-    NoteNamed(r.m_World, named.m_Model, named.m_Version, known_at);
+    // Before the first read is over, what it tells may have been named at any time.
+    const Duration deadline = milliseconds(r.m_Settings.m_Serve.m_WeightsDeadlineMs);
+    const Naming   naming   = r.m_OperatorRead ? Naming{Now(), true} : AssumedNaming(Now(), deadline);
+    NoteNamed(r.m_World, named.m_Model, named.m_Version, naming);
 }
 
 //-----------------------------------------------------------------------------
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -106,8 +106,8 @@
     const auto                   it = call.m_Service->m_Engine ? m_World.m_Weights.find(call.m_Service->m_Engine->m_Model) : m_World.m_Weights.end();
     if (it == m_World.m_Weights.end())
         return out;
-    for (const auto& [version, known_at] : it->second)
-        out.push_back({version, known_at + milliseconds(m_Settings.m_WeightsDeadlineMs)});
+    for (const auto& [version, naming] : it->second)
+        out.push_back({version, naming.m_At + milliseconds(m_Settings.m_WeightsDeadlineMs)});
     return out;
 }
 
@@ -297,7 +297,7 @@
         if (!s.m_Engine || e.m_Address.m_Address != box)
             return;
         m_Impl->m_Choice.OnReport(e.m_Id, report, now);
-        NoteNamed(m_Impl->m_World, s.m_Engine->m_Model, report.m_Target, now); // its agent may reach the store when we don't
+        NoteReported(m_Impl->m_World, s.m_Engine->m_Model, report.m_Named, milliseconds(m_Impl->m_Settings.m_WeightsDeadlineMs), now);
     };
     ForEachServer(m_Impl->m_World, note);
 }
--- a/src/request/routing_world.cpp
+++ b/src/request/routing_world.cpp
@@ -8,21 +8,47 @@
 namespace
 {
 
-constexpr size_t kVersionsRemembered = 8; // of a model's weights, for their deadlines
+constexpr size_t kVersionsRemembered = 8;                  // of a model's weights, for their deadlines
+constexpr auto   kUnknownNaming      = milliseconds(2500); // that older weights may be used when it isn't known when a version was named
 
+} // namespace
+
+Naming AssumedNaming(TimePoint now, Duration deadline)
+{
+    return {now - deadline + std::min<Duration>(deadline, kUnknownNaming), false};
+}
+
+static bool Better(const Naming& a, const Naming& than)
+{
+    return a.m_Sure && (!than.m_Sure || a.m_At < than.m_At);
 }
 
-bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, TimePoint known_at)
+bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, Naming naming)
 {
     NamedVersions& versions = world.m_Weights[model];
     const uint64_t newest   = versions.empty() ? 1 : versions.rbegin()->first;
-    if (version <= newest)
+    const auto     known    = versions.find(version);
+    if (known != versions.end() && Better(naming, known->second))
+        known->second = naming;
+    if (known != versions.end() || version <= 1 || (version < newest && !naming.m_Sure))
         return false;
-    versions[version] = known_at;
-    if (versions.size() > kVersionsRemembered)
+    const bool full = versions.size() >= kVersionsRemembered;
+    if (full && version < versions.begin()->first)
+        return false;
+    if (full)
         versions.erase(versions.begin());
-    LogEvent(Event_WeightsNamed, {{"model", model}, {"version", version}, {"before", newest}});
-    return true;
+    versions[version] = naming;
+    LogEvent(Event_WeightsNamed, {{"model", model}, {"version", version}, {"before", newest}, {"sure", naming.m_Sure}});
+    return version > newest;
+}
+
+void NoteReported(RoutingWorld& world, const std::string& model, std::span<const NamedAge> named, Duration deadline, TimePoint now)
+{
+    for (const NamedAge& n : named)
+    {
+        const Naming naming = n.m_AgeMs >= 0 ? Naming{now - milliseconds(n.m_AgeMs), true} : AssumedNaming(now, deadline);
+        NoteNamed(world, model, n.m_Version, naming);
+    }
 }
 
 } // namespace aldervale
--- a/src/request/routing_world.h
+++ b/src/request/routing_world.h
@@ -2,18 +2,30 @@
 //
 // Usage:
 //   RoutingWorld world;
-//   NoteNamed(world, "model-a", 7, Now());
+//   NoteNamed(world, "model-a", 7, {Now(), true});
 //   ForEachServer(world, [](const Service& s, const ServerEntry& e) { ... });
 
 #pragma once
+#include "common/load_report.h"
 #include "process/server_directory.h"
 #include "version/route_table.h"
+#include <span>
 
 namespace aldervale
 {
 
-// Versions of a model's weights and when this process learned of each. A version's deadline stays when a newer one is named.
-using NamedVersions = std::map<uint64_t, TimePoint>;
+// When a version of weights was named, as this process believes.
+struct Naming
+{
+    TimePoint m_At{};         // not before the true time, if m_Sure
+    bool      m_Sure = false; // somebody was there; else m_At is assumed, for a version named before this process started
+};
+
+// Of a version that was named at an unknown time: older weights get only a short while. `deadline`: from naming until nobody may use them.
+Naming AssumedNaming(TimePoint now, Duration deadline);
+
+// By version. A version's deadline stays when a newer one is named.
+using NamedVersions = std::map<uint64_t, Naming>;
 
 struct RoutingWorld // touched on one thread
 {
@@ -24,8 +36,12 @@
     std::map<std::string, NamedVersions> m_Weights;              // by model; the newest few
 };
 
-// A version was named, as learned at `known_at`; older ones than the newest known are ignored. True: it was news.
-bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, TimePoint known_at);
+// A version was named. A sure time replaces an assumed one, and an earlier sure time a later one: who learned of it first is nearest to the
+// truth. An assumed time of a version older than the newest known is ignored. True: it is the newest, and news.
+bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, Naming naming);
+
+// The same for what a model server's agent tells: it may reach the store when this process doesn't, and was there when this one was not.
+void NoteReported(RoutingWorld& world, const std::string& model, std::span<const NamedAge> named, Duration deadline, TimePoint now);
 
 // Calls fn(service, entry) for each server of each declared service, draining ones too.
 template <class FnT> void ForEachServer(const RoutingWorld& world, FnT fn)
--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -20,6 +20,15 @@
         m_Named.erase(m_Named.begin());
 }
 
+std::vector<NamedAge> StartPlan::NamedAfter(uint64_t held, TimePoint now) const
+{
+    std::vector<NamedAge> out;
+    for (const auto& [version, known_at] : m_Named)
+        if (version > held || version == Target())
+            out.push_back({version, known_at == TimePoint{} ? -1 : ToMs(now - known_at)});
+    return out;
+}
+
 uint64_t StartPlan::NextFetch(const PlanInput& in, TimePoint now) const
 {
     const uint64_t target = Target();
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -18,7 +18,7 @@
 
 #pragma once
 #include "common/clock.h"
-#include "common/hash.h"
+#include "common/load_report.h"
 #include <cstdint>
 #include <map>
 
@@ -52,9 +52,10 @@
 public:
     explicit StartPlan(const StartPlanConfig& cfg) : m_Config(cfg) {}
 
-    void     OnNamed(uint64_t version, TimePoint known_at); // older ones than the newest known are ignored
-    void     OnOrderFailed(TimePoint now) { m_OrderAfter = now + m_Config.m_OrderPause; }
-    uint64_t Target() const { return m_Named.empty() ? 1 : m_Named.rbegin()->first; } // versions begin at 1
+    void                  OnNamed(uint64_t version, TimePoint known_at); // older ones than the newest known are ignored
+    void                  OnOrderFailed(TimePoint now) { m_OrderAfter = now + m_Config.m_OrderPause; }
+    std::vector<NamedAge> NamedAfter(uint64_t held, TimePoint now) const; // the newest version named, and each other one newer than `held`
+    uint64_t              Target() const { return m_Named.empty() ? 1 : m_Named.rbegin()->first; } // versions begin at 1
 
     uint64_t  NextFetch(const PlanInput& in, TimePoint now) const; // version whose pieces to get
     uint64_t  NextStart(const PlanInput& in, TimePoint now) const; // version to start
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -61,8 +61,8 @@
     r.m_Waiting  = m_Report.m_Waiting;
     r.m_Pace     = static_cast<float>(m_Report.m_Pace);
     r.m_Weights  = m_Reachable ? m_Report.m_Weights : 0;
-    r.m_Target   = m_Plan.Target();
     r.m_Starting = m_Ordering && m_Draining;
+    r.m_Named    = m_Plan.NamedAfter(r.m_Weights, Now());
     m_Publisher.Publish(r);
 }
 
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -346,6 +346,28 @@
     router.Stop();
 }
 
+BOOST_AUTO_TEST_CASE(a_report_tells_what_was_named_and_how_long_ago)
+{
+    asio::io_context ioc;
+    const Endpoint   box = FreeEndpoint();
+    LoadPublisher    publisher(ioc, "dc-1");
+    LoadReport       heard;
+    LoadListener     listener(ioc, {"router", "dc-1"}, [&](const asio::ip::address&, const LoadReport& r) { heard = r; });
+    LoadReport       told;
+    told.m_Weights = 1;
+    told.m_Named   = {{2, -1}, {3, 1234}};
+    BOOST_REQUIRE(publisher.Listen(box).has_value());
+    BOOST_REQUIRE(listener.Listen(FreeEndpoint()).has_value());
+    listener.SetBoxes({box});
+    for (int i = 0; i < 2000 && heard.m_Weights == 0; i++)
+    {
+        ioc.run_for(milliseconds(10));
+        publisher.Publish(told);
+    }
+    BOOST_TEST(heard.m_Weights == 1u);
+    BOOST_TEST((heard.m_Named == told.m_Named));
+}
+
 BOOST_AUTO_TEST_CASE(a_link_that_turns_out_to_be_narrow_soon_has_few_pieces_on_the_way)
 {
     constexpr int kPieceMs = 216; // of 24 KiB at an eighth of the declared link
--- /dev/null
+++ b/tests/test_routing_world.cpp
@@ -0,0 +1,74 @@
+// What a router believes of named weights: when each version was named, from its own reads and from agents.
+#include "request/routing_world.h"
+#include "support.h"
+
+using namespace aldervale;
+
+namespace
+{
+
+const TimePoint   kStart    = TimePoint{} + seconds(100);
+constexpr auto    kDeadline = milliseconds(8000); // from naming until no older version may begin
+const std::string kModel    = "model";
+
+TimePoint NamedAt(RoutingWorld& world, uint64_t version)
+{
+    return world.m_Weights[kModel].at(version).m_At;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_router_that_started_after_a_naming_takes_its_time_from_an_agent_that_was_there)
+{
+    RoutingWorld world;
+    BOOST_TEST(NoteNamed(world, kModel, 2, AssumedNaming(kStart, kDeadline)));
+    BOOST_TEST((NamedAt(world, 2) + kDeadline < kStart + seconds(3))); // nobody told: older weights get a short while only
+    const NamedAge there[] = {{2, 1500}};
+    NoteReported(world, kModel, there, kDeadline, kStart);
+    BOOST_TEST((NamedAt(world, 2) == kStart - milliseconds(1500)));
+}
+
+BOOST_AUTO_TEST_CASE(the_earliest_sure_time_counts)
+{
+    RoutingWorld   world;
+    const NamedAge late[]     = {{2, 300}};
+    const NamedAge early[]    = {{2, 900}};
+    const NamedAge ignorant[] = {{2, -1}};
+    NoteReported(world, kModel, late, kDeadline, kStart);
+    NoteReported(world, kModel, early, kDeadline, kStart);
+    NoteReported(world, kModel, late, kDeadline, kStart);
+    NoteReported(world, kModel, ignorant, kDeadline, kStart);
+    BOOST_TEST((NamedAt(world, 2) == kStart - milliseconds(900)));
+}
+
+// The store keeps the newest naming only; the deadline of the one before still binds.
+BOOST_AUTO_TEST_CASE(a_version_named_between_two_others_is_learned_from_agents)
+{
+    RoutingWorld world;
+    NoteNamed(world, kModel, 3, {kStart - seconds(1), true});
+    const NamedAge there[] = {{2, 4000}, {3, 1000}};
+    NoteReported(world, kModel, there, kDeadline, kStart);
+    BOOST_REQUIRE(world.m_Weights[kModel].contains(2));
+    BOOST_TEST((NamedAt(world, 2) == kStart - seconds(4)));
+    BOOST_TEST((NamedAt(world, 3) == kStart - seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(an_assumed_time_of_an_older_version_says_nothing)
+{
+    RoutingWorld world;
+    NoteNamed(world, kModel, 3, {kStart, true});
+    BOOST_TEST(!NoteNamed(world, kModel, 2, AssumedNaming(kStart, kDeadline)));
+    BOOST_TEST(!world.m_Weights[kModel].contains(2));
+}
+
+BOOST_AUTO_TEST_CASE(only_the_newest_versions_are_remembered_and_old_ones_do_not_come_back)
+{
+    RoutingWorld world;
+    for (uint64_t v = 2; v < 30; v++)
+        NoteNamed(world, kModel, v, {kStart, true});
+    const size_t kept = world.m_Weights[kModel].size();
+    BOOST_TEST(kept < 28u);
+    BOOST_TEST(!NoteNamed(world, kModel, 2, {kStart, true}));
+    BOOST_TEST(world.m_Weights[kModel].size() == kept);
+    BOOST_TEST(!world.m_Weights[kModel].contains(2));
+}
--- a/tests/test_start_plan.cpp
+++ b/tests/test_start_plan.cpp
@@ -129,3 +129,15 @@
                            }
                        });
 }
+
+BOOST_AUTO_TEST_CASE(a_plan_tells_since_when_newer_versions_than_the_held_one_are_named)
+{
+    StartPlan p({});
+    BOOST_TEST(p.NamedAfter(1, kStart).empty());
+    p.OnNamed(2, TimePoint{}); // before this process started
+    p.OnNamed(3, kStart);
+    const std::vector<NamedAge> want = {{2, -1}, {3, 500}};
+    BOOST_TEST((p.NamedAfter(1, kStart + milliseconds(500)) == want));
+    const std::vector<NamedAge> newest = {{3, 500}}; // told also by who holds it
+    BOOST_TEST((p.NamedAfter(3, kStart + milliseconds(500)) == newest));
+}
