--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -26,7 +26,7 @@
 
 constexpr auto   kSubscribeEvery = milliseconds(1000); // of a router to each box
 constexpr auto   kSubscribeKeep  = milliseconds(3500); // a box forgets a router that didn't ask for this long
-constexpr auto   kNearEvery      = milliseconds(80);   // least pause between reports to a router of the own data centre
+constexpr auto   kNearEvery      = milliseconds(70);   // least pause between reports to a router of the own data centre
 constexpr auto   kFarEvery       = milliseconds(240);  // to others
 constexpr auto   kUnchangedEvery = milliseconds(500);  // a report that says nothing new is still sent this often: it shows that the box lives
 constexpr size_t kDatagramMax    = 1200;               // bytes
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -2,6 +2,7 @@
 #include "request/server_choice.h"
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace aldervale
 {
@@ -9,17 +10,18 @@
 namespace
 {
 
-constexpr double kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
-constexpr double kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
-constexpr double kPlainUsualMs   = 50;   // of a plain service's answer before one was seen
-constexpr double kRateWindowS    = 2;    // over which the rate of sending is a mean
-constexpr double kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
-constexpr double kFewFirsts      = 5;    // first attempts below which that share says little
-constexpr double kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
-constexpr double kWayMs          = 3;    // of a request and its first event between boxes
-constexpr double kReadShareMax   = 0.8;  // of an engine's time
-constexpr double kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
-constexpr double kRetryMaxMs     = 1500; //
+constexpr double   kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
+constexpr double   kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
+constexpr double   kPlainUsualMs   = 50;   // of a plain service's answer before one was seen
+constexpr double   kRateWindowS    = 2;    // over which the rate of sending is a mean
+constexpr double   kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
+constexpr double   kFewFirsts      = 5;    // first attempts below which that share says little
+constexpr double   kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
+constexpr double   kWayMs          = 3;    // of a request and its first event between boxes
+constexpr double   kReadShareMax   = 0.8;  // of an engine's time
+constexpr unsigned kSpreadRounds   = 4;    // of believing where other routers send; the shares have settled to a tenth
+constexpr double   kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
+constexpr double   kRetryMaxMs     = 1500; //
 
 double ToMsReal(Duration d)
 {
@@ -33,20 +35,44 @@
 
 } // namespace
 
-double ServerChoice::InFlight(const Server& s, TimePoint now) const
+double ServerChoice::InFlight(const Option& o, TimePoint now) const
 {
+    const Server& s = *o.m_Server;
     if (!Fresh(s, now))
         return s.m_InFlight * m_Config.m_BlindFactor;
     const double reported = static_cast<double>(s.m_Report.m_Running) + s.m_Report.m_Waiting + s.m_SentSince - s.m_EndedSince;
-    return std::max<double>(s.m_InFlight, reported) + SentByOthers(s, now);
+    return std::max<double>(s.m_InFlight, reported) + o.m_Others;
 }
 
-double ServerChoice::SentByOthers(const Server& s, TimePoint now) const
+// Each round predicts with what the one before believed, and goes half of the way: the shares settle where no server looks better than
+// those that got none.
+void ServerChoice::SpreadOthers(std::span<Option> options, const RequestNeed& need, TimePoint now) const
 {
     if (m_Routers < 2)
-        return 0;
-    const double per_server = m_SentRate * (m_Routers - 1) / static_cast<double>(std::max<size_t>(1, m_ModelCandidates));
-    return per_server * ToSeconds(now - s.m_ReportAt) * m_Config.m_OthersShare;
+        return;
+    std::map<std::string_view, double> sums; // of likeness, by data centre
+    std::vector<double>                likeness(options.size());
+    for (const Option& o : options)
+        sums[o.m_Entry->m_DataCentre] = 0;
+    const double rate = m_SentRate * (m_Routers - 1) / static_cast<double>(std::max<size_t>(1, sums.size())); // into each data centre, a second
+    for (unsigned round = 0; round < kSpreadRounds; round++)
+    {
+        for (auto& [data_centre, sum] : sums)
+            sum = 0;
+        for (size_t i = 0; i < options.size(); i++)
+        {
+            likeness[i] = std::exp(-PredictModel(options[i], need, now) / m_Config.m_LikenessMs);
+            sums[options[i].m_Entry->m_DataCentre] += likeness[i];
+        }
+        for (size_t i = 0; i < options.size(); i++)
+        {
+            Option&       o    = options[i];
+            const Server& s    = *o.m_Server;
+            const double  sum  = sums[o.m_Entry->m_DataCentre];
+            const double  sent = Fresh(s, now) && sum > 0 ? rate * ToSeconds(now - s.m_ReportAt) * likeness[i] / sum : 0;
+            o.m_Others += (sent - o.m_Others) / 2;
+        }
+    }
 }
 
 void ServerChoice::CountSent(TimePoint now)
@@ -56,19 +82,21 @@
     m_SentAt            = now;
 }
 
-double ServerChoice::PredictModel(const Server& s, const EngineCosts& e, const RequestNeed& need, TimePoint now) const
+double ServerChoice::PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const
 {
-    const double in_flight = InFlight(s, now);
-    const double writers   = std::min<double>(in_flight, e.m_Slots);
-    const double context   = (e.m_UsualPrompt + e.m_UsualAnswer / 2) / 1000;
-    const double step      = e.m_StepMs + writers * (e.m_PerRequestMs + e.m_PerKContextMs * context);
-    const double read      = in_flight * e.m_UsualPrompt / e.m_ReadPerMs; // ms spent on reading, against writing, by what is in flight
-    const double share     = read / (read + in_flight * e.m_UsualAnswer * step / std::max(1.0, writers) + 1e-9);
-    const double pass      = step * e.m_StepsPerPass / (1 - std::min(share, kReadShareMax));
-    const double others    = Fresh(s, now) ? s.m_Report.m_Waiting * e.m_UsualPrompt : 0;
-    const double unread    = std::max(s.m_Unread, others);
-    const double pairs     = e.m_PairsPerMMs * need.m_Prompt * need.m_Prompt / 2 / 1e6;
-    double       ms        = (writers > 0 ? pass / 2 : 0) + (unread + need.m_Prompt) / e.m_ReadPerMs + pairs + pass + kWayMs;
+    const Server&      s         = *o.m_Server;
+    const EngineCosts& e         = *need.m_Service->m_Engine;
+    const double       in_flight = InFlight(o, now);
+    const double       writers   = std::min<double>(in_flight, e.m_Slots);
+    const double       context   = (e.m_UsualPrompt + e.m_UsualAnswer / 2) / 1000;
+    const double       step      = e.m_StepMs + writers * (e.m_PerRequestMs + e.m_PerKContextMs * context);
+    const double       read      = in_flight * e.m_UsualPrompt / e.m_ReadPerMs; // ms spent on reading, against writing, by what is in flight
+    const double       share     = read / (read + in_flight * e.m_UsualAnswer * step / std::max(1.0, writers) + 1e-9);
+    const double       pass      = step * e.m_StepsPerPass / (1 - std::min(share, kReadShareMax));
+    const double       waiting   = Fresh(s, now) ? s.m_Report.m_Waiting * e.m_UsualPrompt : 0;
+    const double       unread    = std::max(s.m_Unread, waiting) + o.m_Others * e.m_UsualPrompt;
+    const double       pairs     = e.m_PairsPerMMs * need.m_Prompt * need.m_Prompt / 2 / 1e6;
+    double             ms        = (writers > 0 ? pass / 2 : 0) + (unread + need.m_Prompt) / e.m_ReadPerMs + pairs + pass + kWayMs;
     if (in_flight + 1 > e.m_Slots)
     {
         const double residence = e.m_UsualAnswer / e.m_StepsPerPass * pass; // of one request in a full batch
@@ -77,11 +105,16 @@
     return ms * (Fresh(s, now) ? std::max<double>(1, s.m_Report.m_Pace) : 1);
 }
 
-double ServerChoice::PredictPlain(const Server& s, const ServerEntry& entry, TimePoint) const
+double ServerChoice::PredictPlain(const Option& o) const
 {
-    const double mean  = s.m_MeanMs > 0 ? s.m_MeanMs : kPlainUsualMs;
-    const double ahead = s.m_InFlight * m_Config.m_BlindFactor;
-    return mean * (1 + ahead / std::max(1u, entry.m_Slots));
+    const double mean  = o.m_Server->m_MeanMs > 0 ? o.m_Server->m_MeanMs : kPlainUsualMs;
+    const double ahead = o.m_Server->m_InFlight * m_Config.m_BlindFactor;
+    return mean * (1 + ahead / std::max(1u, o.m_Entry->m_Slots));
+}
+
+double ServerChoice::Predict(const Option& o, const RequestNeed& need, TimePoint now) const
+{
+    return need.m_Service->m_Engine ? PredictModel(o, need, now) : PredictPlain(o);
 }
 
 bool ServerChoice::Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const
@@ -134,46 +167,74 @@
     m_FirstAt         = now;
 }
 
-Choice ServerChoice::Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
+std::vector<ServerChoice::Option> ServerChoice::Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
 {
-    const double goal = ToMsReal(need.m_Goal);
-    Choice       best;
-    double       best_cost = 0;
-    double       best_ms   = 0;
-    bool         suspended = true; // the best so far is one that should be left out
+    std::vector<Option> out;
     for (const ServerEntry* entry : candidates)
     {
-        Server& s = m_Servers[entry->m_Id];
-        if (Excluded(*entry, s, need, now))
-            continue;
-        const bool     out     = now < s.m_SuspendedUntil;
-        const uint64_t weights = Fresh(s, now) ? s.m_Report.m_Weights : entry->m_Weights;
-        const double   ms      = need.m_Service->m_Engine ? PredictModel(s, *need.m_Service->m_Engine, need, now) : PredictPlain(s, *entry, now);
-        if (need.m_Service->m_Engine && BeginsTooLate(weights, ms, need, now))
-            continue;
-        best.m_Candidates++;
-        const double far  = entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
-        const double tie  = static_cast<double>(m_Random() >> 11) * 0x1p-53 * (need.m_Service->m_Engine ? m_Config.m_TieMs : kPlainTieMs);
-        const double cost = ms + far + tie + s.m_FailShare * m_Config.m_FailWeight * goal;
-        if (best.m_Server != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
-            continue;
-        best.m_Server    = entry;
-        best.m_InFlight  = static_cast<uint32_t>(InFlight(s, now));
-        best.m_Weights   = weights;
-        best.m_ReportAge = Fresh(s, now) ? now - s.m_ReportAt : Duration::max();
-        best_cost        = cost;
-        best_ms          = ms;
-        suspended        = out;
+        const Server& s = m_Servers[entry->m_Id];
+        if (!Excluded(*entry, s, need, now))
+            out.push_back({entry, &s, Fresh(s, now) ? s.m_Report.m_Weights : entry->m_Weights, 0, 0});
     }
-    best.m_Predicted = FromMs(best_ms);
     if (need.m_Service->m_Engine)
-        m_ModelCandidates = best.m_Candidates;
-    const bool late = need.m_Service->m_Engine.has_value() && best_ms - OwnPart(need) > AllowedMs(need);
+        SpreadOthers(out, need, now);
+    for (Option& o : out)
+        o.m_Ms = Predict(o, need, now);
+    if (need.m_Service->m_Engine)
+        std::erase_if(out, [&](const Option& o) { return BeginsTooLate(o.m_Weights, o.m_Ms, need, now); });
+    return out;
+}
+
+double ServerChoice::CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now)
+{
+    const bool   model = need.m_Service->m_Engine.has_value();
+    const bool   blind = model && others_report && !Fresh(*o.m_Server, now);
+    const double far   = o.m_Entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
+    const double tie   = static_cast<double>(m_Random() >> 11) * 0x1p-53 * (model ? m_Config.m_TieMs : kPlainTieMs);
+    const double fails = o.m_Server->m_FailShare * m_Config.m_FailWeight * ToMsReal(need.m_Goal);
+    return o.m_Ms + far + tie + fails + (blind ? ToMsReal(m_Config.m_BlindPenalty) : 0);
+}
+
+Choice ServerChoice::Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
+{
+    const std::vector<Option> options   = Options(candidates, need, now);
+    const bool                reports   = std::any_of(options.begin(), options.end(), [&](const Option& o) { return Fresh(*o.m_Server, now); });
+    const Option*             chosen    = nullptr;
+    double                    best_cost = 0;
+    bool                      suspended = true; // the best so far is one that should be left out
+    for (const Option& o : options)
+    {
+        const bool   out  = now < o.m_Server->m_SuspendedUntil;
+        const double cost = CostOf(o, need, reports, now);
+        if (chosen != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
+            continue;
+        chosen    = &o;
+        best_cost = cost;
+        suspended = out;
+    }
+    Choice best;
+    best.m_Candidates = options.size();
+    if (chosen != nullptr)
+    {
+        best.m_Server    = chosen->m_Entry;
+        best.m_Predicted = FromMs(chosen->m_Ms);
+        best.m_InFlight  = static_cast<uint32_t>(InFlight(*chosen, now));
+        best.m_Weights   = chosen->m_Weights;
+        best.m_ReportAge = Fresh(*chosen->m_Server, now) ? now - chosen->m_Server->m_ReportAt : Duration::max();
+    }
+    return Admit(best, need, now);
+}
+
+// Refuses what can't be answered in time.
+Choice ServerChoice::Admit(Choice best, const RequestNeed& need, TimePoint now)
+{
+    const double ms   = ToMsReal(best.m_Predicted);
+    const bool   late = need.m_Service->m_Engine.has_value() && ms - OwnPart(need) > AllowedMs(need);
     if (need.m_Service->m_Engine && !need.m_CameBack)
         CountFirst(late || best.m_Server == nullptr, now);
     if (best.m_Server == nullptr || late)
     {
-        best.m_RetryAfter = RetryAfter(need, best.m_Server == nullptr ? goal : best_ms);
+        best.m_RetryAfter = RetryAfter(need, best.m_Server == nullptr ? ToMsReal(need.m_Goal) : ms);
         best.m_Server     = nullptr;
     }
     return best;
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -7,6 +7,10 @@
 //     ahead, the own prompt, a pass of steps for the first event's tokens, and, with all slots taken, the wait for a slot. A pass is longer
 //     by the prompts that are read in it. Requests in flight are the last report's, plus what this router sent since, less what ended since,
 //     plus what the other routers are believed to have sent since; without a fresh report, the router's own times m_BlindFactor.
+//   - What others sent since a report isn't known, but they choose as this router does: the better a server looks, the more of them chose it.
+//     Their rate is spread over the servers of each data centre by how good these look, those requests counted in, their prompts unread.
+//     Else all routers would send to a server that has just been started until its next report, and it would be late for a second.
+//   - A server that doesn't report while others do costs m_BlindPenalty more: its box may be frozen, cut off or overloaded.
 //   - For plain services the mean time of recent answers is used, times the requests ahead over the slots.
 //   - Failures raise a server's cost by the share of them among recent outcomes; a server that can't be connected to is left out for a
 //     time that doubles. When all are left out, all are candidates again: no view of ours may empty a service.
@@ -36,19 +40,20 @@
 
 struct ServerChoiceConfig
 {
-    Duration m_ReportMax   = milliseconds(1200); // older reports say nothing
-    Duration m_FarPenalty  = milliseconds(20);   // priced bytes between data centres against waiting
-    Duration m_LateMax     = milliseconds(1800); // predicted wait up to which a caller that came back is taken
-    Duration m_SuspendMin  = milliseconds(300);  // first time that an unreachable server is left out; doubles
-    Duration m_SuspendMax  = milliseconds(2400); //
-    double   m_GoalShare   = 0.8;                // part of the objective that the predicted wait may take for a first attempt
-    double   m_StrictAt    = 0.35;               // share of refused first attempts from which on nobody is taken late
-    double   m_TieMs       = 25;                 // random part of a cost: routers with the same view don't all choose alike
-    double   m_OthersShare = 1.5;                // how much likelier than the mean a good server is chosen by other routers
-    double   m_BlindFactor = 3.0;                // own requests in flight stand for this many when no report is fresh
-    Duration m_BeginMargin = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
-    double   m_BeginFactor = 1.5;                // predicted waits are taken this much longer for it
-    double   m_FailWeight  = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
+    Duration m_ReportMax    = milliseconds(1200); // older reports say nothing
+    Duration m_FarPenalty   = milliseconds(20);   // priced bytes between data centres against waiting
+    Duration m_LateMax      = milliseconds(1800); // predicted wait up to which a caller that came back is taken
+    Duration m_SuspendMin   = milliseconds(300);  // first time that an unreachable server is left out; doubles
+    Duration m_SuspendMax   = milliseconds(2400); //
+    double   m_GoalShare    = 0.8;                // part of the objective that the predicted wait may take for a first attempt
+    double   m_StrictAt     = 0.35;               // share of refused first attempts from which on nobody is taken late
+    double   m_TieMs        = 25;                 // random part of a cost: routers with the same view don't all choose alike
+    double   m_LikenessMs   = 30;                 // servers whose predicted times differ by this are chosen by other routers as 1 to e
+    double   m_BlindFactor  = 3.0;                // own requests in flight stand for this many when no report is fresh
+    Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
+    Duration m_BeginMargin  = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
+    double   m_BeginFactor  = 1.5;                // predicted waits are taken this much longer for it
+    double   m_FailWeight   = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
 };
 
 struct WeightsDeadline
@@ -119,28 +124,41 @@
         TimePoint  m_SuspendedUntil{}; //
     };
 
+    struct Option // a server that may be chosen
+    {
+        const ServerEntry* m_Entry   = nullptr; //
+        const Server*      m_Server  = nullptr; //
+        uint64_t           m_Weights = 0;       // that it is believed to hold
+        double             m_Others  = 0;       // requests that other routers are believed to have sent it since its report
+        double             m_Ms      = 0;       // predicted
+    };
+
+    std::vector<Option> Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
+
     bool     Fresh(const Server& s, TimePoint now) const { return s.m_ReportAt != TimePoint{} && now - s.m_ReportAt < m_Config.m_ReportMax; }
-    double   InFlight(const Server& s, TimePoint now) const;
-    double   SentByOthers(const Server& s, TimePoint now) const; // since the last report, as believed
+    double   InFlight(const Option& o, TimePoint now) const;
+    void     SpreadOthers(std::span<Option> options, const RequestNeed& need, TimePoint now) const; // sets m_Others
     void     CountSent(TimePoint now);
-    double   PredictModel(const Server& s, const EngineCosts& e, const RequestNeed& need, TimePoint now) const; // ms to the first event
-    double   PredictPlain(const Server& s, const ServerEntry& entry, TimePoint now) const;                      // ms to the answer
+    double   PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const; // ms to the first event
+    double   PredictPlain(const Option& o) const;                                         // ms to the answer
+    double   Predict(const Option& o, const RequestNeed& need, TimePoint now) const;
+    double   CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
     bool     Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
     bool     BeginsTooLate(uint64_t weights, double predicted_ms, const RequestNeed& need, TimePoint now) const;
     double   AllowedMs(const RequestNeed& need) const; // predicted wait up to which the request is taken
+    Choice   Admit(Choice best, const RequestNeed& need, TimePoint now);
     void     CountFirst(bool refused, TimePoint now);
     Duration RetryAfter(const RequestNeed& need, double predicted_ms) const;
 
     ServerChoiceConfig                      m_Config;  //
     Random                                  m_Random;  // breaks ties
     std::unordered_map<std::string, Server> m_Servers; // by id
-    uint32_t                                m_Routers         = 0;
-    size_t                                  m_ModelCandidates = 1; // of the last choice for a model service
-    double                                  m_FirstSeen       = 0; // first attempts for model services, older ones counting less
-    double                                  m_FirstRefused    = 0; // those of them that were refused
-    TimePoint                               m_FirstAt{};           // of both counts
-    double                                  m_SentRate = 0;        // requests that this router sends to model servers, a second; moving mean
-    TimePoint                               m_SentAt{};            // of m_SentRate
+    uint32_t                                m_Routers      = 0;
+    double                                  m_FirstSeen    = 0; // first attempts for model services, older ones counting less
+    double                                  m_FirstRefused = 0; // those of them that were refused
+    TimePoint                               m_FirstAt{};        // of both counts
+    double                                  m_SentRate = 0;     // requests that this router sends to model servers, a second; moving mean
+    TimePoint                               m_SentAt{};         // of m_SentRate
 };
 
 } // namespace aldervale
