--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -54,7 +54,8 @@
     std::vector<double>                likeness(options.size());
     for (const Option& o : options)
         sums[o.m_Entry->m_DataCentre] = 0;
-    const double rate = m_SentRate * (m_Routers - 1) / static_cast<double>(std::max<size_t>(1, sums.size())); // into each data centre, a second
+    // Routers send to their own data centre's servers before others, and are taken to be spread evenly over the data centres.
+    const double per_dc = m_Routers / static_cast<double>(std::max<size_t>(1, sums.size()));
     for (unsigned round = 0; round < kSpreadRounds; round++)
     {
         for (auto& [data_centre, sum] : sums)
@@ -69,6 +70,8 @@
             Option&       o    = options[i];
             const Server& s    = *o.m_Server;
             const double  sum  = sums[o.m_Entry->m_DataCentre];
+            const bool    near = o.m_Entry->m_DataCentre == need.m_DataCentre;
+            const double  rate = m_SentRate * std::max(0.0, per_dc - (near ? 1 : 0)); // of the others there, requests a second
             const double  sent = Fresh(s, now) && sum > 0 ? rate * ToSeconds(now - s.m_ReportAt) * likeness[i] / sum : 0;
             o.m_Others += (sent - o.m_Others) / 2;
         }
