Trial: other routers' requests are handed out one at a time

Instead of shares that swing: each request that others sent since the oldest report goes, in thought, to the server that looks best then.

--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -2,7 +2,6 @@
 #include "request/server_choice.h"
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace aldervale
 {
@@ -10,18 +9,18 @@
 namespace
 {
 
-constexpr double   kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
-constexpr double   kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
-constexpr double   kPlainUsualMs   = 50;   // of a plain service's answer before one was seen
-constexpr double   kRateWindowS    = 2;    // over which the rate of sending is a mean
-constexpr double   kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
-constexpr double   kFewFirsts      = 5;    // first attempts below which that share says little
-constexpr double   kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
-constexpr double   kWayMs          = 3;    // of a request and its first event between boxes
-constexpr double   kReadShareMax   = 0.8;  // of an engine's time
-constexpr unsigned kSpreadRounds   = 4;    // of believing where other routers send; the shares have settled to a tenth
-constexpr double   kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
-constexpr double   kRetryMaxMs     = 1500; //
+constexpr double kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
+constexpr double kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
+constexpr double kPlainUsualMs   = 50;   // of a plain service's answer before one was seen
+constexpr double kRateWindowS    = 2;    // over which the rate of sending is a mean
+constexpr double kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
+constexpr double kFewFirsts      = 5;    // first attempts below which that share says little
+constexpr double kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
+constexpr double kWayMs          = 3;    // of a request and its first event between boxes
+constexpr double kReadShareMax   = 0.8;  // of an engine's time
+constexpr double kOthersMax      = 200;  // requests of other routers that are handed out in thought; more than that says nothing new
+constexpr double kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
+constexpr double kRetryMaxMs     = 1500; //
 
 double ToMsReal(Duration d)
 {
@@ -44,37 +43,58 @@
     return std::max<double>(s.m_InFlight, reported) + o.m_Others;
 }
 
-// Each round predicts with what the one before believed, and goes half of the way: the shares settle where no server looks better than
-// those that got none.
-void ServerChoice::SpreadOthers(std::span<Option> options, const RequestNeed& need, TimePoint now) const
+// Hands out what the others have sent since the oldest report, a request at a time, each to the server that looked best then. One that was
+// sent before a server's report is in that report, so only servers with older reports take it, for their share of it.
+void ServerChoice::FillWithOthers(std::span<Option> options, double rate, const RequestNeed& need, TimePoint now) const
 {
-    if (m_Routers < 2)
-        return;
-    std::map<std::string_view, double> sums; // of likeness, by data centre
-    std::vector<double>                likeness(options.size());
-    for (const Option& o : options)
-        sums[o.m_Entry->m_DataCentre] = 0;
-    // Routers send to their own data centre's servers before others, and are taken to be spread evenly over the data centres.
-    const double per_dc = m_Routers / static_cast<double>(std::max<size_t>(1, sums.size()));
-    for (unsigned round = 0; round < kSpreadRounds; round++)
+    std::vector<std::pair<double, Option*>> fresh; // predicted ms
+    double                                  oldest = 0;
+    for (Option& o : options)
     {
-        for (auto& [data_centre, sum] : sums)
-            sum = 0;
-        for (size_t i = 0; i < options.size(); i++)
-        {
-            likeness[i] = std::exp(-PredictModel(options[i], need, now) / m_Config.m_LikenessMs);
-            sums[options[i].m_Entry->m_DataCentre] += likeness[i];
-        }
-        for (size_t i = 0; i < options.size(); i++)
+        if (!Fresh(*o.m_Server, now))
+            continue;
+        fresh.emplace_back(PredictModel(o, need, now), &o);
+        oldest = std::max(oldest, ToSeconds(now - o.m_Server->m_ReportAt));
+    }
+    for (double left = std::min(rate * oldest, kOthersMax); left > 0; left -= 1)
+    {
+        const TimePoint             sent_at  = now - FromSeconds(left / rate);
+        std::pair<double, Option*>* best     = nullptr;
+        double                      eligible = 0;
+        for (auto& f : fresh)
         {
-            Option&       o    = options[i];
-            const Server& s    = *o.m_Server;
-            const double  sum  = sums[o.m_Entry->m_DataCentre];
-            const bool    near = o.m_Entry->m_DataCentre == need.m_DataCentre;
-            const double  rate = m_SentRate * std::max(0.0, per_dc - (near ? 1 : 0)); // of the others there, requests a second
-            const double  sent = Fresh(s, now) && sum > 0 ? rate * ToSeconds(now - s.m_ReportAt) * likeness[i] / sum : 0;
-            o.m_Others += (sent - o.m_Others) / 2;
+            if (f.second->m_Server->m_ReportAt > sent_at)
+                continue;
+            eligible += 1;
+            if (best == nullptr || f.first < best->first)
+                best = &f;
         }
+        if (best == nullptr)
+            continue;
+        best->second->m_Others += std::min(1.0, left) * eligible / static_cast<double>(fresh.size());
+        best->second->m_Unread = best->second->m_Others;
+        best->first            = PredictModel(*best->second, need, now);
+    }
+}
+
+// Routers send to their own data centre's servers before others, and are taken to be spread evenly over the data centres.
+void ServerChoice::SpreadOthers(std::vector<Option>& options, const RequestNeed& need, TimePoint now) const
+{
+    if (m_Routers < 2 || options.empty())
+        return;
+    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) { return a.m_Entry->m_DataCentre < b.m_Entry->m_DataCentre; });
+    std::vector<std::span<Option>> data_centres;
+    for (size_t from = 0, to = 0; from < options.size(); from = to)
+    {
+        while (to < options.size() && options[to].m_Entry->m_DataCentre == options[from].m_Entry->m_DataCentre)
+            to++;
+        data_centres.push_back(std::span(options).subspan(from, to - from));
+    }
+    for (const std::span<Option> here : data_centres)
+    {
+        const bool   near   = here.front().m_Entry->m_DataCentre == need.m_DataCentre;
+        const double others = m_Routers / static_cast<double>(data_centres.size()) - (near ? 1 : 0);
+        FillWithOthers(here, m_SentRate * std::max(0.0, others), need, now);
     }
 }
 
@@ -97,7 +117,7 @@
     const double       share     = read / (read + in_flight * e.m_UsualAnswer * step / std::max(1.0, writers) + 1e-9);
     const double       pass      = step * e.m_StepsPerPass / (1 - std::min(share, kReadShareMax));
     const double       waiting   = Fresh(s, now) ? s.m_Report.m_Waiting * e.m_UsualPrompt : 0;
-    const double       unread    = std::max(s.m_Unread, waiting) + o.m_Others * e.m_UsualPrompt;
+    const double       unread    = std::max(s.m_Unread, waiting) + o.m_Unread * e.m_UsualPrompt;
     const double       pairs     = e.m_PairsPerMMs * need.m_Prompt * need.m_Prompt / 2 / 1e6;
     double             ms        = (writers > 0 ? pass / 2 : 0) + (unread + need.m_Prompt) / e.m_ReadPerMs + pairs + pass + kWayMs;
     if (in_flight + 1 > e.m_Slots)
@@ -170,6 +190,14 @@
     m_FirstAt         = now;
 }
 
+// What is admitted by: without the prompts that others are only believed to have sent. Those tell servers apart; as a reason to refuse they
+// turned callers away that would have been in time.
+double ServerChoice::PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const
+{
+    o.m_Unread = 0;
+    return Predict(o, need, now);
+}
+
 std::vector<ServerChoice::Option> ServerChoice::Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
 {
     std::vector<Option> out;
@@ -177,7 +205,7 @@
     {
         const Server& s = m_Servers[entry->m_Id];
         if (!Excluded(*entry, s, need, now))
-            out.push_back({entry, &s, Fresh(s, now) ? s.m_Report.m_Weights : entry->m_Weights, 0, 0});
+            out.push_back({entry, &s, Fresh(s, now) ? s.m_Report.m_Weights : entry->m_Weights, 0, 0, 0});
     }
     if (need.m_Service->m_Engine)
         SpreadOthers(out, need, now);
@@ -220,7 +248,7 @@
     if (chosen != nullptr)
     {
         best.m_Server    = chosen->m_Entry;
-        best.m_Predicted = FromMs(chosen->m_Ms);
+        best.m_Predicted = FromMs(PredictAdmitted(*chosen, need, now));
         best.m_InFlight  = static_cast<uint32_t>(InFlight(*chosen, now));
         best.m_Weights   = chosen->m_Weights;
         best.m_ReportAge = Fresh(*chosen->m_Server, now) ? now - chosen->m_Server->m_ReportAt : Duration::max();
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -8,7 +8,7 @@
 //     by the prompts that are read in it. Requests in flight are the last report's, plus what this router sent since, less what ended since,
 //     plus what the other routers are believed to have sent since; without a fresh report, the router's own times m_BlindFactor.
 //   - What others sent since a report isn't known, but they choose as this router does: the better a server looks, the more of them chose it.
-//     Their rate is spread over the servers of each data centre by how good these look, those requests counted in, their prompts unread.
+//     Their requests are handed out over the servers of each data centre, each to the one that looks best then, prompts unread.
 //     Else all routers would send to a server that has just been started until its next report, and it would be late for a second.
 //   - A server that doesn't report while others do costs m_BlindPenalty more: its box may be frozen, cut off or overloaded.
 //   - For plain services the mean time of recent answers is used, times the requests ahead over the slots.
@@ -48,7 +48,6 @@
     double   m_GoalShare    = 0.8;                // part of the objective that the predicted wait may take for a first attempt
     double   m_StrictAt     = 0.35;               // share of refused first attempts from which on nobody is taken late
     double   m_TieMs        = 25;                 // random part of a cost: routers with the same view don't all choose alike
-    double   m_LikenessMs   = 30;                 // servers whose predicted times differ by this are chosen by other routers as 1 to e
     double   m_BlindFactor  = 3.0;                // own requests in flight stand for this many when no report is fresh
     Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
     Duration m_BeginMargin  = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
@@ -130,6 +129,7 @@
         const Server*      m_Server  = nullptr; //
         uint64_t           m_Weights = 0;       // that it is believed to hold
         double             m_Others  = 0;       // requests that other routers are believed to have sent it since its report
+        double             m_Unread  = 0;       // of these: requests whose prompts count as not read yet
         double             m_Ms      = 0;       // predicted
     };
 
@@ -137,11 +137,13 @@
 
     bool     Fresh(const Server& s, TimePoint now) const { return s.m_ReportAt != TimePoint{} && now - s.m_ReportAt < m_Config.m_ReportMax; }
     double   InFlight(const Option& o, TimePoint now) const;
-    void     SpreadOthers(std::span<Option> options, const RequestNeed& need, TimePoint now) const; // sets m_Others
+    void     SpreadOthers(std::vector<Option>& options, const RequestNeed& need, TimePoint now) const;             // sets m_Others, sorts
+    void     FillWithOthers(std::span<Option> options, double rate, const RequestNeed& need, TimePoint now) const; // of one data centre
     void     CountSent(TimePoint now);
     double   PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const; // ms to the first event
     double   PredictPlain(const Option& o) const;                                         // ms to the answer
     double   Predict(const Option& o, const RequestNeed& need, TimePoint now) const;
+    double   PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const;
     double   CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
     bool     Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
     bool     BeginsTooLate(uint64_t weights, double predicted_ms, const RequestNeed& need, TimePoint now) const;
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -245,6 +245,66 @@
     BOOST_TEST(c.Choose(fleet.Candidates(), Need(s), kStart).m_Server->m_Id == "a");
 }
 
+// A server that has just been started looks empty to everybody until its next report.
+BOOST_AUTO_TEST_CASE(routers_that_share_a_stale_view_do_not_all_send_to_the_server_that_looks_best)
+{
+    constexpr int kRouters  = 12;
+    constexpr int kServers  = 12;
+    constexpr int kRequests = 48; // in a tenth of a second, by turns
+    const Service s         = ModelService();
+    Fleet         fleet;
+    for (int i = 0; i < kServers; i++)
+        fleet.m_Entries.push_back(Entry("s" + std::to_string(i), "model"));
+    std::vector<ServerChoice> routers;
+    for (int r = 0; r < kRouters; r++)
+        routers.emplace_back(ServerChoiceConfig{}, static_cast<uint64_t>(r));
+    const auto report = [&](TimePoint now)
+    {
+        for (ServerChoice& r : routers)
+            for (int i = 0; i < kServers; i++)
+            {
+                LoadReport load = Load(i == 0 ? 0 : 3, 0);
+                load.m_Routers  = kRouters;
+                r.OnReport("s" + std::to_string(i), load, now);
+            }
+    };
+    std::vector<std::pair<ServerChoice*, std::string>> sent; // since the last report
+    TimePoint                                          now      = kStart;
+    int                                                to_empty = 0;
+    for (int k = 0; k < 20 * kRequests; k++) // the rate is known after a while
+    {
+        if (k % kRequests == 0)
+        {
+            for (const auto& [router, server] : sent)
+                router->OnEnd(server, ServerOutcome_Good, 500, milliseconds(100), now);
+            sent.clear();
+            report(now);
+            to_empty = 0;
+        }
+        now += milliseconds(100) / kRequests;
+        const Choice x = routers[static_cast<size_t>(k % kRouters)].Choose(fleet.Candidates(), Need(s), now);
+        if (x.m_Server == nullptr)
+            continue;
+        to_empty += x.m_Server->m_Id == "s0" ? 1 : 0;
+        ServerChoice& router = routers[static_cast<size_t>(k % kRouters)];
+        router.OnSent(x.m_Server->m_Id, 500, now);
+        sent.emplace_back(&router, x.m_Server->m_Id);
+    }
+    BOOST_TEST(to_empty > 0);             // it is empty, after all
+    BOOST_TEST(to_empty < kRequests / 3); // but not what all routers have
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_reports_nothing_is_left_alone_while_others_report)
+{
+    const Service s = ModelService();
+    const Fleet   fleet{{Entry("silent", "model"), Entry("busy", "model")}};
+    ServerChoice  c({}, 1);
+    c.OnReport("busy", Load(3, 0), kStart);
+    BOOST_TEST(c.Choose(fleet.Candidates(), Need(s), kStart).m_Server->m_Id == "busy");
+    const TimePoint later = kStart + seconds(5); // nobody reports any more: all are candidates alike
+    BOOST_TEST((c.Choose(fleet.Candidates(), Need(s), later).m_Server != nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(properties_of_choices)
 {
     ALDERVALE_PROPERTY("a chosen server is a candidate that was not tried, and a refusal says when to come back",
