--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -94,7 +94,7 @@
     {
         const bool   near   = here.front().m_Entry->m_DataCentre == need.m_DataCentre;
         const double others = m_Routers / static_cast<double>(data_centres.size()) - (near ? 1 : 0);
-        FillWithOthers(here, m_SentRate * std::max(0.0, others), need, now);
+        FillWithOthers(here, m_Config.m_OthersShare * m_SentRate * std::max(0.0, others), need, now);
     }
 }
 
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -48,6 +48,7 @@
     double   m_GoalShare    = 0.8;                // part of the objective that the predicted wait may take for a first attempt
     double   m_StrictAt     = 0.35;               // share of refused first attempts from which on nobody is taken late
     double   m_TieMs        = 25;                 // random part of a cost: routers with the same view don't all choose alike
+    double   m_OthersShare  = 0.5;                // of what other routers send: believed to go to the server that looks best; the rest by chance
     double   m_BlindFactor  = 3.0;                // own requests in flight stand for this many when no report is fresh
     Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
     Duration m_BeginMargin  = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
