Pieces: a neighbour tells how long a piece waited there, and hears only news that it needs

Each piece was told to all linked neighbours, some 24 on the grown deployments: by count of frames an eighth of a box's link. Change: a piece carries its wait; the own link is judged by the rest; neighbours with shorter queues are asked first. News of a piece goes only to neighbours that aren't known to have it.

--- a/src/connection/frame.cpp
+++ b/src/connection/frame.cpp
@@ -82,12 +82,12 @@
     return out;
 }
 
-FrameBytes EncodeChunk(uint64_t exchange, std::string_view digest, uint32_t index, std::span<const uint8_t> bytes)
+FrameBytes EncodeChunk(uint64_t exchange, std::string_view digest, uint32_t index, std::span<const uint8_t> bytes, uint32_t waited_ms)
 {
     flatbuffers::FlatBufferBuilder fbb(bytes.size() + 256);
     const auto                     data = fbb.CreateVector(bytes.data(), bytes.size());
     const auto                     name = fbb.CreateString(digest);
-    const auto                     body = wire::CreateChunkData(fbb, name, index, data);
+    const auto                     body = wire::CreateChunkData(fbb, name, index, data, waited_ms);
     return FinishFrame(fbb, exchange, wire::Body::ChunkData, body.Union());
 }
 
--- a/src/connection/frame.h
+++ b/src/connection/frame.h
@@ -74,7 +74,8 @@
 
 FrameStatus CheckFrame(std::span<const uint8_t> frame); // without prefix; Ok, Malformed or NewerSchema
 FrameBytes  FinishFrame(flatbuffers::FlatBufferBuilder& fbb, uint64_t exchange, wire::Body type, flatbuffers::Offset<void> body);
-FrameBytes  EncodeChunk(uint64_t exchange, std::string_view digest, uint32_t index, std::span<const uint8_t> bytes);
+FrameBytes  EncodeChunk(uint64_t exchange, std::string_view digest, uint32_t index, std::span<const uint8_t> bytes,
+                        uint32_t waited_ms = 0); // waited_ms: in the sender's queue of uploads
 FrameBytes  EncodeServeData(uint64_t exchange, std::string_view bytes);
 
 // Encodes any message of the schema: EncodeFrame(id, hello) with a wire::HelloT.
--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -6,6 +6,14 @@
 namespace aldervale
 {
 
+namespace
+{
+
+constexpr auto kWaitedMax  = milliseconds(400); // what a neighbour told of its queue says little after this long
+constexpr auto kWaitedStep = milliseconds(50);  // waits that differ by less count as the same
+
+} // namespace
+
 Exchange::Exchange(ManifestPtr manifest, const ExchangeConfig& cfg, std::vector<std::string> members, std::string self, std::vector<uint32_t> present)
     : m_Manifest(std::move(manifest)), m_Config(cfg), m_Salt(Hash64(self))
 {
@@ -111,6 +119,12 @@
         AddHave(p, c);
 }
 
+bool Exchange::PeerHas(const std::string& peer, uint32_t chunk) const
+{
+    const auto it = m_Peers.find(peer);
+    return it != m_Peers.end() && it->second.m_Up && it->second.m_Have[chunk];
+}
+
 void Exchange::OnMemberGone(const std::string& member, bool gone)
 {
     const auto it = std::find(m_Members.begin(), m_Members.end(), member);
@@ -328,7 +342,7 @@
             return;
         std::pair<const std::string*, Peer*> source{nullptr, nullptr};
         const auto                           cost = [&](const auto& u)
-        { return std::tuple(!u.second->m_SameDataCentre, u.second->m_InFlight, Hash64(*u.first, m_Salt + *best)); };
+        { return std::tuple(!u.second->m_SameDataCentre, QueueAt(*u.second, now), Hash64(*u.first, m_Salt + *best)); };
         for (const auto& u : usable)
             if (Askable(*u.second, *best) && (source.second == nullptr || cost(u) < cost(source)))
                 source = u;
@@ -339,6 +353,21 @@
     }
 }
 
+// How full a neighbour's queue of uploads is, in steps of some chunks' time: what it told lately, and what was asked of it since.
+size_t Exchange::QueueAt(const Peer& p, TimePoint now) const
+{
+    const bool   fresh = p.m_WaitedAt != TimePoint{} && now - p.m_WaitedAt < kWaitedMax;
+    const size_t steps = fresh ? static_cast<size_t>(p.m_Waited / kWaitedStep) : 0;
+    return steps + p.m_InFlight;
+}
+
+void Exchange::OnWaited(const std::string& peer, Duration waited, TimePoint now)
+{
+    Peer& p      = m_Peers[peer];
+    p.m_Waited   = waited;
+    p.m_WaitedAt = now;
+}
+
 std::vector<Fetch> Exchange::Next(TimePoint now)
 {
     std::vector<Fetch> out;
--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -98,6 +98,7 @@
     void OnPeerUp(const std::string& peer, bool same_data_centre);
     void OnPeerDown(const std::string& peer);                                          // its chunks no longer count
     void OnHave(const std::string& peer, std::span<const uint32_t> added, bool whole); // unknown peers and chunks are ignored
+    bool PeerHas(const std::string& peer, uint32_t chunk) const;                       // as it told; false for unknown ones
     void OnMemberGone(const std::string& member, bool gone);                           // a member of the scope is known dead, or back
 
     // Bytes between data centres are dear: with importers set (the boxes of the own data centre, this one included), each chunk is taken
@@ -109,6 +110,7 @@
     // Fetching
     std::vector<Fetch>       Next(TimePoint now); // what to start now; each stays in flight until OnChunk()
     void                     OnChunk(uint32_t chunk, const std::string& peer, ChunkOutcome outcome, TimePoint now);
+    void                     OnWaited(const std::string& peer, Duration waited, TimePoint now); // a chunk's time in the neighbour's queue of uploads
     bool                     Complete() const { return m_HaveCount == m_Manifest->m_ChunkCount; }
     bool                     Has(uint32_t chunk) const { return m_Have[chunk]; }
     bool                     SharesMore() const; // chunks of the own share are left that are neither here nor in flight
@@ -139,6 +141,8 @@
         bool              m_SameDataCentre = true;
         bool              m_Up             = false; // one that went down keeps its counts, and its m_Have is empty
         TimePoint         m_PausedUntil{};          //
+        Duration          m_Waited{};               // in its queue of uploads, by its last answers
+        TimePoint         m_WaitedAt{};             // of m_Waited
     };
 
     std::optional<uint32_t> BestFromOrigin(TimePoint now); // also moves m_NextWake
@@ -158,6 +162,7 @@
     bool                    HeldNear(uint32_t chunk) const;
     bool                    MayImport(uint32_t chunk, TimePoint now); // from another data centre; also moves m_NextWake
     uint64_t                TieBreak(uint32_t chunk) const;
+    size_t                  QueueAt(const Peer& p, TimePoint now) const;
     void                    PickFromPeers(std::vector<Fetch>& out, TimePoint now);
     void                    PickFromOrigin(std::vector<Fetch>& out, TimePoint now);
     void                    WakeAt(TimePoint t);
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -64,10 +64,16 @@
     struct Job;   // one Want() until it is whole or given up
     struct Upload // asked for, not sent yet
     {
-        LinkPtr  m_Link;         //
-        uint64_t m_Exchange = 0; //
-        uint64_t m_Version  = 0; //
-        uint32_t m_Piece    = 0; //
+        LinkPtr   m_Link;         //
+        uint64_t  m_Exchange = 0; //
+        uint64_t  m_Version  = 0; //
+        uint32_t  m_Piece    = 0; //
+        TimePoint m_AskedAt{};    //
+    };
+    struct PeerAnswer // to one request for a piece
+    {
+        ChunkOutcome m_Outcome = ChunkOutcome_Failed; //
+        Duration     m_Waited{};                      // of a piece: in the neighbour's queue of uploads
     };
 
     std::vector<std::string> Members(bool own_data_centre) const;
@@ -82,7 +88,7 @@
 
     // One piece (piece_transfer_fetch.cpp)
     awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
-    awaitable<ChunkOutcome> FromPeer(std::shared_ptr<Job> job, Fetch f);
+    awaitable<PeerAnswer>   FromPeer(std::shared_ptr<Job> job, Fetch f);
     awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
     ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
     void                    AdaptSlots(Job& job, Duration took);
@@ -96,6 +102,7 @@
 
     // Who has what (piece_transfer_news.cpp)
     awaitable<void> TellLoop();
+    void            TellNews(Job& job);
     void            TellAll(const LinkPtr& link);
     void            TellListed(uint64_t version); // that this box has the list of digests
     void            AskWhatItHas(uint64_t version, const std::string& peer);
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -15,16 +15,19 @@
 
 awaitable<void> PieceTransfer::FetchPiece(std::shared_ptr<Job> job, Fetch f)
 {
-    ChunkOutcome    outcome = ChunkOutcome_Failed;
-    const TimePoint asked   = Now();
+    PeerAnswer      answer;
+    const TimePoint asked = Now();
     if (f.m_Peer.empty())
-        outcome = co_await FromOrigin(job, f.m_Chunk);
+        answer.m_Outcome = co_await FromOrigin(job, f.m_Chunk);
     else
-        outcome = co_await FromPeer(job, f);
+        answer = co_await FromPeer(job, f);
     if (job->m_Over)
         co_return;
+    const ChunkOutcome outcome = answer.m_Outcome;
     if (!f.m_Peer.empty() && (outcome == ChunkOutcome_Good || outcome == ChunkOutcome_Failed))
-        AdaptSlots(*job, Now() - asked);
+        AdaptSlots(*job, Now() - asked - answer.m_Waited);
+    if (!f.m_Peer.empty() && outcome == ChunkOutcome_Good)
+        job->m_Exchange->OnWaited(f.m_Peer, answer.m_Waited, Now());
     if (!f.m_Peer.empty() && outcome == ChunkOutcome_Failed)
         AskWhatItHas(job->m_Version, f.m_Peer);
     job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, outcome, Now());
@@ -64,11 +67,12 @@
     return ChunkOutcome_Good;
 }
 
-awaitable<ChunkOutcome> PieceTransfer::FromPeer(std::shared_ptr<Job> job, Fetch f)
+awaitable<PieceTransfer::PeerAnswer> PieceTransfer::FromPeer(std::shared_ptr<Job> job, Fetch f)
 {
+    PeerAnswer    result;
     const LinkPtr link = m_Links.Find(f.m_Peer);
     if (!link)
-        co_return ChunkOutcome_Failed;
+        co_return result;
     wire::ChunkGetT get;
     get.digest                   = NameOf(job->m_Version);
     get.index                    = f.m_Chunk;
@@ -80,15 +84,23 @@
         answer = co_await box->Pop(Now() + kPieceMax);
     link->CloseExchange(box->Id());
     if (!answer || job->m_Over)
-        co_return ChunkOutcome_Failed;
+        co_return result;
     if (const wire::ChunkRefused* refused = answer->Get()->body_as_ChunkRefused())
-        co_return refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing;
+    {
+        result.m_Outcome = refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing;
+        co_return result;
+    }
     const wire::ChunkData* data = answer->Get()->body_as_ChunkData();
     if (data == nullptr || data->bytes() == nullptr || data->index() != f.m_Chunk)
-        co_return ChunkOutcome_Corrupt;
+    {
+        result.m_Outcome = ChunkOutcome_Corrupt;
+        co_return result;
+    }
     m_BytesPeers += data->bytes()->size();
     std::vector<uint8_t> bytes(data->bytes()->begin(), data->bytes()->end());
-    co_return Keep(*job, f.m_Chunk, std::move(bytes), f.m_Peer);
+    result.m_Waited  = milliseconds(data->waited_ms());
+    result.m_Outcome = Keep(*job, f.m_Chunk, std::move(bytes), f.m_Peer);
+    co_return result;
 }
 
 awaitable<ChunkOutcome> PieceTransfer::FromOrigin(std::shared_ptr<Job> job, uint32_t n)
--- a/src/version/piece_transfer_news.cpp
+++ b/src/version/piece_transfer_news.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-constexpr auto kTellEvery = milliseconds(30);  // news of pieces to neighbours
+constexpr auto kTellEvery = milliseconds(40);  // news of pieces to neighbours
 constexpr auto kTellIdle  = milliseconds(250); // looks for such news while nothing is fetched
 
 } // namespace
@@ -42,6 +42,23 @@
     m_Links.Broadcast(have);
 }
 
+// A neighbour is told only of pieces that it isn't known to have: with all told to all, news took an eighth of a box's link.
+void PieceTransfer::TellNews(Job& job)
+{
+    for (const std::string& peer : m_Links.Up())
+    {
+        wire::HaveUpdateT have;
+        have.digest = NameOf(job.m_Version);
+        for (const uint32_t n : job.m_News)
+            if (!job.m_Exchange || !job.m_Exchange->PeerHas(peer, n))
+                have.added.push_back(n);
+        const LinkPtr link = m_Links.Find(peer);
+        if (link && !have.added.empty())
+            link->Send(EncodeFrame(0, have));
+    }
+    job.m_News.clear();
+}
+
 awaitable<void> PieceTransfer::TellLoop()
 {
     for (;;)
@@ -50,11 +67,7 @@
         co_await SleepFor(idle ? kTellIdle : kTellEvery);
         if (!m_Job || m_Job->m_News.empty())
             continue;
-        wire::HaveUpdateT have;
-        have.digest = NameOf(m_Job->m_Version);
-        have.added  = std::move(m_Job->m_News);
-        m_Job->m_News.clear();
-        m_Links.Broadcast(have);
+        TellNews(*m_Job);
     }
 }
 
--- a/src/version/piece_transfer_uploads.cpp
+++ b/src/version/piece_transfer_uploads.cpp
@@ -25,7 +25,7 @@
         link->Send(EncodeFrame(exchange, refused));
         return;
     }
-    m_Uploads.push_back({link, exchange, *version, get.index()});
+    m_Uploads.push_back({link, exchange, *version, get.index(), Now()});
     m_UploadWake.cancel();
 }
 
@@ -66,7 +66,8 @@
     }
     const TimePoint go = m_UploadBucket.Reserve(static_cast<double>(bytes->size()), Now());
     co_await SleepFor(go - Now());
-    u.m_Link->Send(EncodeChunk(u.m_Exchange, NameOf(u.m_Version), u.m_Piece, *bytes));
+    const auto waited = static_cast<uint32_t>(ToMs(Now() - u.m_AskedAt));
+    u.m_Link->Send(EncodeChunk(u.m_Exchange, NameOf(u.m_Version), u.m_Piece, *bytes, waited));
     const TimePoint until = Now() + kPieceMax; // a neighbour that reads slowly may not hold up the others for longer
     while (u.m_Link->Queued() > kUploadQueued && !u.m_Link->Closed() && Now() < until)
         co_await SleepFor(kUploadPoll);
