Slow answers move requests away, and what failed fades with time

And a server behind a narrow link, whose streams all come late, looked as good as any. Change: the share of failures fades (4 s to 1/e); an answer that begins later than predicted by an objective, or pauses for longer than allowed, counts as half a failure. Test: slow_answers_move_requests_away_and_time_brings_them_back.

--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -29,6 +29,21 @@
     return end == AttemptEnd_Answered ? ServerOutcome_Good : ServerOutcome_Failed;
 }
 
+void NoteEvent(StreamPace& pace, TimePoint before, TimePoint heard)
+{
+    if (pace.m_Begun)
+        pace.m_Gap = std::max(pace.m_Gap, heard - before);
+    else
+        pace.m_First = heard - pace.m_SentAt;
+    pace.m_Begun = true;
+}
+
+// By a whole objective later than predicted: waits vary by less than that while the view of the servers is right.
+bool IsSlow(const Call& call, const StreamPace& pace)
+{
+    return pace.m_Begun && (pace.m_First > call.m_Choice.m_Predicted + call.m_Route->m_Goal || pace.m_Gap > call.m_Route->m_MaxGap);
+}
+
 // Drops the rest of an answer, so that its connection can be kept.
 awaitable<void> ReadToEnd(HttpStream& stream, TimePoint deadline)
 {
@@ -80,10 +95,10 @@
     const TimePoint       head_until = may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
 
     m_Choice.OnSent(server.m_Id, call.m_Caller.m_Prompt, sent_at);
-    bool       first_event = false; // an event came
-    bool       reached     = true;  // the request may have arrived
-    AttemptEnd end         = AttemptEnd_MayHaveRun;
-    auto       opened      = co_await m_Client.Open(server.m_Address, forward, head_until, options);
+    StreamPace pace{sent_at};
+    bool       reached = true; // the request may have arrived
+    AttemptEnd end     = AttemptEnd_MayHaveRun;
+    auto       opened  = co_await m_Client.Open(server.m_Address, forward, head_until, options);
     if (!opened)
     {
         reached    = opened.error().m_Verdict != Verdict_NotRun;
@@ -95,7 +110,7 @@
     if (opened)
     {
         const HttpStreamPtr stream = std::move(opened.value());
-        end                        = co_await Relay(call, *stream, server.m_Id, first_event);
+        end                        = co_await Relay(call, *stream, server.m_Id, pace);
     }
     if (call.m_Abort.Aborted())
         end = AttemptEnd_CallerGone;
@@ -105,8 +120,10 @@
     const bool      too_late = now >= end_at && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
     if (too_late)
         call.m_Why = "deadline reached";
-    const ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached);
-    m_Choice.OnEnd(server.m_Id, outcome, first_event ? 0 : call.m_Caller.m_Prompt, now - sent_at, now);
+    ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached);
+    if (outcome == ServerOutcome_Good && IsSlow(call, pace))
+        outcome = ServerOutcome_Slow;
+    m_Choice.OnEnd(server.m_Id, outcome, pace.m_Begun ? 0 : call.m_Caller.m_Prompt, now - sent_at, now);
     co_return end;
 }
 
@@ -114,7 +131,7 @@
 // Passing the answer on
 //-----------------------------------------------------------------------------
 
-awaitable<AttemptEnd> DirectServe::Impl::Relay(Call& call, HttpStream& stream, const std::string& server, bool& first_event)
+awaitable<AttemptEnd> DirectServe::Impl::Relay(Call& call, HttpStream& stream, const std::string& server, StreamPace& pace)
 {
     const unsigned     status = stream.Head().m_Status;
     const ServerAnswer answer = m_Protocol.DecodeAnswer(stream.Head());
@@ -125,7 +142,7 @@
         co_return AttemptEnd_NotRun;
     }
     if (answer.m_Stream && status == 200)
-        co_return co_await RelayStream(call, stream, server, first_event);
+        co_return co_await RelayStream(call, stream, server, pace);
     co_return co_await RelayWhole(call, stream);
 }
 
@@ -197,7 +214,7 @@
     co_return co_await call.m_Reply.Write(events);
 }
 
-awaitable<AttemptEnd> DirectServe::Impl::RelayStream(Call& call, HttpStream& stream, const std::string& server, bool& first_event)
+awaitable<AttemptEnd> DirectServe::Impl::RelayStream(Call& call, HttpStream& stream, const std::string& server, StreamPace& pace)
 {
     EventSplitter   events;
     const TimePoint end_at = call.m_Deadline - kEndSlack;
@@ -205,7 +222,7 @@
     TimePoint       heard  = Now();
     for (;;)
     {
-        const Duration patience = milliseconds(first_event ? m_Settings.m_NextEventMs : m_Settings.m_FirstEventMs);
+        const Duration patience = milliseconds(pace.m_Begun ? m_Settings.m_NextEventMs : m_Settings.m_FirstEventMs);
         const auto     piece    = co_await stream.Read(resume ? std::min(end_at, heard + patience) : end_at);
         if (!piece)
         {
@@ -218,12 +235,11 @@
         const std::string out = TakeEvents(call, events);
         if (out.empty())
             continue;
-        heard = Now();
-        if (!first_event)
-        {
-            first_event = true;
+        const TimePoint before = heard;
+        heard                  = Now();
+        if (!pace.m_Begun)
             m_Choice.OnFirstEvent(server, call.m_Caller.m_Prompt);
-        }
+        NoteEvent(pace, before, heard);
         const bool written = co_await PassOn(call, stream.Head(), out, heard);
         if (!written)
             co_return AttemptEnd_CallerGone;
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -17,6 +17,14 @@
     AttemptEnd_CallerGone,  //
 };
 
+struct StreamPace // of one attempt
+{
+    TimePoint m_SentAt{};      //
+    bool      m_Begun = false; // an event came
+    Duration  m_First{};       // until the first event
+    Duration  m_Gap{};         // longest pause between events
+};
+
 struct Call // one caller's request, from its head to its last byte
 {
     Call(HttpRequest& request, HttpReply& reply) : m_Request(request), m_Reply(reply) {}
@@ -73,9 +81,9 @@
     awaitable<AttemptEnd>        Attempt(Call& call, ServerEntry server);
     ForwardFields                FieldsFor(const Call& call, const ServerEntry& server, TimePoint now) const;
     HttpCallOptions              OptionsFor(Call& call) const; // refers to the call
-    awaitable<AttemptEnd>        Relay(Call& call, HttpStream& stream, const std::string& server, bool& first_event);
+    awaitable<AttemptEnd>        Relay(Call& call, HttpStream& stream, const std::string& server, StreamPace& pace);
     awaitable<AttemptEnd>        RelayWhole(Call& call, HttpStream& stream);
-    awaitable<AttemptEnd>        RelayStream(Call& call, HttpStream& stream, const std::string& server, bool& first_event);
+    awaitable<AttemptEnd>        RelayStream(Call& call, HttpStream& stream, const std::string& server, StreamPace& pace);
     awaitable<bool>              PassOn(Call& call, const HttpResponse& head, const std::string& events, TimePoint heard); // false: caller gone
     awaitable<void>              Settle(Call& call, AttemptEnd end);
     awaitable<void>              Answer(Call& call, HttpResponse res);
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -9,10 +9,12 @@
 namespace
 {
 
-constexpr double kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
-constexpr double kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
-constexpr double kPlainUsualMs   = 50;   // of a plain service's answer before one was seen
-constexpr double kRateWindowS    = 2;    // over which the rate of sending is a mean
+constexpr double kFailStep     = 0.15; // weight of the newest outcome in m_FailShare
+constexpr double kSlowStep     = 0.5;  // of a failure, that a slow answer counts for
+constexpr double kFailFadeS    = 4; // over which what failed fades to 1/e: longer than most of what ails a server for a while, shorter than a minute
+constexpr double kMeanStep     = 0.1;    // weight of the newest answer in m_MeanMs
+constexpr double kPlainUsualMs = 50;     // of a plain service's answer before one was seen
+constexpr double kRateWindowS  = 2;      // over which the rate of sending is a mean
 constexpr double kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
 constexpr double kFewFirsts      = 5;    // first attempts below which that share says little
 constexpr double kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
@@ -98,6 +100,11 @@
     }
 }
 
+double ServerChoice::FailShare(const Server& s, TimePoint now) const
+{
+    return s.m_FailShare > 0 ? s.m_FailShare * std::exp(-ToSeconds(now - s.m_FailAt) / kFailFadeS) : 0;
+}
+
 void ServerChoice::CountSent(TimePoint now)
 {
     const double passed = m_SentAt == TimePoint{} ? kRateWindowS : ToSeconds(now - m_SentAt);
@@ -222,7 +229,7 @@
     const bool   blind = model && others_report && !Fresh(*o.m_Server, now);
     const double far   = o.m_Entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
     const double tie   = static_cast<double>(m_Random() >> 11) * 0x1p-53 * (model ? m_Config.m_TieMs : kPlainTieMs);
-    const double fails = o.m_Server->m_FailShare * m_Config.m_FailWeight * ToMsReal(need.m_Goal);
+    const double fails = FailShare(*o.m_Server, now) * m_Config.m_FailWeight * ToMsReal(need.m_Goal);
     return o.m_Ms + far + tie + fails + (blind ? ToMsReal(m_Config.m_BlindPenalty) : 0);
 }
 
@@ -293,29 +300,22 @@
     s.m_InFlight -= s.m_InFlight > 0 ? 1 : 0;
     s.m_EndedSince++;
     s.m_Unread = std::max(0.0, s.m_Unread - unread_prompt);
-    switch (outcome)
-    {
-    case ServerOutcome_Good:
-        s.m_FailShare *= 1 - kFailStep;
-        s.m_MeanMs      = s.m_MeanMs > 0 ? s.m_MeanMs + kMeanStep * (ToMsReal(took) - s.m_MeanMs) : ToMsReal(took);
-        s.m_Unreachable = 0;
+    if (outcome == ServerOutcome_Cancelled)
         return;
-    case ServerOutcome_Refused:
-    case ServerOutcome_Failed:
-        s.m_FailShare += kFailStep * (1 - s.m_FailShare);
-        s.m_Unreachable = 0;
-        return;
-    case ServerOutcome_Unreachable:
+    const double failed = outcome == ServerOutcome_Good ? 0 : outcome == ServerOutcome_Slow ? kSlowStep : 1;
+    const double before = FailShare(s, now);
+    s.m_FailShare       = before + kFailStep * (failed - before);
+    s.m_FailAt          = now;
+    if (outcome != ServerOutcome_Unreachable)
     {
-        s.m_FailShare += kFailStep * (1 - s.m_FailShare);
-        const Duration pause = m_Config.m_SuspendMin * (1u << std::min(s.m_Unreachable, 6u));
-        s.m_SuspendedUntil   = now + std::min(pause, m_Config.m_SuspendMax);
-        s.m_Unreachable++;
-        return;
-    }
-    case ServerOutcome_Cancelled:
+        s.m_Unreachable = 0;
+        if (outcome == ServerOutcome_Good || outcome == ServerOutcome_Slow)
+            s.m_MeanMs = s.m_MeanMs > 0 ? s.m_MeanMs + kMeanStep * (ToMsReal(took) - s.m_MeanMs) : ToMsReal(took);
         return;
     }
+    const Duration pause = m_Config.m_SuspendMin * (1u << std::min(s.m_Unreachable, 6u));
+    s.m_SuspendedUntil   = now + std::min(pause, m_Config.m_SuspendMax);
+    s.m_Unreachable++;
 }
 
 void ServerChoice::OnReport(const std::string& id, const LoadReport& r, TimePoint now)
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -12,8 +12,10 @@
 //     Else all routers would send to a server that has just been started until its next report, and it would be late for a second.
 //   - A server that doesn't report while others do costs m_BlindPenalty more: its box may be frozen, cut off or overloaded.
 //   - For plain services the mean time of recent answers is used, times the requests ahead over the slots.
-//   - Failures raise a server's cost by the share of them among recent outcomes; a server that can't be connected to is left out for a
-//     time that doubles. When all are left out, all are candidates again: no view of ours may empty a service.
+//   - Failures raise a server's cost by the share of them among recent outcomes, and answers that came much later than predicted, or with too
+//     long a pause, by half as much: its box's link may be narrow. Both fade with time, or a server that is well again would not be asked.
+//     A server that can't be connected to is left out for a time that doubles. When all are left out, all are candidates again: no view of
+//     ours may empty a service.
 //   - A server whose weights are older than a named version is left out when the request would begin after that version's deadline.
 //   - A server in another data centre costs m_FarPenalty more.
 //   - A first attempt of a caller is refused when no server is predicted to answer within its objective. For this a request counts with the
@@ -65,6 +67,7 @@
 enum ServerOutcome
 {
     ServerOutcome_Good,        //
+    ServerOutcome_Slow,        // a whole answer, but far later than predicted, or with a pause over what is allowed
     ServerOutcome_Refused,     // it said that it did not run the request
     ServerOutcome_Failed,      // reset, cut short, stalled, or an error of its own
     ServerOutcome_Unreachable, // no connection
@@ -116,9 +119,10 @@
         double     m_Unread   = 0;     // prompt tokens of this router that no event has answered yet
         LoadReport m_Report;           //
         TimePoint  m_ReportAt{};       // default: never
-        uint32_t   m_SentSince   = 0;  // by this router since the report
-        uint32_t   m_EndedSince  = 0;  //
-        double     m_FailShare   = 0;  // moving mean of outcomes, 0 to 1
+        uint32_t   m_SentSince  = 0;   // by this router since the report
+        uint32_t   m_EndedSince = 0;   //
+        double     m_FailShare  = 0;   // moving mean of outcomes, 0 to 1, as of m_FailAt
+        TimePoint  m_FailAt{};         // of the last outcome
         double     m_MeanMs      = 0;  // moving mean of whole answers' times; plain services
         unsigned   m_Unreachable = 0;  // in a row
         TimePoint  m_SuspendedUntil{}; //
@@ -140,6 +144,7 @@
     double   InFlight(const Option& o, TimePoint now) const;
     void     SpreadOthers(std::vector<Option>& options, const RequestNeed& need, TimePoint now) const;             // sets m_Others, sorts
     void     FillWithOthers(std::span<Option> options, double rate, const RequestNeed& need, TimePoint now) const; // of one data centre
+    double   FailShare(const Server& s, TimePoint now) const;                                                      // as faded since
     void     CountSent(TimePoint now);
     double   PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const; // ms to the first event
     double   PredictPlain(const Option& o) const;                                         // ms to the answer
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -305,6 +305,27 @@
     BOOST_TEST((c.Choose(fleet.Candidates(), Need(s), later).m_Server != nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(slow_answers_move_requests_away_and_time_brings_them_back)
+{
+    const Service s = ModelService();
+    const Fleet   fleet{{Entry("slow", "model"), Entry("busy", "model")}};
+    ServerChoice  c({}, 1);
+    const auto    chosen = [&](TimePoint now)
+    {
+        c.OnReport("slow", Load(0, 0), now);
+        c.OnReport("busy", Load(2, 0), now);
+        return c.Choose(fleet.Candidates(), Need(s), now).m_Server->m_Id;
+    };
+    BOOST_TEST(chosen(kStart) == "slow");
+    for (int i = 0; i < 4; i++)
+    {
+        c.OnSent("slow", 500, kStart);
+        c.OnEnd("slow", ServerOutcome_Slow, 500, seconds(2), kStart);
+    }
+    BOOST_TEST(chosen(kStart + milliseconds(100)) == "busy");
+    BOOST_TEST(chosen(kStart + seconds(20)) == "slow"); // nothing was sent there meanwhile that could have gone well
+}
+
 BOOST_AUTO_TEST_CASE(properties_of_choices)
 {
     ALDERVALE_PROPERTY("a chosen server is a candidate that was not tried, and a refusal says when to come back",
