An agent tells of a narrow link, and holds one piece at a time on it

One piece takes 216 ms there, under the 220 ms at which one more was asked for, so that two and the origin's lay on the link; uploads went on at the declared rate. Change: the time below which one more piece is asked for grows with the pieces asked for (one: 124 ms); uploads slow down with the link; the agent's report tells the link's slowness as the server's pace, so that routers predict longer waits there. Tests: a_narrow_link_holds_one_piece_at_a_time (fails before), a_link_is_told_as_slow_while_pieces_take_long_on_it.

--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -4,19 +4,12 @@
 namespace aldervale
 {
 
-namespace
-{
-
-constexpr double kUploadShare = 0.85; // of the box's link: the rest is for live answers
-
-} // namespace
-
 PieceTransfer::PieceTransfer(asio::io_context& ioc, PieceOrigin& origin, ModelServer& server, ProcessName self, double link_bytes_s)
     : m_Ioc(ioc), m_Origin(origin), m_Server(server), m_Self(self),
       m_Links(ioc, self,
               PieceLinkHandlers{[this](const std::string& p) { OnUp(p); }, [this](const std::string& p) { OnDown(p); },
                                 [this](const std::string& p, const LinkPtr& l, const FrameBuf& f) { OnFrame(p, l, f); }}),
-      m_UploadWake(ioc), m_UploadBucket(link_bytes_s * kUploadShare, 1, Now())
+      m_UploadWake(ioc), m_UploadBucket(link_bytes_s * kUploadShare, 1, Now()), m_LinkBytes(link_bytes_s)
 {
     asio::co_spawn(
         m_Ioc, [this] { return UploadLoop(); }, asio::detached);
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -37,6 +37,18 @@
 // out to be narrow is left with half as many.
 unsigned NextPieceSlots(unsigned slots, Duration took);
 
+// How much slower a box's link is than declared, by how long pieces take on it. Live requests wait there, too.
+class LinkPace
+{
+public:
+    void   OnPiece(Duration took, Duration expected, TimePoint now); // expected: on the declared link, behind the other pieces asked for
+    double Value(TimePoint now) const;                               // 1: as declared, or nothing was seen for a while
+
+private:
+    double    m_Mean = 1; // moving mean of took / expected
+    TimePoint m_At{};     // of the last piece; default: none yet
+};
+
 class PieceTransfer
 {
 public:
@@ -52,11 +64,12 @@
     void            SetHeld(uint64_t version) { m_Held = version; } // that the own server holds: its staged pieces are offered too
     uint64_t        Version() const { return m_Version; }           // under way, or fetched last; 0: none
     bool            Whole() const;
-    uint64_t        NewestWhole() const;                            // 0: none
-    bool            UnderWay() const;                               // something is being fetched
-    size_t          Boxes() const { return Members(false).size(); } // of the service, this one included
-    size_t          RankOf(uint64_t version) const;                 // of this box in an order by hash that all boxes share
-    const PieceSet* Find(uint64_t version) const;                   // null: nothing
+    uint64_t        NewestWhole() const;                             // 0: none
+    bool            UnderWay() const;                                // something is being fetched
+    size_t          Boxes() const { return Members(false).size(); }  // of the service, this one included
+    size_t          RankOf(uint64_t version) const;                  // of this box in an order by hash that all boxes share
+    const PieceSet* Find(uint64_t version) const;                    // null: nothing
+    double          Pace() const { return m_LinkPace.Value(Now()); } // of this box's link: over 1 is slower than declared
     uint64_t        BytesFromOrigin() const { return m_BytesOrigin; }
     uint64_t        BytesFromPeers() const { return m_BytesPeers; }
 
@@ -132,6 +145,8 @@
     std::deque<Upload>            m_Uploads;         // at most kUploadsMax
     asio::steady_timer            m_UploadWake;      // cancelled when m_Uploads gets an entry
     TokenBucket                   m_UploadBucket;    // bytes
+    const double                  m_LinkBytes;       // of this box, a second, as declared; 0: not known
+    LinkPace                      m_LinkPace;        //
     std::function<void(uint64_t)> m_OnHeard;         // may be empty
     uint64_t                      m_DoubtedList = 0; // version whose list of digests is read from the origin again, not from neighbours
     uint64_t                      m_BytesOrigin = 0;
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr auto     kOriginMax    = milliseconds(2000); // for one piece from the origin
+constexpr auto     kPieceWay     = milliseconds(60);   // of a piece beside its time on the link: the other box's, and both ways
 constexpr unsigned kBadListAfter = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
 
 } // namespace
@@ -38,15 +39,33 @@
 
 unsigned NextPieceSlots(unsigned slots, Duration took)
 {
-    constexpr auto kSlow  = milliseconds(400); // longer: pieces queue on this box's link
-    constexpr auto kQuick = milliseconds(220); // less: there is room for another
+    constexpr auto kSlow      = milliseconds(400); // longer: pieces queue on this box's link
+    constexpr auto kQuick     = milliseconds(110); // less, and kQuickEach more for each slot: there is room for another
+    constexpr auto kQuickEach = milliseconds(14);  // half of a piece's time on a link of the usual width
     if (took > kSlow)
         return std::max(1u, slots / 2);
-    return took < kQuick ? std::min(kPieceSlotsMax, slots + 1) : slots;
+    return took < kQuick + kQuickEach * static_cast<int>(slots) ? std::min(kPieceSlotsMax, slots + 1) : slots;
+}
+
+void LinkPace::OnPiece(Duration took, Duration expected, TimePoint now)
+{
+    constexpr double kStep = 0.3; // weight of the newest piece
+    m_Mean += kStep * (ToSeconds(took) / ToSeconds(expected) - m_Mean);
+    m_At = now;
+}
+
+double LinkPace::Value(TimePoint now) const
+{
+    constexpr auto   kKeep  = seconds(2); // after the last piece: what queued is gone by then
+    constexpr double kClear = 2;          // below this it is chance
+    const bool       seen   = m_At != TimePoint{} && now - m_At < kKeep;
+    return seen && m_Mean > kClear ? m_Mean : 1;
 }
 
 void PieceTransfer::AdaptSlots(Job& job, Duration took)
 {
+    const double piece_s = m_LinkBytes > 0 ? static_cast<double>(job.m_Manifest->m_ChunkSize) / m_LinkBytes : 0;
+    m_LinkPace.OnPiece(took, kPieceWay + FromSeconds(piece_s * job.m_Slots), Now());
     job.m_Slots = NextPieceSlots(job.m_Slots, took);
     job.m_Exchange->SetDownloadSlots(job.m_Slots);
 }
--- a/src/version/piece_transfer_internal.h
+++ b/src/version/piece_transfer_internal.h
@@ -15,9 +15,10 @@
 namespace aldervale
 {
 
-constexpr auto kListRetry = milliseconds(30);   // looks whether a neighbour has the list
-constexpr auto kOwnMax    = milliseconds(500);  // for one call to the own server
-constexpr auto kPieceMax  = milliseconds(1200); // for one piece from a neighbour
+constexpr auto   kListRetry   = milliseconds(30);   // looks whether a neighbour has the list
+constexpr auto   kOwnMax      = milliseconds(500);  // for one call to the own server
+constexpr double kUploadShare = 0.85;               // of the box's link: the rest is for live answers
+constexpr auto   kPieceMax    = milliseconds(1200); // for one piece from a neighbour
 
 // Names of versions and lists of digests as they cross between boxes (piece_wire.cpp)
 std::string              VersionName(std::string_view model, uint64_t version);
--- a/src/version/piece_transfer_uploads.cpp
+++ b/src/version/piece_transfer_uploads.cpp
@@ -64,6 +64,7 @@
         u.m_Link->Send(EncodeFrame(u.m_Exchange, refused));
         co_return;
     }
+    m_UploadBucket.SetRate(m_LinkBytes * kUploadShare / Pace(), 1, Now());
     const TimePoint go = m_UploadBucket.Reserve(static_cast<double>(bytes->size()), Now());
     co_await SleepFor(go - Now());
     const auto waited = static_cast<uint32_t>(ToMs(Now() - u.m_AskedAt));
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -59,7 +59,7 @@
     LoadReport r;
     r.m_Running  = m_Report.m_Running;
     r.m_Waiting  = m_Report.m_Waiting;
-    r.m_Pace     = static_cast<float>(m_Report.m_Pace);
+    r.m_Pace     = static_cast<float>(std::max(m_Report.m_Pace, m_Transfer.Pace())); // a request waits on the link as well
     r.m_Weights  = m_Reachable ? m_Report.m_Weights : 0;
     r.m_Starting = m_Ordering && m_Draining;
     r.m_Named    = m_Plan.NamedAfter(r.m_Weights, Now());
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -384,3 +384,30 @@
         slots = NextPieceSlots(slots, milliseconds(100));
     BOOST_TEST(slots == kPieceSlotsMax);
 }
+
+BOOST_AUTO_TEST_CASE(a_narrow_link_holds_one_piece_at_a_time)
+{
+    constexpr int kPieceMs = 216; // of 24 KiB at an eighth of the declared link
+    unsigned      slots    = kPieceSlotsMax;
+    for (int i = 0; i < 12; i++)
+        slots = NextPieceSlots(slots, milliseconds(kPieceMs * static_cast<int>(slots)));
+    for (int i = 0; i < 12; i++)
+    {
+        BOOST_TEST(slots == 1u); // two of them would be half a second for a live request
+        slots = NextPieceSlots(slots, milliseconds(kPieceMs * static_cast<int>(slots)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_link_is_told_as_slow_while_pieces_take_long_on_it)
+{
+    const TimePoint start = TimePoint{} + seconds(100);
+    LinkPace        pace;
+    BOOST_TEST(pace.Value(start) == 1.0);
+    for (int i = 0; i < 6; i++)
+        pace.OnPiece(milliseconds(120), milliseconds(276), start); // eight at once on a link as declared
+    BOOST_TEST(pace.Value(start) == 1.0);
+    for (int i = 0; i < 6; i++)
+        pace.OnPiece(milliseconds(800), milliseconds(110), start);
+    BOOST_TEST(pace.Value(start) > 4.0);
+    BOOST_TEST(pace.Value(start + seconds(5)) == 1.0); // nothing is fetched any more
+}
