Servers with older weights drop out together before the deadline

Change: predicted waits count as 400 ms at least, so that all servers that aren't slow drop out at the same moment; the margin beside it is 0.9 s instead of 1.1 s (together 1.3 s; before 1.3 s for an idle server, 1.5 s for a busy one). Test: servers_with_older_weights_drop_out_together (fails with m_BeginLeast 0).

--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -161,7 +161,7 @@
 
 bool ServerChoice::BeginsTooLate(uint64_t weights, double predicted_ms, const RequestNeed& need, TimePoint now) const
 {
-    const TimePoint begins = now + FromMs(predicted_ms * m_Config.m_BeginFactor) + m_Config.m_BeginMargin;
+    const TimePoint begins = now + std::max<Duration>(FromMs(predicted_ms * m_Config.m_BeginFactor), m_Config.m_BeginLeast) + m_Config.m_BeginMargin;
     return std::any_of(need.m_WeightsDeadlines.begin(), need.m_WeightsDeadlines.end(),
                        [&](const WeightsDeadline& d) { return weights < d.m_Version && begins > d.m_At; });
 }
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -16,7 +16,8 @@
 //     long a pause, by half as much: its box's link may be narrow. Both fade with time, or a server that is well again would not be asked.
 //     A server that can't be connected to is left out for a time that doubles. When all are left out, all are candidates again: no view of
 //     ours may empty a service.
-//   - A server whose weights are older than a named version is left out when the request would begin after that version's deadline.
+//   - A server whose weights are older than a named version is left out when the request would begin after that version's deadline. Servers
+//     that aren't slow drop out at the same time: dropping out one by one, the last ones would get what all routers send.
 //   - A server in another data centre costs m_FarPenalty more.
 //   - A first attempt of a caller is refused when no server is predicted to answer within its objective. For this a request counts with the
 //     usual prompt, not its own, so that long ones aren't refused before short ones. A refusal says when to come back.
@@ -53,7 +54,8 @@
     double   m_OthersShare  = 0.5;                // of what other routers send: believed to go to the server that looks best; the rest by chance
     double   m_BlindFactor  = 3.0;                // own requests in flight stand for this many when no report is fresh
     Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
-    Duration m_BeginMargin  = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
+    Duration m_BeginMargin  = milliseconds(900);  // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
+    Duration m_BeginLeast   = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
     double   m_BeginFactor  = 1.5;                // predicted waits are taken this much longer for it
     double   m_FailWeight   = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
 };
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -184,6 +184,25 @@
 }
 
 // Seen on scale-1 of the bench: naming version 3 two seconds after version 2 put off the deadline of version 2.
+// One by one, the last of them would get what all routers send, and what waits there would begin after the deadline.
+BOOST_AUTO_TEST_CASE(servers_with_older_weights_drop_out_together)
+{
+    const Service         s = ModelService();
+    const Fleet           fleet{{Entry("idle", "model"), Entry("busier", "model"), Entry("busy", "model")}};
+    const WeightsDeadline deadlines[] = {{2, kStart + seconds(10)}};
+    RequestNeed           need        = Need(s);
+    need.m_WeightsDeadlines           = deadlines;
+    ServerChoice c({}, 1);
+    for (TimePoint now = kStart + seconds(7); now < kStart + seconds(11); now += milliseconds(10))
+    {
+        c.OnReport("idle", Load(0, 0), now);
+        c.OnReport("busier", Load(1, 0), now);
+        c.OnReport("busy", Load(3, 0), now);
+        const size_t left = c.Choose(fleet.Candidates(), need, now).m_Candidates;
+        BOOST_TEST((left == 0 || left == 3));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_version_does_not_put_off_the_deadline_of_the_one_before)
 {
     const Service s = ModelService();
