--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -159,11 +159,13 @@
     return s.m_Report.m_Starting || s.m_Report.m_Weights == 0;
 }
 
-bool ServerChoice::BeginsTooLate(uint64_t weights, double predicted_ms, const RequestNeed& need, TimePoint now) const
+bool ServerChoice::BeginsTooLate(const Option& o, const RequestNeed& need, TimePoint now) const
 {
-    const TimePoint begins = now + std::max<Duration>(FromMs(predicted_ms * m_Config.m_BeginFactor), m_Config.m_BeginLeast) + m_Config.m_BeginMargin;
+    const Duration  least  = Fresh(*o.m_Server, now) ? m_Config.m_BeginLeast : m_Config.m_BeginBlind;
+    const Duration  wait   = std::max(least, FromMs(o.m_Ms * m_Config.m_BeginFactor));
+    const TimePoint begins = now + wait + m_Config.m_BeginMargin;
     return std::any_of(need.m_WeightsDeadlines.begin(), need.m_WeightsDeadlines.end(),
-                       [&](const WeightsDeadline& d) { return weights < d.m_Version && begins > d.m_At; });
+                       [&](const WeightsDeadline& d) { return o.m_Weights < d.m_Version && begins > d.m_At; });
 }
 
 Duration ServerChoice::RetryAfter(const RequestNeed& need, double predicted_ms) const
@@ -219,7 +221,7 @@
     for (Option& o : out)
         o.m_Ms = Predict(o, need, now);
     if (need.m_Service->m_Engine)
-        std::erase_if(out, [&](const Option& o) { return BeginsTooLate(o.m_Weights, o.m_Ms, need, now); });
+        std::erase_if(out, [&](const Option& o) { return BeginsTooLate(o, need, now); });
     return out;
 }
 
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -56,6 +56,7 @@
     Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
     Duration m_BeginMargin  = milliseconds(900);  // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
     Duration m_BeginLeast   = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
+    Duration m_BeginBlind   = milliseconds(2000); // and as this without a fresh report: the way to such a box was seen to take 1.8 s
     double   m_BeginFactor  = 1.5;                // predicted waits are taken this much longer for it
     double   m_FailWeight   = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
 };
@@ -154,7 +155,7 @@
     double   PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const;
     double   CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
     bool     Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
-    bool     BeginsTooLate(uint64_t weights, double predicted_ms, const RequestNeed& need, TimePoint now) const;
+    bool     BeginsTooLate(const Option& o, const RequestNeed& need, TimePoint now) const;
     double   AllowedMs(const RequestNeed& need) const; // predicted wait up to which the request is taken
     Choice   Admit(Choice best, const RequestNeed& need, TimePoint now);
     void     CountFirst(bool refused, TimePoint now);
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -203,6 +203,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_silent_server_with_older_weights_drops_out_before_those_that_report)
+{
+    const Service         s = ModelService();
+    const Fleet           fleet{{Entry("silent", "model"), Entry("heard", "model")}};
+    const WeightsDeadline deadlines[] = {{2, kStart + seconds(10)}};
+    RequestNeed           need        = Need(s);
+    need.m_WeightsDeadlines           = deadlines;
+    ServerChoice    c({}, 1);
+    const TimePoint now = kStart + milliseconds(7500);
+    c.OnReport("heard", Load(0, 0), now);
+    const Choice x = c.Choose(fleet.Candidates(), need, now);
+    BOOST_REQUIRE(x.m_Server != nullptr);
+    BOOST_TEST(x.m_Server->m_Id == "heard");
+    BOOST_TEST(x.m_Candidates == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_version_does_not_put_off_the_deadline_of_the_one_before)
 {
     const Service s = ModelService();
