--- a/src/version/piece_wire.cpp
+++ b/src/version/piece_wire.cpp
@@ -49,11 +49,15 @@
     const auto* version = v.get_object().if_contains("version");
     const auto* bytes   = v.get_object().if_contains("piece_bytes");
     const auto* digests = v.get_object().if_contains("digests");
-    if (version == nullptr || bytes == nullptr || digests == nullptr || !version->is_number() || !bytes->is_number() || !digests->is_array())
+    if (version == nullptr || bytes == nullptr || digests == nullptr || !digests->is_array())
+        return std::nullopt;
+    PieceList               out;
+    boost::json::error_code no_version;
+    boost::json::error_code no_bytes;
+    out.m_Version    = version->to_number<uint64_t>(no_version); // out of range or no number: an error, not an exception
+    out.m_PieceBytes = bytes->to_number<uint32_t>(no_bytes);
+    if (no_version || no_bytes)
         return std::nullopt;
-    PieceList out;
-    out.m_Version    = version->to_number<uint64_t>();
-    out.m_PieceBytes = bytes->to_number<uint32_t>();
     for (const auto& d : digests->get_array())
         if (d.is_string())
             out.m_Digests.emplace_back(d.get_string());
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -1,5 +1,6 @@
 // Weights in pieces between agents, over real links on loopback: spreading, spoilt pieces, a dark origin, and the keeper's orders.
 #include "support_io.h"
+#include "version/piece_transfer_internal.h"
 #include "version/weight_keeper.h"
 
 using namespace aldervale;
@@ -411,3 +412,12 @@
     BOOST_TEST(pace.Value(start) > 4.0);
     BOOST_TEST(pace.Value(start + seconds(5)) == 1.0); // nothing is fetched any more
 }
+
+BOOST_AUTO_TEST_CASE(a_list_of_digests_from_a_neighbour_with_false_numbers_is_refused)
+{
+    BOOST_TEST(ListFromJson(R"({"version":2,"piece_bytes":24576,"digests":["aa"]})").has_value());
+    for (const std::string text :
+         {R"({"version":-2,"piece_bytes":24576,"digests":["aa"]})", R"({"version":2,"piece_bytes":1e300,"digests":["aa"]})",
+          R"({"version":2,"piece_bytes":5000000000,"digests":["aa"]})", R"({"version":2.5,"piece_bytes":24576,"digests":["aa"]})", "[]", "{"})
+        BOOST_TEST(!ListFromJson(text).has_value(), text);
+}
