While weights change, servers with newer ones go first

Ruled out: the others' requests since the report (they were counted; the reports were 2 to 45 ms old). Test: while_weights_change_servers_with_newer_ones_go_first_until_they_are_busier (fails before).

--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -225,27 +225,39 @@
     return out;
 }
 
-double ServerChoice::CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now)
+ServerChoice::View ServerChoice::ViewOf(std::span<const Option> options, TimePoint now) const
+{
+    View view;
+    for (const Option& o : options)
+    {
+        view.m_Reports |= Fresh(*o.m_Server, now);
+        view.m_Newest = std::max(view.m_Newest, o.m_Weights);
+    }
+    return view;
+}
+
+double ServerChoice::CostOf(const Option& o, const RequestNeed& need, const View& view, TimePoint now)
 {
     const bool   model = need.m_Service->m_Engine.has_value();
-    const bool   blind = model && others_report && !Fresh(*o.m_Server, now);
+    const bool   blind = model && view.m_Reports && !Fresh(*o.m_Server, now);
+    const bool   old   = model && o.m_Weights < view.m_Newest;
     const double far   = o.m_Entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
     const double tie   = static_cast<double>(m_Random() >> 11) * 0x1p-53 * (model ? m_Config.m_TieMs : kPlainTieMs);
     const double fails = FailShare(*o.m_Server, now) * m_Config.m_FailWeight * ToMsReal(need.m_Goal);
-    return o.m_Ms + far + tie + fails + (blind ? ToMsReal(m_Config.m_BlindPenalty) : 0);
+    return o.m_Ms + far + tie + fails + (blind ? ToMsReal(m_Config.m_BlindPenalty) : 0) + (old ? ToMsReal(m_Config.m_OldPenalty) : 0);
 }
 
 Choice ServerChoice::Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
 {
     const std::vector<Option> options   = Options(candidates, need, now);
-    const bool                reports   = std::any_of(options.begin(), options.end(), [&](const Option& o) { return Fresh(*o.m_Server, now); });
+    const View                view      = ViewOf(options, now);
     const Option*             chosen    = nullptr;
     double                    best_cost = 0;
     bool                      suspended = true; // the best so far is one that should be left out
     for (const Option& o : options)
     {
         const bool   out  = now < o.m_Server->m_SuspendedUntil;
-        const double cost = CostOf(o, need, reports, now);
+        const double cost = CostOf(o, need, view, now);
         if (chosen != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
             continue;
         chosen    = &o;
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -219,6 +219,21 @@
     BOOST_TEST(x.m_Candidates == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(while_weights_change_servers_with_newer_ones_go_first_until_they_are_busier)
+{
+    const Service s = ModelService();
+    const Fleet   fleet{{Entry("old", "model"), Entry("new", "model")}};
+    const auto    chosen = [&](uint32_t running_new)
+    {
+        ServerChoice c({}, 1);
+        c.OnReport("old", Load(0, 0, 1), kStart);
+        c.OnReport("new", Load(running_new, 0, 2), kStart);
+        return c.Choose(fleet.Candidates(), Need(s), kStart).m_Server->m_Id;
+    };
+    BOOST_TEST(chosen(0) == "new");
+    BOOST_TEST(chosen(4) == "old"); // all its slots are taken
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_version_does_not_put_off_the_deadline_of_the_one_before)
 {
     const Service s = ModelService();
