Predicting a server's time has a file of its own

The first is in server_prediction.cpp now. The usage in the head comment matches the signatures again. Behaviour is meant to be the same.

--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -1,4 +1,4 @@
-// Choosing a backend server by predicted time. See server_choice.h.
+// Choosing a backend server by predicted time, and what is learned from its answers. See server_choice.h.
 #include "request/server_choice.h"
 #include <algorithm>
 #include <cmath>
@@ -9,20 +9,17 @@
 namespace
 {
 
-constexpr double kFailStep     = 0.15; // weight of the newest outcome in m_FailShare
-constexpr double kSlowStep     = 0.5;  // of a failure, that a slow answer counts for
-constexpr double kFailFadeS    = 4; // over which what failed fades to 1/e: longer than most of what ails a server for a while, shorter than a minute
-constexpr double kMeanStep     = 0.1;    // weight of the newest answer in m_MeanMs
-constexpr double kPlainUsualMs = 50;     // of a plain service's answer before one was seen
-constexpr double kRateWindowS  = 2;      // over which the rate of sending is a mean
-constexpr double kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
-constexpr double kFewFirsts      = 5;    // first attempts below which that share says little
-constexpr double kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
-constexpr double kWayMs          = 3;    // of a request and its first event between boxes
-constexpr double kReadShareMax   = 0.8;  // of an engine's time
-constexpr double kOthersMax      = 200;  // requests of other routers that are handed out in thought; more than that says nothing new
-constexpr double kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
-constexpr double kRetryMaxMs     = 1500; //
+constexpr double   kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
+constexpr double   kSlowFailure    = 0.5;  // of a failure, that a slow answer counts for
+constexpr double   kFailFadeS      = 4;    // over which failures fade to 1/e: most faults of a server that pass are shorter
+constexpr double   kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
+constexpr double   kRateWindowS    = 2;    // over which the rate of sending is a mean
+constexpr double   kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
+constexpr double   kFewFirsts      = 5;    // first attempts below which that share says little
+constexpr double   kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
+constexpr unsigned kDoublingsMax   = 6;    // of m_SuspendMin: m_SuspendMax is reached long before, and the shift stays in range
+constexpr double   kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
+constexpr double   kRetryMaxMs     = 1500; //
 
 double ToMsReal(Duration d)
 {
@@ -34,71 +31,21 @@
     return FromSeconds(ms / 1000);
 }
 
-} // namespace
-
-double ServerChoice::InFlight(const Option& o, TimePoint now) const
+// What a prompt longer than usual adds to the wait, ms; negative for a shorter one.
+double OwnPart(const RequestNeed& need)
 {
-    const Server& s = *o.m_Server;
-    if (!Fresh(s, now))
-        return s.m_InFlight * m_Config.m_BlindFactor;
-    const double reported = static_cast<double>(s.m_Report.m_Running) + s.m_Report.m_Waiting + s.m_SentSince - s.m_EndedSince;
-    return std::max<double>(s.m_InFlight, reported) + o.m_Others;
+    return (need.m_Prompt - need.m_Service->m_Engine->m_UsualPrompt) / need.m_Service->m_Engine->m_ReadPerMs;
 }
 
-// Hands out what the others have sent since the oldest report, a request at a time, each to the server that looked best then. One that was
-// sent before a server's report is in that report, so only servers with older reports take it, for their share of it.
-void ServerChoice::FillWithOthers(std::span<Option> options, double rate, const RequestNeed& need, TimePoint now) const
+// How much of a failure an outcome is, 0 to 1.
+double FailureOf(ServerOutcome outcome)
 {
-    std::vector<std::pair<double, Option*>> fresh; // predicted ms
-    double                                  oldest = 0;
-    for (Option& o : options)
-    {
-        if (!Fresh(*o.m_Server, now))
-            continue;
-        fresh.emplace_back(PredictModel(o, need, now), &o);
-        oldest = std::max(oldest, ToSeconds(now - o.m_Server->m_ReportAt));
-    }
-    for (double left = std::min(rate * oldest, kOthersMax); left > 0; left -= 1)
-    {
-        const TimePoint             sent_at  = now - FromSeconds(left / rate);
-        std::pair<double, Option*>* best     = nullptr;
-        double                      eligible = 0;
-        for (auto& f : fresh)
-        {
-            if (f.second->m_Server->m_ReportAt > sent_at)
-                continue;
-            eligible += 1;
-            if (best == nullptr || f.first < best->first)
-                best = &f;
-        }
-        if (best == nullptr)
-            continue;
-        best->second->m_Others += std::min(1.0, left) * eligible / static_cast<double>(fresh.size());
-        best->second->m_Unread = best->second->m_Others;
-        best->first            = PredictModel(*best->second, need, now);
-    }
+    if (outcome == ServerOutcome_Good)
+        return 0;
+    return outcome == ServerOutcome_Slow ? kSlowFailure : 1;
 }
 
-// Routers send to their own data centre's servers before others, and are taken to be spread evenly over the data centres.
-void ServerChoice::SpreadOthers(std::vector<Option>& options, const RequestNeed& need, TimePoint now) const
-{
-    if (m_Routers < 2 || options.empty())
-        return;
-    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) { return a.m_Entry->m_DataCentre < b.m_Entry->m_DataCentre; });
-    std::vector<std::span<Option>> data_centres;
-    for (size_t from = 0, to = 0; from < options.size(); from = to)
-    {
-        while (to < options.size() && options[to].m_Entry->m_DataCentre == options[from].m_Entry->m_DataCentre)
-            to++;
-        data_centres.push_back(std::span(options).subspan(from, to - from));
-    }
-    for (const std::span<Option> here : data_centres)
-    {
-        const bool   near   = here.front().m_Entry->m_DataCentre == need.m_DataCentre;
-        const double others = m_Routers / static_cast<double>(data_centres.size()) - (near ? 1 : 0);
-        FillWithOthers(here, m_Config.m_OthersShare * m_SentRate * std::max(0.0, others), need, now);
-    }
-}
+} // namespace
 
 double ServerChoice::FailShare(const Server& s, TimePoint now) const
 {
@@ -112,41 +59,6 @@
     m_SentAt            = now;
 }
 
-double ServerChoice::PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const
-{
-    const Server&      s         = *o.m_Server;
-    const EngineCosts& e         = *need.m_Service->m_Engine;
-    const double       in_flight = InFlight(o, now);
-    const double       writers   = std::min<double>(in_flight, e.m_Slots);
-    const double       context   = (e.m_UsualPrompt + e.m_UsualAnswer / 2) / 1000;
-    const double       step      = e.m_StepMs + writers * (e.m_PerRequestMs + e.m_PerKContextMs * context);
-    const double       read      = in_flight * e.m_UsualPrompt / e.m_ReadPerMs; // ms spent on reading, against writing, by what is in flight
-    const double       share     = read / (read + in_flight * e.m_UsualAnswer * step / std::max(1.0, writers) + 1e-9);
-    const double       pass      = step * e.m_StepsPerPass / (1 - std::min(share, kReadShareMax));
-    const double       waiting   = Fresh(s, now) ? s.m_Report.m_Waiting * e.m_UsualPrompt : 0;
-    const double       unread    = std::max(s.m_Unread, waiting) + o.m_Unread * e.m_UsualPrompt;
-    const double       pairs     = e.m_PairsPerMMs * need.m_Prompt * need.m_Prompt / 2 / 1e6;
-    double             ms        = (writers > 0 ? pass / 2 : 0) + (unread + need.m_Prompt) / e.m_ReadPerMs + pairs + pass + kWayMs;
-    if (in_flight + 1 > e.m_Slots)
-    {
-        const double residence = e.m_UsualAnswer / e.m_StepsPerPass * pass; // of one request in a full batch
-        ms += (in_flight + 1 - e.m_Slots) * residence / e.m_Slots;
-    }
-    return ms * (Fresh(s, now) ? std::max<double>(1, s.m_Report.m_Pace) : 1);
-}
-
-double ServerChoice::PredictPlain(const Option& o) const
-{
-    const double mean  = o.m_Server->m_MeanMs > 0 ? o.m_Server->m_MeanMs : kPlainUsualMs;
-    const double ahead = o.m_Server->m_InFlight * m_Config.m_BlindFactor;
-    return mean * (1 + ahead / std::max(1u, o.m_Entry->m_Slots));
-}
-
-double ServerChoice::Predict(const Option& o, const RequestNeed& need, TimePoint now) const
-{
-    return need.m_Service->m_Engine ? PredictModel(o, need, now) : PredictPlain(o);
-}
-
 bool ServerChoice::Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const
 {
     const bool tried = std::find(need.m_Tried.begin(), need.m_Tried.end(), entry.m_Id) != need.m_Tried.end();
@@ -174,12 +86,6 @@
     return FromMs(std::clamp(over, kRetryMinMs, kRetryMaxMs));
 }
 
-// What a prompt longer than usual adds to the wait, ms; negative for a shorter one.
-static double OwnPart(const RequestNeed& need)
-{
-    return (need.m_Prompt - need.m_Service->m_Engine->m_UsualPrompt) / need.m_Service->m_Engine->m_ReadPerMs;
-}
-
 double ServerChoice::AllowedMs(const RequestNeed& need) const
 {
     const double goal = ToMsReal(need.m_Goal);
@@ -199,14 +105,6 @@
     m_FirstAt         = now;
 }
 
-// What is admitted by: without the prompts that others are only believed to have sent. Those tell servers apart; as a reason to refuse they
-// turned callers away that would have been in time.
-double ServerChoice::PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const
-{
-    o.m_Unread = 0;
-    return Predict(o, need, now);
-}
-
 std::vector<ServerChoice::Option> ServerChoice::Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
 {
     std::vector<Option> out;
@@ -235,24 +133,31 @@
     return o.m_Ms + far + tie + fails + (blind ? ToMsReal(m_Config.m_BlindPenalty) : 0);
 }
 
-Choice ServerChoice::Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
+// Null: there are no options. One that is left out for a while is taken only when all are.
+const ServerChoice::Option* ServerChoice::Cheapest(std::span<const Option> options, const RequestNeed& need, TimePoint now)
 {
-    const std::vector<Option> options   = Options(candidates, need, now);
-    const bool                reports   = std::any_of(options.begin(), options.end(), [&](const Option& o) { return Fresh(*o.m_Server, now); });
-    const Option*             chosen    = nullptr;
-    double                    best_cost = 0;
-    bool                      suspended = true; // the best so far is one that should be left out
+    const bool    reports   = std::any_of(options.begin(), options.end(), [&](const Option& o) { return Fresh(*o.m_Server, now); });
+    const Option* best      = nullptr;
+    double        best_cost = 0;
+    bool          suspended = true; // the best so far is one that should be left out
     for (const Option& o : options)
     {
         const bool   out  = now < o.m_Server->m_SuspendedUntil;
         const double cost = CostOf(o, need, reports, now);
-        if (chosen != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
+        if (best != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
             continue;
-        chosen    = &o;
+        best      = &o;
         best_cost = cost;
         suspended = out;
     }
-    Choice best;
+    return best;
+}
+
+Choice ServerChoice::Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
+{
+    const std::vector<Option> options = Options(candidates, need, now);
+    const Option*             chosen  = Cheapest(options, need, now);
+    Choice                    best;
     best.m_Candidates = options.size();
     if (chosen != nullptr)
     {
@@ -304,18 +209,33 @@
     s.m_Unread = std::max(0.0, s.m_Unread - unread_prompt);
     if (outcome == ServerOutcome_Cancelled)
         return;
-    const double failed = outcome == ServerOutcome_Good ? 0 : outcome == ServerOutcome_Slow ? kSlowStep : 1;
-    const double before = FailShare(s, now);
-    s.m_FailShare       = before + kFailStep * (failed - before);
-    s.m_FailAt          = now;
-    if (outcome != ServerOutcome_Unreachable)
+    CountFailure(s, FailureOf(outcome), now);
+    if (outcome == ServerOutcome_Unreachable)
     {
-        s.m_Unreachable = 0;
-        if (outcome == ServerOutcome_Good || outcome == ServerOutcome_Slow)
-            s.m_MeanMs = s.m_MeanMs > 0 ? s.m_MeanMs + kMeanStep * (ToMsReal(took) - s.m_MeanMs) : ToMsReal(took);
+        Suspend(s, now);
         return;
     }
-    const Duration pause = m_Config.m_SuspendMin * (1u << std::min(s.m_Unreachable, 6u));
+    s.m_Unreachable = 0;
+    if (outcome == ServerOutcome_Good || outcome == ServerOutcome_Slow)
+        CountTook(s, took);
+}
+
+void ServerChoice::CountFailure(Server& s, double failure, TimePoint now) const
+{
+    const double before = FailShare(s, now);
+    s.m_FailShare       = before + kFailStep * (failure - before);
+    s.m_FailAt          = now;
+}
+
+void ServerChoice::CountTook(Server& s, Duration took)
+{
+    const double ms = ToMsReal(took);
+    s.m_MeanMs      = s.m_MeanMs > 0 ? s.m_MeanMs + kMeanStep * (ms - s.m_MeanMs) : ms;
+}
+
+void ServerChoice::Suspend(Server& s, TimePoint now) const
+{
+    const Duration pause = m_Config.m_SuspendMin * (1u << std::min(s.m_Unreachable, kDoublingsMax));
     s.m_SuspendedUntil   = now + std::min(pause, m_Config.m_SuspendMax);
     s.m_Unreachable++;
 }
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -25,9 +25,9 @@
 //     objective as well: otherwise those that came back would fill the queues for ever, and every answer would be late.
 //
 // Usage:
-//   ServerChoice c(config);
+//   ServerChoice c(config, seed);
 //   Choice x = c.Choose(candidates, need, now);
-//   if (x.m_Server) { c.OnSent(*x.m_Server, prompt_tokens, now); ... c.OnFirstEvent(id, prompt); c.OnEnd(id, ServerOutcome_Good, ms, now); }
+//   if (x.m_Server) { c.OnSent(id, prompt, now); ... c.OnFirstEvent(id, prompt); ... c.OnEnd(id, ServerOutcome_Good, 0, took, now); }
 
 #pragma once
 #include "common/hash.h"
@@ -141,25 +141,38 @@
         double             m_Ms      = 0;       // predicted
     };
 
-    std::vector<Option> Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
+    bool Fresh(const Server& s, TimePoint now) const { return s.m_ReportAt != TimePoint{} && now - s.m_ReportAt < m_Config.m_ReportMax; }
+
+    // Prediction (server_prediction.cpp)
+    double InFlight(const Option& o, TimePoint now) const;
+    void   SpreadOthers(std::vector<Option>& options, const RequestNeed& need, TimePoint now) const;             // sets m_Others, sorts
+    void   FillWithOthers(std::span<Option> options, double rate, const RequestNeed& need, TimePoint now) const; // of one data centre
+    void   HandOut(std::span<Option* const> fresh, double requests, TimePoint sent_at, const RequestNeed& need, TimePoint now) const; // to one
+    double PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const; // ms to the first event
+    double PredictPlain(const Option& o) const;                                         // ms to the answer
+    double Predict(const Option& o, const RequestNeed& need, TimePoint now) const;
+    double PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const;
 
-    bool     Fresh(const Server& s, TimePoint now) const { return s.m_ReportAt != TimePoint{} && now - s.m_ReportAt < m_Config.m_ReportMax; }
-    double   InFlight(const Option& o, TimePoint now) const;
-    void     SpreadOthers(std::vector<Option>& options, const RequestNeed& need, TimePoint now) const;             // sets m_Others, sorts
-    void     FillWithOthers(std::span<Option> options, double rate, const RequestNeed& need, TimePoint now) const; // of one data centre
-    double   FailShare(const Server& s, TimePoint now) const;                                                      // as faded since
-    void     CountSent(TimePoint now);
-    double   PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const; // ms to the first event
-    double   PredictPlain(const Option& o) const;                                         // ms to the answer
-    double   Predict(const Option& o, const RequestNeed& need, TimePoint now) const;
-    double   PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const;
-    double   CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
-    bool     Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
-    bool     BeginsTooLate(const Option& o, const RequestNeed& need, TimePoint now) const;
-    double   AllowedMs(const RequestNeed& need) const; // predicted wait up to which the request is taken
-    Choice   Admit(Choice best, const RequestNeed& need, TimePoint now);
-    void     CountFirst(bool refused, TimePoint now);
-    Duration RetryAfter(const RequestNeed& need, double predicted_ms) const;
+    static std::vector<std::span<Option>> ByDataCentre(std::vector<Option>& options); // sorts
+
+    // Choice
+    std::vector<Option> Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
+    const Option*       Cheapest(std::span<const Option> options, const RequestNeed& need, TimePoint now);
+    double              CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
+    bool                Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
+    bool                BeginsTooLate(const Option& o, const RequestNeed& need, TimePoint now) const;
+    double              AllowedMs(const RequestNeed& need) const; // predicted wait up to which the request is taken
+    Choice              Admit(Choice best, const RequestNeed& need, TimePoint now);
+    Duration            RetryAfter(const RequestNeed& need, double predicted_ms) const;
+
+    // What is learned from requests
+    double FailShare(const Server& s, TimePoint now) const; // as faded since
+    void   CountFailure(Server& s, double failure, TimePoint now) const;
+    void   Suspend(Server& s, TimePoint now) const; // leaves it out for a while
+    void   CountSent(TimePoint now);
+    void   CountFirst(bool refused, TimePoint now);
+
+    static void CountTook(Server& s, Duration took);
 
     ServerChoiceConfig                      m_Config;  //
     Random                                  m_Random;  // breaks ties
