An attempt is sent in one function and concluded in another

HeadUntil() says how long to wait for the head, Conclude() settles what the attempt shows of the server, and OutcomeOf() tells a slow answer from a good one itself, so that no outcome is set twice. No condition changed.

--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -18,17 +18,6 @@
     return status >= 500;
 }
 
-ServerOutcome OutcomeOf(AttemptEnd end, const Call& call, bool reached)
-{
-    if (end == AttemptEnd_CallerGone || call.m_Abort.Aborted())
-        return ServerOutcome_Cancelled;
-    if (!reached)
-        return ServerOutcome_Unreachable;
-    if (end == AttemptEnd_NotRun)
-        return ServerOutcome_Refused;
-    return end == AttemptEnd_Answered ? ServerOutcome_Good : ServerOutcome_Failed;
-}
-
 void NoteEvent(StreamPace& pace, TimePoint before, TimePoint heard)
 {
     if (pace.m_Begun)
@@ -44,6 +33,19 @@
     return pace.m_Begun && (pace.m_First > call.m_Choice.m_Predicted + call.m_Route->m_Goal || pace.m_Gap > call.m_Route->m_MaxGap);
 }
 
+ServerOutcome OutcomeOf(AttemptEnd end, const Call& call, bool reached, const StreamPace& pace)
+{
+    if (end == AttemptEnd_CallerGone || call.m_Abort.Aborted())
+        return ServerOutcome_Cancelled;
+    if (!reached)
+        return ServerOutcome_Unreachable;
+    if (end == AttemptEnd_NotRun)
+        return ServerOutcome_Refused;
+    if (end != AttemptEnd_Answered)
+        return ServerOutcome_Failed;
+    return IsSlow(call, pace) ? ServerOutcome_Slow : ServerOutcome_Good;
+}
+
 // Drops the rest of an answer, so that its connection can be kept.
 awaitable<void> ReadToEnd(HttpStream& stream, TimePoint deadline)
 {
@@ -85,14 +87,20 @@
     return options;
 }
 
+// Only a stream that may be sent again is given up early for want of a first event.
+TimePoint DirectServe::Impl::HeadUntil(const Call& call, TimePoint sent_at) const
+{
+    const TimePoint end_at     = call.m_Deadline - kEndSlack;
+    const bool      may_resume = call.IsStream() && call.m_Route->MayRepeat();
+    return may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
+}
+
 awaitable<AttemptEnd> DirectServe::Impl::Attempt(Call& call, ServerEntry server)
 {
     const TimePoint       sent_at    = Now();
     const HttpRequest     forward    = m_Protocol.Forward(call.m_Request, FieldsFor(call, server, sent_at));
     const HttpCallOptions options    = OptionsFor(call);
-    const bool            may_resume = call.IsStream() && call.m_Route->MayRepeat();
-    const TimePoint       end_at     = call.m_Deadline - kEndSlack;
-    const TimePoint       head_until = may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
+    const TimePoint       head_until = HeadUntil(call, sent_at);
 
     m_Choice.OnSent(server.m_Id, call.m_Caller.m_Prompt, sent_at);
     StreamPace pace{sent_at};
@@ -112,19 +120,23 @@
         const HttpStreamPtr stream = std::move(opened.value());
         end                        = co_await Relay(call, *stream, server.m_Id, pace);
     }
+    co_return Conclude(call, server.m_Id, end, reached, pace);
+}
+
+AttemptEnd DirectServe::Impl::Conclude(Call& call, const std::string& server, AttemptEnd end, bool reached, const StreamPace& pace)
+{
     if (call.m_Abort.Aborted())
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerFault)
         call.m_MayHaveRun = true;
     const TimePoint now      = Now();
-    const bool      too_late = now >= end_at && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
+    const bool      too_late = now >= call.m_Deadline - kEndSlack && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
     if (too_late)
         call.m_Why = "deadline reached";
-    ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached);
-    if (outcome == ServerOutcome_Good && IsSlow(call, pace))
-        outcome = ServerOutcome_Slow;
-    m_Choice.OnEnd(server.m_Id, outcome, pace.m_Begun ? 0 : call.m_Caller.m_Prompt, now - sent_at, now);
-    co_return end;
+    const ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached, pace);
+    const double        unread  = pace.m_Begun ? 0 : call.m_Caller.m_Prompt;
+    m_Choice.OnEnd(server, outcome, unread, now - pace.m_SentAt, now);
+    return end;
 }
 
 //-----------------------------------------------------------------------------
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -17,7 +17,7 @@
     AttemptEnd_CallerGone,  //
 };
 
-struct StreamPace // of one attempt
+struct StreamPace // how quickly the events of one attempt came
 {
     TimePoint m_SentAt{};      //
     bool      m_Begun = false; // an event came
@@ -79,8 +79,10 @@
     RetryBudget&                 Budget(const std::string& service);
     awaitable<void>              Serve(Call& call);
     awaitable<AttemptEnd>        Attempt(Call& call, ServerEntry server);
+    AttemptEnd                   Conclude(Call& call, const std::string& server, AttemptEnd end, bool reached, const StreamPace& pace);
     ForwardFields                FieldsFor(const Call& call, const ServerEntry& server, TimePoint now) const;
-    HttpCallOptions              OptionsFor(Call& call) const; // refers to the call
+    HttpCallOptions              OptionsFor(Call& call) const;                         // refers to the call
+    TimePoint                    HeadUntil(const Call& call, TimePoint sent_at) const; // how long to wait for the head of an answer
     awaitable<AttemptEnd>        Relay(Call& call, HttpStream& stream, const std::string& server, StreamPace& pace);
     awaitable<AttemptEnd>        RelayWhole(Call& call, HttpStream& stream);
     awaitable<AttemptEnd>        RelayStream(Call& call, HttpStream& stream, const std::string& server, StreamPace& pace);
