Noting a named version, one step at a time

NoteNamed() asked three times whether the version was known, and twice whether the list was full. A known version returns early now, and MakeRoom() keeps the list short. The first version's number has a name. No condition changed.

--- a/src/request/routing_world.cpp
+++ b/src/request/routing_world.cpp
@@ -8,35 +8,47 @@
 namespace
 {
 
-constexpr size_t kVersionsRemembered = 8;                  // of a model's weights, for their deadlines
-constexpr auto   kUnknownNaming      = milliseconds(2500); // that older weights may be used when it isn't known when a version was named
+constexpr uint64_t kFirstVersion       = 1;                  // in force without having been named
+constexpr size_t   kVersionsRemembered = 8;                  // of a model's weights, for their deadlines
+constexpr auto     kUnknownNaming      = milliseconds(2500); // that older weights may be used when it isn't known when a version was named
 
-} // namespace
+bool Better(const Naming& a, const Naming& than)
+{
+    return a.m_Sure && (!than.m_Sure || a.m_At < than.m_At);
+}
 
-Naming AssumedNaming(TimePoint now, Duration deadline)
+// False: all that are remembered are newer.
+bool MakeRoom(NamedVersions& versions, uint64_t version)
 {
-    return {now - deadline + std::min<Duration>(deadline, kUnknownNaming), false};
+    if (versions.size() < kVersionsRemembered)
+        return true;
+    if (version < versions.begin()->first)
+        return false;
+    versions.erase(versions.begin());
+    return true;
 }
 
-static bool Better(const Naming& a, const Naming& than)
+} // namespace
+
+Naming AssumedNaming(TimePoint now, Duration deadline)
 {
-    return a.m_Sure && (!than.m_Sure || a.m_At < than.m_At);
+    return {now - deadline + std::min<Duration>(deadline, kUnknownNaming), false};
 }
 
 bool NoteNamed(RoutingWorld& world, const std::string& model, uint64_t version, Naming naming)
 {
     NamedVersions& versions = world.m_Weights[model];
-    const uint64_t newest   = versions.empty() ? 1 : versions.rbegin()->first;
+    const uint64_t newest   = versions.empty() ? kFirstVersion : versions.rbegin()->first;
     const auto     known    = versions.find(version);
-    if (known != versions.end() && Better(naming, known->second))
-        known->second = naming;
-    if (known != versions.end() || version <= 1 || (version < newest && !naming.m_Sure))
+    if (known != versions.end())
+    {
+        if (Better(naming, known->second))
+            known->second = naming;
         return false;
-    const bool full = versions.size() >= kVersionsRemembered;
-    if (full && version < versions.begin()->first)
+    }
+    const bool guess = version < newest && !naming.m_Sure; // of an older version: says nothing
+    if (version <= kFirstVersion || guess || !MakeRoom(versions, version))
         return false;
-    if (full)
-        versions.erase(versions.begin());
     versions[version] = naming;
     LogEvent(Event_WeightsNamed, {{"model", model}, {"version", version}, {"before", newest}, {"sure", naming.m_Sure}});
     return version > newest;
