What a neighbour's answer teaches is a function

FetchPiece() asked three times whether a neighbour had been asked. LearnFromAnswer() holds these steps, in the same order, and TakeAnswer() reads the frame that FromPeer() waited for. The usage in piece_transfer.h matches the constructor again.

--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -5,9 +5,9 @@
 // inside it. Pieces stay in memory while their version or the one before is in use here. Touched on one thread.
 //
 // Usage:
-//   PieceTransfer t(ioc, links, origin, server, self);
+//   PieceTransfer t(ioc, origin, server, self, link_bytes_s);
 //   t.SetModel("model"); t.Want(7);  // gives up another version that is under way
-//   if (t.Whole()) ... t.Piece(7, n)
+//   if (t.Whole()) ... t.Find(7)->m_Pieces[n]
 
 #pragma once
 #include "external/model_server.h"
@@ -102,6 +102,8 @@
     // One piece (piece_transfer_fetch.cpp)
     awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
     awaitable<PeerAnswer>   FromPeer(std::shared_ptr<Job> job, Fetch f);
+    PeerAnswer              TakeAnswer(const Job& job, const Fetch& f, const FrameBuf& answer);
+    void                    LearnFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer, Duration took); // of the peer and the link
     awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
     ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
     void                    AdaptSlots(Job& job, Duration took);
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -24,19 +24,26 @@
         answer = co_await FromPeer(job, f);
     if (job->m_Over)
         co_return;
-    const ChunkOutcome outcome = answer.m_Outcome;
-    if (!f.m_Peer.empty() && (outcome == ChunkOutcome_Good || outcome == ChunkOutcome_Failed))
-        AdaptSlots(*job, Now() - asked - answer.m_Waited);
-    if (!f.m_Peer.empty() && outcome == ChunkOutcome_Good)
-        job->m_Exchange->OnWaited(f.m_Peer, answer.m_Waited, Now());
-    if (!f.m_Peer.empty() && outcome == ChunkOutcome_Failed)
-        AskWhatItHas(job->m_Version, f.m_Peer);
-    job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, outcome, Now());
-    if (outcome == ChunkOutcome_Good)
+    if (!f.m_Peer.empty())
+        LearnFromAnswer(*job, f.m_Peer, answer, Now() - asked);
+    job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, answer.m_Outcome, Now());
+    if (answer.m_Outcome == ChunkOutcome_Good)
         job->m_News.push_back(f.m_Chunk);
     Pump(job);
 }
 
+void PieceTransfer::LearnFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer, Duration took)
+{
+    const bool good   = answer.m_Outcome == ChunkOutcome_Good;
+    const bool failed = answer.m_Outcome == ChunkOutcome_Failed;
+    if (good || failed)
+        AdaptSlots(job, took - answer.m_Waited); // what it waited over there says nothing of the link here
+    if (good)
+        job.m_Exchange->OnWaited(peer, answer.m_Waited, Now());
+    if (failed)
+        AskWhatItHas(job.m_Version, peer);
+}
+
 unsigned NextPieceSlots(unsigned slots, Duration took)
 {
     constexpr auto kSlow      = milliseconds(400); // longer: pieces queue on this box's link
@@ -88,10 +95,9 @@
 
 awaitable<PieceTransfer::PeerAnswer> PieceTransfer::FromPeer(std::shared_ptr<Job> job, Fetch f)
 {
-    PeerAnswer    result;
     const LinkPtr link = m_Links.Find(f.m_Peer);
     if (!link)
-        co_return result;
+        co_return PeerAnswer{};
     wire::ChunkGetT get;
     get.digest                   = NameOf(job->m_Version);
     get.index                    = f.m_Chunk;
@@ -103,23 +109,21 @@
         answer = co_await box->Pop(Now() + kPieceMax);
     link->CloseExchange(box->Id());
     if (!answer || job->m_Over)
-        co_return result;
-    if (const wire::ChunkRefused* refused = answer->Get()->body_as_ChunkRefused())
-    {
-        result.m_Outcome = refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing;
-        co_return result;
-    }
-    const wire::ChunkData* data = answer->Get()->body_as_ChunkData();
+        co_return PeerAnswer{};
+    co_return TakeAnswer(*job, f, *answer);
+}
+
+PieceTransfer::PeerAnswer PieceTransfer::TakeAnswer(const Job& job, const Fetch& f, const FrameBuf& answer)
+{
+    if (const wire::ChunkRefused* refused = answer.Get()->body_as_ChunkRefused())
+        return {refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing, {}};
+    const wire::ChunkData* data = answer.Get()->body_as_ChunkData();
     if (data == nullptr || data->bytes() == nullptr || data->index() != f.m_Chunk)
-    {
-        result.m_Outcome = ChunkOutcome_Corrupt;
-        co_return result;
-    }
+        return {ChunkOutcome_Corrupt, {}};
     m_BytesPeers += data->bytes()->size();
     std::vector<uint8_t> bytes(data->bytes()->begin(), data->bytes()->end());
-    result.m_Waited  = milliseconds(data->waited_ms());
-    result.m_Outcome = Keep(*job, f.m_Chunk, std::move(bytes), f.m_Peer);
-    co_return result;
+    const ChunkOutcome   outcome = Keep(job, f.m_Chunk, std::move(bytes), f.m_Peer);
+    return {outcome, milliseconds(data->waited_ms())};
 }
 
 awaitable<ChunkOutcome> PieceTransfer::FromOrigin(std::shared_ptr<Job> job, uint32_t n)
