Newer weights go first only near a deadline; a lost link says nothing of a narrow one

Change: it counts in the last 3 s before the deadline only, where the broken rule was. Change: only a time-out counts; the wait is cut at the time that passed; two seconds without a piece begin anew; unknown neighbours are passed over.

--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -123,22 +123,17 @@
     return out;
 }
 
-ServerChoice::View ServerChoice::ViewOf(std::span<const Option> options, TimePoint now) const
+bool ServerChoice::SoonTooOld(const Option& o, const RequestNeed& need, TimePoint now) const
 {
-    View view;
-    for (const Option& o : options)
-    {
-        view.m_Reports |= Fresh(*o.m_Server, now);
-        view.m_Newest = std::max(view.m_Newest, o.m_Weights);
-    }
-    return view;
+    return std::any_of(need.m_WeightsDeadlines.begin(), need.m_WeightsDeadlines.end(),
+                       [&](const WeightsDeadline& d) { return o.m_Weights < d.m_Version && now > d.m_At - m_Config.m_OldFrom; });
 }
 
-double ServerChoice::CostOf(const Option& o, const RequestNeed& need, const View& view, TimePoint now)
+double ServerChoice::CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now)
 {
     const bool   model = need.m_Service->m_Engine.has_value();
-    const bool   blind = model && view.m_Reports && !Fresh(*o.m_Server, now);
-    const bool   old   = model && o.m_Weights < view.m_Newest;
+    const bool   blind = model && others_report && !Fresh(*o.m_Server, now);
+    const bool   old   = model && SoonTooOld(o, need, now);
     const double far   = o.m_Entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
     const double tie   = static_cast<double>(m_Random() >> 11) * 0x1p-53 * (model ? m_Config.m_TieMs : kPlainTieMs);
     const double fails = FailShare(*o.m_Server, now) * m_Config.m_FailWeight * ToMsReal(need.m_Goal);
@@ -148,14 +143,14 @@
 // Null: there are no options. One that is left out for a while is taken only when all are.
 const ServerChoice::Option* ServerChoice::Cheapest(std::span<const Option> options, const RequestNeed& need, TimePoint now)
 {
-    const View    view      = ViewOf(options, now);
+    const bool    reports   = std::any_of(options.begin(), options.end(), [&](const Option& o) { return Fresh(*o.m_Server, now); });
     const Option* best      = nullptr;
     double        best_cost = 0;
     bool          suspended = true; // the best so far is one that should be left out
     for (const Option& o : options)
     {
         const bool   out  = now < o.m_Server->m_SuspendedUntil;
-        const double cost = CostOf(o, need, view, now);
+        const double cost = CostOf(o, need, reports, now);
         if (best != nullptr && (out > suspended || (out == suspended && cost >= best_cost)))
             continue;
         best      = &o;
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -18,8 +18,7 @@
 //     ours may empty a service.
 //   - A server whose weights are older than a named version is left out when the request would begin after that version's deadline. Servers
 //     that aren't slow drop out at the same time: dropping out one by one, the last ones would get what all routers send.
-//   - A server with older weights costs m_OldPenalty more beside others with newer ones: what waits there may begin too late, and is cut off
-//     when its box's turn comes.
+//   - In the last m_OldFrom before a deadline of weights a server with older ones costs m_OldPenalty more: what waits there may begin too late.
 //   - A server in another data centre costs m_FarPenalty more.
 //   - A first attempt of a caller is refused when no server is predicted to answer within its objective. For this a request counts with the
 //     usual prompt, not its own, so that long ones aren't refused before short ones. A refusal says when to come back.
@@ -56,12 +55,13 @@
     double   m_OthersShare  = 0.5;                // of what other routers send: believed to go to the server that looks best; the rest by chance
     double   m_BlindFactor  = 3.0;                // own requests in flight stand for this many when no report is fresh
     Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
-    Duration m_OldPenalty   = milliseconds(100);  // of a server with older weights than named beside others with newer ones: some two requests
-    Duration m_BeginMargin  = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
-    Duration m_BeginLeast   = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
-    Duration m_BeginBlind   = milliseconds(2000); // and as this without a fresh report: the way to such a box was seen to take 1.8 s
-    double   m_BeginFactor  = 1.5;                // predicted waits are taken this much longer for it
-    double   m_FailWeight   = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
+    Duration m_OldPenalty   = milliseconds(100);  // of a server whose weights are older than may be used m_OldFrom from now: some two requests
+    Duration m_OldFrom = seconds(3); // before a deadline of weights, from when on that counts; earlier, the first servers with new ones would get all
+    Duration m_BeginMargin = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
+    Duration m_BeginLeast  = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
+    Duration m_BeginBlind  = milliseconds(2000); // and as this without a fresh report: the way to such a box was seen to take 1.8 s
+    double   m_BeginFactor = 1.5;                // predicted waits are taken this much longer for it
+    double   m_FailWeight  = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
 };
 
 struct WeightsDeadline
@@ -144,12 +144,6 @@
         double             m_Ms      = 0;       // predicted
     };
 
-    struct View // of all options together
-    {
-        bool     m_Reports = false; // some server has a fresh report
-        uint64_t m_Newest  = 0;     // newest weights that some server holds
-    };
-
     bool Fresh(const Server& s, TimePoint now) const { return s.m_ReportAt != TimePoint{} && now - s.m_ReportAt < m_Config.m_ReportMax; }
 
     // Prediction (server_prediction.cpp)
@@ -166,11 +160,11 @@
 
     // Choice
     std::vector<Option> Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
-    View                ViewOf(std::span<const Option> options, TimePoint now) const;
     const Option*       Cheapest(std::span<const Option> options, const RequestNeed& need, TimePoint now);
-    double              CostOf(const Option& o, const RequestNeed& need, const View& view, TimePoint now); // ms; lower is better
+    double              CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
     bool                Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
     bool                BeginsTooLate(const Option& o, const RequestNeed& need, TimePoint now) const;
+    bool                SoonTooOld(const Option& o, const RequestNeed& need, TimePoint now) const;
     double              AllowedMs(const RequestNeed& need) const; // predicted wait up to which the request is taken
     Choice              Admit(Choice best, const RequestNeed& need, TimePoint now);
     Duration            RetryAfter(const RequestNeed& need, double predicted_ms) const;
--- a/src/version/exchange.cpp
+++ b/src/version/exchange.cpp
@@ -363,9 +363,11 @@
 
 void Exchange::OnWaited(const std::string& peer, Duration waited, TimePoint now)
 {
-    Peer& p      = m_Peers[peer];
-    p.m_Waited   = waited;
-    p.m_WaitedAt = now;
+    const auto it = m_Peers.find(peer);
+    if (it == m_Peers.end())
+        return;
+    it->second.m_Waited   = waited;
+    it->second.m_WaitedAt = now;
 }
 
 std::vector<Fetch> Exchange::Next(TimePoint now)
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -11,6 +11,7 @@
 constexpr auto     kOriginMax    = milliseconds(2000); // for one piece from the origin
 constexpr auto     kPieceWay     = milliseconds(60);   // of a piece beside its time on the link: the other box's, and both ways
 constexpr unsigned kBadListAfter = 4;                  // spoilt pieces from the origin after which its list of digests is doubted
+constexpr auto     kLinkPaceKeep = seconds(2);         // after the last piece: what queued on the link is gone by then
 
 } // namespace
 
@@ -34,10 +35,11 @@
 
 void PieceTransfer::LearnFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer, Duration took)
 {
-    const bool good   = answer.m_Outcome == ChunkOutcome_Good;
-    const bool failed = answer.m_Outcome == ChunkOutcome_Failed;
-    if (good || failed)
-        AdaptSlots(job, took - answer.m_Waited); // what it waited over there says nothing of the link here
+    const bool good      = answer.m_Outcome == ChunkOutcome_Good;
+    const bool failed    = answer.m_Outcome == ChunkOutcome_Failed;
+    const bool timed_out = failed && took >= kPieceMax; // a link that closed at once says nothing of this box's
+    if (good || timed_out)
+        AdaptSlots(job, took - std::min(took, answer.m_Waited)); // what it waited over there says nothing of the link here
     if (good)
         job.m_Exchange->OnWaited(peer, answer.m_Waited, Now());
     if (failed)
@@ -57,15 +59,16 @@
 void LinkPace::OnPiece(Duration took, Duration expected, TimePoint now)
 {
     constexpr double kStep = 0.3; // weight of the newest piece
+    if (now - m_At >= kLinkPaceKeep)
+        m_Mean = 1; // another fetch
     m_Mean += kStep * (ToSeconds(took) / ToSeconds(expected) - m_Mean);
     m_At = now;
 }
 
 double LinkPace::Value(TimePoint now) const
 {
-    constexpr auto   kKeep  = seconds(2); // after the last piece: what queued is gone by then
-    constexpr double kClear = 2;          // below this it is chance
-    const bool       seen   = m_At != TimePoint{} && now - m_At < kKeep;
+    constexpr double kClear = 2; // below this it is chance
+    const bool       seen   = m_At != TimePoint{} && now - m_At < kLinkPaceKeep;
     return seen && m_Mean > kClear ? m_Mean : 1;
 }
 
--- a/tests/test_exchange.cpp
+++ b/tests/test_exchange.cpp
@@ -422,3 +422,26 @@
     staging.Release(*ma);
     BOOST_CHECK_EQUAL(staging.Reserved(), 8 * kChunkSizeMin);
 }
+
+BOOST_AUTO_TEST_CASE(of_two_neighbours_the_one_whose_queue_is_shorter_is_asked)
+{
+    const ManifestPtr m = MakeTestManifest(8);
+    ExchangeConfig    cfg;
+    cfg.m_DownloadSlots = 1;
+    for (const std::string busy : {"a", "b"})
+    {
+        Exchange              x(m, cfg, {}, "self", {});
+        const TimePoint       now = TimePoint{} + seconds(1);
+        std::vector<uint32_t> all = {0, 1, 2, 3, 4, 5, 6, 7};
+        for (const std::string peer : {"a", "b"})
+        {
+            x.OnPeerUp(peer, true);
+            x.OnHave(peer, all, true);
+        }
+        x.OnWaited(busy, milliseconds(200), now);
+        x.OnWaited("unknown", milliseconds(200), now);
+        const auto fetches = x.Next(now);
+        BOOST_REQUIRE(fetches.size() == 1u);
+        BOOST_TEST(fetches[0].m_Peer != busy);
+    }
+}
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -411,6 +411,8 @@
         pace.OnPiece(milliseconds(800), milliseconds(110), start);
     BOOST_TEST(pace.Value(start) > 4.0);
     BOOST_TEST(pace.Value(start + seconds(5)) == 1.0); // nothing is fetched any more
+    pace.OnPiece(milliseconds(120), milliseconds(276), start + seconds(9));
+    BOOST_TEST(pace.Value(start + seconds(9)) == 1.0); // the next fetch starts afresh
 }
 
 BOOST_AUTO_TEST_CASE(a_list_of_digests_from_a_neighbour_with_false_numbers_is_refused)
