--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -55,13 +55,13 @@
     double   m_OthersShare  = 0.5;                // of what other routers send: believed to go to the server that looks best; the rest by chance
     double   m_BlindFactor  = 3.0;                // own requests in flight stand for this many when no report is fresh
     Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
-    Duration m_OldPenalty   = milliseconds(100);  // of a server whose weights are older than may be used m_OldFrom from now: some two requests
-    Duration m_OldFrom = seconds(3); // before a deadline of weights, from when on that counts; earlier, the first servers with new ones would get all
-    Duration m_BeginMargin = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
-    Duration m_BeginLeast  = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
-    Duration m_BeginBlind  = milliseconds(2000); // and as this without a fresh report: the way to such a box was seen to take 1.8 s
-    double   m_BeginFactor = 1.5;                // predicted waits are taken this much longer for it
-    double   m_FailWeight  = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
+    Duration m_OldPenalty   = milliseconds(100);  // of a server with weights that may be used for no longer than m_OldFrom: some two requests
+    Duration m_OldFrom      = seconds(3);         // a longer one lets the first servers with newer weights get what all routers send
+    Duration m_BeginMargin  = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
+    Duration m_BeginLeast   = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
+    Duration m_BeginBlind   = milliseconds(2000); // and as this without a fresh report: the way to such a box was seen to take 1.8 s
+    double   m_BeginFactor  = 1.5;                // predicted waits are taken this much longer for it
+    double   m_FailWeight   = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
 };
 
 struct WeightsDeadline
