Tests take their ports from places of their own

The port came from the range that the system gives to outgoing connections, and other test programs ran beside it. Change: ports below that range, each process begins at a place given by its id, each port is tried by binding it.

--- a/tests/support_io.h
+++ b/tests/support_io.h
@@ -4,15 +4,32 @@
 #include "support.h"
 #include <future>
 #include <thread>
+#include <unistd.h>
 
 namespace aldervale
 {
 
+// A port that nobody listens on. Test programs run beside each other: each takes its ports from a place of its own, below those that the
+// system gives to outgoing connections, or another program might have the port before the caller listens on it.
 inline Endpoint FreeEndpoint()
 {
-    asio::io_context ioc;
-    tcp::acceptor    a(ioc, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {asio::ip::make_address("127.0.0.1"), a.local_endpoint().port()};
+    constexpr unsigned           kFirst = 10'000; // of the ports used here
+    constexpr unsigned           kPorts = 20'000; // up to 30,000: the system's own begin at 32,768
+    constexpr unsigned           kEach  = 97;     // ports between the places of two processes with neighbouring ids
+    static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * kEach};
+    const auto                   address = asio::ip::make_address("127.0.0.1");
+    for (unsigned tries = 0; tries < kPorts; tries++)
+    {
+        const auto                port = static_cast<uint16_t>(kFirst + next++ % kPorts);
+        asio::io_context          ioc;
+        tcp::acceptor             a(ioc);
+        boost::system::error_code ec;
+        a.open(tcp::v4(), ec);
+        a.bind(tcp::endpoint(address, port), ec);
+        if (!ec)
+            return {address, port};
+    }
+    throw std::runtime_error("no free port");
 }
 
 inline DaemonSettings TestSettings(const std::string& name, const std::string& data_centre = "dc")
