--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -93,7 +93,7 @@
     co_return true;
 }
 
-// Where answers are long and the way is narrow, one that is given up has used the way for nothing; if all did so at the same time limit
+// Where answers are long and the way is narrow, one that is given up has used the way for nothing; if all did so at the same timeout
 // again and again, none would ever get its answer.
 Duration TableFollower::Patience(Duration first) const
 {
