Routers tell the boxes of named weights; agents no longer read the declarations

Change: an agent that knows its model and the origin reads only the rows that name weights, and those seldom. Routers, which follow the store closely, tell all boxes at once when a version is named, with its age, and with each request for reports. A fetch that takes over 4 s while routers have newer declarations makes an agent read them again.

--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -120,16 +120,35 @@
         m_Handler(from.address(), FromWire(*s));
 }
 
+void LoadListener::SetNamed(std::vector<ModelNaming> named)
+{
+    m_Named = std::move(named);
+    Subscribe();
+}
+
+void LoadListener::Subscribe()
+{
+    wire::LoadSubscribeT ask;
+    ask.name        = m_Self.m_Name;
+    ask.data_centre = m_Self.m_DataCentre;
+    ask.declared    = m_Declared;
+    for (const ModelNaming& n : m_Named)
+    {
+        auto told     = std::make_unique<wire::ModelNamingT>();
+        told->model   = n.m_Model;
+        told->version = n.m_Version;
+        told->age_ms  = n.m_At == TimePoint{} ? -1 : ToMs(Now() - n.m_At);
+        ask.named.push_back(std::move(told));
+    }
+    for (const Endpoint& box : m_Boxes)
+        SendDatagram(m_Socket, udp::endpoint(box.m_Address, box.m_Port), ask);
+}
+
 awaitable<void> LoadListener::SubscribeLoop()
 {
     for (;;)
     {
-        wire::LoadSubscribeT ask;
-        ask.name        = m_Self.m_Name;
-        ask.data_centre = m_Self.m_DataCentre;
-        ask.declared    = m_Declared;
-        for (const Endpoint& box : m_Boxes)
-            SendDatagram(m_Socket, udp::endpoint(box.m_Address, box.m_Port), ask);
+        Subscribe();
         co_await SleepFor(m_Boxes.empty() ? Duration(kNearEvery) : Duration(kSubscribeEvery));
     }
 }
@@ -157,9 +176,15 @@
     const wire::LoadSubscribe* ask = frame.body_as_LoadSubscribe();
     if (ask == nullptr)
         return;
-    Subscriber& s = m_Subscribers[from];
-    s.m_AskedAt   = Now();
-    s.m_Near      = ask->data_centre() != nullptr && ask->data_centre()->string_view() == m_DataCentre;
+    Subscriber& s    = m_Subscribers[from];
+    s.m_AskedAt      = Now();
+    s.m_Near         = ask->data_centre() != nullptr && ask->data_centre()->string_view() == m_DataCentre;
+    m_NewestDeclared = std::max(m_NewestDeclared, ask->declared());
+    if (ask->named() == nullptr || !m_OnNamed)
+        return;
+    for (const wire::ModelNaming* n : *ask->named())
+        if (n->model() != nullptr)
+            m_OnNamed({n->model()->str(), n->version(), n->age_ms() < 0 ? TimePoint{} : Now() - milliseconds(n->age_ms())});
 }
 
 void LoadPublisher::Publish(LoadReport report)
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -4,6 +4,9 @@
 // data centre and less often to others, whose bytes are dearer. A lost datagram costs one interval; nothing waits for an answer. Each
 // datagram is one wire::Frame without its length prefix.
 //
+// With its request a router tells which versions of weights it knows to be named, and at once when one is: routers follow the store closely,
+// and the boxes needn't.
+//
 // Usage, router:
 //   LoadListener l(ioc, self, [](const asio::ip::address& box, const LoadReport& r) { ... });
 //   l.Listen(endpoint); l.SetBoxes(endpoints);
@@ -31,6 +34,13 @@
 constexpr auto   kUnchangedEvery = milliseconds(500);  // a report that says nothing new is still sent this often: it shows that the box lives
 constexpr size_t kDatagramMax    = 1200;               // bytes
 
+struct ModelNaming // a version of weights that a router knows to be named
+{
+    std::string m_Model;       //
+    uint64_t    m_Version = 0; //
+    TimePoint   m_At{};        // when; default: not known
+};
+
 struct ProcessName
 {
     std::string m_Name;       //
@@ -51,17 +61,20 @@
     Status Listen(const Endpoint& at);
     void   SetBoxes(std::vector<Endpoint> boxes) { m_Boxes = std::move(boxes); } // whose reports to ask for
     void   SetDeclared(uint64_t version) { m_Declared = version; }
+    void   SetNamed(std::vector<ModelNaming> named); // told to all boxes at once, and with every request for reports
 
 private:
     void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
     awaitable<void> SubscribeLoop();
-
-    asio::io_context&     m_Ioc;          //
-    ProcessName           m_Self;         //
-    Handler               m_Handler;      //
-    udp::socket           m_Socket;       //
-    std::vector<Endpoint> m_Boxes;        //
-    uint64_t              m_Declared = 0; // version of the declarations in force here
+    void            Subscribe();
+
+    asio::io_context&        m_Ioc;          //
+    ProcessName              m_Self;         //
+    Handler                  m_Handler;      //
+    udp::socket              m_Socket;       //
+    std::vector<Endpoint>    m_Boxes;        //
+    uint64_t                 m_Declared = 0; // version of the declarations in force here
+    std::vector<ModelNaming> m_Named;        // newest versions of weights known here
 };
 
 //-----------------------------------------------------------------------------
@@ -71,10 +84,14 @@
 class LoadPublisher
 {
 public:
+    using NamedHandler = std::function<void(const ModelNaming& named)>;
+
     LoadPublisher(asio::io_context& ioc, std::string data_centre);
 
     Status   Listen(const Endpoint& at);
-    void     Publish(LoadReport report); // its m_Routers is filled in
+    void     SetOnNamed(NamedHandler fn) { m_OnNamed = std::move(fn); } // a router knows of a version; mostly a known one
+    void     Publish(LoadReport report);                                // its m_Routers is filled in
+    uint64_t NewestDeclared() const { return m_NewestDeclared; }        // version of the declarations that some router has told
     uint64_t Sent() const { return m_Sent; }
 
 private:
@@ -88,10 +105,12 @@
 
     void OnFrame(const wire::Frame& frame, const udp::endpoint& from);
 
-    udp::socket                         m_Socket;      //
-    std::string                         m_DataCentre;  //
-    std::map<udp::endpoint, Subscriber> m_Subscribers; //
-    uint64_t                            m_Sent = 0;    // datagrams
+    udp::socket                         m_Socket;             //
+    std::string                         m_DataCentre;         //
+    std::map<udp::endpoint, Subscriber> m_Subscribers;        //
+    uint64_t                            m_Sent = 0;           // datagrams
+    NamedHandler                        m_OnNamed;            // may be empty
+    uint64_t                            m_NewestDeclared = 0; //
 };
 
 } // namespace aldervale
--- a/src/external/row_source.h
+++ b/src/external/row_source.h
@@ -23,11 +23,17 @@
     uint64_t         m_StoreVersion = 0; // that the read is consistent with
 };
 
+struct KeyRange // of rows in one table; empty: the whole table
+{
+    std::string m_From;  // first key
+    std::string m_Until; // first key after it; empty: to the table's end
+};
+
 class RowSource
 {
 public:
-    virtual ~RowSource()                                                              = default;
-    virtual awaitable<Result<RowRead>> ReadAll(std::string table, TimePoint deadline) = 0;
+    virtual ~RowSource()                                                                             = default;
+    virtual awaitable<Result<RowRead>> ReadAll(std::string table, KeyRange keys, TimePoint deadline) = 0;
     // Waits up to `wait` for a change after `since`. ErrorCode_Stale: that history is gone, read the whole table.
     virtual awaitable<Result<RowRead>> ReadChanges(std::string table, uint64_t since, Duration wait, TimePoint deadline) = 0;
 };
--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -28,10 +28,8 @@
 {
     for (;;)
     {
-        const bool whole  = !m_Synced || m_Series;
-        const bool ok     = whole ? co_await ReadAll() : co_await ReadChanges();
-        const bool urgent = !m_Config.m_Urgent || m_Config.m_Urgent();
-        Duration   pause  = !urgent ? CalmPause() : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
+        const bool ok    = co_await ReadNext();
+        Duration   pause = !Urgent() ? CalmPause() : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
         if (!ok)
         {
             pause = std::min(m_Config.m_RetryMax, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
@@ -41,6 +39,20 @@
     }
 }
 
+awaitable<bool> TableFollower::ReadNext()
+{
+    if (m_Synced && m_Config.m_CalmKeys && !Urgent())
+    {
+        m_Series           = true; // changes of the other rows are missed from now on
+        const KeyRange few = *m_Config.m_CalmKeys;
+        co_return co_await ReadAll(few);
+    }
+    if (m_Synced && !m_Series)
+        co_return co_await ReadChanges();
+    const KeyRange whole;
+    co_return co_await ReadAll(whole);
+}
+
 // Processes that were woken by the same change would else all look away together, and none of them would see the next one soon.
 Duration TableFollower::CalmPause()
 {
@@ -49,9 +61,9 @@
     return mean * (2 * part + 1) / static_cast<int>(kCalmParts); // evenly between nothing and twice the mean
 }
 
-awaitable<bool> TableFollower::ReadAll()
+awaitable<bool> TableFollower::ReadAll(KeyRange keys)
 {
-    const auto read = co_await m_Source.ReadAll(m_Table, Now() + Patience(m_Config.m_ReadMax));
+    const auto read = co_await m_Source.ReadAll(m_Table, keys, Now() + Patience(m_Config.m_ReadMax));
     if (!read)
     {
         OnFailure(read.error());
@@ -90,7 +102,8 @@
         }
         LogEvent(Event_StoreHistoryGone, {{"table", m_Table}, {"known", m_Since}});
         m_Synced = false;
-        co_return co_await ReadAll();
+        const KeyRange whole;
+        co_return co_await ReadAll(whole);
     }
     OnAnswer();
     if (read.value().m_StoreVersion < m_Since)
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -6,6 +6,7 @@
 // Changes hold every version of a row, the whole table only the newest: in a table of long rows that change in series (m_WholeAfter) it
 // reads the whole table after a failure and while a series lasts. 44 versions of the declarations, 60 KB each, to 28 boxes over a link of
 // 27 Mbit/s took them 14 s after an outage; the newest alone takes 0.5 s.
+// A process that needs few rows of a table with long ones reads just those while it is calm (m_CalmKeys): standing requests bring all rows.
 // It runs on a strand of its own, and so do the handlers: with several I/O threads two followers may call theirs at once.
 //
 // Usage:
@@ -20,16 +21,17 @@
 
 struct TableFollowerConfig
 {
-    Duration                  m_Wait   = milliseconds(6000);     // of the standing request: bounds how long a silent loss of the store goes unseen
-    Duration                  m_Margin = milliseconds(1200);     // for the answer beyond m_Wait; longer after each failure in a row
-    Duration                  m_Gather = milliseconds(350);      // urgent: pause after changes, so that a series of them is taken together
-    Duration                  m_Quiet  = milliseconds(700);      // urgent: pause after no changes; those of other tables end standing requests, too
-    std::function<bool()>     m_Urgent;                          // changes matter now; empty: always
-    std::function<Duration()> m_Calm;                            // not urgent: mean pause after any answer; empty: 5 s
-    Duration                  m_RetryMin   = milliseconds(100);  // pause after a failure, urgent or not; doubles with each in a row
-    Duration                  m_RetryMax   = milliseconds(500);  //
-    Duration                  m_ReadMax    = milliseconds(1500); // for a read of the whole table
-    unsigned                  m_WholeAfter = 0;                  // rows in one answer that make the next read one of the whole table; 0: never
+    Duration                  m_Wait   = milliseconds(6000);   // of the standing request: bounds how long a silent loss of the store goes unseen
+    Duration                  m_Margin = milliseconds(1200);   // for the answer beyond m_Wait; longer after each failure in a row
+    Duration                  m_Gather = milliseconds(350);    // urgent: pause after changes, so that a series of them is taken together
+    Duration                  m_Quiet  = milliseconds(700);    // urgent: pause after no changes; those of other tables end standing requests, too
+    std::function<bool()>     m_Urgent;                        // changes matter now; empty: always
+    std::function<Duration()> m_Calm;                          // not urgent: mean pause after any answer; empty: 5 s
+    Duration                  m_RetryMin = milliseconds(100);  // pause after a failure, urgent or not; doubles with each in a row
+    Duration                  m_RetryMax = milliseconds(500);  //
+    Duration                  m_ReadMax  = milliseconds(1500); // for a read of the whole table
+    std::optional<KeyRange>   m_CalmKeys;                      // not urgent: only these rows are read, each time, without standing requests
+    unsigned                  m_WholeAfter = 0;                // rows in one answer that make the next read one of the whole table; 0: never
 };
 
 struct TableHandlers // what becomes of the rows
@@ -51,8 +53,10 @@
 
 private:
     awaitable<void> Run();
+    bool            Urgent() const { return !m_Config.m_Urgent || m_Config.m_Urgent(); }
     Duration        CalmPause();
-    awaitable<bool> ReadAll();                           // false: failed
+    awaitable<bool> ReadNext();                          // false: failed
+    awaitable<bool> ReadAll(KeyRange keys);              // false: failed
     awaitable<bool> ReadChanges();                       // false: failed
     Duration        Patience(Duration first) const;      // for an answer, after the failures so far
     bool            HasNews(const RowRead& whole) const; // a row newer than what was known
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -10,10 +10,9 @@
 namespace
 {
 
-constexpr double kBytesPerMbit     = 1e6 / 8;
-constexpr auto   kOperatorPause    = milliseconds(75);   // for each box of the service: some agent looks again within twice this, on average
-constexpr auto   kOperatorPauseMin = milliseconds(1500); //
-constexpr auto   kOperatorPauseMax = milliseconds(8000); // declarations must reach an agent, too: the origin's address stands there
+constexpr double kBytesPerMbit = 1e6 / 8;
+constexpr auto   kWeightsLook  = milliseconds(6000); // mean pause between two looks for named versions, of each agent; routers tell of them sooner
+constexpr auto   kFetchSlow    = milliseconds(4000); // a fetch that takes longer may be asking an origin that has moved; one takes 2 to 4 s
 
 struct AgentSettings
 {
@@ -54,11 +53,26 @@
     return specs;
 }
 
+// When a version that is heard of now was named, at best. Before the own first read it may have been before this process started.
+TimePoint LearnedAt(const Agent& a)
+{
+    return a.m_OperatorRead ? Now() : TimePoint{};
+}
+
 void TellNamed(Agent& a)
 {
     const auto it = a.m_Named.find(a.m_Model);
     if (it != a.m_Named.end())
-        a.m_Keeper->OnNamed(it->second, !a.m_OperatorRead);
+        a.m_Keeper->OnNamed(it->second, LearnedAt(a));
+}
+
+// A router that follows the store closely tells of a version, mostly of a known one.
+void OnToldNamed(Agent& a, const ModelNaming& named)
+{
+    if (a.m_Model.empty() || named.m_Model != a.m_Model)
+        return;
+    const bool exact = named.m_At != TimePoint{};
+    a.m_Keeper->OnNamed(named.m_Version, exact ? named.m_At : LearnedAt(a));
 }
 
 void OnConfig(Agent& a, const RouteTableSpec& spec, uint64_t row_version)
@@ -91,22 +105,23 @@
     a.m_Transfer->SetPeers(std::move(peers));
 }
 
-// The more agents there are, the sooner one of them reads of a version; and each reads the whole declarations when these change.
-Duration OperatorPause(size_t boxes)
+// The declarations matter to an agent only for the origin's address. It reads them anew when a fetch takes long and there are newer ones.
+bool DeclarationsDoubted(const Agent& a)
 {
-    return std::clamp<Duration>(kOperatorPause * static_cast<int>(boxes), kOperatorPauseMin, kOperatorPauseMax);
+    return a.m_Transfer->UnderWayFor() > kFetchSlow && a.m_Publisher->NewestDeclared() > a.m_Declared;
 }
 
-// Each answer of the store is priced. The other boxes matter only while weights move: until the own server serves, and in a fetch. What the
-// operators declare matters little here, and of a new version an agent hears from the neighbour that reads of it first.
+// Each answer of the store is priced. The other boxes matter only while weights move: until the own server serves, and in a fetch. Of a new
+// version an agent hears from routers at once, and from neighbours; it looks for itself in case it hears from neither.
 TablePaces Paces(const Agent& a)
 {
     TablePaces p;
     p.m_List.m_Urgent         = [&a] { return !a.m_Keeper->Serving() || a.m_Transfer->UnderWay(); };
-    p.m_Operator.m_Urgent     = [&a] { return !a.m_OperatorRead; };
-    p.m_Operator.m_Calm       = [&a] { return OperatorPause(a.m_Transfer->Boxes()); };
-    p.m_Operator.m_Wait       = milliseconds(15'000); // a loss that goes unseen matters less here than on a router
-    p.m_Operator.m_WholeAfter = 1;                    // a series goes on for a hundred versions while an agent pauses
+    p.m_Operator.m_Urgent     = [&a] { return !a.m_OperatorRead || DeclarationsDoubted(a); };
+    p.m_Operator.m_Calm       = [] { return Duration(kWeightsLook); };
+    p.m_Operator.m_CalmKeys   = platform::WeightsKeys(); // declarations are long: 76 agents reading 1,690 routes fill a link of 27 Mbit/s for 9 s
+    p.m_Operator.m_Wait       = milliseconds(15'000);    // a loss that goes unseen matters less here than on a router
+    p.m_Operator.m_WholeAfter = 1;                       // a series goes on for a hundred versions while an agent pauses
     p.m_List.m_Wait           = p.m_Operator.m_Wait;
     p.m_List.m_Gather         = milliseconds(700); // boxes come by the dozen when all start; who fetches what is settled once they rest
     p.m_List.m_Quiet          = milliseconds(1500);
@@ -136,8 +151,8 @@
     StartPlanConfig plan;
     plan.m_Deadline = milliseconds(a.m_Settings.m_WeightsDeadlineMs);
     a.m_Keeper      = std::make_unique<WeightKeeper>(daemon, plan, *a.m_Server, *a.m_Transfer, *a.m_Publisher);
-    // A neighbour may read the store sooner. What is heard of before the own first read may have been named before this process started.
-    a.m_Transfer->SetOnHeard([&a](uint64_t version) { a.m_Keeper->OnNamed(version, !a.m_OperatorRead); });
+    a.m_Transfer->SetOnHeard([&a](uint64_t version) { a.m_Keeper->OnNamed(version, LearnedAt(a)); }); // a neighbour may hear of it sooner
+    a.m_Publisher->SetOnNamed([&a](const ModelNaming& named) { OnToldNamed(a, named); });
     DaemonHooks hooks;
     hooks.m_Ready    = [&a] { return a.m_Keeper->Serving(); };
     hooks.m_Describe = [&a] { return a.m_Keeper->Describe(); };
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -92,12 +92,27 @@
                                          {"accounts", spec.m_Accounts.size()}});
 }
 
+// The newest version of each model, for the boxes.
+std::vector<ModelNaming> NewestNamed(const RoutingWorld& world)
+{
+    std::vector<ModelNaming> out;
+    for (const auto& [model, versions] : world.m_Weights)
+        if (!versions.empty())
+        {
+            const auto& [version, naming] = *versions.rbegin();
+            out.push_back({model, version, naming.m_Sure ? naming.m_At : TimePoint{}});
+        }
+    return out;
+}
+
 void OnNamed(Router& r, const platform::NamedWeights& named)
 {
     // Before the first read is over, what it tells may have been named at any time.
     const Duration deadline = milliseconds(r.m_Settings.m_Serve.m_WeightsDeadlineMs);
     const Naming   naming   = r.m_OperatorRead ? Naming{Now(), true} : AssumedNaming(Now(), deadline);
-    NoteNamed(r.m_World, named.m_Model, named.m_Version, naming);
+    const bool     news     = NoteNamed(r.m_World, named.m_Model, named.m_Version, naming);
+    if (news)
+        r.m_Loads->SetNamed(NewestNamed(r.m_World));
 }
 
 //-----------------------------------------------------------------------------
--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -53,6 +53,11 @@
     return m_Job && !m_Job->m_Over;
 }
 
+Duration PieceTransfer::UnderWayFor() const
+{
+    return UnderWay() ? Now() - m_Job->m_StartedAt : Duration::zero();
+}
+
 void PieceTransfer::SetModel(const std::string& model)
 {
     if (m_Model == model)
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -40,11 +40,11 @@
         m_Daemon.Ioc(), [this] { return PlanLoop(); }, asio::detached);
 }
 
-void WeightKeeper::OnNamed(uint64_t version, bool before_start)
+void WeightKeeper::OnNamed(uint64_t version, TimePoint named_at)
 {
     if (version <= m_Plan.Target())
         return;
-    m_Plan.OnNamed(version, before_start ? TimePoint{} : Now()); // long ago: its turn has come
+    m_Plan.OnNamed(version, named_at);
     LogEvent(Event_WeightsNamed, {{"model", m_Model}, {"version", version}, {"held", m_Report.m_Weights}});
 }
 
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -6,7 +6,7 @@
 //
 // Usage (src/programs/platform_agent.cpp):
 //   WeightKeeper k(daemon, plan, server, transfer, publisher);
-//   k.SetModel("model"); k.OnNamed(version); k.Start();
+//   k.SetModel("model"); k.OnNamed(version, Now()); k.Start();
 
 #pragma once
 #include "process/daemon.h"
@@ -22,8 +22,8 @@
     WeightKeeper(Daemon& daemon, const StartPlanConfig& plan, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher);
 
     void         Start();
-    void         SetModel(const std::string& model);           // empty: not known yet, nothing is done
-    void         OnNamed(uint64_t version, bool before_start); // before_start: at an unknown time before this process began
+    void         SetModel(const std::string& model);            // empty: not known yet, nothing is done
+    void         OnNamed(uint64_t version, TimePoint named_at); // default: at an unknown time before this process began, its turn has come
     bool         Serving() const { return m_Reachable && m_Report.m_Weights > 0; }
     json::object Describe() const;
 
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -180,7 +180,7 @@
 
     void Named(uint64_t version)
     {
-        asio::post(m_Daemon.Ioc(), [this, version] { m_Keeper->OnNamed(version, false); });
+        asio::post(m_Daemon.Ioc(), [this, version] { m_Keeper->OnNamed(version, Now()); });
     }
 
     Endpoint                       m_At = FreeEndpoint();
@@ -369,6 +369,32 @@
     BOOST_TEST((heard.m_Named == told.m_Named));
 }
 
+BOOST_AUTO_TEST_CASE(a_router_tells_the_boxes_at_once_what_was_named_and_how_long_ago)
+{
+    asio::io_context         ioc;
+    const Endpoint           box = FreeEndpoint();
+    LoadPublisher            publisher(ioc, "dc-1");
+    LoadListener             listener(ioc, {"router", "dc-1"}, [](const asio::ip::address&, const LoadReport&) {});
+    std::vector<ModelNaming> heard;
+    publisher.SetOnNamed([&](const ModelNaming& n) { heard.push_back(n); });
+    BOOST_REQUIRE(publisher.Listen(box).has_value());
+    BOOST_REQUIRE(listener.Listen(FreeEndpoint()).has_value());
+    listener.SetBoxes({box});
+    listener.SetDeclared(41);
+    const TimePoint named_at = Now() - seconds(3);
+    listener.SetNamed({{"m", 2, TimePoint{}}, {"n", 5, named_at}});
+    for (int i = 0; i < 2000 && heard.size() < 2; i++)
+        ioc.run_for(milliseconds(10));
+    BOOST_REQUIRE(heard.size() >= 2u);
+    BOOST_TEST(heard[0].m_Model == "m");
+    BOOST_TEST(heard[0].m_Version == 2u);
+    BOOST_TEST((heard[0].m_At == TimePoint{})); // at an unknown time
+    BOOST_TEST(heard[1].m_Model == "n");
+    BOOST_TEST((heard[1].m_At > named_at - milliseconds(2)));
+    BOOST_TEST((heard[1].m_At < named_at + seconds(2)));
+    BOOST_TEST(publisher.NewestDeclared() == 41u);
+}
+
 BOOST_AUTO_TEST_CASE(a_link_that_turns_out_to_be_narrow_soon_has_few_pieces_on_the_way)
 {
     constexpr int kPieceMs = 216; // of 24 KiB at an eighth of the declared link
