Admission and engine prediction are modules of their own; callers that came back go after first attempts

Cause: under overload the server that looks best was believed to hold 14.7 requests and held 16.8 (the mean of all was 17.5); half of the work went to callers that had been refused before and had lost their objective, while as many first attempts were refused in their place; the kind with the shortest objective was refused most. Change: admission.h (one objective for all kinds of a service, first attempts before callers that came back while many are refused, Retry-After up to a third of what the caller has left), engine_prediction.h (passes, reads, slots), belief half way to the mean.

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -125,15 +125,18 @@
     const std::vector<const ServerEntry*> servers   = m_World.m_Servers.Usable(call.m_Service->m_Name);
     const std::vector<WeightsDeadline>    deadlines = WeightsDeadlines(call);
     RequestNeed                           need;
-    need.m_Service  = call.m_Service;
-    need.m_Goal     = call.m_Route->m_Goal;
-    need.m_Prompt   = call.m_Caller.m_Prompt;
-    need.m_Answer   = call.m_Caller.m_Answer;
-    need.m_CameBack = !call.m_Tried.empty() || call.m_HeadSent ||
+    need.m_Service       = call.m_Service;
+    need.m_Goal          = call.m_Route->m_Goal;
+    need.m_StrictestGoal = call.m_Routes->StrictestGoal(call.m_Service->m_Name);
+    need.m_Left          = call.Left(now);
+    need.m_Prompt        = call.m_Caller.m_Prompt;
+    need.m_Answer        = call.m_Caller.m_Answer;
+    need.m_CameBack      = !call.m_Tried.empty() || call.m_HeadSent ||
                       call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout) + kCameBackSlack < call.m_Route->m_Timeout;
     need.m_WeightsDeadlines = deadlines;
     need.m_DataCentre       = m_Daemon.Settings().m_DataCentre;
     need.m_Tried            = call.m_Tried;
+    call.m_CameBack         = need.m_CameBack;
     call.m_Choice           = m_Choice.Choose(servers, need, now);
     if (call.m_Choice.m_Server == nullptr)
         call.m_Why = call.m_Choice.m_Candidates == 0 ? "no server can take it" : "no server would answer in time";
@@ -231,6 +234,8 @@
                                     {"report_age_ms", ms(call.m_Choice.m_ReportAge)},
                                     {"in_flight", call.m_Choice.m_InFlight},
                                     {"candidates", call.m_Choice.m_Candidates},
+                                    {"goal_ms", call.m_Route != nullptr ? ToMs(call.m_Route->m_Goal) : -1},
+                                    {"came_back", call.m_CameBack},
                                     {"prompt", call.m_Caller.m_Prompt},
                                     {"events", call.m_Events},
                                     {"first_ms", call.m_FirstAt == TimePoint{} ? -1 : ToMs(call.m_FirstAt - call.m_StartedAt)},
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -43,6 +43,7 @@
     bool                        m_MayHaveRun = false; // some server may have run it
     bool                        m_BrokenOff  = false; // the answer was begun and ended before its end
     bool                        m_HeadSent   = false; // the answer's head went to the caller
+    bool                        m_CameBack   = false; // when it was last admitted: refused before, or tried elsewhere
     unsigned                    m_Events     = 0;     // streams: events passed on
     std::string                 m_LastEvent;          // streams: id of the last event passed on, or where the caller asked to go on
     TimePoint                   m_FirstAt{};          // when the first event or answer went to the caller
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -9,17 +9,13 @@
 namespace
 {
 
-constexpr double   kFailStep       = 0.15; // weight of the newest outcome in m_FailShare
-constexpr double   kSlowFailure    = 0.5;  // of a failure, that a slow answer counts for
-constexpr double   kFailFadeS      = 4;    // over which failures fade to 1/e: most faults of a server that pass are shorter
-constexpr double   kMeanStep       = 0.1;  // weight of the newest answer in m_MeanMs
-constexpr double   kRateWindowS    = 2;    // over which the rate of sending is a mean
-constexpr double   kRefusedWindowS = 2.5;  // over which the share of refused first attempts is a mean
-constexpr double   kFewFirsts      = 5;    // first attempts below which that share says little
-constexpr double   kPlainTieMs     = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
-constexpr unsigned kDoublingsMax   = 6;    // of m_SuspendMin: m_SuspendMax is reached long before, and the shift stays in range
-constexpr double   kRetryMinMs     = 150;  // shortest and longest wait that a refusal asks for
-constexpr double   kRetryMaxMs     = 1500; //
+constexpr double   kFailStep     = 0.15; // weight of the newest outcome in m_FailShare
+constexpr double   kSlowFailure  = 0.5;  // of a failure, that a slow answer counts for
+constexpr double   kFailFadeS    = 4;    // over which failures fade to 1/e: most faults of a server that pass are shorter
+constexpr double   kMeanStep     = 0.1;  // weight of the newest answer in m_MeanMs
+constexpr double   kRateWindowS  = 2;    // over which the rate of sending is a mean
+constexpr double   kPlainTieMs   = 6;    // random part of a plain service's cost; below the far penalty: the own data centre's goes first
+constexpr unsigned kDoublingsMax = 6;    // of m_SuspendMin: m_SuspendMax is reached long before, and the shift stays in range
 
 double ToMsReal(Duration d)
 {
@@ -80,31 +76,6 @@
                        [&](const WeightsDeadline& d) { return o.m_Weights < d.m_Version && begins > d.m_At; });
 }
 
-Duration ServerChoice::RetryAfter(const RequestNeed& need, double predicted_ms) const
-{
-    const double over = predicted_ms - ToMsReal(need.m_Goal) / 2;
-    return FromMs(std::clamp(over, kRetryMinMs, kRetryMaxMs));
-}
-
-double ServerChoice::AllowedMs(const RequestNeed& need) const
-{
-    const double goal = ToMsReal(need.m_Goal);
-    if (!need.m_CameBack)
-        return goal * m_Config.m_GoalShare;
-    const double late    = std::max(goal, ToMsReal(m_Config.m_LateMax));
-    const double refused = m_FirstRefused / (m_FirstSeen + kFewFirsts);
-    const double lenient = std::max(0.0, 1 - refused / m_Config.m_StrictAt);
-    return goal + lenient * (late - goal);
-}
-
-void ServerChoice::CountFirst(bool refused, TimePoint now)
-{
-    const double keep = m_FirstAt == TimePoint{} ? 0 : std::exp(-ToSeconds(now - m_FirstAt) / kRefusedWindowS);
-    m_FirstSeen       = m_FirstSeen * keep + 1;
-    m_FirstRefused    = m_FirstRefused * keep + (refused ? 1 : 0);
-    m_FirstAt         = now;
-}
-
 std::vector<ServerChoice::Option> ServerChoice::Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now)
 {
     std::vector<Option> out;
@@ -129,13 +100,18 @@
                        [&](const WeightsDeadline& d) { return o.m_Weights < d.m_Version && now > d.m_At - m_Config.m_OldFrom; });
 }
 
+double ServerChoice::RandomPart()
+{
+    return static_cast<double>(m_Random() >> 11) * 0x1p-53;
+}
+
 double ServerChoice::CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now)
 {
     const bool   model = need.m_Service->m_Engine.has_value();
     const bool   blind = model && others_report && !Fresh(*o.m_Server, now);
     const bool   old   = model && SoonTooOld(o, need, now);
     const double far   = o.m_Entry->m_DataCentre == need.m_DataCentre ? 0 : ToMsReal(m_Config.m_FarPenalty);
-    const double tie   = static_cast<double>(m_Random() >> 11) * 0x1p-53 * (model ? m_Config.m_TieMs : kPlainTieMs);
+    const double tie   = RandomPart() * (model ? m_Config.m_TieMs : kPlainTieMs);
     const double fails = FailShare(*o.m_Server, now) * m_Config.m_FailWeight * ToMsReal(need.m_Goal);
     return o.m_Ms + far + tie + fails + (blind ? ToMsReal(m_Config.m_BlindPenalty) : 0) + (old ? ToMsReal(m_Config.m_OldPenalty) : 0);
 }
@@ -169,7 +145,7 @@
     if (chosen != nullptr)
     {
         best.m_Server    = chosen->m_Entry;
-        best.m_Predicted = FromMs(PredictAdmitted(*chosen, need, now));
+        best.m_Predicted = FromMs(PredictAdmitted(*chosen, options, need, now));
         best.m_InFlight  = static_cast<uint32_t>(InFlight(*chosen, now));
         best.m_Weights   = chosen->m_Weights;
         best.m_ReportAge = Fresh(*chosen->m_Server, now) ? now - chosen->m_Server->m_ReportAt : Duration::max();
@@ -180,15 +156,20 @@
 // Refuses what can't be answered in time.
 Choice ServerChoice::Admit(Choice best, const RequestNeed& need, TimePoint now)
 {
-    const double ms   = ToMsReal(best.m_Predicted);
-    const bool   late = need.m_Service->m_Engine.has_value() && ms - OwnPart(need) > AllowedMs(need);
-    if (need.m_Service->m_Engine && !need.m_CameBack)
-        CountFirst(late || best.m_Server == nullptr, now);
-    if (best.m_Server == nullptr || late)
-    {
-        best.m_RetryAfter = RetryAfter(need, best.m_Server == nullptr ? ToMsReal(need.m_Goal) : ms);
-        best.m_Server     = nullptr;
-    }
+    AdmissionNeed ask;
+    ask.m_Goal               = need.m_StrictestGoal > Duration::zero() ? need.m_StrictestGoal : need.m_Goal;
+    ask.m_Left               = need.m_Left;
+    ask.m_CameBack           = need.m_CameBack;
+    const bool     model     = need.m_Service->m_Engine.has_value();
+    const Duration predicted = best.m_Server == nullptr ? ask.m_Goal : best.m_Predicted;
+    const Duration usual     = model ? predicted - FromMs(OwnPart(need)) : predicted;
+    const bool     taken     = best.m_Server != nullptr && (!model || m_Admission.Takes(ask, usual));
+    if (model && !need.m_CameBack)
+        m_Admission.OnFirst(!taken, now);
+    if (taken)
+        return best;
+    best.m_RetryAfter = m_Admission.RetryAfter(ask, predicted, RandomPart());
+    best.m_Server     = nullptr;
     return best;
 }
 
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -3,10 +3,9 @@
 // Pure: what this router sent and got back, reports of the servers' boxes, and times go in; a server or a refusal comes out.
 //
 // How it decides:
-//   - For model services the time to the first event is predicted from the declared costs: what is left of a pass, the prompts waiting
-//     ahead, the own prompt, a pass of steps for the first event's tokens, and, with all slots taken, the wait for a slot. A pass is longer
-//     by the prompts that are read in it. Requests in flight are the last report's, plus what this router sent since, less what ended since,
-//     plus what the other routers are believed to have sent since; without a fresh report, the router's own times m_BlindFactor.
+//   - For model services the time to the first event is predicted from the declared costs (engine_prediction.h). Requests in flight are the
+//     last report's, plus what this router sent since, less what ended since, plus what the other routers are believed to have sent since;
+//     without a fresh report, the router's own times m_BlindFactor.
 //   - What others sent since a report isn't known, but they choose as this router does: the better a server looks, the more of them chose it.
 //     Their requests are handed out over the servers of each data centre, each to the one that looks best then, prompts unread.
 //     Else all routers would send to a server that has just been started until its next report, and it would be late for a second.
@@ -20,10 +19,9 @@
 //     that aren't slow drop out at the same time: dropping out one by one, the last ones would get what all routers send.
 //   - In the last m_OldFrom before a deadline of weights a server with older ones costs m_OldPenalty more: what waits there may begin too late.
 //   - A server in another data centre costs m_FarPenalty more.
-//   - A first attempt of a caller is refused when no server is predicted to answer within its objective. For this a request counts with the
-//     usual prompt, not its own, so that long ones aren't refused before short ones. A refusal says when to come back.
-//   - A caller that comes back is taken up to m_LateMax while few are refused: a short overload. While many are, it is held to the
-//     objective as well: otherwise those that came back would fill the queues for ever, and every answer would be late.
+//   - Whether a request is taken at all, and when a refused caller may return, is admission.h's part. For it a request counts with the usual
+//     prompt, not its own, so that long ones aren't refused before short ones. The server that looks best of many is believed to be m_ToMean
+//     of the way to their mean: under overload 14.7 requests were believed there and 17 were, which is the mean of all.
 //
 // Usage:
 //   ServerChoice c(config, seed);
@@ -34,6 +32,7 @@
 #include "common/hash.h"
 #include "common/load_report.h"
 #include "process/server_directory.h"
+#include "request/admission.h"
 #include "version/route_table.h"
 #include <optional>
 #include <span>
@@ -44,24 +43,23 @@
 
 struct ServerChoiceConfig
 {
-    Duration m_ReportMax    = milliseconds(1200); // older reports say nothing
-    Duration m_FarPenalty   = milliseconds(20);   // priced bytes between data centres against waiting
-    Duration m_LateMax      = milliseconds(1800); // predicted wait up to which a caller that came back is taken
-    Duration m_SuspendMin   = milliseconds(300);  // first time that an unreachable server is left out; doubles
-    Duration m_SuspendMax   = milliseconds(2400); //
-    double   m_GoalShare    = 0.8;                // part of the objective that the predicted wait may take for a first attempt
-    double   m_StrictAt     = 0.35;               // share of refused first attempts from which on nobody is taken late
-    double   m_TieMs        = 25;                 // random part of a cost: routers with the same view don't all choose alike
-    double   m_OthersShare  = 0.5;                // of what other routers send: believed to go to the server that looks best; the rest by chance
-    double   m_BlindFactor  = 3.0;                // own requests in flight stand for this many when no report is fresh
-    Duration m_BlindPenalty = milliseconds(200);  // of a server without a fresh report beside others with one: half a usual objective
-    Duration m_OldPenalty   = milliseconds(100);  // of a server with weights that may be used for no longer than m_OldFrom: some two requests
-    Duration m_OldFrom      = seconds(3);         // a longer one lets the first servers with newer weights get what all routers send
-    Duration m_BeginMargin  = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
-    Duration m_BeginLeast   = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
-    Duration m_BeginBlind   = milliseconds(2000); // and as this without a fresh report: the way to such a box was seen to take 1.8 s
-    double   m_BeginFactor  = 1.5;                // predicted waits are taken this much longer for it
-    double   m_FailWeight   = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
+    AdmissionConfig m_Admission;                         //
+    Duration        m_ReportMax    = milliseconds(1200); // older reports say nothing
+    Duration        m_FarPenalty   = milliseconds(20);   // priced bytes between data centres against waiting
+    Duration        m_SuspendMin   = milliseconds(300);  // first time that an unreachable server is left out; doubles
+    Duration        m_SuspendMax   = milliseconds(2400); //
+    double          m_TieMs        = 25;                 // random part of a cost: routers with the same view don't all choose alike
+    double          m_OthersShare  = 0.5; // of what other routers send: believed to go to the server that looks best; the rest by chance
+    double          m_BlindFactor  = 3.0; // own requests in flight stand for this many when no report is fresh
+    Duration        m_BlindPenalty = milliseconds(200); // of a server without a fresh report beside others with one: half a usual objective
+    Duration        m_OldPenalty   = milliseconds(100); // of a server with weights that may be used for no longer than m_OldFrom: some two requests
+    Duration        m_OldFrom      = seconds(3);        // a longer one lets the first servers with newer weights get what all routers send
+    Duration m_BeginMargin = milliseconds(1100); // kept before a deadline of weights: naming is learned late, and waits are longer than predicted
+    Duration m_BeginLeast  = milliseconds(400);  // predicted waits count as this at least: servers then drop out together, or the last would get all
+    Duration m_BeginBlind  = milliseconds(2000); // and as this without a fresh report: the way to such a box was seen to take 1.8 s
+    double   m_BeginFactor = 1.5;                // predicted waits are taken this much longer for it
+    double   m_ToMean      = 0.5;                // see above; lasting overload: mean worth 0.54 to 0.56
+    double   m_FailWeight  = 3.0;                // objectives that a server's cost rises by when all its recent outcomes failed
 };
 
 struct WeightsDeadline
@@ -82,10 +80,12 @@
 
 struct RequestNeed
 {
-    const Service*                   m_Service  = nullptr;    //
-    Duration                         m_Goal     = seconds(1); // latency objective
-    double                           m_Prompt   = 0;          // tokens in
-    double                           m_Answer   = 0;          // tokens out
+    const Service*                   m_Service = nullptr;     //
+    Duration                         m_Goal    = seconds(1);  // latency objective
+    double                           m_Prompt  = 0;           // tokens in
+    double                           m_Answer  = 0;           // tokens out
+    Duration                         m_StrictestGoal{};       // of the service's routes; zero: as m_Goal
+    Duration                         m_Left     = seconds(6); // until the caller's deadline
     bool                             m_CameBack = false;      // the caller was refused before
     std::span<const WeightsDeadline> m_WeightsDeadlines;      // of versions named for this model, oldest first
     std::string_view                 m_DataCentre;            // of this router
@@ -106,7 +106,7 @@
 class ServerChoice
 {
 public:
-    ServerChoice(const ServerChoiceConfig& cfg, uint64_t seed) : m_Config(cfg), m_Random(seed) {}
+    ServerChoice(const ServerChoiceConfig& cfg, uint64_t seed) : m_Config(cfg), m_Random(seed), m_Admission(cfg.m_Admission) {}
 
     Choice Choose(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
 
@@ -154,7 +154,8 @@
     double PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const; // ms to the first event
     double PredictPlain(const Option& o) const;                                         // ms to the answer
     double Predict(const Option& o, const RequestNeed& need, TimePoint now) const;
-    double PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const;
+    double BelowMean(const Option& chosen, std::span<const Option> options, TimePoint now) const;
+    double PredictAdmitted(const Option& chosen, std::span<const Option> options, const RequestNeed& need, TimePoint now) const;
 
     static std::vector<std::span<Option>> ByDataCentre(std::vector<Option>& options); // sorts
 
@@ -162,31 +163,27 @@
     std::vector<Option> Options(std::span<const ServerEntry* const> candidates, const RequestNeed& need, TimePoint now);
     const Option*       Cheapest(std::span<const Option> options, const RequestNeed& need, TimePoint now);
     double              CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
+    double              RandomPart();                                                                        // 0 to 1
     bool                Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
     bool                BeginsTooLate(const Option& o, const RequestNeed& need, TimePoint now) const;
     bool                SoonTooOld(const Option& o, const RequestNeed& need, TimePoint now) const;
-    double              AllowedMs(const RequestNeed& need) const; // predicted wait up to which the request is taken
     Choice              Admit(Choice best, const RequestNeed& need, TimePoint now);
-    Duration            RetryAfter(const RequestNeed& need, double predicted_ms) const;
 
     // What is learned from requests
     double FailShare(const Server& s, TimePoint now) const; // as faded since
     void   CountFailure(Server& s, double failure, TimePoint now) const;
     void   Suspend(Server& s, TimePoint now) const; // leaves it out for a while
     void   CountSent(TimePoint now);
-    void   CountFirst(bool refused, TimePoint now);
 
     static void CountTook(Server& s, Duration took);
 
     ServerChoiceConfig                      m_Config;  //
     Random                                  m_Random;  // breaks ties
     std::unordered_map<std::string, Server> m_Servers; // by id
-    uint32_t                                m_Routers      = 0;
-    double                                  m_FirstSeen    = 0; // first attempts for model services, older ones counting less
-    double                                  m_FirstRefused = 0; // those of them that were refused
-    TimePoint                               m_FirstAt{};        // of both counts
-    double                                  m_SentRate = 0;     // requests that this router sends to model servers, a second; moving mean
-    TimePoint                               m_SentAt{};         // of m_SentRate
+    uint32_t                                m_Routers = 0;
+    Admission                               m_Admission;    // of model services
+    double                                  m_SentRate = 0; // requests that this router sends to model servers, a second; moving mean
+    TimePoint                               m_SentAt{};     // of m_SentRate
 };
 
 } // namespace aldervale
--- a/src/request/server_prediction.cpp
+++ b/src/request/server_prediction.cpp
@@ -1,4 +1,5 @@
 // How long a backend server is predicted to take, and what other routers are believed to have sent it. See server_choice.h.
+#include "request/engine_prediction.h"
 #include "request/server_choice.h"
 #include <algorithm>
 
@@ -8,30 +9,8 @@
 namespace
 {
 
-constexpr double kPlainUsualMs = 50;   // of a plain service's answer before one was seen
-constexpr double kWayMs        = 3;    // of a request and its first event between boxes
-constexpr double kReadShareMax = 0.8;  // of an engine's time
-constexpr double kOthersMax    = 200;  // requests of other routers that are handed out in thought; more than that says nothing new
-constexpr double kNotZeroMs    = 1e-9; // keeps a quotient of times defined when nothing is in flight
-
-// Of one pass of the engine, ms. What is read takes its share of the engine's time, so a pass is longer by the prompts that are read in it.
-double PassMs(const EngineCosts& e, double in_flight, double writers)
-{
-    const double context = (e.m_UsualPrompt + e.m_UsualAnswer / 2) / 1000;
-    const double step    = e.m_StepMs + writers * (e.m_PerRequestMs + e.m_PerKContextMs * context);
-    const double read    = in_flight * e.m_UsualPrompt / e.m_ReadPerMs; // ms spent on reading, against writing, by what is in flight
-    const double share   = read / (read + in_flight * e.m_UsualAnswer * step / std::max(1.0, writers) + kNotZeroMs);
-    return step * e.m_StepsPerPass / (1 - std::min(share, kReadShareMax));
-}
-
-// Until a slot is free for one more request, ms.
-double SlotWaitMs(const EngineCosts& e, double in_flight, double pass)
-{
-    if (in_flight + 1 <= e.m_Slots)
-        return 0;
-    const double residence = e.m_UsualAnswer / e.m_StepsPerPass * pass; // of one request in a full batch
-    return (in_flight + 1 - e.m_Slots) * residence / e.m_Slots;
-}
+constexpr double kPlainUsualMs = 50;  // of a plain service's answer before one was seen
+constexpr double kOthersMax    = 200; // requests of other routers that are handed out in thought; more than that says nothing new
 
 } // namespace
 
@@ -119,17 +98,15 @@
 
 double ServerChoice::PredictModel(const Option& o, const RequestNeed& need, TimePoint now) const
 {
-    const Server&      s         = *o.m_Server;
-    const EngineCosts& e         = *need.m_Service->m_Engine;
-    const double       in_flight = InFlight(o, now);
-    const double       writers   = std::min<double>(in_flight, e.m_Slots);
-    const double       pass      = PassMs(e, in_flight, writers);
-    const double       waiting   = Fresh(s, now) ? s.m_Report.m_Waiting * e.m_UsualPrompt : 0;
-    const double       unread    = std::max(s.m_Unread, waiting) + o.m_Unread * e.m_UsualPrompt;
-    const double       pairs     = e.m_PairsPerMMs * need.m_Prompt * need.m_Prompt / 2 / 1e6;
-    const double       begun     = writers > 0 ? pass / 2 : 0; // left of the pass under way
-    const double       ms        = begun + (unread + need.m_Prompt) / e.m_ReadPerMs + pairs + pass + kWayMs + SlotWaitMs(e, in_flight, pass);
-    return ms * (Fresh(s, now) ? std::max<double>(1, s.m_Report.m_Pace) : 1);
+    const Server&      s     = *o.m_Server;
+    const EngineCosts& e     = *need.m_Service->m_Engine;
+    const bool         fresh = Fresh(s, now);
+    EngineLoad         load;
+    load.m_InFlight = InFlight(o, now);
+    load.m_Waiting  = fresh ? s.m_Report.m_Waiting : 0;
+    load.m_Unread   = s.m_Unread;
+    load.m_Coming   = o.m_Unread * e.m_UsualPrompt;
+    return FirstEventMs(e, load, need.m_Prompt) * (fresh ? std::max<double>(1, s.m_Report.m_Pace) : 1);
 }
 
 double ServerChoice::PredictPlain(const Option& o) const
@@ -144,11 +121,24 @@
     return need.m_Service->m_Engine ? PredictModel(o, need, now) : PredictPlain(o);
 }
 
-// What is admitted by: without the prompts that others are only believed to have sent. Those tell servers apart; as a reason to refuse they
-// turned callers away that would have been in time.
-double ServerChoice::PredictAdmitted(Option o, const RequestNeed& need, TimePoint now) const
+// Requests at the mean server beyond those believed at this one. Of many servers with uncertain counts the one that looks best mostly has
+// more than it seems.
+double ServerChoice::BelowMean(const Option& chosen, std::span<const Option> options, TimePoint now) const
+{
+    double sum = 0;
+    for (const Option& o : options)
+        sum += InFlight(o, now);
+    return std::max(0.0, sum / static_cast<double>(options.size()) - InFlight(chosen, now));
+}
+
+// What is admitted by: partly the mean of the servers' counts, and without the prompts that others are only believed to have sent. Those tell
+// servers apart; as a reason to refuse they turned callers away that would have been in time.
+double ServerChoice::PredictAdmitted(const Option& chosen, std::span<const Option> options, const RequestNeed& need, TimePoint now) const
 {
+    Option o   = chosen;
     o.m_Unread = 0;
+    if (need.m_Service->m_Engine)
+        o.m_Others += m_Config.m_ToMean * BelowMean(chosen, options, now);
     return Predict(o, need, now);
 }
 
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -29,6 +29,13 @@
             m_ByKey.emplace(key, &a);
     for (const Service& s : m_Spec.m_Services)
         m_ByName.emplace(s.m_Name, &s);
+    for (const Route& r : m_Spec.m_Routes)
+        for (const RouteTarget& t : r.m_Targets)
+        {
+            const auto [it, first] = m_Goals.emplace(t.m_Service, r.m_Goal);
+            if (!first)
+                it->second = std::min(it->second, r.m_Goal);
+        }
 }
 
 const Route* RouteTable::FindRoute(std::string_view host, std::string_view path) const
@@ -54,6 +61,12 @@
     return it == m_ByName.end() ? nullptr : it->second;
 }
 
+Duration RouteTable::StrictestGoal(std::string_view service) const
+{
+    const auto it = m_Goals.find(service);
+    return it == m_Goals.end() ? Duration::zero() : it->second;
+}
+
 const RouteTarget& PickTarget(const Route& r, std::string_view request_id)
 {
     uint64_t sum = 0;
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -143,6 +143,7 @@
     const Route*          FindRoute(std::string_view host, std::string_view path) const; // host without port, any case; longest prefix
     const ClientAccount*  FindAccount(std::string_view key) const;
     const Service*        FindService(std::string_view name) const;
+    Duration              StrictestGoal(std::string_view service) const; // of the routes that lead to it; zero: none does
     bool                  NeedsKey(const Route& r) const { return !r.m_Public && !m_Spec.m_Accounts.empty(); }
 
 private:
@@ -150,6 +151,7 @@
     std::unordered_map<std::string, std::vector<const Route*>> m_ByHost; // longest prefix first
     std::unordered_map<std::string_view, const ClientAccount*> m_ByKey;  //
     std::unordered_map<std::string_view, const Service*>       m_ByName; // services
+    std::unordered_map<std::string_view, Duration>             m_Goals;  // strictest one of each service's routes
 };
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
