--- /dev/null
+++ b/src/emulator/pool_emulator.cpp
@@ -0,0 +1,454 @@
+// Emulating a pool of model servers. See pool_emulator.h.
+#include "emulator/pool_emulator.h"
+#include "emulator/engine_model.h"
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <sstream>
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr auto kWay          = milliseconds(2);    // of a request or an event between router and server
+constexpr auto kWayToRouter  = milliseconds(3);    // of a caller
+constexpr auto kSubscribe    = milliseconds(1000); // a router that starts is heard of by boxes within this
+constexpr auto kBackAtOnce   = milliseconds(50);   // of callers that don't wait as told
+const auto     kBegin        = TimePoint{} + seconds(1000);
+
+struct Rate
+{
+    double m_From = 0; // second
+    double m_Rate = 0; // requests a second
+};
+
+struct Kind
+{
+    double m_Share = 0, m_Prompt = 0, m_Answer = 0, m_GoalMs = 0, m_Worth = 0;
+};
+
+struct Caller
+{
+    size_t      m_Kind   = 0;     //
+    TimePoint   m_FirstAt{};      // of the first attempt
+    TimePoint   m_SentAt{};       //
+    bool        m_Back   = false; //
+    size_t      m_Router = 0;     //
+    std::string m_Server;         //
+    Duration    m_Predicted{};    //
+};
+
+struct Event
+{
+    TimePoint             m_At;    //
+    uint64_t              m_Order; // of those at the same time
+    std::function<void()> m_Do;    //
+    bool                  operator<(const Event& o) const { return m_At != o.m_At ? m_At > o.m_At : m_Order > o.m_Order; }
+};
+
+std::vector<double> Numbers(const std::string& text)
+{
+    std::istringstream  in(text);
+    std::vector<double> out;
+    for (double d = 0; in >> d;)
+        out.push_back(d);
+    return out;
+}
+
+class Pool
+{
+public:
+    Pool(const LoadPattern& p, const ServerChoiceConfig& config, PoolView view, uint64_t seed);
+    PoolResult Run();
+
+private:
+    struct Server
+    {
+        Server(const EngineCosts& costs) : m_Engine(costs) {}
+        EngineModel            m_Engine;          //
+        bool                   m_Busy = false;    // a pass is under way
+        uint64_t               m_Life = 0;        // grows with each restart: events of an earlier life are void
+        std::vector<TimePoint> m_ReportedAt;      // by router
+    };
+
+    void   At(TimePoint t, std::function<void()> fn) { m_Events.push({t, m_Order++, std::move(fn)}); }
+    double Random01() { return static_cast<double>(m_Random() >> 11) * 0x1p-53; }
+    double RateAt(TimePoint t) const;
+    void   AddServer();
+    void   ScheduleArrival();
+    void   Arrive();
+    void   Attempt(uint64_t id);
+    void   Refuse(uint64_t id, Duration retry);
+    void   Submit(uint64_t id, size_t server, uint64_t life);
+    void   Pass(size_t server);
+    void   OnPassEnd(size_t server, uint64_t life, const std::vector<EngineEvent>& events);
+    void   OnFirst(uint64_t id);
+    void   Poll(size_t server);
+    void   Report(size_t server, size_t router);
+    void   LoseAll();
+    bool   NoneServes() const;
+    LoadReport  StateOf(size_t server) const;
+    PoolSecond& SecondOf(const Caller& c);
+
+    const LoadPattern&                   m_Pattern;     //
+    ServerChoiceConfig                   m_Config;      //
+    PoolView                             m_View;        //
+    pcg64                                m_Random;      //
+    Service                              m_Service;     //
+    std::vector<Rate>                    m_Rates;       //
+    std::vector<Kind>                    m_Kinds;       //
+    Duration                             m_Strictest{}; // goal
+    std::vector<ServerChoice>            m_Routers;     //
+    std::vector<TimePoint>               m_HeardFrom;   // by router: boxes know of it from then
+    std::vector<Server>                  m_Servers;     //
+    std::vector<ServerEntry>             m_Entries;     // of the servers
+    std::unordered_map<uint64_t, Caller> m_Callers;     // under way
+    std::priority_queue<Event>           m_Events;      //
+    uint64_t                             m_Order  = 0;  //
+    uint64_t                             m_NextId = 1;  //
+    TimePoint                            m_Now    = kBegin;
+    TimePoint                            m_End;
+    TimePoint                            m_AwayUntil{}; // all processes are dead
+    PoolResult                           m_Result;
+    std::vector<double>                  m_KindOwed;
+};
+
+// Costs of a mid-sized model: 6.73 ms a step, 30.6 prompt tokens read in a ms.
+EngineCosts Costs(std::span<const Kind> kinds)
+{
+    EngineCosts e;
+    e.m_Model         = "m";
+    e.m_Slots         = 16;
+    e.m_StepMs        = 6.73;
+    e.m_PerRequestMs  = 0.0219;
+    e.m_PerKContextMs = 0.0068;
+    e.m_ReadPerMs     = 30.6;
+    e.m_PairsPerMMs   = 0.647;
+    e.m_StepsPerPass  = 6;
+    e.m_UsualPrompt   = 0;
+    e.m_UsualAnswer   = 0;
+    for (const Kind& k : kinds)
+    {
+        e.m_UsualPrompt += k.m_Share * k.m_Prompt;
+        e.m_UsualAnswer += k.m_Share * k.m_Answer;
+    }
+    return e;
+}
+
+Pool::Pool(const LoadPattern& p, const ServerChoiceConfig& config, PoolView view, uint64_t seed)
+    : m_Pattern(p), m_Config(config), m_View(view), m_Random(seed), m_End(kBegin + FromSeconds(p.m_Seconds))
+{
+    for (const std::string& text : p.m_Rates)
+    {
+        const std::vector<double> n = Numbers(text);
+        if (n.size() == 2)
+            m_Rates.push_back({n[0], n[1]});
+    }
+    for (const std::string& text : p.m_Kinds)
+    {
+        const std::vector<double> n = Numbers(text);
+        if (n.size() == 5)
+            m_Kinds.push_back({n[0], n[1], n[2], n[3], n[4]});
+    }
+    m_Strictest = seconds(3600);
+    for (const Kind& k : m_Kinds)
+        m_Strictest = std::min(m_Strictest, FromSeconds(k.m_GoalMs / 1000));
+    m_Service.m_Name   = "model";
+    m_Service.m_Engine = Costs(m_Kinds);
+    const size_t routers = view == PoolView_Bound ? 1 : static_cast<size_t>(p.m_Routers);
+    for (size_t r = 0; r < routers; r++)
+        m_Routers.emplace_back(m_Config, m_Random());
+    m_HeardFrom.assign(routers, kBegin);
+    for (int64_t s = 0; s < p.m_Servers; s++)
+        AddServer();
+    m_Result.m_Seconds.resize(static_cast<size_t>(p.m_Seconds) + 1);
+    m_Result.m_KindEarned.resize(m_Kinds.size());
+    m_KindOwed.resize(m_Kinds.size());
+}
+
+void Pool::AddServer()
+{
+    const size_t s = m_Servers.size();
+    m_Servers.emplace_back(*m_Service.m_Engine);
+    m_Servers.back().m_ReportedAt.resize(m_Routers.size());
+    ServerEntry e;
+    e.m_Id         = "s" + std::to_string(s);
+    e.m_Service    = m_Service.m_Name;
+    e.m_DataCentre = "dc-" + std::to_string(s % static_cast<size_t>(m_Pattern.m_DataCentres));
+    e.m_Slots      = m_Service.m_Engine->m_Slots;
+    e.m_Weights    = 1;
+    m_Entries.push_back(e);
+    At(m_Now + FromSeconds(Random01() * m_Pattern.m_PollMs / 1000), [this, s] { Poll(s); });
+}
+
+double Pool::RateAt(TimePoint t) const
+{
+    double rate = 0;
+    for (const Rate& r : m_Rates)
+        if (ToSeconds(t - kBegin) >= r.m_From)
+            rate = r.m_Rate;
+    return rate;
+}
+
+bool Pool::NoneServes() const
+{
+    const double at = ToSeconds(m_Now - kBegin);
+    return m_Pattern.m_NoneFromS >= 0 && at >= m_Pattern.m_NoneFromS && at < m_Pattern.m_NoneFromS + m_Pattern.m_NoneS;
+}
+
+PoolSecond& Pool::SecondOf(const Caller& c)
+{
+    return m_Result.m_Seconds[static_cast<size_t>(ToSeconds(c.m_FirstAt - kBegin))];
+}
+
+LoadReport Pool::StateOf(size_t server) const
+{
+    LoadReport r;
+    r.m_Running = m_Servers[server].m_Engine.Running();
+    r.m_Waiting = m_Servers[server].m_Engine.Waiting();
+    r.m_Weights = 1;
+    r.m_Routers = static_cast<uint32_t>(m_Routers.size());
+    return r;
+}
+
+//-----------------------------------------------------------------------------
+// Callers
+//-----------------------------------------------------------------------------
+
+void Pool::ScheduleArrival()
+{
+    const double rate = std::max(0.1, RateAt(m_Now));
+    const double wait = -std::log(1 - Random01()) / rate;
+    At(m_Now + FromSeconds(wait), [this] { Arrive(); });
+}
+
+void Pool::Arrive()
+{
+    ScheduleArrival();
+    Caller c;
+    double pick = Random01();
+    while (c.m_Kind + 1 < m_Kinds.size() && pick >= m_Kinds[c.m_Kind].m_Share)
+        pick -= m_Kinds[c.m_Kind++].m_Share;
+    c.m_FirstAt      = m_Now;
+    const double     worth = m_Kinds[c.m_Kind].m_Worth;
+    SecondOf(c).m_Asked++;
+    SecondOf(c).m_Owed += worth;
+    m_KindOwed[c.m_Kind] += worth;
+    const uint64_t id = m_NextId++;
+    m_Callers[id]     = c;
+    At(m_Now + kWayToRouter, [this, id] { Attempt(id); });
+}
+
+void Pool::Attempt(uint64_t id)
+{
+    if (m_Now < m_AwayUntil)
+        return Refuse(id, kBackAtOnce); // no connection
+    Caller& c  = m_Callers.at(id);
+    c.m_Router = static_cast<size_t>(Random01() * static_cast<double>(m_Routers.size()));
+    std::vector<const ServerEntry*> candidates;
+    for (const ServerEntry& e : m_Entries)
+        if (!NoneServes())
+            candidates.push_back(&e);
+    ServerChoice& router = m_Routers[c.m_Router];
+    if (m_View == PoolView_Bound)
+        for (size_t s = 0; s < m_Servers.size(); s++)
+            router.OnReport(m_Entries[s].m_Id, StateOf(s), m_Now);
+    const std::string dc = "dc-" + std::to_string(c.m_Router % static_cast<size_t>(m_Pattern.m_DataCentres));
+    const Kind&       k  = m_Kinds[c.m_Kind];
+    RequestNeed       need;
+    need.m_Service       = &m_Service;
+    need.m_Goal          = FromSeconds(k.m_GoalMs / 1000);
+    need.m_StrictestGoal = m_Strictest;
+    need.m_Left          = FromSeconds(m_Pattern.m_LimitS) - (m_Now - c.m_FirstAt);
+    need.m_Prompt        = k.m_Prompt;
+    need.m_Answer        = k.m_Answer;
+    need.m_CameBack      = c.m_Back;
+    need.m_DataCentre    = dc;
+    const Choice x       = router.Choose(candidates, need, m_Now);
+    if (x.m_Server == nullptr)
+        return Refuse(id, x.m_RetryAfter);
+    const size_t server = static_cast<size_t>(x.m_Server - m_Entries.data());
+    c.m_Server          = x.m_Server->m_Id;
+    c.m_Predicted       = x.m_Predicted;
+    c.m_SentAt          = m_Now;
+    router.OnSent(c.m_Server, k.m_Prompt, m_Now);
+    At(m_Now + kWay, [this, id, server, life = m_Servers[server].m_Life] { Submit(id, server, life); });
+}
+
+void Pool::Refuse(uint64_t id, Duration retry)
+{
+    Caller& c = m_Callers.at(id);
+    if (c.m_Back)
+    {
+        SecondOf(c).m_Refused++;
+        m_Callers.erase(id);
+        return;
+    }
+    c.m_Back             = true;
+    SecondOf(c).m_Back++;
+    const Duration left  = FromSeconds(m_Pattern.m_LimitS) - (m_Now - c.m_FirstAt);
+    const Duration wait  = Random01() < m_Pattern.m_Honours ? std::min(retry, left / 3) : Duration(kBackAtOnce);
+    At(m_Now + wait + 2 * kWayToRouter, [this, id] { Attempt(id); });
+}
+
+//-----------------------------------------------------------------------------
+// Servers
+//-----------------------------------------------------------------------------
+
+void Pool::Submit(uint64_t id, size_t server, uint64_t life)
+{
+    Server& s = m_Servers[server];
+    if (s.m_Life != life)
+        return;
+    const Kind& k = m_Kinds[m_Callers.at(id).m_Kind];
+    s.m_Engine.Submit({id, k.m_Prompt, k.m_Answer});
+    if (!s.m_Busy)
+        Pass(server);
+}
+
+void Pool::Pass(size_t server)
+{
+    Server&                  s = m_Servers[server];
+    std::vector<EngineEvent> events;
+    const Duration           took = s.m_Engine.RunPass(events);
+    s.m_Busy                      = took > Duration::zero();
+    if (s.m_Busy)
+        At(m_Now + took, [this, server, life = s.m_Life, events] { OnPassEnd(server, life, events); });
+}
+
+void Pool::OnPassEnd(size_t server, uint64_t life, const std::vector<EngineEvent>& events)
+{
+    if (m_Servers[server].m_Life != life)
+        return;
+    for (const EngineEvent& e : events)
+    {
+        const auto it = m_Callers.find(e.m_Id);
+        if (it == m_Callers.end())
+            continue;
+        const Caller& c      = it->second;
+        ServerChoice& router = m_Routers[c.m_Router];
+        if (e.m_Kind == EngineEventKind_First)
+        {
+            router.OnFirstEvent(c.m_Server, m_Kinds[c.m_Kind].m_Prompt);
+            OnFirst(e.m_Id);
+            continue;
+        }
+        router.OnEnd(c.m_Server, ServerOutcome_Good, 0, m_Now - c.m_SentAt, m_Now);
+        m_Callers.erase(it);
+    }
+    Pass(server);
+}
+
+void Pool::OnFirst(uint64_t id)
+{
+    const Caller&  c       = m_Callers.at(id);
+    const Kind&    k       = m_Kinds[c.m_Kind];
+    const Duration took    = m_Now + kWay + kWayToRouter - c.m_FirstAt;
+    const bool     in_time = took <= FromSeconds(k.m_GoalMs / 1000);
+    const double   earned  = k.m_Worth * (in_time ? 1 : kLateCredit);
+    PoolSecond&    s       = SecondOf(c);
+    s.m_InTime += in_time ? 1 : 0;
+    s.m_Late += in_time ? 0 : 1;
+    s.m_Earned += earned;
+    s.m_ErrorMs += 1000 * std::abs(ToSeconds(m_Now + kWay - c.m_SentAt) - ToSeconds(c.m_Predicted));
+    m_Result.m_KindEarned[c.m_Kind] += earned;
+}
+
+void Pool::Poll(size_t server)
+{
+    if (m_View == PoolView_Bound)
+        return;
+    At(m_Now + FromSeconds(m_Pattern.m_PollMs / 1000), [this, server] { Poll(server); });
+    if (m_Now < m_AwayUntil)
+        return;
+    for (size_t r = 0; r < m_Routers.size(); r++)
+        Report(server, r);
+}
+
+void Pool::Report(size_t server, size_t router)
+{
+    const size_t   centres = static_cast<size_t>(m_Pattern.m_DataCentres);
+    const bool     near    = server % centres == router % centres;
+    const Duration every   = FromSeconds((near ? m_Pattern.m_ReportNearMs : m_Pattern.m_ReportFarMs) / 1000);
+    TimePoint&     last    = m_Servers[server].m_ReportedAt[router];
+    if (m_Now < m_HeardFrom[router] || m_Now - last < every)
+        return;
+    last                   = m_Now;
+    const LoadReport state = StateOf(server);
+    const auto       hear  = [this, server, router, state] { m_Routers[router].OnReport(m_Entries[server].m_Id, state, m_Now); };
+    At(m_Now + kWay, hear);
+}
+
+void Pool::LoseAll()
+{
+    m_AwayUntil = m_Now + FromSeconds(m_Pattern.m_LostS);
+    for (size_t r = 0; r < m_Routers.size(); r++)
+    {
+        m_Routers[r]   = ServerChoice(m_Config, m_Random());
+        m_HeardFrom[r] = m_AwayUntil + FromSeconds(Random01() * ToSeconds(kSubscribe));
+    }
+    for (Server& s : m_Servers)
+    {
+        s.m_Engine.Clear();
+        s.m_Busy = false;
+        s.m_Life++;
+    }
+}
+
+PoolResult Pool::Run()
+{
+    ScheduleArrival();
+    if (m_Pattern.m_LoseAtS >= 0)
+        At(kBegin + FromSeconds(m_Pattern.m_LoseAtS), [this] { LoseAll(); });
+    const auto grow = [this]
+    {
+        for (int64_t i = 0; i < m_Pattern.m_GrowBy; i++)
+            AddServer();
+    };
+    if (m_Pattern.m_GrowAtS >= 0)
+        At(kBegin + FromSeconds(m_Pattern.m_GrowAtS), grow);
+    while (!m_Events.empty() && m_Events.top().m_At < m_End)
+    {
+        const Event e = m_Events.top();
+        m_Events.pop();
+        m_Now = e.m_At;
+        e.m_Do();
+    }
+    for (size_t k = 0; k < m_Kinds.size(); k++)
+        m_Result.m_KindEarned[k] /= std::max(m_KindOwed[k], 1.0);
+    return m_Result;
+}
+
+} // namespace
+
+PoolSecond PoolResult::Total() const
+{
+    PoolSecond sum;
+    for (const PoolSecond& s : m_Seconds)
+    {
+        sum.m_Asked += s.m_Asked;
+        sum.m_InTime += s.m_InTime;
+        sum.m_Late += s.m_Late;
+        sum.m_Refused += s.m_Refused;
+        sum.m_Back += s.m_Back;
+        sum.m_Owed += s.m_Owed;
+        sum.m_Earned += s.m_Earned;
+        sum.m_ErrorMs += s.m_ErrorMs;
+    }
+    return sum;
+}
+
+double PoolResult::Credit() const
+{
+    const PoolSecond t = Total();
+    return t.m_Earned / std::max(t.m_Owed, 1.0);
+}
+
+PoolResult EmulatePool(const LoadPattern& pattern, const ServerChoiceConfig& config, PoolView view, uint64_t seed)
+{
+    return Pool(pattern, config, view, seed).Run();
+}
+
+} // namespace aldervale
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -59,10 +59,10 @@
 private:
     Duration Allowed(const AdmissionNeed& need) const; // longest predicted wait
 
-    AdmissionConfig m_Config;    //
-    double          m_First = 0; // first attempts, older ones counting less
+    AdmissionConfig m_Config;      //
+    double          m_First   = 0; // first attempts, older ones counting less
     double          m_Refused = 0; // those of them that were refused; never over m_First
-    TimePoint       m_At{};      // of both counts
+    TimePoint       m_At{};        // of both counts
 };
 
 } // namespace aldervale
