--- a/src/emulator/engine_model.h
+++ b/src/emulator/engine_model.h
@@ -51,16 +51,16 @@
 private:
     struct InBatch
     {
-        EngineRequest m_Request;       //
-        double        m_Unread  = 0;   // prompt tokens
-        double        m_Written = 0;   // tokens
+        EngineRequest m_Request;     //
+        double        m_Unread  = 0; // prompt tokens
+        double        m_Written = 0; // tokens
         bool          Writes() const { return m_Unread <= 0; }
     };
 
     void   LetIn();
-    double ReadMs();                                       // reads prompts; ms it takes
-    void   Write(std::vector<EngineEvent>& events);        // plays the steps of one pass
-    double StepsMs() const;                                // of one pass
+    double ReadMs();                                // reads prompts; ms it takes
+    void   Write(std::vector<EngineEvent>& events); // plays the steps of one pass
+    double StepsMs() const;                         // of one pass
 
     EngineCosts               m_Costs;   //
     std::deque<EngineRequest> m_Waiting; // for a place in the batch, in order of arrival
--- a/src/emulator/pool_emulator.cpp
+++ b/src/emulator/pool_emulator.cpp
@@ -12,11 +12,11 @@
 namespace
 {
 
-constexpr auto kWay          = milliseconds(2);    // of a request or an event between router and server
-constexpr auto kWayToRouter  = milliseconds(3);    // of a caller
-constexpr auto kSubscribe    = milliseconds(1000); // a router that starts is heard of by boxes within this
-constexpr auto kBackAtOnce   = milliseconds(50);   // of callers that don't wait as told
-const auto     kBegin        = TimePoint{} + seconds(1000);
+constexpr auto kWay         = milliseconds(2);    // of a request or an event between router and server
+constexpr auto kWayToRouter = milliseconds(3);    // of a caller
+constexpr auto kSubscribe   = milliseconds(1000); // a router that starts is heard of by boxes within this
+constexpr auto kBackAtOnce  = milliseconds(50);   // of callers that don't wait as told
+const auto     kBegin       = TimePoint{} + seconds(1000);
 
 struct Rate
 {
@@ -31,7 +31,7 @@
 
 struct Caller
 {
-    size_t      m_Kind   = 0;     //
+    size_t      m_Kind = 0;       //
     TimePoint   m_FirstAt{};      // of the first attempt
     TimePoint   m_SentAt{};       //
     bool        m_Back   = false; //
@@ -67,28 +67,28 @@
     struct Server
     {
         Server(const EngineCosts& costs) : m_Engine(costs) {}
-        EngineModel            m_Engine;          //
-        bool                   m_Busy = false;    // a pass is under way
-        uint64_t               m_Life = 0;        // grows with each restart: events of an earlier life are void
-        std::vector<TimePoint> m_ReportedAt;      // by router
+        EngineModel            m_Engine;       //
+        bool                   m_Busy = false; // a pass is under way
+        uint64_t               m_Life = 0;     // grows with each restart: events of an earlier life are void
+        std::vector<TimePoint> m_ReportedAt;   // by router
     };
 
-    void   At(TimePoint t, std::function<void()> fn) { m_Events.push({t, m_Order++, std::move(fn)}); }
-    double Random01() { return static_cast<double>(m_Random() >> 11) * 0x1p-53; }
-    double RateAt(TimePoint t) const;
-    void   AddServer();
-    void   ScheduleArrival();
-    void   Arrive();
-    void   Attempt(uint64_t id);
-    void   Refuse(uint64_t id, Duration retry);
-    void   Submit(uint64_t id, size_t server, uint64_t life);
-    void   Pass(size_t server);
-    void   OnPassEnd(size_t server, uint64_t life, const std::vector<EngineEvent>& events);
-    void   OnFirst(uint64_t id);
-    void   Poll(size_t server);
-    void   Report(size_t server, size_t router);
-    void   LoseAll();
-    bool   NoneServes() const;
+    void        At(TimePoint t, std::function<void()> fn) { m_Events.push({t, m_Order++, std::move(fn)}); }
+    double      Random01() { return static_cast<double>(m_Random() >> 11) * 0x1p-53; }
+    double      RateAt(TimePoint t) const;
+    void        AddServer();
+    void        ScheduleArrival();
+    void        Arrive();
+    void        Attempt(uint64_t id);
+    void        Refuse(uint64_t id, Duration retry);
+    void        Submit(uint64_t id, size_t server, uint64_t life);
+    void        Pass(size_t server);
+    void        OnPassEnd(size_t server, uint64_t life, const std::vector<EngineEvent>& events);
+    void        OnFirst(uint64_t id);
+    void        Poll(size_t server);
+    void        Report(size_t server, size_t router);
+    void        LoseAll();
+    bool        NoneServes() const;
     LoadReport  StateOf(size_t server) const;
     PoolSecond& SecondOf(const Caller& c);
 
@@ -155,8 +155,8 @@
     m_Strictest = seconds(3600);
     for (const Kind& k : m_Kinds)
         m_Strictest = std::min(m_Strictest, FromSeconds(k.m_GoalMs / 1000));
-    m_Service.m_Name   = "model";
-    m_Service.m_Engine = Costs(m_Kinds);
+    m_Service.m_Name     = "model";
+    m_Service.m_Engine   = Costs(m_Kinds);
     const size_t routers = view == PoolView_Bound ? 1 : static_cast<size_t>(p.m_Routers);
     for (size_t r = 0; r < routers; r++)
         m_Routers.emplace_back(m_Config, m_Random());
@@ -231,8 +231,8 @@
     double pick = Random01();
     while (c.m_Kind + 1 < m_Kinds.size() && pick >= m_Kinds[c.m_Kind].m_Share)
         pick -= m_Kinds[c.m_Kind++].m_Share;
-    c.m_FirstAt      = m_Now;
-    const double     worth = m_Kinds[c.m_Kind].m_Worth;
+    c.m_FirstAt        = m_Now;
+    const double worth = m_Kinds[c.m_Kind].m_Worth;
     SecondOf(c).m_Asked++;
     SecondOf(c).m_Owed += worth;
     m_KindOwed[c.m_Kind] += worth;
@@ -286,10 +286,10 @@
         m_Callers.erase(id);
         return;
     }
-    c.m_Back             = true;
+    c.m_Back = true;
     SecondOf(c).m_Back++;
-    const Duration left  = FromSeconds(m_Pattern.m_LimitS) - (m_Now - c.m_FirstAt);
-    const Duration wait  = Random01() < m_Pattern.m_Honours ? std::min(retry, left / 3) : Duration(kBackAtOnce);
+    const Duration left = FromSeconds(m_Pattern.m_LimitS) - (m_Now - c.m_FirstAt);
+    const Duration wait = Random01() < m_Pattern.m_Honours ? std::min(retry, left / 3) : Duration(kBackAtOnce);
     At(m_Now + wait + 2 * kWayToRouter, [this, id] { Attempt(id); });
 }
 
--- a/src/emulator/pool_emulator.h
+++ b/src/emulator/pool_emulator.h
@@ -37,10 +37,10 @@
 
 struct PoolResult
 {
-    std::vector<PoolSecond> m_Seconds;         //
-    std::vector<double>     m_KindEarned;      // by kind, share of its credit
-    double                  Credit() const;    // share of what is owed
-    PoolSecond              Total() const;     //
+    std::vector<PoolSecond> m_Seconds;      //
+    std::vector<double>     m_KindEarned;   // by kind, share of its credit
+    double                  Credit() const; // share of what is owed
+    PoolSecond              Total() const;  //
 };
 
 constexpr double kLateCredit = 0.25; // of an answer after its objective
--- a/src/programs/lab.cpp
+++ b/src/programs/lab.cpp
@@ -66,7 +66,8 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("aldervale-lab", "Plays a load pattern (loads/*.toml) against the decisions of routers, in virtual time");
-    options.add_options()("pattern", "TOML file", cxxopts::value<std::string>())("seed", "of everything random", cxxopts::value<uint64_t>()->default_value("1"))(
+    options.add_options()("pattern", "TOML file", cxxopts::value<std::string>())("seed", "of everything random",
+                                                                                 cxxopts::value<uint64_t>()->default_value("1"))(
         "bound", "one router that knows the present state of all servers")("seconds", "print each second")(
         "without", "leave a mechanism out; an unknown name lists them", cxxopts::value<std::vector<std::string>>())("help", "this text");
     options.parse_positional({"pattern"});
