While the newest version stalls, the one before it is fetched on

Boxes had given version 2 up, though together they held all of it; no server might begin a request from 24.5 to 29.6 s. Change: when no piece of the target came for 0.9 s, an older version of which pieces are here is fetched on from the neighbours, until it is whole or stalls too; then the target again.

--- a/src/version/piece_transfer.cpp
+++ b/src/version/piece_transfer.cpp
@@ -58,6 +58,19 @@
     return UnderWay() ? Now() - m_Job->m_StartedAt : Duration::zero();
 }
 
+Duration PieceTransfer::QuietFor() const
+{
+    return UnderWay() ? Now() - m_Job->m_PieceAt : Duration::zero();
+}
+
+uint64_t PieceTransfer::NewestPartial(uint64_t before) const
+{
+    for (auto it = m_Sets.rbegin(); it != m_Sets.rend(); ++it)
+        if (it->first < before && it->second.m_Count > 0 && !it->second.Whole())
+            return it->first;
+    return 0;
+}
+
 void PieceTransfer::SetModel(const std::string& model)
 {
     if (m_Model == model)
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -64,6 +64,8 @@
     void            SetHeld(uint64_t version) { m_Held = version; } // that the own server holds: its staged pieces are offered too
     uint64_t        Version() const { return m_Version; }           // under way, or fetched last; 0: none
     bool            Whole() const;
+    Duration        QuietFor() const;                                // since a piece of what is under way came; zero: nothing is
+    uint64_t        NewestPartial(uint64_t before) const;            // newest older one of which some pieces are here, not all; 0: none
     uint64_t        NewestWhole() const;                             // 0: none
     bool            UnderWay() const;                                // something is being fetched
     Duration        UnderWayFor() const;                             // how long; zero: nothing is
@@ -103,10 +105,10 @@
     // One piece (piece_transfer_fetch.cpp)
     awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
     awaitable<PeerAnswer>   FromPeer(std::shared_ptr<Job> job, Fetch f);
-    PeerAnswer              TakeAnswer(const Job& job, const Fetch& f, const FrameBuf& answer);
+    PeerAnswer              TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer);
     void                    LearnFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer, Duration took); // of the peer and the link
     awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
-    ChunkOutcome            Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
+    ChunkOutcome            Keep(Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
     void                    AdaptSlots(Job& job, Duration took);
 
     // The list of digests (piece_transfer_list.cpp)
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -80,7 +80,7 @@
     job.m_Exchange->SetDownloadSlots(job.m_Slots);
 }
 
-ChunkOutcome PieceTransfer::Keep(const Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from)
+ChunkOutcome PieceTransfer::Keep(Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from)
 {
     PieceSet& set = m_Sets[job.m_Version];
     if (Sha256(bytes) != ChunkDigest(*job.m_Manifest, n))
@@ -92,6 +92,7 @@
     {
         set.m_Pieces[n] = std::make_shared<const std::vector<uint8_t>>(std::move(bytes));
         set.m_Count++;
+        job.m_PieceAt = Now();
     }
     return ChunkOutcome_Good;
 }
@@ -116,7 +117,7 @@
     co_return TakeAnswer(*job, f, *answer);
 }
 
-PieceTransfer::PeerAnswer PieceTransfer::TakeAnswer(const Job& job, const Fetch& f, const FrameBuf& answer)
+PieceTransfer::PeerAnswer PieceTransfer::TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer)
 {
     if (const wire::ChunkRefused* refused = answer.Get()->body_as_ChunkRefused())
         return {refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing, {}};
--- a/src/version/piece_transfer_internal.h
+++ b/src/version/piece_transfer_internal.h
@@ -31,6 +31,7 @@
 {
     uint64_t                  m_Version = 0;               //
     TimePoint                 m_StartedAt{};               //
+    TimePoint                 m_PieceAt{};                 // of the last new piece, or m_StartedAt
     std::unique_ptr<Exchange> m_Exchange;                  // null until the list is known
     ManifestPtr               m_Manifest;                  //
     bool                      m_Over   = false;            // whole, or given up
--- a/src/version/piece_transfer_job.cpp
+++ b/src/version/piece_transfer_job.cpp
@@ -82,6 +82,7 @@
     m_Job              = std::make_shared<Job>();
     m_Job->m_Version   = version;
     m_Job->m_StartedAt = Now();
+    m_Job->m_PieceAt   = m_Job->m_StartedAt;
     LogEvent(Event_VersionFetchStarted, {{"model", m_Model}, {"version", version}});
     wire::HaveUpdateT ask; // neighbours learn of the version by it, and say what they have
     ask.digest = NameOf(version);
--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -29,11 +29,26 @@
     return out;
 }
 
-uint64_t StartPlan::NextFetch(const PlanInput& in, TimePoint now) const
+// An older version is worth fetching on while it may still serve for longer than a start takes, and as long as its pieces come.
+uint64_t StartPlan::NextBridge(const PlanInput& in, TimePoint now) const
+{
+    const bool     stalled = in.m_FetchQuiet > m_Config.m_StalledAfter;
+    const uint64_t bridge  = stalled ? (in.m_Fetching == Target() ? in.m_Partial : 0) : m_Bridge;
+    const auto     newer   = m_Named.upper_bound(bridge);
+    if (bridge <= in.m_Held || newer == m_Named.end())
+        return 0;
+    const TimePoint until = newer->second + FromSeconds(ToSeconds(m_Config.m_Deadline) * m_Config.m_KeepUntil);
+    return now < until ? bridge : 0;
+}
+
+uint64_t StartPlan::NextFetch(const PlanInput& in, TimePoint now)
 {
     const uint64_t target = Target();
     if (!in.m_Reachable || in.m_Held >= target || in.m_Whole >= target)
         return 0;
+    m_Bridge = in.m_FetchWhole ? 0 : NextBridge(in, now);
+    if (m_Bridge > 0)
+        return m_Bridge;
     const bool under_way = in.m_Fetching > 0 && !in.m_FetchWhole && in.m_Fetching > in.m_Held;
     if (!under_way || in.m_Fetching >= target)
         return target;
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -7,6 +7,9 @@
 //   - The newest named version is the target. A version that is being fetched when a newer one is named is given up, unless it was named
 //     m_KeepFetching or longer before the newer one: then it is nearly whole, and serving it bridges the time until the newer one is there.
 //     It is given up all the same when it isn't whole m_KeepUntil into its time: the origin fails, and the newer one would come too late too.
+//   - When no piece of the target has come for m_StalledAfter (the origin is away) a version before it of which pieces are here is fetched
+//     on from the neighbours, until it is whole or stalls too: it may serve until the target's deadline. With version 2 given up at 3's
+//     naming and the origin silent for the 6 s after, no server might begin a request for 5 s.
 //   - Of the versions that are whole here the newest is started. A server that holds nothing starts at once. One that serves an older
 //     version waits for its turn: turns are spread evenly, in an order that every box computes alike, so that few leave the pool at once.
 //     They lie within the time that a version has to come into force.
@@ -32,6 +35,7 @@
     double   m_LastTurn     = 0.80;               // and the last one's
     Duration m_KeepFetching = milliseconds(2500); // see the rules
     double   m_KeepUntil    = 0.7;                // part of m_Deadline; see the rules
+    Duration m_StalledAfter = milliseconds(900);  // without a piece: one takes 0.25 s on a full link, and waits some 0.12 s in a queue
     Duration m_OrderPause   = milliseconds(300);  // after an order that was refused or not answered
 };
 
@@ -42,9 +46,11 @@
     uint64_t m_Held       = 0;     // version that the server holds whole; 0: none
     uint64_t m_Fetching   = 0;     // version being fetched, or fetched last; 0: none
     bool     m_FetchWhole = false; // all its pieces are here
-    uint64_t m_Whole      = 0;     // newest version of which all pieces are here; 0: none
-    size_t   m_Rank       = 0;     // of this box in the order of turns for m_Whole
-    size_t   m_Boxes      = 1;     // that take turns
+    Duration m_FetchQuiet{};       // since the last piece of what is fetched
+    uint64_t m_Partial = 0;        // newest version before the target of which some pieces are here, not all; 0: none
+    uint64_t m_Whole   = 0;        // newest version of which all pieces are here; 0: none
+    size_t   m_Rank    = 0;        // of this box in the order of turns for m_Whole
+    size_t   m_Boxes   = 1;        // that take turns
 };
 
 class StartPlan
@@ -57,7 +63,7 @@
     std::vector<NamedAge> NamedAfter(uint64_t held, TimePoint now) const; // the newest version named, and each other one newer than `held`
     uint64_t              Target() const { return m_Named.empty() ? 1 : m_Named.rbegin()->first; } // versions begin at 1
 
-    uint64_t  NextFetch(const PlanInput& in, TimePoint now) const; // version whose pieces to get
+    uint64_t  NextFetch(const PlanInput& in, TimePoint now);       // version whose pieces to get
     uint64_t  NextStart(const PlanInput& in, TimePoint now) const; // version to start
     TimePoint TurnOf(const PlanInput& in) const;                   // when this box may leave the pool for in.m_Whole
 
@@ -65,6 +71,9 @@
     StartPlanConfig               m_Config;       //
     std::map<uint64_t, TimePoint> m_Named;        // when each version became known here
     TimePoint                     m_OrderAfter{}; // no order before
+    uint64_t                      m_Bridge = 0;   // version that is fetched because the target stalled; 0: none
+
+    uint64_t NextBridge(const PlanInput& in, TimePoint now) const; // 0: none
 };
 
 } // namespace aldervale
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -106,6 +106,8 @@
         in.m_Held            = m_Report.m_Weights;
         in.m_Fetching        = m_Transfer.Version();
         in.m_FetchWhole      = m_Transfer.Whole();
+        in.m_FetchQuiet      = m_Transfer.QuietFor();
+        in.m_Partial         = m_Transfer.NewestPartial(m_Plan.Target());
         in.m_Whole           = m_Transfer.NewestWhole();
         in.m_Rank            = m_Transfer.RankOf(in.m_Whole);
         in.m_Boxes           = m_Transfer.Boxes();
--- a/tests/test_start_plan.cpp
+++ b/tests/test_start_plan.cpp
@@ -84,6 +84,54 @@
     BOOST_TEST(p.NextFetch(in, kStart + cfg.m_Deadline) == 3u);
 }
 
+// The load: version 3 is named 2 s after version 2, and the origin falls silent 0.5 s later for 6 s.
+BOOST_AUTO_TEST_CASE(while_the_newest_version_stalls_the_one_before_is_fetched_on_and_serves_meanwhile)
+{
+    StartPlan p({});
+    p.OnNamed(2, kStart);
+    p.OnNamed(3, kStart + seconds(2));
+    PlanInput in  = Reachable(1);
+    in.m_Fetching = 2;
+    in.m_Partial  = 2;
+    TimePoint now = kStart + seconds(2);
+    BOOST_TEST(p.NextFetch(in, now) == 3u); // pieces of the newest one come
+    in.m_Fetching   = 3;
+    in.m_FetchQuiet = milliseconds(500);
+    BOOST_TEST(p.NextFetch(in, now) == 3u);
+    in.m_FetchQuiet = milliseconds(1000); // and then none any more
+    now += milliseconds(1500);
+    BOOST_TEST(p.NextFetch(in, now) == 2u);
+    in.m_Fetching   = 2;
+    in.m_FetchQuiet = milliseconds(100);
+    BOOST_TEST(p.NextFetch(in, now) == 2u); // goes on while pieces come
+    in.m_FetchQuiet = milliseconds(1000);
+    BOOST_TEST(p.NextFetch(in, now) == 3u); // neighbours have no more of it
+    in.m_Fetching = 3;
+    BOOST_TEST(p.NextFetch(in, now) == 2u); // by turns
+    in.m_Fetching   = 2;
+    in.m_FetchQuiet = milliseconds(100);
+    in.m_FetchWhole = true;
+    in.m_Whole      = 2;
+    in.m_Partial    = 0;
+    BOOST_TEST(p.NextFetch(in, now) == 3u);
+    BOOST_TEST(p.NextStart(in, p.TurnOf(in)) == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_could_not_serve_for_long_any_more_is_not_fetched_on)
+{
+    const StartPlanConfig cfg;
+    StartPlan             p(cfg);
+    p.OnNamed(2, kStart);
+    p.OnNamed(3, kStart + seconds(1));
+    PlanInput in    = Reachable(1);
+    in.m_Fetching   = 3;
+    in.m_Partial    = 2;
+    in.m_FetchQuiet = seconds(2);
+    BOOST_TEST(p.NextFetch(in, kStart + seconds(3)) == 2u);
+    in.m_Fetching = 3;
+    BOOST_TEST(p.NextFetch(in, kStart + seconds(1) + cfg.m_Deadline) == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(versions_never_go_back)
 {
     StartPlan p({});
