--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -11,8 +11,9 @@
 {
 
 constexpr double kBytesPerMbit = 1e6 / 8;
-constexpr auto   kWeightsLook  = milliseconds(6000); // mean pause between two looks for named versions, of each agent; routers tell of them sooner
-constexpr auto   kFetchSlow    = milliseconds(4000); // a fetch that takes longer may be asking an origin that has moved; one takes 2 to 4 s
+constexpr auto   kWeightsLook  = milliseconds(6000);   // mean pause between two looks for named versions, of each agent; routers tell of them sooner
+constexpr auto   kFetchSlow    = milliseconds(8000);   // a fetch that takes longer may be asking an origin that has moved; one takes 2 to 4 s
+constexpr auto   kDoubtEvery   = milliseconds(10'000); // least time between two reads of the declarations for that reason: they are long
 
 struct AgentSettings
 {
@@ -28,6 +29,7 @@
     AgentSettings                              m_Settings;             //
     ServerDirectory                            m_Servers;              // the other boxes
     uint64_t                                   m_Declared = 0;         // version in force
+    TimePoint                                  m_OriginKnownAt{};      // when the origin's address was learned last
     std::map<std::string, uint64_t>            m_Named;                // newest version by model; may come before the declarations
     std::string                                m_Model;                // of the own service; empty until declared
     bool                                       m_OperatorRead = false; // the operators' table was read with the own service in it
@@ -75,8 +77,9 @@
     {
         a.m_Model = named.m_Model;
         a.m_Transfer->SetOrigin({*named.m_Origin, named.m_OriginMbps, named.m_OriginConnections});
+        a.m_OriginKnownAt = Now();
         a.m_Keeper->SetModel(a.m_Model);
-        LogEvent(Event_DeclarationsInForce, {{"version", a.m_Declared}, {"model", a.m_Model}, {"origin", named.m_Origin->ToString()}});
+        LogEvent(Event_ModelTold, {{"model", a.m_Model}, {"origin", named.m_Origin->ToString()}, {"version", named.m_Version}});
     }
     if (named.m_Model != a.m_Model || named.m_Version == 0)
         return;
@@ -88,7 +91,8 @@
 {
     if (spec.m_Version <= a.m_Declared)
         return;
-    a.m_Declared = spec.m_Version;
+    a.m_Declared      = spec.m_Version;
+    a.m_OriginKnownAt = Now();
     if (spec.m_Origin)
         a.m_Transfer->SetOrigin(*spec.m_Origin);
     for (const Service& s : spec.m_Services)
@@ -117,7 +121,8 @@
 // The declarations matter to an agent only for the origin's address. It reads them anew when a fetch takes long and there are newer ones.
 bool DeclarationsDoubted(const Agent& a)
 {
-    return a.m_Transfer->UnderWayFor() > kFetchSlow && a.m_Publisher->NewestDeclared() > a.m_Declared;
+    const bool newer = a.m_Publisher->NewestDeclared() > a.m_Declared;
+    return newer && a.m_Transfer->UnderWayFor() > kFetchSlow && Now() - a.m_OriginKnownAt > kDoubtEvery;
 }
 
 // Each answer of the store is priced. The other boxes matter only while weights move: until the own server serves, and in a fetch. Of a new
