--- a/src/request/routing_world.h
+++ b/src/request/routing_world.h
@@ -27,10 +27,20 @@
 // By version. A version's deadline stays when a newer one is named.
 using NamedVersions = std::map<uint64_t, Naming>;
 
+// How sure a router is that its declarations are the newest. Row versions are the store's.
+struct DeclarationsBelief
+{
+    uint64_t  m_Held  = 0;    // newest row that this router holds
+    uint64_t  m_Heard = 0;    // newest row that some router has told of; over m_Held: this one is behind, and fetching it
+    TimePoint m_CheckedAt{};  // when the store last said, to this router or to one that told it, that m_Held is the newest
+    std::string m_From;       // who gave m_Held: "store", or the address of a router
+};
+
 struct RoutingWorld // touched on one thread
 {
     RouteTablePtr                        m_Routes;               // null until the first declarations are known; its version only rises
     TimePoint                            m_RoutesAt{};           // when they were learned
+    DeclarationsBelief                   m_Belief;               // of m_Routes
     ServerDirectory                      m_Servers;              //
     bool                                 m_ServersKnown = false; // the list was read once
     std::map<std::string, NamedVersions> m_Weights;              // by model; the newest few
