--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -134,8 +134,12 @@
     if (s != nullptr)
         m_Handler(from.address(), FromWire(*s));
     const wire::RouterList* list = frame.body_as_RouterList();
-    if (list != nullptr && m_OnRouters)
-        m_OnRouters(FromWire(*list, from.port()));
+    if (list != nullptr)
+    {
+        m_Listed = true;
+        if (m_OnRouters)
+            m_OnRouters(FromWire(*list, from.port()));
+    }
     const wire::DeclarationsNews* news = frame.body_as_DeclarationsNews();
     if (news != nullptr && m_OnNews)
         m_OnNews(*news, Endpoint{from.address(), from.port()});
@@ -155,11 +159,26 @@
 }
 
 void LoadListener::Subscribe()
+{
+    SendAsk(m_Boxes, false);
+}
+
+void LoadListener::AskForRouters()
+{
+    std::vector<Endpoint> asked;
+    for (size_t i = 0; i < std::min(kListAsked, m_Boxes.size()); i++)
+        asked.push_back(m_Boxes[m_NextAsked++ % m_Boxes.size()]);
+    SendAsk(asked, true);
+}
+
+void LoadListener::SendAsk(std::span<const Endpoint> boxes, bool list_routers)
 {
     wire::LoadSubscribeT ask;
-    ask.name        = m_Self.m_Name;
-    ask.data_centre = m_Self.m_DataCentre;
-    ask.declared    = m_Declared;
+    ask.name         = m_Self.m_Name;
+    ask.data_centre  = m_Self.m_DataCentre;
+    ask.region       = m_Region;
+    ask.list_routers = list_routers;
+    ask.declared     = m_Declared;
     for (const ModelNaming& n : m_Named)
     {
         auto told     = std::make_unique<wire::ModelNamingT>();
@@ -175,16 +194,24 @@
         }
         ask.named.push_back(std::move(told));
     }
-    for (const Endpoint& box : m_Boxes)
+    for (const Endpoint& box : boxes)
         SendDatagram(m_Socket, udp::endpoint(box.m_Address, box.m_Port), ask);
 }
 
 awaitable<void> LoadListener::SubscribeLoop()
 {
+    TimePoint subscribed{};
     for (;;)
     {
-        Subscribe();
-        co_await SleepFor(m_Boxes.empty() ? Duration(kNearEvery) : Duration(kSubscribeEvery));
+        if (Now() - subscribed >= kSubscribeEvery && !m_Boxes.empty())
+        {
+            subscribed = Now();
+            Subscribe();
+            m_Listed = false; // some are asked anew
+        }
+        if (!m_Listed)
+            AskForRouters();
+        co_await SleepFor(m_Boxes.empty() ? kNearEvery : kListEarly);
     }
 }
 
@@ -214,12 +241,28 @@
     Subscriber& s    = m_Subscribers[from];
     s.m_AskedAt      = Now();
     s.m_Near         = ask->data_centre() != nullptr && ask->data_centre()->string_view() == m_DataCentre;
+    s.m_Region       = ask->region() != nullptr ? ask->region()->str() : std::string();
     m_NewestDeclared = std::max(m_NewestDeclared, ask->declared());
+    if (ask->list_routers())
+        TellRouters(from);
     if (ask->named() == nullptr || !m_OnNamed)
         return;
     for (const wire::ModelNaming* n : *ask->named())
         if (n->service() != nullptr && n->model() != nullptr)
-            m_OnNamed(FromWire(*n, Now()));
+        {
+            ModelNaming naming = FromWire(*n, Now());
+            naming.m_Declared  = ask->declared();
+            m_OnNamed(naming);
+        }
+}
+
+void LoadPublisher::TellRouters(const udp::endpoint& asker)
+{
+    std::vector<KnownRouter> routers;
+    for (const auto& [from, s] : m_Subscribers)
+        if (Now() - s.m_AskedAt <= kSubscribeKeep)
+            routers.push_back({from.address(), s.m_Region});
+    SendDatagram(m_Socket, asker, ListRouters(routers, {asker.address(), m_Subscribers[asker].m_Region}));
 }
 
 void LoadPublisher::Publish(LoadReport report)
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -4,6 +4,8 @@
 // data centre and less often to others, whose bytes are dearer. A lost datagram costs one interval; nothing waits for an answer. Each
 // datagram is one wire::Frame without its length prefix.
 //
+// A router also asks a few agents for the other routers that they know (router_list.h), and is told by those of their declarations.
+//
 // With its request a router tells what it knows of each model: the newest version named, at once when one is, and the origin of weights. Routers
 // follow the store closely, and the boxes needn't. After a loss of all power 74 processes behind one link read the declarations (400 KB) at once,
 // and most boxes knew what to fetch only 10 to 24 s later.
@@ -33,6 +35,8 @@
 constexpr auto   kNearEvery      = milliseconds(70);   // least pause between reports to a router of the own data centre
 constexpr auto   kFarEvery       = milliseconds(240);  // to others
 constexpr auto   kUnchangedEvery = milliseconds(500);  // a report that says nothing new is still sent this often: it shows that the box lives
+constexpr auto   kListEarly      = milliseconds(100);  // between questions for other routers until the first answer
+constexpr size_t kListAsked      = 3;                  // boxes asked for other routers each time, others the next time: some may be silent
 constexpr size_t kDatagramMax    = 1200;               // bytes
 
 struct ModelNaming // what a router knows of a service's model
@@ -44,6 +48,7 @@
     std::optional<Endpoint> m_Origin;                                 // where its weights come from first; none: not known
     double                  m_OriginMbps                         = 0; // of its link
     unsigned                m_OriginConnections                  = 0; // that it takes from all boxes together
+    uint64_t                m_Declared                           = 0; // version of the declarations that say so, as the teller holds them
     bool                    operator==(const ModelNaming&) const = default;
 };
 
@@ -66,11 +71,11 @@
 
     LoadListener(asio::io_context& ioc, ProcessName self, Handler handler);
 
-    Status Listen(const Endpoint& at); // other routers listen on the same port
+    Status Listen(const Endpoint& at);                                           // other routers listen on the same port
     void   SetBoxes(std::vector<Endpoint> boxes) { m_Boxes = std::move(boxes); } // whose reports to ask for
     void   SetDeclared(uint64_t version) { m_Declared = version; }
     void   SetNamed(std::vector<ModelNaming> named); // told to all boxes, at once if it is news, and with every request for reports
-    void   SetRegion(std::string region) { m_Region = std::move(region); } // of this router; before Listen()
+    void   SetRegion(std::string region) { m_Region = std::move(region); }  // of this router; before Listen()
     void   SetOnRouters(RoutersHandler fn) { m_OnRouters = std::move(fn); } // an agent listed the routers that it knows
     void   SetOnNews(NewsHandler fn) { m_OnNews = std::move(fn); }          // another router told of its declarations
     void   Tell(const Endpoint& router, const wire::DeclarationsNewsT& news);
@@ -79,17 +84,21 @@
     void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
     awaitable<void> SubscribeLoop();
     void            Subscribe();
-
-    asio::io_context&        m_Ioc;          //
-    ProcessName              m_Self;         //
-    Handler                  m_Handler;      //
-    RoutersHandler           m_OnRouters;    // may be empty
-    NewsHandler              m_OnNews;       // may be empty
-    std::string              m_Region;       //
-    udp::socket              m_Socket;       //
-    std::vector<Endpoint>    m_Boxes;        //
-    uint64_t                 m_Declared = 0; // version of the declarations in force here
-    std::vector<ModelNaming> m_Named;        // newest versions of weights known here
+    void            AskForRouters(); // some of the boxes, other ones than the last time
+    void            SendAsk(std::span<const Endpoint> boxes, bool list_routers);
+
+    asio::io_context&        m_Ioc;               //
+    ProcessName              m_Self;              //
+    Handler                  m_Handler;           //
+    RoutersHandler           m_OnRouters;         // may be empty
+    NewsHandler              m_OnNews;            // may be empty
+    std::string              m_Region;            //
+    udp::socket              m_Socket;            //
+    std::vector<Endpoint>    m_Boxes;             //
+    size_t                   m_NextAsked = 0;     // place in m_Boxes from which AskForRouters() goes on
+    bool                     m_Listed    = false; // an agent has listed routers
+    uint64_t                 m_Declared  = 0;     // version of the declarations in force here
+    std::vector<ModelNaming> m_Named;             // newest versions of weights known here
 };
 
 //-----------------------------------------------------------------------------
@@ -112,13 +121,15 @@
 private:
     struct Subscriber
     {
-        TimePoint  m_AskedAt{};    //
-        TimePoint  m_SentAt{};     //
-        LoadReport m_Last;         // as sent
-        bool       m_Near = false; // in the own data centre
+        TimePoint   m_AskedAt{};    //
+        TimePoint   m_SentAt{};     //
+        LoadReport  m_Last;         // as sent
+        bool        m_Near = false; // in the own data centre
+        std::string m_Region;       //
     };
 
     void OnFrame(const wire::Frame& frame, const udp::endpoint& from);
+    void TellRouters(const udp::endpoint& asker); // of each other
 
     udp::socket                         m_Socket;             //
     std::string                         m_DataCentre;         //
--- a/src/connection/router_list.h
+++ b/src/connection/router_list.h
@@ -29,7 +29,7 @@
     std::string       m_Region;  //
 };
 
-uint64_t                RouterRank(const asio::ip::address& address); // lower goes first; the same in every process
+uint64_t                RouterRank(const asio::ip::address& address);                                // lower goes first; the same in every process
 wire::RouterListT       ListRouters(std::span<const KnownRouter> routers, const KnownRouter& asker); // without the asker
 std::vector<RouterPeer> FromWire(const wire::RouterList& list, uint16_t port);
 
--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -9,13 +9,13 @@
 namespace
 {
 
-constexpr auto     kNoThrow       = asio::as_tuple(asio::use_awaitable);
-constexpr auto     kFetchLook     = milliseconds(50);   // for something to fetch, besides at news
-constexpr auto     kConnectMax    = milliseconds(300);  // to a router; a region's links take some 3 ms
-constexpr unsigned kDoublingsMax  = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
-constexpr auto     kServeMax      = seconds(10);        // of a connection that was taken: askers close theirs after one answer
-constexpr auto     kGoOnMax       = milliseconds(2000); // since versions were confirmed, for reading to go on after them: few are missed in that time
-constexpr size_t   kLinkQueueMax  = 32 * 1024 * 1024;   // bytes queued to an asker that doesn't read
+constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
+constexpr auto     kFetchLook    = milliseconds(50);   // for something to fetch, besides at news
+constexpr auto     kConnectMax   = milliseconds(300);  // to a router; a region's links take some 3 ms
+constexpr unsigned kDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
+constexpr auto     kServeMax     = seconds(10);        // of a connection that was taken: askers close theirs after one answer
+constexpr auto     kGoOnMax      = milliseconds(2000); // since versions were confirmed, for reading to go on after them: few are missed in that time
+constexpr size_t   kLinkQueueMax = 32 * 1024 * 1024;   // bytes queued to an asker that doesn't read
 
 uint32_t AgeMs(TimePoint now, TimePoint at)
 {
@@ -99,7 +99,7 @@
     const TimePoint now = Now();
     if (!m_Spread.Tells(now))
         return;
-    const SpreadNews       own = m_Spread.News(now);
+    const SpreadNews        own = m_Spread.News(now);
     wire::DeclarationsNewsT news;
     news.name           = m_Self.m_Name;
     news.region         = m_Self.m_Region;
@@ -162,7 +162,7 @@
         co_return false;
     const auto link = std::make_shared<Link>(std::move(socket.value()), LinkSide_Dialled, LinkConfig{}, LinkHandlers{});
     link->Start();
-    const MailboxPtr      answer = link->OpenExchange(m_Ioc.get_executor());
+    const MailboxPtr       answer = link->OpenExchange(m_Ioc.get_executor());
     wire::DeclarationsGetT get;
     get.have = m_Rows.Version();
     link->Send(EncodeFrame(answer->Id(), get));
@@ -170,7 +170,7 @@
     const std::optional<FrameBuf> frame = co_await answer->Pop(until);
     link->Close();
     const wire::DeclarationsData* data = frame ? frame->Get()->body_as_DeclarationsData() : nullptr;
-    co_return data != nullptr && TakeData(*data, from);
+    co_return data != nullptr&&   TakeData(*data, from);
 }
 
 bool DeclarationsPeers::TakeData(const wire::DeclarationsData& data, const Endpoint& from)
@@ -217,11 +217,12 @@
         const auto link = std::make_shared<Link>(std::move(socket), LinkSide_Accepted, cfg, std::move(h));
         link->Start();
         const auto limit = std::make_shared<asio::steady_timer>(m_Ioc, kServeMax);
-        limit->async_wait([limit, weak = std::weak_ptr<Link>(link)](boost::system::error_code)
-                          {
-                              if (const LinkPtr open = weak.lock())
-                                  open->Close();
-                          });
+        limit->async_wait(
+            [limit, weak = std::weak_ptr<Link>(link)](boost::system::error_code)
+            {
+                if (const LinkPtr open = weak.lock())
+                    open->Close();
+            });
     }
 }
 
@@ -240,10 +241,10 @@
     data.learned_age_ms = AgeMs(now, m_LearnedAt);
     if (m_Texts.empty() || have >= m_Texts.back().m_Version)
         return EncodeFrame(exchange, data);
-    const Text* base = FindText(have);
-    data.version     = m_Texts.back().m_Version;
-    data.base        = base == nullptr ? 0 : have;
-    data.length      = static_cast<uint32_t>(m_Texts.back().m_Text.size());
+    const Text* base   = FindText(have);
+    data.version       = m_Texts.back().m_Version;
+    data.base          = base == nullptr ? 0 : have;
+    data.length        = static_cast<uint32_t>(m_Texts.back().m_Text.size());
     std::string& bytes = m_Compressed[data.base]; // most askers hold the same version
     if (bytes.empty())
         bytes = CompressText(m_Texts.back().m_Text, base == nullptr ? std::string_view() : std::string_view(base->m_Text));
--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -143,9 +143,9 @@
         return now - m_StartedAt >= kFirstStagger * static_cast<int>(m_SelfRank % kStaggersFirst) && !Checked(now);
     const auto     place   = static_cast<unsigned>(m_Rank - kLeads); // among those that are no leads
     const bool     flowing = now - m_FlowAt < kFresh;
-    const Duration stagger = flowing ? Duration(kFlowStagger) * (1u << std::min(place, kDoublingsMax))
-                                     : std::min<Duration>(kStaggerMax, Duration(kStagger) * (place + 1));
-    TimePoint      since   = std::max(m_CheckedAt, m_StartedAt);
+    const Duration stagger =
+        flowing ? Duration(kFlowStagger) * (1u << std::min(place, kDoublingsMax)) : std::min<Duration>(kStaggerMax, Duration(kStagger) * (place + 1));
+    TimePoint since = std::max(m_CheckedAt, m_StartedAt);
     if (flowing)
         since = std::max(since, m_FlowSince);
     return now - since > kFresh + stagger;
--- a/src/process/operator_rows.h
+++ b/src/process/operator_rows.h
@@ -19,12 +19,12 @@
 class OperatorRows
 {
 public:
-    bool     TakeAll(const RowRead& read);             // the whole table; true: a row is newer than what was held
-    bool     TakeChanges(const RowRead& read);         // changed rows in order; a later row of the same key replaces an earlier one
-    bool     TakeCopy(const OperatorRows& copy);       // of another process; taken whole if its version is higher
-    uint64_t Version() const { return m_Version; }     // never falls; 0: nothing is held
-    RowRead  Read() const;                             // all rows, by key, as of Version()
-    std::string Encode() const;                        // the same text for the same rows
+    bool        TakeAll(const RowRead& read);         // the whole table; true: a row is newer than what was held
+    bool        TakeChanges(const RowRead& read);     // changed rows in order; a later row of the same key replaces an earlier one
+    bool        TakeCopy(const OperatorRows& copy);   // of another process; taken whole if its version is higher
+    uint64_t    Version() const { return m_Version; } // never falls; 0: nothing is held
+    RowRead     Read() const;                         // all rows, by key, as of Version()
+    std::string Encode() const;                       // the same text for the same rows
 
     static Result<OperatorRows> Decode(std::string_view text);
 
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -12,12 +12,12 @@
 namespace
 {
 
-constexpr auto kExpireEvery = milliseconds(100);  // looks for servers kept over an outage of the store
-constexpr auto kBeliefEvery = milliseconds(20);   // takes over what is known of the declarations
-constexpr auto kLeadWait    = milliseconds(350);  // of a standing request for declarations: with kLeadQuiet less than what counts as fresh
-constexpr auto kLeadQuiet   = milliseconds(300);  // pause after one that brought nothing; changes of other tables end it early
+constexpr auto kExpireEvery = milliseconds(100);    // looks for servers kept over an outage of the store
+constexpr auto kBeliefEvery = milliseconds(20);     // takes over what is known of the declarations
+constexpr auto kLeadWait    = milliseconds(350);    // of a standing request for declarations: with kLeadQuiet less than what counts as fresh
+constexpr auto kLeadQuiet   = milliseconds(300);    // pause after one that brought nothing; changes of other tables end it early
 constexpr auto kRestPause   = milliseconds(10'000); // mean, between looks for named weights of a router that leaves declarations to others
-constexpr auto kDrainNotice = milliseconds(2600); // the balancer asks once a second, and twice before it sends callers elsewhere
+constexpr auto kDrainNotice = milliseconds(2600);   // the balancer asks once a second, and twice before it sends callers elsewhere
 
 struct RouterSettings
 {
@@ -29,17 +29,17 @@
 
 struct Router // lives as long as the process
 {
-    RouterSettings                  m_Settings;             //
-    RoutingWorld                    m_World;                //
-    platform::RequestHeaders        m_Protocol;             //
-    std::unique_ptr<PlatformTables> m_Tables;               //
-    bool                            m_OperatorRead = false; // the operators' table was read once, here or by who gave it
-    TimePoint                       m_LearnedAt{};          // when the rows being used were read from the store, here or by who gave them
-    std::unique_ptr<LoadListener>   m_Loads;                //
-    std::unique_ptr<DeclarationsPeers> m_Peers;             //
-    std::unique_ptr<DirectServe>    m_Serve;                //
-    std::unique_ptr<HttpServer>     m_Http;                 //
-    std::unique_ptr<HttpServer>     m_Ready;                //
+    RouterSettings                     m_Settings;             //
+    RoutingWorld                       m_World;                //
+    platform::RequestHeaders           m_Protocol;             //
+    std::unique_ptr<PlatformTables>    m_Tables;               //
+    bool                               m_OperatorRead = false; // the operators' table was read once, here or by who gave it
+    TimePoint                          m_LearnedAt{};          // when the rows being used were read from the store, here or by who gave them
+    std::unique_ptr<LoadListener>      m_Loads;                //
+    std::unique_ptr<DeclarationsPeers> m_Peers;                //
+    std::unique_ptr<DirectServe>       m_Serve;                //
+    std::unique_ptr<HttpServer>        m_Http;                 //
+    std::unique_ptr<HttpServer>        m_Ready;                //
 };
 
 std::vector<SettingSpec> DescribeRouter(RouterSettings& s)
@@ -64,8 +64,7 @@
 void FollowBoxes(Router& r)
 {
     std::vector<Endpoint> boxes;
-    const auto            add = [&](const ServerEntry& e)
-    { boxes.push_back({e.m_Address.m_Address, static_cast<uint16_t>(r.m_Settings.m_Platform.m_Port)}); };
+    const auto add = [&](const ServerEntry& e) { boxes.push_back({e.m_Address.m_Address, static_cast<uint16_t>(r.m_Settings.m_Platform.m_Port)}); };
     const auto add_model = [&](const Service& s, const ServerEntry& e)
     {
         if (s.m_Engine)
@@ -231,13 +230,13 @@
     h.m_OnOperatorTable = [&r](const RowRead& read, TableRead kind) { r.m_Peers->OnStoreRead(read, kind); };
     h.m_OnOperatorBytes = [&r] { r.m_Peers->OnStoreBytes(); };
     h.m_OnOperatorBack  = [&r] { r.m_Peers->OnStoreBack(); };
-    h.m_OnConfig       = [&r](const RouteTableSpec& spec, uint64_t row_version) { OnConfig(r, spec, row_version); };
-    h.m_OnNamed        = [&r](const platform::NamedWeights& named) { OnNamed(r, named); };
-    h.m_OnOperatorRead = [&r] { r.m_OperatorRead = true; };
-    h.m_OnListed       = LogServer;
-    h.m_OnUnlisted     = [](const Row& row) { LogEvent(Event_ServerUnlisted, {{"server", row.m_Key}, {"row_version", row.m_Version}}); };
-    h.m_OnServers      = [&r](bool changed) { OnServers(r, changed); };
-    r.m_Tables         = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, Paces(r), r.m_World.m_Servers, h);
+    h.m_OnConfig        = [&r](const RouteTableSpec& spec, uint64_t row_version) { OnConfig(r, spec, row_version); };
+    h.m_OnNamed         = [&r](const platform::NamedWeights& named) { OnNamed(r, named); };
+    h.m_OnOperatorRead  = [&r] { r.m_OperatorRead = true; };
+    h.m_OnListed        = LogServer;
+    h.m_OnUnlisted      = [](const Row& row) { LogEvent(Event_ServerUnlisted, {{"server", row.m_Key}, {"row_version", row.m_Version}}); };
+    h.m_OnServers       = [&r](bool changed) { OnServers(r, changed); };
+    r.m_Tables          = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, Paces(r), r.m_World.m_Servers, h);
     asio::co_spawn(
         daemon.Ioc(), [&r] { return ExpireLoop(r); }, asio::detached);
     asio::co_spawn(
@@ -275,12 +274,12 @@
     const auto            internal = InternalEndpoint(s.m_Platform);
     if (!internal)
         return internal.error();
-    r.m_Serve = std::make_unique<DirectServe>(daemon, s.m_Serve, r.m_World, r.m_Protocol);
-    r.m_Loads = std::make_unique<LoadListener>(daemon.Ioc(), ProcessName{daemon.Settings().m_Name, daemon.Settings().m_DataCentre},
+    r.m_Serve                = std::make_unique<DirectServe>(daemon, s.m_Serve, r.m_World, r.m_Protocol);
+    r.m_Loads                = std::make_unique<LoadListener>(daemon.Ioc(), ProcessName{daemon.Settings().m_Name, daemon.Settings().m_DataCentre},
                                                [&r](const asio::ip::address& box, const LoadReport& report) { r.m_Serve->OnReport(box, report); });
     const std::string region = s.m_Platform.m_Region.empty() ? daemon.Settings().m_DataCentre : s.m_Platform.m_Region;
-    r.m_Peers                = std::make_unique<DeclarationsPeers>(daemon.Ioc(), RouterName{daemon.Settings().m_Name, internal.value(), region}, *r.m_Loads,
-                                                                   [&r](const DeclaredRows& rows) { OnDeclaredRows(r, rows); });
+    r.m_Peers = std::make_unique<DeclarationsPeers>(daemon.Ioc(), RouterName{daemon.Settings().m_Name, internal.value(), region}, *r.m_Loads,
+                                                    [&r](const DeclaredRows& rows) { OnDeclaredRows(r, rows); });
     r.m_Http  = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                             [&r](HttpRequest& req, HttpReply& reply) { return r.m_Serve->Handle(req, reply); });
     r.m_Ready = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -21,11 +21,11 @@
 
 struct PlatformHandlers
 {
-    std::function<void(const RowRead& read, TableRead kind)>              m_OnOperatorTable; // instead of using them; empty: they are used at once
-    std::function<void()>                                                 m_OnOperatorBytes; // some of an answer of the operators' table came; may be empty
-    std::function<void()>                                                 m_OnOperatorBack;  // it answers again after a failure; may be empty
-    std::function<void(const RouteTableSpec& spec, uint64_t row_version)> m_OnConfig;       // declarations, perhaps ones known already
-    std::function<void(const platform::NamedWeights& named)>              m_OnNamed;        // a version of weights, perhaps a known one
+    std::function<void(const RowRead& read, TableRead kind)> m_OnOperatorTable;       // instead of using them; empty: they are used at once
+    std::function<void()>                                    m_OnOperatorBytes;       // some of an answer of the operators' table came; may be empty
+    std::function<void()>                                    m_OnOperatorBack;        // it answers again after a failure; may be empty
+    std::function<void(const RouteTableSpec& spec, uint64_t row_version)> m_OnConfig; // declarations, perhaps ones known already
+    std::function<void(const platform::NamedWeights& named)>              m_OnNamed;  // a version of weights, perhaps a known one
     std::function<void()>                                                 m_OnOperatorRead; // after what one read of the operators' table told
     std::function<void(const ServerEntry& entry)>                         m_OnListed;       // before it goes into the directory; may be empty
     std::function<void(const Row& row)>                                   m_OnUnlisted;     // before it leaves the directory; may be empty
--- a/src/request/routing_world.h
+++ b/src/request/routing_world.h
@@ -30,10 +30,10 @@
 // How sure a router is that its declarations are the newest. Row versions are the store's.
 struct DeclarationsBelief
 {
-    uint64_t  m_Held  = 0;    // newest row that this router holds
-    uint64_t  m_Heard = 0;    // newest row that some router has told of; over m_Held: this one is behind, and fetching it
-    TimePoint m_CheckedAt{};  // when the store last said, to this router or to one that told it, that m_Held is the newest
-    std::string m_From;       // who gave m_Held: "store", or the address of a router
+    uint64_t    m_Held  = 0;   // newest row that this router holds
+    uint64_t    m_Heard = 0;   // newest row that some router has told of; over m_Held: this one is behind, and fetching it
+    TimePoint   m_CheckedAt{}; // when the store last said, to this router or to one that told it, that m_Held is the newest
+    std::string m_From;        // who gave m_Held: "store", or the address of a router
 };
 
 struct RoutingWorld // touched on one thread
