--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -136,7 +136,7 @@
     const wire::RouterList* list = frame.body_as_RouterList();
     if (list != nullptr)
     {
-        m_Listed = true;
+        m_ListedAt = Now();
         if (m_OnRouters)
             m_OnRouters(FromWire(*list, from.port()));
     }
@@ -203,13 +203,13 @@
     TimePoint subscribed{};
     for (;;)
     {
-        if (Now() - subscribed >= kSubscribeEvery && !m_Boxes.empty())
+        const TimePoint now = Now();
+        if (now - subscribed >= kSubscribeEvery && !m_Boxes.empty())
         {
-            subscribed = Now();
+            subscribed = now;
             Subscribe();
-            m_Listed = false; // some are asked anew
         }
-        if (!m_Listed)
+        if (now - m_ListedAt >= kListEvery)
             AskForRouters();
         co_await SleepFor(m_Boxes.empty() ? kNearEvery : kListEarly);
     }
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -35,7 +35,8 @@
 constexpr auto   kNearEvery      = milliseconds(70);   // least pause between reports to a router of the own data centre
 constexpr auto   kFarEvery       = milliseconds(240);  // to others
 constexpr auto   kUnchangedEvery = milliseconds(500);  // a report that says nothing new is still sent this often: it shows that the box lives
-constexpr auto   kListEarly      = milliseconds(100);  // between questions for other routers until the first answer
+constexpr auto   kListEvery      = milliseconds(2000); // of a router to some boxes, for the other routers that they know
+constexpr auto   kListEarly      = milliseconds(100);  // between questions for other routers until an answer comes
 constexpr size_t kListAsked      = 3;                  // boxes asked for other routers each time, others the next time: some may be silent
 constexpr size_t kDatagramMax    = 1200;               // bytes
 
@@ -87,18 +88,18 @@
     void            AskForRouters(); // some of the boxes, other ones than the last time
     void            SendAsk(std::span<const Endpoint> boxes, bool list_routers);
 
-    asio::io_context&        m_Ioc;               //
-    ProcessName              m_Self;              //
-    Handler                  m_Handler;           //
-    RoutersHandler           m_OnRouters;         // may be empty
-    NewsHandler              m_OnNews;            // may be empty
-    std::string              m_Region;            //
-    udp::socket              m_Socket;            //
-    std::vector<Endpoint>    m_Boxes;             //
-    size_t                   m_NextAsked = 0;     // place in m_Boxes from which AskForRouters() goes on
-    bool                     m_Listed    = false; // an agent has listed routers
-    uint64_t                 m_Declared  = 0;     // version of the declarations in force here
-    std::vector<ModelNaming> m_Named;             // newest versions of weights known here
+    asio::io_context&        m_Ioc;           //
+    ProcessName              m_Self;          //
+    Handler                  m_Handler;       //
+    RoutersHandler           m_OnRouters;     // may be empty
+    NewsHandler              m_OnNews;        // may be empty
+    std::string              m_Region;        //
+    udp::socket              m_Socket;        //
+    std::vector<Endpoint>    m_Boxes;         //
+    size_t                   m_NextAsked = 0; // place in m_Boxes from which AskForRouters() goes on
+    TimePoint                m_ListedAt{};    // when an agent last listed routers
+    uint64_t                 m_Declared = 0;  // version of the declarations in force here
+    std::vector<ModelNaming> m_Named;         // newest versions of weights known here
 };
 
 //-----------------------------------------------------------------------------
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -29,12 +29,12 @@
 {
 
 constexpr size_t kLeads         = 2;                  // of a region: one may fail without anybody waiting for the other
-constexpr auto   kFresh         = milliseconds(900);  // leads ask the store twice a second; longer than one such wait and an answer
+constexpr auto   kFresh         = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
 constexpr auto   kNewsEvery     = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
 constexpr auto   kStagger       = milliseconds(120);  // between two ranks that take over: a short row comes in less
 constexpr auto   kFlowStagger   = milliseconds(400);  // the same while bytes come; doubles with each rank
 constexpr auto   kFirstStagger  = milliseconds(100);  // between routers that start, as long as no other is known
-constexpr auto   kPeerKept      = milliseconds(3000); // of a router that no agent lists any more
+constexpr auto   kPeerKept      = milliseconds(5000); // of a router that no agent lists any more: two lists may be lost
 constexpr auto   kFetchMax      = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
 constexpr auto   kAvoided       = milliseconds(1000); // a router whose fetch failed
 constexpr size_t kStaggersFirst = 8;                  // places of routers that start
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -15,7 +15,7 @@
 constexpr auto kExpireEvery = milliseconds(100);    // looks for servers kept over an outage of the store
 constexpr auto kBeliefEvery = milliseconds(20);     // takes over what is known of the declarations
 constexpr auto kLeadWait    = milliseconds(350);    // of a standing request for declarations: with kLeadQuiet less than what counts as fresh
-constexpr auto kLeadQuiet   = milliseconds(300);    // pause after one that brought nothing; changes of other tables end it early
+constexpr auto kLeadQuiet   = milliseconds(600);    // pause after one that brought nothing; changes of other tables end it early
 constexpr auto kRestPause   = milliseconds(10'000); // mean, between looks for named weights of a router that leaves declarations to others
 constexpr auto kDrainNotice = milliseconds(2600);   // the balancer asks once a second, and twice before it sends callers elsewhere
 
