--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from dataclasses import dataclass, field
+from urllib.parse import unquote
 
 EVENTS = 6             # of a whole stream
 STORE_SILENCE_S = 30   # how long a silent store keeps a caller waiting
@@ -35,7 +36,7 @@
             fields[name.lower()] = value
     body = await reader.readexactly(int(fields.get("content-length", 0)))
     path, _, query = target.partition("?")
-    return Request(method, path, dict(p.partition("=")[::2] for p in query.split("&") if p), fields, body)
+    return Request(method, path, {name: unquote(value) for name, _, value in (p.partition("=") for p in query.split("&") if p)}, fields, body)
 
 
 def answer(status, body=b"", **fields):
@@ -48,53 +49,84 @@
     writer.transport.abort()
 
 
+@dataclass
+class RowVersion:
+    """A row as one write left it."""
+    table: str
+    key: str
+    value: str  # base64; None: the row is gone
+    version: int
+
+    def encode(self):
+        out = {"table": self.table, "part": "", "TlsKey": self.key, "ver": self.version}
+        return out | ({"gone": True} if self.value is None else {"Value": self.value})
+
+
+@dataclass
+class SentRow:
+    """A row version that was sent to a caller."""
+    caller: str
+    key: str
+    version: int
+    size: int  # bytes of its value in the answer
+
+
 class Store:
-    """Rows of tables with one rising version. Faults: None, "busy" (503), "reset", "silent"."""
+    """Rows of tables with one rising version. Faults: None, "busy" (503), "reset", "silent".
+
+    A whole read gives the newest version of each row, a read of changes every version since. Callers are told apart by the port that they call."""
 
     def __init__(self):
         self.version = 1
-        self.tables = {"op": {}, "servers": {}}  # table -> key -> (value or None when gone, version)
+        self.written = []     # RowVersion, oldest first
         self.fault = None
-        self.server = None
+        self.refused = set()  # callers that get 503
+        self.sent = []        # SentRow of table "op"
 
-    async def listen(self, port):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+    async def listen(self, port, caller=""):
+        await asyncio.start_server(lambda reader, writer: self.serve(reader, writer, caller), "127.0.0.1", port)
 
     def put(self, table, key, value):
         self.version += 1
-        self.tables[table][key] = (value, self.version)
+        text = None if value is None else base64.b64encode(json.dumps(value).encode()).decode()
+        self.written.append(RowVersion(table, key, text, self.version))
+        return self.version
 
-    def rows(self, table, since):
-        out = []
-        for key, (value, version) in sorted(self.tables[table].items(), key=lambda item: item[1][1] if since else 0):
-            if version <= since or (value is None and not since):
-                continue
-            row = {"table": table, "part": "", "TlsKey": key, "ver": version}
-            if value is None:
-                row["gone"] = True
-            else:
-                row["Value"] = base64.b64encode(json.dumps(value).encode()).decode()
-            out.append(row)
-        return out
-
-    async def respond(self, req):
+    def changes(self, table, since):
+        return [row for row in self.written if row.table == table and row.version > since]
+
+    def whole(self, table, query):
+        first, end = query.get("From", ""), query.get("TargetVersion", "")  # a range of keys
+        newest = {row.key: row for row in self.written if row.table == table and row.key >= first and (not end or row.key < end)}
+        return [row for _, row in sorted(newest.items()) if row.value is not None]
+
+    def turns_away(self, caller):
+        return self.fault or caller in self.refused
+
+    async def respond(self, req, caller):
         table, since = req.query["table"], int(req.query.get("SinceRev", 0))
+        feed = req.path == "/rows-feed"
         end = time.monotonic() + int(req.query.get("WaitMs", 0)) / 1000
-        while req.path == "/rows-feed" and not self.rows(table, since) and time.monotonic() < end and not self.fault:
+        while feed and not self.changes(table, since) and time.monotonic() < end and not self.turns_away(caller):
             await asyncio.sleep(FEED_POLL_S)
-        body = {"Rows": self.rows(table, since), "more": False, "ver": self.version, "now_ms": int(time.monotonic() * 1000)}
+        if self.turns_away(caller):
+            return answer(503)
+        rows = self.changes(table, since) if feed else self.whole(table, req.query)
+        if table == "op":
+            self.sent += [SentRow(caller, row.key, row.version, len(row.value or "")) for row in rows]
+        body = {"Rows": [row.encode() for row in rows], "more": False, "ver": self.version, "now_ms": int(time.monotonic() * 1000)}
         return answer(200, json.dumps(body).encode())
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, caller):
         try:
             while True:
                 req = await read_request(reader)
-                out = None if self.fault else await self.respond(req)
+                out = answer(503) if self.turns_away(caller) else await self.respond(req, caller)
                 if self.fault == "silent":
                     await asyncio.sleep(STORE_SILENCE_S)
                 if self.fault == "reset":
                     return reset(writer)
-                writer.write(out if out and not self.fault else answer(503))
+                writer.write(answer(503) if self.fault else out)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the caller left, or the run is over
@@ -197,11 +229,13 @@
         await self.send(writer, b"0\r\n\r\n")
 
 
+def route(name, kind, service, **more):
+    return {"Name": name, "Host": "soak.example", "PathPrefix": f"/{name}/", "Kind": kind, "Service": service, "TimeoutMs": 4000, "GoalMs": 500,
+            "Priority": 1, "MaxAttempts": 1 if kind == "unsafe" else 2, "Public": True, **more}
+
+
 def declarations(version):
     """Even versions send /flip/ to service b, odd ones to a."""
-    def route(name, kind, service, **more):
-        return {"Name": name, "Host": "soak.example", "PathPrefix": f"/{name}/", "Kind": kind, "Service": service, "TimeoutMs": 4000, "GoalMs": 500,
-                "Priority": 1, "MaxAttempts": 1 if kind == "unsafe" else 2, "Public": True, **more}
     flip = "b" if version % 2 == 0 else "a"
     return {"Version": version, "Tenants": [], "Services": [{"Name": "a", "HealthPath": "/health"}, {"Name": "b", "HealthPath": "/health"}],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
