Test first: a router denies routes and keys while it knows that its declarations are old

Cause: Identify() answers 404 or 401 from the declarations in force, also while a newer row is known to exist (m_Heard over m_Held) or nobody has confirmed the own ones for long. Such an answer is final for the caller, and may be false. DeclarationsDoubted() is to say so; here it says never yet, which is what the code does now.

--- a/src/request/routing_world.cpp
+++ b/src/request/routing_world.cpp
@@ -63,4 +63,9 @@
     }
 }
 
+bool DeclarationsDoubted(const DeclarationsBelief&, TimePoint)
+{
+    return false;
+}
+
 } // namespace aldervale
--- a/src/request/routing_world.h
+++ b/src/request/routing_world.h
@@ -14,6 +14,8 @@
 namespace aldervale
 {
 
+constexpr auto kDoubtedAfter = milliseconds(1500); // without a confirmation; readers ask twice a second and tell the others, which takes 1 s at most
+
 // When a version of weights was named, as this process believes.
 struct Naming
 {
@@ -53,6 +55,10 @@
 // The same for what a model server's agent tells: it may reach the store when this process doesn't, and was there when this one was not.
 void NoteReported(RoutingWorld& world, const std::string& model, std::span<const NamedAge> named, Duration deadline, TimePoint now);
 
+// A route or key that isn't declared, as far as this router knows, may have been declared since: a newer row was heard of, or nobody has
+// confirmed for kDoubtedAfter that what is held is the newest. False where nobody follows the declarations (m_Held 0).
+bool DeclarationsDoubted(const DeclarationsBelief& belief, TimePoint now);
+
 // Calls fn(service, entry) for each server of each declared service, draining ones too.
 template <class FnT> void ForEachServer(const RoutingWorld& world, FnT fn)
 {
--- a/tests/test_routing_world.cpp
+++ b/tests/test_routing_world.cpp
@@ -1,4 +1,4 @@
-// What a router believes of named weights: when each version was named, from its own reads and from agents.
+// What a router believes: when each version of weights was named, from its own reads and from agents, and how sure its declarations are.
 #include "request/routing_world.h"
 #include "support.h"
 
@@ -72,3 +72,23 @@
     BOOST_TEST(world.m_Weights[kModel].size() == kept);
     BOOST_TEST(!world.m_Weights[kModel].contains(2));
 }
+
+BOOST_AUTO_TEST_CASE(declarations_are_doubted_while_a_newer_row_is_known_or_nobody_has_confirmed_them_for_long)
+{
+    const auto doubted = [](uint64_t held, uint64_t heard, Duration checked_age) {
+        return DeclarationsDoubted({held, heard, kStart - checked_age, "store"}, kStart);
+    };
+    BOOST_TEST(!doubted(7, 7, milliseconds(0)));
+    BOOST_TEST(!doubted(7, 7, milliseconds(1000))); // as old as a confirmation gets while all goes well
+    BOOST_TEST(!doubted(7, 7, milliseconds(1500)));
+    BOOST_TEST(doubted(7, 7, milliseconds(1501)));
+    BOOST_TEST(doubted(7, 8, milliseconds(0)));
+    BOOST_TEST(doubted(7, 8, seconds(60)));
+    BOOST_TEST(DeclarationsDoubted({7, 7, TimePoint{}, "store"}, kStart)); // never confirmed
+}
+
+BOOST_AUTO_TEST_CASE(declarations_that_nobody_follows_are_not_doubted)
+{
+    BOOST_TEST(!DeclarationsDoubted({}, kStart));
+    BOOST_TEST(!DeclarationsDoubted({0, 8, TimePoint{}, {}}, kStart));
+}
