A route or key that may have been declared since is answered 503, not denied

Cause: a 404 or 401 of a router that knows of a newer row, or whose declarations nobody has confirmed for 1.5 s, may be false, and is final. Now it says 503, "declarations are being fetched", with Retry-After of 0.3 s: it has not run, and the caller comes back. Where nobody follows declarations (m_Held 0) nothing changes. Ruled out: doubting at any late confirmation. While all goes well a confirmation is up to 1 s old (350 ms standing request, 300 ms pause, 250 ms news), so the limit is 1.5 s. RequestSettled says row, row_heard and checked_age_ms, as of when the request came.

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -1,4 +1,5 @@
 // The way of a request through a router: identify, admit, attempts, settle. See direct_serve.h; one attempt is in direct_attempt.cpp.
+#include "process/declarations_lag.h"
 #include "request/direct_serve_internal.h"
 
 namespace aldervale
@@ -69,9 +70,19 @@
     return m_Protocol.OwnAnswer(call.m_Caller, status, why, retry);
 }
 
+// With the store away from everybody, a wrong URL gets 503 for that time: its caller asks again for nothing, while a caller of a new route that is
+// told 404 gives up a request that would have been served.
+HttpResponse DirectServe::Impl::Deny(Call& call, unsigned status, std::string_view why) const
+{
+    if (DeclarationsDoubted(call.m_Belief, call.m_StartedAt))
+        return Refuse(call, 503, "declarations are being fetched", kNotReadyRetry);
+    return Refuse(call, status, why, {});
+}
+
 std::optional<HttpResponse> DirectServe::Impl::Identify(Call& call)
 {
-    auto decoded = m_Protocol.DecodeRequest(call.m_Request);
+    call.m_Belief = m_World.m_Belief;
+    auto decoded  = m_Protocol.DecodeRequest(call.m_Request);
     if (!decoded)
         return Refuse(call, 400, decoded.error().m_Message, {});
     call.m_Caller    = std::move(decoded.value());
@@ -81,12 +92,12 @@
         return Refuse(call, 503, "declarations not known yet", kNotReadyRetry);
     call.m_Route = call.m_Routes->FindRoute(call.m_Caller.m_Host, call.m_Request.Path());
     if (call.m_Route == nullptr)
-        return Refuse(call, 404, "no route", {});
+        return Deny(call, 404, "no route");
     if (call.m_Routes->NeedsKey(*call.m_Route))
     {
         call.m_Account = call.m_Routes->FindAccount(call.m_Caller.m_Key);
         if (call.m_Account == nullptr)
-            return Refuse(call, 401, "unknown key", {});
+            return Deny(call, 401, "unknown key");
     }
     call.m_Service = call.m_Routes->FindService(PickTarget(*call.m_Route, call.m_Caller.m_Id).m_Service);
     if (call.m_Service == nullptr)
@@ -226,6 +237,9 @@
                                     {"account", call.m_Account != nullptr ? call.m_Account->m_Name : std::string()},
                                     {"declared", call.m_Routes ? call.m_Routes->Version() : 0},
                                     {"declared_age_ms", call.m_Routes ? ms(now - world.m_RoutesAt) : -1},
+                                    {"row", call.m_Belief.m_Held},
+                                    {"row_heard", call.m_Belief.m_Heard},
+                                    {"checked_age_ms", AgeOrNever(call.m_Belief.m_CheckedAt, call.m_StartedAt)},
                                     {"status", call.m_Status},
                                     {"verdict", verdict},
                                     {"why", call.m_Why},
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -34,6 +34,7 @@
     CallerRequest               m_Caller;             //
     TimePoint                   m_StartedAt;          //
     TimePoint                   m_Deadline;           // the caller's or the route's, whichever is first
+    DeclarationsBelief          m_Belief;             // when it came
     RouteTablePtr               m_Routes;             // keeps m_Route, m_Account and m_Service alive
     const Route*                m_Route   = nullptr;  //
     const ClientAccount*        m_Account = nullptr;  // null: the route is public, or nobody needs a key
@@ -73,8 +74,9 @@
     Impl(Daemon& daemon, const DirectServeSettings& s, RoutingWorld& world, const RequestProtocol& protocol);
 
     HttpResponse                 Refuse(Call& call, unsigned status, std::string_view why, Duration retry) const; // retry: zero: says none
-    std::optional<HttpResponse>  Identify(Call& call);             // an answer when the request can't go on
-    const ServerEntry*           Admit(Call& call, TimePoint now); // null: refused
+    HttpResponse                 Deny(Call& call, unsigned status, std::string_view why) const; // or 503, while declarations are doubted
+    std::optional<HttpResponse>  Identify(Call& call);                                          // an answer when the request can't go on
+    const ServerEntry*           Admit(Call& call, TimePoint now);                              // null: refused
     std::vector<WeightsDeadline> WeightsDeadlines(const Call& call) const;
     uint64_t                     ExpectedWeights(const Call& call, TimePoint now) const; // that the server must hold; 0: any
     RetryBudget&                 Budget(const std::string& service);
--- a/src/request/routing_world.cpp
+++ b/src/request/routing_world.cpp
@@ -63,9 +63,11 @@
     }
 }
 
-bool DeclarationsDoubted(const DeclarationsBelief&, TimePoint)
+bool DeclarationsDoubted(const DeclarationsBelief& belief, TimePoint now)
 {
-    return false;
+    if (belief.m_Held == 0)
+        return false;
+    return belief.m_Heard > belief.m_Held || now - belief.m_CheckedAt > kDoubtedAfter;
 }
 
 } // namespace aldervale
