--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -61,3 +61,13 @@
     BOOST_CHECK_LE(h.Quantile(0.5), 0.5 * 1.16); // 16 bins a decade
     BOOST_CHECK(h.Prometheus("x", "").find("x_count 1000") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(a_gauge_tells_versions_whole_and_ages_as_fractions)
+{
+    MetricsRegistry registry;
+    registry.GetGauge("row").Set(123'456'789'012.0);
+    registry.GetGauge("age", "of=\"x\"").Set(0.25);
+    const std::string page = registry.Prometheus();
+    BOOST_CHECK(page.find("row 123456789012\n") != std::string::npos);
+    BOOST_CHECK(page.find("age{of=\"x\"} 0.25\n") != std::string::npos);
+}
