A router that isn't behind looks for something to fetch once a second, not twenty times

OnNews() ends the pause when it hears of something newer, so the look is only for what that might miss. While behind it stays at 50 ms, for a router that isn't avoided any more.

--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -12,7 +12,8 @@
 {
 
 constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
-constexpr auto     kFetchLook    = milliseconds(50);   // for something to fetch, besides at news
+constexpr auto     kFetchLook    = milliseconds(50);   // while behind, for a router that isn't avoided any more
+constexpr auto     kFetchIdle    = seconds(1);         // while not behind: OnNews() ends it
 constexpr auto     kConnectMax   = milliseconds(300);  // to a router; a region's links take some 3 ms
 constexpr unsigned kDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
 constexpr auto     kServeMax     = seconds(10);        // of a connection that was taken: askers close theirs after one answer
@@ -179,7 +180,7 @@
         const std::optional<Endpoint> from = m_Spread.FetchFrom(Now());
         if (!from)
         {
-            m_Wake.expires_after(kFetchLook);
+            m_Wake.expires_after(m_Spread.Heard() > m_Spread.Held() ? Duration(kFetchLook) : Duration(kFetchIdle));
             co_await m_Wake.async_wait(kNoThrow);
             continue;
         }
