--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -16,7 +16,7 @@
 
 constexpr auto kLookEvery   = milliseconds(100);    // for servers kept over an outage of the store, and for declarations that are late
 constexpr auto kLeadWait    = milliseconds(350);    // of a standing request for declarations: with kLeadQuiet less than what counts as fresh
-constexpr auto kLeadQuiet   = milliseconds(300);    // pause after one that brought nothing; changes of other tables end it early
+constexpr auto kLeadQuiet   = milliseconds(600);    // pause after one that brought nothing; changes of other tables end it early
 constexpr auto kRestPause   = milliseconds(10'000); // mean, between looks for named weights of a router that leaves declarations to others
 constexpr auto kDrainNotice = milliseconds(2600);   // the balancer asks once a second, and twice before it sends callers elsewhere
 
