--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -128,11 +128,8 @@
 // News
 //-----------------------------------------------------------------------------
 
-void DeclarationsPeers::Tell()
+wire::DeclarationsNewsT DeclarationsPeers::News(TimePoint now) const
 {
-    const TimePoint now = Now();
-    if (!m_Spread.Tells(now))
-        return;
     const SpreadNews        own = m_Spread.News(now);
     wire::DeclarationsNewsT news;
     news.name           = m_Self.m_Name;
@@ -141,6 +138,15 @@
     news.checked_age_ms = AgeMs(now, now - own.m_CheckedAge);
     news.flow_age_ms    = AgeMs(now, now - own.m_FlowAge);
     news.reads          = own.m_Reads;
+    return news;
+}
+
+void DeclarationsPeers::Tell()
+{
+    const TimePoint now = Now();
+    if (!m_Spread.Tells(now))
+        return;
+    const wire::DeclarationsNewsT news = News(now);
     for (const Endpoint& to : m_Spread.Audience(now))
         m_Datagrams.Tell(to, news);
 }
@@ -157,13 +163,17 @@
 void DeclarationsPeers::OnNews(const wire::DeclarationsNews& news, const Endpoint& from)
 {
     SpreadNews told;
-    told.m_From       = from;
-    told.m_Version    = news.version();
-    told.m_CheckedAge = milliseconds(news.checked_age_ms());
-    told.m_FlowAge    = milliseconds(news.flow_age_ms());
-    told.m_Reads      = news.reads();
-    m_Spread.OnNews(told, Now());
+    told.m_From         = from;
+    told.m_Near         = news.region() != nullptr && news.region()->string_view() == m_Self.m_Region;
+    told.m_Version      = news.version();
+    told.m_CheckedAge   = milliseconds(news.checked_age_ms());
+    told.m_FlowAge      = milliseconds(news.flow_age_ms());
+    told.m_Reads        = news.reads();
+    const TimePoint now = Now();
+    m_Spread.OnNews(told, now);
     OnBelief();
+    if (told.m_Version == 0 && m_Spread.Held() > 0) // it has just started
+        m_Datagrams.Tell(from, News(now));
     if (m_Spread.Heard() > m_Spread.Held())
         m_Wake.cancel();
 }
@@ -184,20 +194,25 @@
             co_await m_Wake.async_wait(kNoThrow);
             continue;
         }
-        const bool newer = co_await Fetch(*from);
+        const TimePoint asked = Now();
+        const uint64_t  held  = m_Spread.Held();
+        co_await Fetch(*from);
+        const bool newer = m_Spread.Held() > held; // by this fetch, or from the store meanwhile
         m_FetchFailures  = newer ? 0 : std::min(m_FetchFailures + 1, kDoublingsMax);
         if (newer)
             continue;
+        const TimePoint now = Now();
         failed.Add(1);
-        m_Spread.OnFetchFailed(*from, Now());
+        LogEvent(Event_DeclarationsNotFetched, {{"from", from->ToString()}, {"held", held}, {"heard", m_Spread.Heard()}, {"ms", ToMs(now - asked)}});
+        m_Spread.OnFetchFailed(*from, now);
     }
 }
 
-awaitable<bool> DeclarationsPeers::Fetch(Endpoint from)
+awaitable<void> DeclarationsPeers::Fetch(Endpoint from)
 {
     auto socket = co_await ConnectTcp(from, kConnectMax);
     if (!socket)
-        co_return false;
+        co_return;
     const auto link = std::make_shared<Link>(std::move(socket.value()), LinkSide_Dialled, LinkConfig{}, LinkHandlers{});
     link->Start();
     const MailboxPtr       answer = link->OpenExchange(m_Ioc.get_executor());
@@ -211,14 +226,14 @@
     co_return data != nullptr&&   TakeData(*data, from);
 }
 
-bool DeclarationsPeers::TakeData(const wire::DeclarationsData& data, const Endpoint& from)
+void DeclarationsPeers::TakeData(const wire::DeclarationsData& data, const Endpoint& from)
 {
     static Counter& fetched = Metrics().GetCounter("aldervale_declarations_fetched_bytes_total");
     if (data.version() <= m_Rows.Version() || data.bytes() == nullptr)
-        return false;
+        return;
     const Text* base = data.base() == 0 ? nullptr : FindText(data.base());
     if (data.base() != 0 && base == nullptr)
-        return false;
+        return;
     const std::string_view bytes(reinterpret_cast<const char*>(data.bytes()->data()), data.bytes()->size());
     const auto             text  = ExpandText(bytes, base == nullptr ? std::string_view() : std::string_view(base->m_Text), data.length());
     auto                   copy  = text ? OperatorRows::Decode(text.value()) : Result<OperatorRows>(text.error());
@@ -226,7 +241,7 @@
     if (!taken)
     {
         LogEvent(Event_DeclarationsSpoilt, {{"from", from.ToString()}, {"version", data.version()}, {"base", data.base()}, {"bytes", bytes.size()}});
-        return false;
+        return;
     }
     m_Fetches++;
     m_FetchedBytes += bytes.size();
@@ -235,7 +250,6 @@
     m_Spread.OnFetched(data.version(), now - milliseconds(data.checked_age_ms()));
     OnBelief();
     Hold(now - milliseconds(data.learned_age_ms()), from.ToString());
-    return true;
 }
 
 //-----------------------------------------------------------------------------
--- a/src/process/declarations_peers.h
+++ b/src/process/declarations_peers.h
@@ -70,19 +70,20 @@
         std::string m_Text;
     };
 
-    void            LogReading(TimePoint now) const;
-    void            OnBelief() const;
-    void            OnNews(const wire::DeclarationsNews& news, const Endpoint& from);
-    void            Hold(TimePoint learned, std::string from); // m_Rows holds a newer version than before
-    void            Tell();
-    awaitable<void> TellLoop();
-    awaitable<void> AcceptLoop();
-    awaitable<void> FetchLoop();
-    awaitable<bool> Fetch(Endpoint from); // false: nothing newer came
-    bool            TakeData(const wire::DeclarationsData& data, const Endpoint& from);
-    void            Serve(const LinkPtr& link, const FrameBuf& frame);
-    FrameBytes      DataFor(uint64_t exchange, uint64_t base);
-    const Text*     FindText(uint64_t version) const; // null: forgotten
+    void                    LogReading(TimePoint now) const;
+    void                    OnBelief() const;
+    void                    OnNews(const wire::DeclarationsNews& news, const Endpoint& from);
+    void                    Hold(TimePoint learned, std::string from); // m_Rows holds a newer version than before
+    wire::DeclarationsNewsT News(TimePoint now) const;                 // of this router
+    void                    Tell();
+    awaitable<void>         TellLoop();
+    awaitable<void>         AcceptLoop();
+    awaitable<void>         FetchLoop();
+    awaitable<void>         Fetch(Endpoint from);
+    void                    TakeData(const wire::DeclarationsData& data, const Endpoint& from);
+    void                    Serve(const LinkPtr& link, const FrameBuf& frame);
+    FrameBytes              DataFor(uint64_t exchange, uint64_t base);
+    const Text*             FindText(uint64_t version) const; // null: forgotten
 
     asio::io_context&               m_Ioc;                   //
     RouterName                      m_Self;                  //
--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -47,10 +47,15 @@
 
 void DeclarationsSpread::OnNews(const SpreadNews& news, TimePoint now)
 {
-    const auto it = m_Peers.find(news.m_From);
-    if (it == m_Peers.end())
-        return; // not listed yet; it tells again soon
-    Peer& p     = it->second;
+    const auto [it, unlisted] = m_Peers.try_emplace(news.m_From);
+    Peer& p                   = it->second;
+    if (unlisted)
+    {
+        p.m_Near     = news.m_Near;
+        p.m_Rank     = RouterRank(news.m_From.m_Address);
+        p.m_ListedAt = now;
+        SetRank();
+    }
     p.m_HeardAt = now;
     p.m_News    = news;
     if (p.m_Near)
@@ -170,9 +175,10 @@
 // Who tells, who asks
 //-----------------------------------------------------------------------------
 
+// One that holds nothing makes itself known: others would hear of it by the next list only, and it of their version 2 s after its start.
 bool DeclarationsSpread::Tells(TimePoint now) const
 {
-    return Lead() || now - m_OwnFlowAt < kFresh;
+    return Lead() || m_Held == 0 || now - m_OwnFlowAt < kFresh;
 }
 
 SpreadNews DeclarationsSpread::News(TimePoint now) const
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -44,6 +44,7 @@
     Endpoint m_From;          //
     uint64_t m_Version = 0;   // store version of the newest row that it holds
     Duration m_CheckedAge{};  // since the store confirmed that to anyone
+    bool     m_Near = false;  // it is in the own region
     Duration m_FlowAge{};     // since bytes of the table came from the store to that router
     bool     m_Reads = false; // it follows the store, and was answered just now
 };
@@ -55,11 +56,11 @@
 
     // What happened
     void SetPeers(std::span<const RouterPeer> listed, TimePoint now); // by an agent; those that are not in it are kept for kPeerKept
-    void OnNews(const SpreadNews& news, TimePoint now);
-    void OnStoreBytes(TimePoint now);                    // some of an answer of the store came
-    void OnStoreAnswer(uint64_t version, TimePoint now); // the newest row is `version`; it is held now
-    void OnStoreBack(TimePoint now);                     // it answered after a failure; what it holds isn't known yet
-    void OnFetched(uint64_t version, TimePoint checked); // another router gave it; it is held now
+    void OnNews(const SpreadNews& news, TimePoint now);               // also from one that isn't listed yet
+    void OnStoreBytes(TimePoint now);                                 // some of an answer of the store came
+    void OnStoreAnswer(uint64_t version, TimePoint now);              // the newest row is `version`; it is held now
+    void OnStoreBack(TimePoint now);                                  // it answered after a failure; what it holds isn't known yet
+    void OnFetched(uint64_t version, TimePoint checked);              // another router gave it; it is held now
     void OnFetchFailed(const Endpoint& from, TimePoint now);
 
     // What to do
