--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -223,7 +223,8 @@
     const std::optional<FrameBuf> frame = co_await answer->Pop(until);
     link->Close();
     const wire::DeclarationsData* data = frame ? frame->Get()->body_as_DeclarationsData() : nullptr;
-    co_return data != nullptr&&   TakeData(*data, from);
+    if (data != nullptr)
+        TakeData(*data, from);
 }
 
 void DeclarationsPeers::TakeData(const wire::DeclarationsData& data, const Endpoint& from)
