--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -98,6 +98,8 @@
     OnBelief();
     if (newer)
         Hold(Now(), std::string(kFromStore));
+    else
+        Tell(); // others count how long ago the store confirmed: by the next round of news it would be a quarter of a second more
 }
 
 void DeclarationsPeers::OnStoreBack()
