--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -229,6 +229,30 @@
         await self.send(writer, b"0\r\n\r\n")
 
 
+class ModelServer:
+    """What an agent asks of the model server on its box: it serves version 1 and is idle."""
+
+    SERVICE = {"Name": "model", "Engine": {"Models": [{"Name": "m", "WarmS": 1}], "Slots": 8, "chunks": 1, "chunk_bytes": 1024}}
+    REPORT = {"Running": 0, "Queued": 0, "pace": 1, "CallSeq": 0, "Models": [{"Name": "m", "Version": 1}]}
+
+    @staticmethod
+    async def serve(reader, writer):
+        try:
+            while True:
+                req = await read_request(reader)
+                body = json.dumps(ModelServer.REPORT if req.path == "/report" else {"held": []}).encode()
+                writer.write(answer(200, body))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # the agent left, or the test is over
+        finally:
+            writer.close()
+
+    @staticmethod
+    def row(address):
+        return {"Service": "model", "Address": address, "Zone": "dc-1", "Slots": 8, "State": "ready", "Models": [{"Name": "m", "Version": 1}]}
+
+
 def route(name, kind, service, **more):
     return {"Name": name, "Host": "soak.example", "PathPrefix": f"/{name}/", "Kind": kind, "Service": service, "TimeoutMs": 4000, "GoalMs": 500,
             "Priority": 1, "MaxAttempts": 1 if kind == "unsafe" else 2, "Public": True, **more}
@@ -237,7 +261,7 @@
 def declarations(version):
     """Even versions send /flip/ to service b, odd ones to a."""
     flip = "b" if version % 2 == 0 else "a"
-    return {"Version": version, "Tenants": [], "Services": [{"Name": "a", "HealthPath": "/health"}, {"Name": "b", "HealthPath": "/health"}],
+    return {"Version": version, "Tenants": [], "Services": [{"Name": "a", "HealthPath": "/health"}, {"Name": "b", "HealthPath": "/health"}, ModelServer.SERVICE],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
             "Routes": [route("once", "unsafe", "a"), route("safe", "safe", "a"), route("flip", "safe", flip),
                        route("stream", "streaming", "a", Resumable=True, gap_aim_ms=400)]}
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -28,7 +28,8 @@
 import platform_standin as standin
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-PROGRAM = os.path.join(ROOT, "build", "release", "bin", "aldervale-platform-router")
+PROGRAMS = os.path.join(ROOT, "build", "release", "bin")
+AGENTS = 2             # by which routers hear of each other; they are left alone
 DRAIN_S = 2.0          # the platform's bound for draining servers
 CONFIG_S = 2.0         # and for declarations
 TOUCH_S = 3.0          # no bound holds until this long after a disturbance
@@ -44,8 +45,8 @@
     name: str
     port: int
     ready: int
-    internal: int
     ops: int
+    ip: str                 # of links and datagrams between routers
     process: subprocess.Popen = None
     life: int = 0
     disturbed: float = 0.0  # when the last disturbance ended
@@ -81,6 +82,7 @@
     store: standin.Store = field(default_factory=standin.Store)
     record: standin.Record = field(default_factory=standin.Record)
     routers: list = field(default_factory=list)
+    agents: list = field(default_factory=list)    # processes
     servers: dict = field(default_factory=dict)   # id -> Backend that lives
     drained: dict = field(default_factory=dict)   # id -> when it was named as draining
     configs: list = field(default_factory=list)   # (when, version)
@@ -95,17 +97,29 @@
         self.broken.append((rule, text))
 
     # ------------------------------------------------------------------ processes
-    def launch(self, r):
-        path = os.path.join(self.folder, r.name + ".toml")
+    def start_program(self, name, program, own_settings, ip):
+        path = os.path.join(self.folder, name + ".toml")
         with open(path, "w") as f:
-            f.write(f'name = "{r.name}"\ndata_centre = "dc-1"\nhttp_listen = "127.0.0.1:{r.port}"\nready_listen = "127.0.0.1:{r.ready}"\n'
-                    f'ops_listen = "127.0.0.1:{r.ops}"\nstore = "127.0.0.1:{self.store_port}"\ngrace_s = {GRACE_S}\nthreads = 1\n'
-                    f'[internal]\nip = "127.0.0.1"\nport = {r.internal}\n[retry]\nratio = 0.2\nextra = 100\n[weights]\ndeadline_ms = 8000\n')
-        with open(os.path.join(self.folder, r.name + ".log"), "ab") as log:
-            r.process = subprocess.Popen([PROGRAM, "--settings", path], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            f.write(f'name = "{name}"\ndata_centre = "dc-1"\nstore = "127.0.0.1:{self.store_port}"\nthreads = 1\n{own_settings}'
+                    f'[internal]\nip = "{ip}"\nport = {self.internal}\n[weights]\ndeadline_ms = 8000\n')
+        with open(os.path.join(self.folder, name + ".log"), "ab") as log:
+            command = [os.path.join(PROGRAMS, program), "--settings", path]
+            return subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    def launch(self, r):
+        own = (f'http_listen = "127.0.0.1:{r.port}"\nready_listen = "127.0.0.1:{r.ready}"\nops_listen = "127.0.0.1:{r.ops}"\n'
+               f'grace_s = {GRACE_S}\nretry.ratio = 0.2\nretry.extra = 100\n')
+        r.process = self.start_program(r.name, "aldervale-platform-router", own, r.ip)
         r.life += 1
         r.ending = False
 
+    async def launch_agent(self, number):
+        ip = f"127.0.2.{number}"
+        await asyncio.start_server(standin.ModelServer.serve, ip, self.model_port)
+        self.store.put("servers", f"model-{number}", standin.ModelServer.row(f"{ip}:{self.model_port}"))
+        own = f'server = "{ip}:{self.model_port}"\nservice = "model"\n'
+        self.agents.append(self.start_program(f"agent-{number}", "aldervale-platform-agent", own, ip))
+
     async def end(self, r, sig):
         r.ending = True
         r.process.send_signal(sig)
@@ -356,13 +370,15 @@
     # ------------------------------------------------------------------ the run
     async def run(self):
         a = self.args
-        self.store_port, *ports = standin.free_ports(1 + 4 * a.routers, self.rng)
+        self.store_port, self.internal, self.model_port, *ports = standin.free_ports(3 + 3 * a.routers, self.rng)
         await self.store.listen(self.store_port)
         self.change_config()
         for k in range(a.servers):
             await self.add_server("a" if k % 2 else "b")
+        for number in range(1, AGENTS + 1):
+            await self.launch_agent(number)
         for i in range(a.routers):
-            self.routers.append(Router(f"router-{i}", *ports[4 * i:4 * i + 4]))
+            self.routers.append(Router(f"router-{i}", *ports[3 * i:3 * i + 3], f"127.0.1.{i + 1}"))
             self.launch(self.routers[-1])
         await self.settle()
         tasks = [asyncio.create_task(self.client(n)) for n in range(a.clients)]
@@ -379,6 +395,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.settle()
         watch.cancel()
+        for process in self.agents:
+            process.kill()
+        await asyncio.sleep(0.1)  # their connections end before the loop does
         for s in self.sent:
             self.check_answer(s)
         self.check_reverts()
@@ -386,10 +405,10 @@
             self.check_bounds()
 
     def stop(self):
-        for r in self.routers:
-            if r.process and r.process.poll() is None:
-                r.process.kill()
-                r.process.wait()
+        for process in [r.process for r in self.routers if r.process] + self.agents:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
 
 
 def main():
--- a/tests/test_declarations_spread.py
+++ b/tests/test_declarations_spread.py
@@ -58,36 +58,12 @@
 
 def declarations(version):
     """Version N has the routes /added-1/ to /added-N/ besides the many that all have."""
-    engine = {"Models": [{"Name": "m", "WarmS": 1}], "Slots": 8, "chunks": 1, "chunk_bytes": 1024}
     names = [f"catalogue-of-the-north-{n:04}" for n in range(ROUTES)] + [f"added-{n}" for n in range(1, version + 1)]
-    return {"Version": version, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}, {"Name": "model", "Engine": engine}],
+    return {"Version": version, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}, standin.ModelServer.SERVICE],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
             "Routes": [standin.route(name, "safe", "web") for name in names]}
 
 
-class ModelServer:
-    """What an agent asks of the model server on its box: it serves version 1 and is idle."""
-
-    REPORT = {"Running": 0, "Queued": 0, "pace": 1, "CallSeq": 0, "Models": [{"Name": "m", "Version": 1}]}
-
-    @staticmethod
-    async def serve(reader, writer):
-        try:
-            while True:
-                req = await standin.read_request(reader)
-                body = json.dumps(ModelServer.REPORT if req.path == "/report" else {"held": []}).encode()
-                writer.write(standin.answer(200, body))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass  # the agent left, or the test is over
-        finally:
-            writer.close()
-
-    @staticmethod
-    def row(address):
-        return {"Service": "model", "Address": address, "Zone": "dc-1", "Slots": 8, "State": "ready", "Models": [{"Name": "m", "Version": 1}]}
-
-
 class Fleet:
     """One data centre. Each process calls the store at a port of its own, by which the store tells them apart."""
 
@@ -108,8 +84,8 @@
         self.declare()
         for n in range(1, AGENTS + 1):
             ip = f"127.0.2.{n}"
-            await asyncio.start_server(ModelServer.serve, ip, model)
-            self.store.put("servers", f"model-{n}", ModelServer.row(f"{ip}:{model}"))
+            await asyncio.start_server(standin.ModelServer.serve, ip, model)
+            self.store.put("servers", f"model-{n}", standin.ModelServer.row(f"{ip}:{model}"))
             own = f'server = "{ip}:{model}"\nservice = "model"\n'
             self.agents.append(await self.launch("agent", n, ip, own))
         for n in range(1, ROUTERS + 1):
