--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -125,15 +125,14 @@
     return p.m_News.m_Reads && now - p.m_HeardAt + p.m_News.m_CheckedAge < kFresh;
 }
 
-size_t DeclarationsSpread::ActiveBefore(TimePoint now) const
+size_t DeclarationsSpread::ReadersBefore(TimePoint now) const
 {
-    const auto active = [&](const auto& item)
+    const auto reads = [&](const auto& item)
     {
-        const Peer& p     = item.second;
-        const bool  flows = p.m_HeardAt != TimePoint{} && now - p.m_HeardAt + p.m_News.m_FlowAge < kFresh;
-        return p.m_Near && p.m_Rank < m_SelfRank && (flows || ReadsFresh(p, now));
+        const Peer& p = item.second;
+        return p.m_Near && p.m_Rank < m_SelfRank && p.m_News.m_Version >= m_Held && ReadsFresh(p, now);
     };
-    return static_cast<size_t>(std::count_if(m_Peers.begin(), m_Peers.end(), active));
+    return static_cast<size_t>(std::count_if(m_Peers.begin(), m_Peers.end(), reads));
 }
 
 bool DeclarationsSpread::ServedFromFar(TimePoint now) const
@@ -165,7 +164,7 @@
     else if (Lead())
         return true;
     else if (m_TookOver && m_PeersKnown)
-        m_TookOver = ActiveBefore(now) < kLeads;
+        m_TookOver = m_Heard > m_Held || ReadersBefore(now) < kLeads; // those confirm what is held here, so it isn't overdue again at once
     else
         m_TookOver = m_TookOver || Overdue(now);
     return m_TookOver;
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -92,7 +92,7 @@
 
     bool   Checked(TimePoint now) const { return now - m_CheckedAt < kFresh; }
     bool   ReadsFresh(const Peer& p, TimePoint now) const; // it follows the store, and said just now that it was answered just now
-    size_t ActiveBefore(TimePoint now) const;              // routers of the region with better ranks whom the store answers
+    size_t ReadersBefore(TimePoint now) const;             // routers of the region with better ranks that confirm what is held here, or more
     bool   ServedFromFar(TimePoint now) const;             // another region tells of new versions before the own reads end
     bool   Overdue(TimePoint now) const;                   // nobody has confirmed or sent anything for as long as the own rank waits
     void   NoteFlow(TimePoint at);
--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -44,10 +44,11 @@
 {
     const bool      calm  = !Urgent();
     const TimePoint until = Now() + pause;
-    for (TimePoint now = Now(); now < until && !(calm && Urgent()); now = Now())
+    for (Duration left = pause; left > Duration::zero(); left = until - Now())
     {
-        const Duration left = until - now;
         co_await SleepFor(calm ? std::min<Duration>(left, kRestLook) : left);
+        if (calm && Urgent())
+            co_return;
     }
 }
 
