Operators' rows: a read of two moments hides no change, and text cut between two rows is refused

Cause 1: the store answers a long table in pages (1 MB at most), each as of its own moment, and the whole read counts as of its first page. The version held was that of the newest row of any page: config of 10 with weights of 12 counted as 12, and the changes since 10, which hold config of 11, were refused as not newer. So a declaration could be lost until the next one, and two holders of one version held different rows. Now the version is never beyond the store version of the read.

Cause 2: a text of rows told no number of rows, so one that ended between two rows passed for the whole table of its version. Now it does, keys must rise, and nothing may follow.

Tests: both fail on the code before (cut_text_is_refused, a_read_of_two_moments_does_not_hide_a_change_between_them).

Known and left: where a row is dropped, a whole read can't tell the version of that, so a holder fed by whole reads and one fed by changes can hold different rows at one version, until the next change.

--- a/src/process/operator_rows.cpp
+++ b/src/process/operator_rows.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-// Text of rows: the version, then for each row by key its version and the lengths of key and value (64 bits, little-endian), key, value.
+// Text of rows: the version and the number of rows, then for each row by key its version and the lengths of key and value (64 bits,
+// little-endian), key, value. The number tells a whole text from one that was cut between two rows.
 void PutNumber(std::string& out, uint64_t n)
 {
     for (int shift = 0; shift < 64; shift += 8)
@@ -51,9 +52,11 @@
 
 } // namespace
 
+// A long table is read in pages, each as of its own moment. What changed after the first one is told by the changes since then, which must
+// count as newer, though some of their rows may have come already.
 bool OperatorRows::TakeAll(const RowRead& read)
 {
-    const uint64_t newest = NewestOf(read);
+    const uint64_t newest = std::min(NewestOf(read), read.m_StoreVersion);
     if (newest <= m_Version)
         return false;
     m_Rows.clear();
@@ -103,6 +106,7 @@
 {
     std::string out;
     PutNumber(out, m_Version);
+    PutNumber(out, m_Rows.size());
     for (const auto& [key, row] : m_Rows)
     {
         PutNumber(out, row.m_Version);
@@ -117,19 +121,25 @@
 {
     OperatorRows out;
     TextReader   r{text};
-    out.m_Version = r.Number();
-    while (!r.m_Left.empty() && !r.m_Bad)
+    out.m_Version       = r.Number();
+    const uint64_t rows = r.Number();
+    for (uint64_t i = 0; i < rows && !r.m_Bad; i++)
     {
         Row row;
-        row.m_Version         = r.Number();
-        const uint64_t key    = r.Number();
-        const uint64_t value  = r.Number();
-        row.m_Key             = r.Bytes(key);
-        row.m_Value           = r.Bytes(value);
-        out.m_Rows[row.m_Key] = row;
+        row.m_Version        = r.Number();
+        const uint64_t key   = r.Number();
+        const uint64_t value = r.Number();
+        row.m_Key            = r.Bytes(key);
+        row.m_Value          = r.Bytes(value);
+        const bool rises     = out.m_Rows.empty() || out.m_Rows.rbegin()->first < row.m_Key;
+        if (!r.m_Bad && !rises)
+            return MakeError(ErrorCode_Invalid, "keys of rows don't rise");
+        out.m_Rows[row.m_Key] = std::move(row);
     }
     if (r.m_Bad)
         return MakeError(ErrorCode_Invalid, "rows end too soon");
+    if (!r.m_Left.empty())
+        return MakeError(ErrorCode_Invalid, "more than the told rows");
     return out;
 }
 
