Who takes over reading reads the newest row, not all that were missed

Cause: a router that takes over has heard nothing for 1.2 s and more, and went on by the changes since what it held, as it was confirmed less than 2 s ago.

Now only what was confirmed within 1 s is gone on from; who takes over reads the whole table, whose row is the newest alone.

--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -14,7 +14,7 @@
 constexpr auto     kConnectMax   = milliseconds(300);  // to a router; a region's links take some 3 ms
 constexpr unsigned kDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
 constexpr auto     kServeMax     = seconds(10);        // of a connection that was taken: askers close theirs after one answer
-constexpr auto     kGoOnMax      = milliseconds(2000); // since versions were confirmed, for reading to go on after them: few are missed in that time
+constexpr auto     kGoOnMax      = milliseconds(1000); // since versions were confirmed, for reading to go on after them: few are missed in that time
 constexpr size_t   kLinkQueueMax = 32 * 1024 * 1024;   // bytes queued to an asker that doesn't read
 
 uint32_t AgeMs(TimePoint now, TimePoint at)
