Others give a resting lead the time to wake before they read

Cause: where no region is near the store, two regions' leads rest while a third one's read. When that takes longer than kFresh (two rows of 1.13 MB over 3 MB/s: 0.8 s and a pause), the leads wake 1.2 s after the last confirmation, and rank 2 took over 0.12 s later: before bytes to the leads came and were told.

How long an answer took no longer counts its decoding.

--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -79,9 +79,9 @@
 
 void DeclarationsSpread::OnStoreAnswer(uint64_t version, TimePoint now, size_t bytes)
 {
-    OnStoreBytes(now);
     if (bytes >= kLongAnswer)
-        m_ReadsSlow = now - m_AnswerSince > kQuickAnswer;
+        m_ReadsSlow = m_OwnFlowAt - m_AnswerSince > kQuickAnswer; // without the time that decoding takes
+    OnStoreBytes(now);
     m_AnsweredAt = now;
     if (version > m_Heard)
         m_FarFirst = false;
@@ -142,6 +142,17 @@
     return m_FarFirst && m_ReadsSlow && Checked(now) && std::any_of(m_Peers.begin(), m_Peers.end(), reads);
 }
 
+// It lives, and will read when nothing more comes from afar; its first bytes are to be heard of before others read, too.
+bool DeclarationsSpread::LeadRests(TimePoint now) const
+{
+    const auto rests = [&](const auto& item)
+    {
+        const Peer& p = item.second;
+        return p.m_Near && p.m_Rank < m_SelfRank && now - p.m_HeardAt < kFresh && !p.m_News.m_Reads;
+    };
+    return std::any_of(m_Peers.begin(), m_Peers.end(), rests);
+}
+
 bool DeclarationsSpread::Overdue(TimePoint now) const
 {
     if (!m_PeersKnown)
@@ -153,7 +164,8 @@
     TimePoint since = std::max(m_CheckedAt, m_StartedAt);
     if (flowing)
         since = std::max(since, m_FlowSince);
-    return now - since > kFresh + stagger;
+    const Duration wake = !flowing && LeadRests(now) ? Duration(kWake) : Duration::zero();
+    return now - since > kFresh + stagger + wake;
 }
 
 bool DeclarationsSpread::Reads(TimePoint now)
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -32,6 +32,7 @@
 constexpr auto   kFresh         = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
 constexpr auto   kNewsEvery     = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
 constexpr auto   kStagger       = milliseconds(120);  // between two ranks that take over: a short row comes in less
+constexpr auto   kWake          = milliseconds(400);  // of a lead that rested: to its first bytes, and to news of them
 constexpr auto   kFlowStagger   = milliseconds(400);  // the same while bytes come; doubles with each rank
 constexpr auto   kFirstWait     = milliseconds(600);  // of a router that starts and holds nothing: in that time it hears of others
 constexpr auto   kFirstNear     = milliseconds(3000); // in which it leaves fetching the whole from other regions to its leads
@@ -97,6 +98,7 @@
     bool   ServedFromFar(TimePoint now) const;             // another region tells of new versions before the own reads end
     bool   Overdue(TimePoint now) const;                   // nobody has confirmed or sent anything for as long as the own rank waits
     bool   LeavesFar(TimePoint now) const;                 // fetching from other regions is for leads
+    bool   LeadRests(TimePoint now) const;                 // a router of the region with a better rank lives and doesn't read
     void   NoteFlow(TimePoint at);
     void   SetRank();
 
--- a/tests/test_declarations_spread.cpp
+++ b/tests/test_declarations_spread.cpp
@@ -297,7 +297,7 @@
     s.OnFetched(7, now);
     BOOST_TEST(s.Reads(now));
     s.OnStoreBytes(now + seconds(1));
-    s.OnStoreBytes(now + seconds(1) + kQuickAnswer);
+    s.OnStoreBytes(now + seconds(1) + kQuickAnswer + milliseconds(1));
     s.OnStoreAnswer(7, now + seconds(1) + kQuickAnswer + milliseconds(1), kLongAnswer); // not quick this time
     s.OnNews(Told(r.m_Far[0], 8, {}), now + seconds(2));
     s.OnFetched(8, now + seconds(2));
