--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -17,7 +17,7 @@
 constexpr auto     kConnectMax   = milliseconds(300);  // to a router; a region's links take some 3 ms
 constexpr unsigned kDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
 constexpr auto     kServeMax     = seconds(10);        // of a connection that was taken: askers close theirs after one answer
-constexpr auto     kGoOnMax      = milliseconds(2000); // since versions were confirmed, for reading to go on after them: few are missed in that time
+constexpr auto     kGoOnMax      = milliseconds(1000); // since versions were confirmed, for reading to go on after them: few are missed in that time
 constexpr size_t   kLinkQueueMax = 32 * 1024 * 1024;   // bytes queued to an asker that doesn't read
 
 uint32_t AgeMs(TimePoint now, TimePoint at)
@@ -26,6 +26,14 @@
     return static_cast<uint32_t>(ToMs(std::min<Duration>(now - at, kOld)));
 }
 
+size_t BytesOf(const RowRead& read)
+{
+    size_t bytes = 0;
+    for (const Row& row : read.m_Rows)
+        bytes += row.m_Value.size();
+    return bytes;
+}
+
 } // namespace
 
 DeclarationsPeers::DeclarationsPeers(asio::io_context& ioc, RouterName self, LoadListener& datagrams, RowsHandler on_rows)
@@ -94,7 +102,7 @@
 void DeclarationsPeers::OnStoreRead(const RowRead& read, TableRead kind)
 {
     const bool newer = kind == TableRead_Whole ? m_Rows.TakeAll(read) : m_Rows.TakeChanges(read);
-    m_Spread.OnStoreAnswer(m_Rows.Version(), Now());
+    m_Spread.OnStoreAnswer(m_Rows.Version(), Now(), BytesOf(read));
     OnBelief();
     if (newer)
         Hold(Now(), std::string(kFromStore));
@@ -140,6 +148,7 @@
     news.checked_age_ms = AgeMs(now, now - own.m_CheckedAge);
     news.flow_age_ms    = AgeMs(now, now - own.m_FlowAge);
     news.reads          = own.m_Reads;
+    news.rests          = own.m_Rests;
     return news;
 }
 
--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -57,7 +57,9 @@
         SetRank();
     }
     p.m_HeardAt = now;
-    p.m_News    = news;
+    if (news.m_Rests)
+        p.m_RestedAt = now;
+    p.m_News = news;
     if (p.m_Near)
         NoteFlow(now - news.m_FlowAge);
     if (news.m_Version > m_Heard && !p.m_Near)
@@ -76,12 +78,16 @@
 
 void DeclarationsSpread::OnStoreBytes(TimePoint now)
 {
+    if (now - m_OwnFlowAt > kSameAnswer)
+        m_AnswerSince = now;
     m_OwnFlowAt = now;
     NoteFlow(now);
 }
 
-void DeclarationsSpread::OnStoreAnswer(uint64_t version, TimePoint now)
+void DeclarationsSpread::OnStoreAnswer(uint64_t version, TimePoint now, size_t bytes)
 {
+    if (bytes >= kLongAnswer)
+        m_ReadsSlow = m_OwnFlowAt - m_AnswerSince > kQuickAnswer; // without the time that decoding takes
     OnStoreBytes(now);
     m_AnsweredAt = now;
     if (version > m_Heard)
@@ -135,16 +141,28 @@
     return static_cast<size_t>(std::count_if(m_Peers.begin(), m_Peers.end(), reads));
 }
 
+// Not where the own link is wide: its leads may have heard a version from afar only because they weren't asking the store just then.
 bool DeclarationsSpread::ServedFromFar(TimePoint now) const
 {
     const auto reads = [&](const auto& item) { return !item.second.m_Near && ReadsFresh(item.second, now); };
-    return m_FarFirst && Checked(now) && std::any_of(m_Peers.begin(), m_Peers.end(), reads);
+    return m_FarFirst && m_ReadsSlow && Checked(now) && std::any_of(m_Peers.begin(), m_Peers.end(), reads);
+}
+
+// It will read when nothing more comes from afar; its first bytes are to be heard of before others read, too.
+bool DeclarationsSpread::LeadRested(TimePoint now) const
+{
+    const auto rested = [&](const auto& item)
+    {
+        const Peer& p = item.second;
+        return p.m_Near && p.m_Rank < m_SelfRank && now - p.m_HeardAt < kFresh && now - p.m_RestedAt < kFresh + kWake;
+    };
+    return std::any_of(m_Peers.begin(), m_Peers.end(), rested);
 }
 
 bool DeclarationsSpread::Overdue(TimePoint now) const
 {
     if (!m_PeersKnown)
-        return now - m_StartedAt >= kFirstStagger * static_cast<int>(m_SelfRank % kStaggersFirst) && !Checked(now);
+        return now - m_StartedAt >= kFirstWait + kFirstStagger * static_cast<int>(m_SelfRank % kStaggersFirst) && !Checked(now);
     const auto     place   = static_cast<unsigned>(m_Rank - kLeads); // among those that are no leads
     const bool     flowing = now - m_FlowAt < kFresh;
     const Duration stagger =
@@ -152,11 +170,14 @@
     TimePoint since = std::max(m_CheckedAt, m_StartedAt);
     if (flowing)
         since = std::max(since, m_FlowSince);
-    return now - since > kFresh + stagger;
+    const Duration wake = !flowing && LeadRested(now) ? Duration(kWake) : Duration::zero();
+    return now - since > kFresh + stagger + wake;
 }
 
 bool DeclarationsSpread::Reads(TimePoint now)
 {
+    if (m_Held == 0 && now - m_StartedAt < kFirstWait)
+        return false;
     // Two regions that leave reading to each other must not go on doing so: it takes a new version from afar to rest again.
     m_FarFirst = m_FarFirst && Checked(now);
     if (ServedFromFar(now))
@@ -188,6 +209,7 @@
     out.m_CheckedAge = now - m_CheckedAt;
     out.m_FlowAge    = now - m_OwnFlowAt;
     out.m_Reads      = now - m_AnsweredAt < kFresh;
+    out.m_Rests      = Lead() && ServedFromFar(now);
     return out;
 }
 
@@ -202,6 +224,12 @@
     return out;
 }
 
+// Who holds nothing needs the whole. When a region starts, its leads get that from afar, and the others from them.
+bool DeclarationsSpread::LeavesFar(TimePoint now) const
+{
+    return m_Held == 0 && !Lead() && now - m_StartedAt < kFirstNear;
+}
+
 std::optional<Endpoint> DeclarationsSpread::FetchFrom(TimePoint now) const
 {
     if (m_Heard <= m_Held)
@@ -210,7 +238,7 @@
     uint64_t                best_cost = 0;
     for (const auto& [address, peer] : m_Peers)
     {
-        if (peer.m_News.m_Version <= m_Held || now < peer.m_AvoidedUntil)
+        if (peer.m_News.m_Version <= m_Held || now < peer.m_AvoidedUntil || (!peer.m_Near && LeavesFar(now)))
             continue;
         // Near ones first; among them each router has its own order, so that two leads share the work.
         const uint64_t cost = (Hash64(address.ToString(), m_SelfRank) >> 1) + (peer.m_Near ? 0 : uint64_t{1} << 63);
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -32,10 +32,16 @@
 constexpr auto   kFresh         = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
 constexpr auto   kNewsEvery     = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
 constexpr auto   kStagger       = milliseconds(120);  // between two ranks that take over: a short row comes in less
+constexpr auto   kWake          = milliseconds(400);  // of a lead that rested: to its first bytes, and to news of them
 constexpr auto   kFlowStagger   = milliseconds(400);  // the same while bytes come; doubles with each rank
+constexpr auto   kFirstWait     = milliseconds(400);  // of a router that starts and holds nothing: in that time it hears of others
+constexpr auto   kFirstNear     = milliseconds(3000); // in which it leaves fetching the whole from other regions to its leads
 constexpr auto   kFirstStagger  = milliseconds(100);  // between routers that start, as long as no other is known
 constexpr auto   kPeerKept      = milliseconds(5000); // of a router that no agent lists any more: two lists may be lost
 constexpr auto   kFetchMax      = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
+constexpr size_t kLongAnswer    = 200 * 1024;         // bytes of rows: 65 ms of a link of 24 Mbit/s
+constexpr auto   kQuickAnswer   = milliseconds(150);  // for a long one, over a wide link to the store
+constexpr auto   kSameAnswer    = milliseconds(300);  // between bytes of one answer: less than the shortest pause between two
 constexpr auto   kAvoided       = milliseconds(1000); // a router whose fetch failed
 constexpr size_t kStaggersFirst = 8;                  // places of routers that start
 
@@ -47,6 +53,7 @@
     bool     m_Near = false;  // it is in the own region
     Duration m_FlowAge{};     // since bytes of the table came from the store to that router
     bool     m_Reads = false; // it follows the store, and was answered just now
+    bool     m_Rests = false; // it would follow the store, but leaves that to another region
 };
 
 class DeclarationsSpread // touched on one thread
@@ -55,12 +62,12 @@
     DeclarationsSpread(Endpoint self, TimePoint now);
 
     // What happened
-    void SetPeers(std::span<const RouterPeer> listed, TimePoint now); // by an agent; those that are not in it are kept for kPeerKept
-    void OnNews(const SpreadNews& news, TimePoint now);               // also from one that isn't listed yet
-    void OnStoreBytes(TimePoint now);                                 // some of an answer of the store came
-    void OnStoreAnswer(uint64_t version, TimePoint now);              // the newest row is `version`; it is held now
-    void OnStoreBack(TimePoint now);                                  // it answered after a failure; what it holds isn't known yet
-    void OnFetched(uint64_t version, TimePoint checked);              // another router gave it; it is held now
+    void SetPeers(std::span<const RouterPeer> listed, TimePoint now);      // by an agent; those that are not in it are kept for kPeerKept
+    void OnNews(const SpreadNews& news, TimePoint now);                    // also from one that isn't listed yet
+    void OnStoreBytes(TimePoint now);                                      // some of an answer of the store came
+    void OnStoreAnswer(uint64_t version, TimePoint now, size_t bytes = 0); // of rows; the newest row is `version`, and is held now
+    void OnStoreBack(TimePoint now);                                       // it answered after a failure; what it holds isn't known yet
+    void OnFetched(uint64_t version, TimePoint checked);                   // another router gave it; it is held now
     void OnFetchFailed(const Endpoint& from, TimePoint now);
 
     // What to do
@@ -87,6 +94,7 @@
         TimePoint  m_ListedAt{};     //
         TimePoint  m_HeardAt{};      // its last news; never: default
         SpreadNews m_News;           //
+        TimePoint  m_RestedAt{};     // when it last said that it rests; never: default
         TimePoint  m_AvoidedUntil{}; // a fetch from it failed
     };
 
@@ -95,6 +103,8 @@
     size_t ReadersBefore(TimePoint now) const;             // routers of the region with better ranks that confirm what is held here, or more
     bool   ServedFromFar(TimePoint now) const;             // another region tells of new versions before the own reads end
     bool   Overdue(TimePoint now) const;                   // nobody has confirmed or sent anything for as long as the own rank waits
+    bool   LeavesFar(TimePoint now) const;                 // fetching from other regions is for leads
+    bool   LeadRested(TimePoint now) const;                // a lead of the region left reading to another region until just now
     void   NoteFlow(TimePoint at);
     void   SetRank();
 
@@ -106,11 +116,13 @@
     uint64_t                 m_Held       = 0;     // never falls
     uint64_t                 m_Heard      = 0;     // never falls
     bool                     m_FarFirst   = false; // the newest version came from another region before it came from the store
+    bool                     m_ReadsSlow  = false; // the last long answer came slowly; else reading costs little here
     bool                     m_TookOver   = false; // reads though it is no lead, or no other router is known
     TimePoint                m_StartedAt;          //
     TimePoint                m_AnsweredAt{};       // the store's last answer to this router
     TimePoint                m_CheckedAt{};        // when somebody was last told by the store that m_Held is the newest
     TimePoint                m_OwnFlowAt{};        // when bytes of the table last came to this router
+    TimePoint                m_AnswerSince{};      // when the first ones of that answer came
     TimePoint                m_FlowAt{};           // the same for any router heard of; not before m_OwnFlowAt
     TimePoint                m_FlowSince{};        // since when they have come without a pause of kFresh
 };
