--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -133,7 +133,7 @@
     bool                                     m_Keep  = true;                    // the connection is kept for later calls; else closed after this one
     Duration                                 m_PauseMax{};    // over zero: Call() reads past its deadline while bytes come, none of its pauses longer
     bool                                     m_Probe = false; // keep-alive probes: a peer that falls silent is seen in seconds
-    std::function<void()>                    m_OnBytes;       // Call(): some of the answer came; may be empty
+    std::function<void(size_t)>              m_OnBytes;       // Call(): so many bytes of a 200's body have come; may be empty
 };
 
 class HttpStream // an answer whose head has arrived and whose body is read piece by piece
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -355,11 +355,11 @@
         auto            piece = co_await stream->Read(until);
         if (!piece)
             co_return piece.error();
-        if (bytes)
-            bytes();
         if (piece.value().m_Done)
             break;
         res.m_Body.append(piece.value().m_Bytes);
+        if (bytes && res.m_Status == 200)
+            bytes(res.m_Body.size());
     }
     co_return res;
 }
--- a/src/connection/text_delta.h
+++ b/src/connection/text_delta.h
@@ -15,7 +15,7 @@
 namespace aldervale
 {
 
-constexpr size_t kExpandedMax = 64 * 1024 * 1024; // bytes of a text that a reader takes
+constexpr size_t kExpandedMax = 16 * 1024 * 1024; // bytes of a text that a reader takes
 
 std::string         CompressText(std::string_view text, std::string_view base);
 Result<std::string> ExpandText(std::string_view bytes, std::string_view base, size_t length); // exactly `length` bytes, or an error
--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -11,14 +11,15 @@
 namespace
 {
 
-constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
-constexpr auto     kFetchLook    = milliseconds(50);   // while behind, for a router that isn't avoided any more
-constexpr auto     kFetchIdle    = seconds(1);         // while not behind: OnNews() ends it
-constexpr auto     kConnectMax   = milliseconds(300);  // to a router; a region's links take some 3 ms
-constexpr unsigned kDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
-constexpr auto     kServeMax     = seconds(10);        // of a connection that was taken: askers close theirs after one answer
-constexpr auto     kGoOnMax      = milliseconds(1000); // since versions were confirmed, for reading to go on after them: few are missed in that time
-constexpr size_t   kLinkQueueMax = 32 * 1024 * 1024;   // bytes queued to an asker that doesn't read
+constexpr auto   kNoThrow      = asio::as_tuple(asio::use_awaitable);
+constexpr auto   kFetchLook    = milliseconds(50);   // while behind, for a router that isn't avoided any more
+constexpr auto   kFetchIdle    = seconds(1);         // while not behind: OnNews() ends it
+constexpr auto   kConnectMax   = milliseconds(300);  // to a router; a region's links take some 3 ms
+constexpr auto   kServeMax     = seconds(10);        // of a connection that was taken: askers close theirs after one answer
+constexpr auto   kGoOnMax      = milliseconds(1000); // since versions were confirmed, for reading to go on after them: few are missed in that time
+constexpr size_t kLinkQueueMax = kFrameMax;          // bytes queued to an asker that doesn't read: one answer
+constexpr size_t kServingMax   = 64;                 // askers at once: all routers of a region of 300 boxes
+constexpr size_t kDataMax      = kFrameMax - 4096;   // bytes of compressed rows in one frame; longer ones are left to the store
 
 uint32_t AgeMs(TimePoint now, TimePoint at)
 {
@@ -102,7 +103,8 @@
 void DeclarationsPeers::OnStoreRead(const RowRead& read, TableRead kind)
 {
     const bool newer = kind == TableRead_Whole ? m_Rows.TakeAll(read) : m_Rows.TakeChanges(read);
-    m_Spread.OnStoreAnswer(m_Rows.Version(), Now(), BytesOf(read));
+    if (read.m_StoreVersion >= m_Rows.Version()) // else it lags behind what others gave, and confirms nothing
+        m_Spread.OnStoreAnswer(m_Rows.Version(), Now(), BytesOf(read));
     OnBelief();
     if (newer)
         Hold(Now(), std::string(kFromStore));
@@ -209,13 +211,13 @@
         const uint64_t  held  = m_Spread.Held();
         co_await Fetch(*from);
         const bool newer = m_Spread.Held() > held; // by this fetch, or from the store meanwhile
-        m_FetchFailures  = newer ? 0 : std::min(m_FetchFailures + 1, kDoublingsMax);
         if (newer)
             continue;
         const TimePoint now = Now();
         failed.Add(1);
         LogEvent(Event_DeclarationsNotFetched, {{"from", from->ToString()}, {"held", held}, {"heard", m_Spread.Heard()}, {"ms", ToMs(now - asked)}});
         m_Spread.OnFetchFailed(*from, now);
+        co_await SleepFor(kFetchLook);
     }
 }
 
@@ -228,9 +230,9 @@
     link->Start();
     const MailboxPtr       answer = link->OpenExchange(m_Ioc.get_executor());
     wire::DeclarationsGetT get;
-    get.have = m_Rows.Version();
+    get.have = m_AskWhole ? 0 : m_Rows.Version();
     link->Send(EncodeFrame(answer->Id(), get));
-    const TimePoint               until = Now() + kFetchMax * (1u << m_FetchFailures);
+    const TimePoint               until = Now() + m_Spread.FetchTimeout(from);
     const std::optional<FrameBuf> frame = co_await answer->Pop(until);
     link->Close();
     const wire::DeclarationsData* data = frame ? frame->Get()->body_as_DeclarationsData() : nullptr;
@@ -243,15 +245,15 @@
     static Counter& fetched = Metrics().GetCounter("aldervale_declarations_fetched_bytes_total");
     if (data.version() <= m_Rows.Version() || data.bytes() == nullptr)
         return;
-    const Text* base = data.base() == 0 ? nullptr : FindText(data.base());
-    if (data.base() != 0 && base == nullptr)
-        return;
+    const Text*            base = data.base() == 0 ? nullptr : FindText(data.base()); // null for one that is unknown, too: the checksum then fails
     const std::string_view bytes(reinterpret_cast<const char*>(data.bytes()->data()), data.bytes()->size());
-    const auto             text  = ExpandText(bytes, base == nullptr ? std::string_view() : std::string_view(base->m_Text), data.length());
-    auto                   copy  = text ? OperatorRows::Decode(text.value()) : Result<OperatorRows>(text.error());
-    const bool             taken = copy && copy.value().Version() == data.version() && m_Rows.TakeCopy(copy.value());
+    const auto             text = ExpandText(bytes, base == nullptr ? std::string_view() : std::string_view(base->m_Text), data.length());
+    auto                   copy = text ? OperatorRows::Decode(text.value()) : Result<OperatorRows>(text.error());
+    m_AskWhole                  = false;
+    const bool taken            = copy && copy.value().Version() == data.version() && m_Rows.TakeCopy(copy.value());
     if (!taken)
     {
+        m_AskWhole = true; // a difference to other rows than are held here would be so again
         LogEvent(Event_DeclarationsSpoilt, {{"from", from.ToString()}, {"version", data.version()}, {"base", data.base()}, {"bytes", bytes.size()}});
         return;
     }
@@ -259,7 +261,7 @@
     m_FetchedBytes += bytes.size();
     fetched.Add(bytes.size());
     const TimePoint now = Now();
-    m_Spread.OnFetched(data.version(), now - milliseconds(data.checked_age_ms()));
+    m_Spread.OnFetched(data.version(), now - milliseconds(data.checked_age_ms()), now);
     OnBelief();
     Hold(now - milliseconds(data.learned_age_ms()), from.ToString());
 }
@@ -275,12 +277,17 @@
         auto [ec, socket] = co_await m_Acceptor->async_accept(kNoThrow);
         if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
             co_return;
-        if (ec)
+        if (ec || m_Serving >= kServingMax)
+        {
+            co_await SleepFor(kFetchLook); // descriptors are short, or many ask; askers have others to go to
             continue;
+        }
         LinkConfig cfg;
         cfg.m_SendQueueMax = kLinkQueueMax;
         LinkHandlers h;
-        h.m_OnFrame     = [this](const LinkPtr& link, const FrameBuf& frame) { Serve(link, frame); };
+        h.m_OnFrame = [this](const LinkPtr& link, const FrameBuf& frame) { Serve(link, frame); };
+        h.m_OnClose = [this](const LinkPtr&) { m_Serving--; };
+        m_Serving++;
         const auto link = std::make_shared<Link>(std::move(socket), LinkSide_Accepted, cfg, std::move(h));
         link->Start();
         const auto limit = std::make_shared<asio::steady_timer>(m_Ioc, kServeMax);
@@ -315,6 +322,8 @@
     std::string& bytes = m_Compressed[data.base]; // most askers hold the same version
     if (bytes.empty())
         bytes = CompressText(m_Texts.back().m_Text, base == nullptr ? std::string_view() : std::string_view(base->m_Text));
+    if (bytes.size() > kDataMax)
+        return EncodeFrame(exchange, wire::DeclarationsDataT{});
     data.bytes.assign(bytes.begin(), bytes.end());
     return EncodeFrame(exchange, data);
 }
--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -2,6 +2,7 @@
 #include "process/declarations_spread.h"
 #include "common/hash.h"
 #include <algorithm>
+#include <tuple>
 
 namespace aldervale
 {
@@ -9,13 +10,14 @@
 namespace
 {
 
-constexpr unsigned kDoublingsMax = 6;                  // of kFlowStagger: 26 s, more than any read should take
-constexpr auto     kStaggerMax   = milliseconds(1500); // of ranks that take over while nothing comes
+constexpr unsigned kDoublingsMax      = 6;                  // of kFlowStagger: 26 s, more than any read should take
+constexpr unsigned kFetchDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
+constexpr auto     kStaggerMax        = milliseconds(1500); // of ranks that take over while nothing comes
 
 } // namespace
 
 DeclarationsSpread::DeclarationsSpread(Endpoint self, TimePoint now)
-    : m_Self(std::move(self)), m_SelfRank(RouterRank(m_Self.m_Address)), m_StartedAt(now)
+    : m_Self(std::move(self)), m_SelfRank(RouterRank(m_Self.m_Address)), m_StartedAt(now), m_HeldAt(now)
 {
 }
 
@@ -36,9 +38,30 @@
         p.m_ListedAt = now;
     }
     std::erase_if(m_Peers, [&](const auto& item) { return now - item.second.m_ListedAt > kPeerKept; });
+    ForgetLostVersions(now);
     SetRank();
 }
 
+// What only routers knew that are gone can't be had, and mustn't be waited for.
+void DeclarationsSpread::ForgetLostVersions(TimePoint now)
+{
+    m_Heard = m_Held;
+    for (const auto& [address, peer] : m_Peers)
+        if (now - peer.m_HeardAt < kPeerKept)
+            m_Heard = std::max(m_Heard, peer.m_News.m_Version);
+}
+
+void DeclarationsSpread::SetHeld(uint64_t version, TimePoint now)
+{
+    if (version <= m_Held)
+        return;
+    m_Held   = version;
+    m_Heard  = std::max(m_Heard, version);
+    m_HeldAt = now;
+    for (auto& [address, peer] : m_Peers)
+        peer.m_Failures = 0;
+}
+
 void DeclarationsSpread::SetRank()
 {
     const auto before = [&](const auto& item) { return item.second.m_Near && item.second.m_Rank < m_SelfRank; };
@@ -47,6 +70,8 @@
 
 void DeclarationsSpread::OnNews(const SpreadNews& news, TimePoint now)
 {
+    if (m_Peers.size() >= kPeersMax && !m_Peers.contains(news.m_From))
+        return;
     const auto [it, unlisted] = m_Peers.try_emplace(news.m_From);
     Peer& p                   = it->second;
     if (unlisted)
@@ -64,6 +89,8 @@
         NoteFlow(now - news.m_FlowAge);
     if (news.m_Version > m_Heard && !p.m_Near)
         m_FarFirst = true;
+    if (m_Heard == m_Held && news.m_Version > m_Held)
+        m_HeldAt = now;
     m_Heard = std::max(m_Heard, news.m_Version);
     if (news.m_Version == m_Held && m_Held > 0)
         m_CheckedAt = std::max(m_CheckedAt, now - news.m_CheckedAge);
@@ -88,14 +115,12 @@
 {
     if (bytes >= kLongAnswer)
         m_ReadsSlow = m_OwnFlowAt - m_AnswerSince > kQuickAnswer; // without the time that decoding takes
-    OnStoreBytes(now);
     m_AnsweredAt = now;
     if (version > m_Heard)
         m_FarFirst = false;
-    m_Held  = std::max(m_Held, version);
-    m_Heard = std::max(m_Heard, version);
-    if (version == m_Held)
-        m_CheckedAt = now;
+    SetHeld(version, now);
+    if (version == m_Held) // as of when the store began to answer
+        m_CheckedAt = std::max(m_CheckedAt, bytes >= kLongAnswer ? m_AnswerSince : now);
 }
 
 // Everybody asks a store that is away, and all would read the whole rows at once when it is back.
@@ -106,20 +131,21 @@
     m_TookOver = m_TookOver && !m_PeersKnown;
 }
 
-void DeclarationsSpread::OnFetched(uint64_t version, TimePoint checked)
+void DeclarationsSpread::OnFetched(uint64_t version, TimePoint checked, TimePoint now)
 {
     if (version < m_Held)
         return;
-    m_Held      = version;
-    m_Heard     = std::max(m_Heard, version);
+    SetHeld(version, now);
     m_CheckedAt = std::max(m_CheckedAt, checked);
 }
 
 void DeclarationsSpread::OnFetchFailed(const Endpoint& from, TimePoint now)
 {
     const auto it = m_Peers.find(from);
-    if (it != m_Peers.end())
-        it->second.m_AvoidedUntil = now + kAvoided;
+    if (it == m_Peers.end())
+        return;
+    it->second.m_AvoidedUntil = now + kAvoided;
+    it->second.m_Failures     = std::min(it->second.m_Failures + 1, kFetchDoublingsMax);
 }
 
 //-----------------------------------------------------------------------------
@@ -171,7 +197,13 @@
     if (flowing)
         since = std::max(since, m_FlowSince);
     const Duration wake = !flowing && LeadRested(now) ? Duration(kWake) : Duration::zero();
-    return now - since > kFresh + stagger + wake;
+    return now - since > kFresh + stagger + wake || BehindLong(now);
+}
+
+bool DeclarationsSpread::BehindLong(TimePoint now) const
+{
+    const auto place = static_cast<int>(m_Rank > kLeads ? m_Rank - kLeads : 0);
+    return m_Heard > m_Held && now - m_HeldAt > kBehindMax + std::min<Duration>(kStaggerMax, Duration(kStagger) * place);
 }
 
 bool DeclarationsSpread::Reads(TimePoint now)
@@ -198,7 +230,7 @@
 // One that holds nothing makes itself known: others would hear of it by the next list only, and it of their version 2 s after its start.
 bool DeclarationsSpread::Tells(TimePoint now) const
 {
-    return Lead() || m_Held == 0 || now - m_OwnFlowAt < kFresh;
+    return Lead() || m_Held == 0 || now - std::max(m_AnsweredAt, m_OwnFlowAt) < kFresh;
 }
 
 SpreadNews DeclarationsSpread::News(TimePoint now) const
@@ -206,9 +238,9 @@
     SpreadNews out;
     out.m_From       = m_Self;
     out.m_Version    = m_Held;
-    out.m_CheckedAge = now - m_CheckedAt;
     out.m_FlowAge    = now - m_OwnFlowAt;
     out.m_Reads      = now - m_AnsweredAt < kFresh;
+    out.m_CheckedAge = now - m_CheckedAt + (out.m_Reads ? Duration::zero() : Duration(kRelayCost));
     out.m_Rests      = Lead() && ServedFromFar(now);
     return out;
 }
@@ -230,18 +262,25 @@
     return m_Held == 0 && !Lead() && now - m_StartedAt < kFirstNear;
 }
 
+Duration DeclarationsSpread::FetchTimeout(const Endpoint& from) const
+{
+    const auto it = m_Peers.find(from);
+    return kFetchMax * (1u << (it == m_Peers.end() ? 0 : it->second.m_Failures));
+}
+
+// Those that failed lately only if there are no others; then those that told just now, the own region's, and each router in an order of its own:
+// two leads share the work.
 std::optional<Endpoint> DeclarationsSpread::FetchFrom(TimePoint now) const
 {
-    if (m_Heard <= m_Held)
-        return std::nullopt;
+    using Cost = std::tuple<TimePoint, bool, bool, uint64_t>;
     std::optional<Endpoint> best;
-    uint64_t                best_cost = 0;
+    Cost                    best_cost;
     for (const auto& [address, peer] : m_Peers)
     {
-        if (peer.m_News.m_Version <= m_Held || now < peer.m_AvoidedUntil || (!peer.m_Near && LeavesFar(now)))
+        if (peer.m_News.m_Version <= m_Held || (!peer.m_Near && LeavesFar(now)))
             continue;
-        // Near ones first; among them each router has its own order, so that two leads share the work.
-        const uint64_t cost = (Hash64(address.ToString(), m_SelfRank) >> 1) + (peer.m_Near ? 0 : uint64_t{1} << 63);
+        const TimePoint avoided = std::max(now, peer.m_AvoidedUntil);
+        const Cost      cost{avoided, now - peer.m_HeardAt > kNewsRecent, !peer.m_Near, Hash64(address.ToString(), m_SelfRank)};
         if (best && cost >= best_cost)
             continue;
         best      = address;
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -28,22 +28,26 @@
 namespace aldervale
 {
 
-constexpr size_t kLeads         = 2;                  // of a region: one may fail without anybody waiting for the other
-constexpr auto   kFresh         = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
-constexpr auto   kNewsEvery     = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
-constexpr auto   kStagger       = milliseconds(120);  // between two ranks that take over: a short row comes in less
-constexpr auto   kWake          = milliseconds(400);  // of a lead that rested: to its first bytes, and to news of them
-constexpr auto   kFlowStagger   = milliseconds(400);  // the same while bytes come; doubles with each rank
-constexpr auto   kFirstWait     = milliseconds(400);  // of a router that starts and holds nothing: in that time it hears of others
-constexpr auto   kFirstNear     = milliseconds(3000); // in which it leaves fetching the whole from other regions to its leads
-constexpr auto   kFirstStagger  = milliseconds(100);  // between routers that start, as long as no other is known
-constexpr auto   kPeerKept      = milliseconds(5000); // of a router that no agent lists any more: two lists may be lost
-constexpr auto   kFetchMax      = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
-constexpr size_t kLongAnswer    = 200 * 1024;         // bytes of rows: 65 ms of a link of 24 Mbit/s
-constexpr auto   kQuickAnswer   = milliseconds(150);  // for a long one, over a wide link to the store
-constexpr auto   kSameAnswer    = milliseconds(300);  // between bytes of one answer: less than the shortest pause between two
-constexpr auto   kAvoided       = milliseconds(1000); // a router whose fetch failed
-constexpr size_t kStaggersFirst = 8;                  // places of routers that start
+constexpr size_t kLeads        = 2;                  // of a region: one may fail without anybody waiting for the other
+constexpr auto   kFresh        = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
+constexpr auto   kNewsEvery    = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
+constexpr auto   kStagger      = milliseconds(120);  // between two ranks that take over: a short row comes in less
+constexpr auto   kWake         = milliseconds(400);  // of a lead that rested: to its first bytes, and to news of them
+constexpr auto   kFlowStagger  = milliseconds(400);  // the same while bytes come; doubles with each rank
+constexpr auto   kFirstWait    = milliseconds(400);  // of a router that starts and holds nothing: in that time it hears of others
+constexpr auto   kFirstNear    = milliseconds(3000); // in which it leaves fetching the whole from other regions to its leads
+constexpr auto   kFirstStagger = milliseconds(100);  // between routers that start, as long as no other is known
+constexpr auto   kPeerKept     = milliseconds(5000); // of a router that no agent lists any more: two lists may be lost
+constexpr auto   kFetchMax     = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
+constexpr size_t kLongAnswer   = 200 * 1024;         // bytes of rows: 65 ms of a link of 24 Mbit/s
+constexpr auto   kQuickAnswer  = milliseconds(150);  // for a long one, over a wide link to the store
+constexpr auto   kSameAnswer   = milliseconds(300);  // between bytes of one answer: less than the shortest pause between two
+constexpr auto kRelayCost  = milliseconds(60); // added to what is told on of confirmations: more than a way takes, so that no age is lost in a circle
+constexpr auto kBehindMax  = milliseconds(800);  // of a router that can't fetch what others hold
+constexpr auto kNewsRecent = milliseconds(600);  // who told within this is asked first: it isn't frozen
+constexpr size_t kPeersMax = 256;                // that are known; more than any list holds
+constexpr auto   kAvoided  = milliseconds(1000); // a router whose fetch failed
+constexpr size_t kStaggersFirst = 8;             // places of routers that start
 
 struct SpreadNews // what another router told
 {
@@ -64,21 +68,22 @@
     // What happened
     void SetPeers(std::span<const RouterPeer> listed, TimePoint now);      // by an agent; those that are not in it are kept for kPeerKept
     void OnNews(const SpreadNews& news, TimePoint now);                    // also from one that isn't listed yet
-    void OnStoreBytes(TimePoint now);                                      // some of an answer of the store came
+    void OnStoreBytes(TimePoint now);                                      // more of a long answer of the store came
     void OnStoreAnswer(uint64_t version, TimePoint now, size_t bytes = 0); // of rows; the newest row is `version`, and is held now
     void OnStoreBack(TimePoint now);                                       // it answered after a failure; what it holds isn't known yet
-    void OnFetched(uint64_t version, TimePoint checked);                   // another router gave it; it is held now
+    void OnFetched(uint64_t version, TimePoint checked, TimePoint now);    // another router gave it; it is held now
     void OnFetchFailed(const Endpoint& from, TimePoint now);
 
     // What to do
     bool                    Reads(TimePoint now);           // follow the store
     bool                    Tells(TimePoint now) const;     // tell others every kNewsEvery and at once of a new version
     std::vector<Endpoint>   Audience(TimePoint now) const;  // whom
-    std::optional<Endpoint> FetchFrom(TimePoint now) const; // whom to ask for what is newer; nothing: nobody has it, or nobody answers
-    SpreadNews              News(TimePoint now) const;      // of the own process
+    std::optional<Endpoint> FetchFrom(TimePoint now) const; // whom to ask for what is newer; nothing: nobody has it
+    Duration                FetchTimeout(const Endpoint& from) const;
+    SpreadNews              News(TimePoint now) const; // of the own process
 
     uint64_t  Held() const { return m_Held; }
-    uint64_t  Heard() const { return m_Heard; } // never lower than Held()
+    uint64_t  Heard() const { return m_Heard; } // never lower than Held(); falls when nobody that lives tells of it any more
     TimePoint CheckedAt() const { return m_CheckedAt; }
     size_t    Rank() const { return m_Rank; }
     bool      Lead() const { return m_PeersKnown && m_Rank < kLeads; }
@@ -96,6 +101,7 @@
         SpreadNews m_News;           //
         TimePoint  m_RestedAt{};     // when it last said that it rests; never: default
         TimePoint  m_AvoidedUntil{}; // a fetch from it failed
+        unsigned   m_Failures = 0;   // of fetches from it in a row
     };
 
     bool   Checked(TimePoint now) const { return now - m_CheckedAt < kFresh; }
@@ -105,7 +111,10 @@
     bool   Overdue(TimePoint now) const;                   // nobody has confirmed or sent anything for as long as the own rank waits
     bool   LeavesFar(TimePoint now) const;                 // fetching from other regions is for leads
     bool   LeadRested(TimePoint now) const;                // a lead of the region left reading to another region until just now
+    bool   BehindLong(TimePoint now) const;                // others hold newer rows, and none of them gives them
     void   NoteFlow(TimePoint at);
+    void   SetHeld(uint64_t version, TimePoint now);
+    void   ForgetLostVersions(TimePoint now);
     void   SetRank();
 
     Endpoint                 m_Self;               //
@@ -114,11 +123,12 @@
     size_t                   m_Rank       = 0;     // place of this router in its region, as listed
     bool                     m_PeersKnown = false; // an agent has listed routers, perhaps none but this one
     uint64_t                 m_Held       = 0;     // never falls
-    uint64_t                 m_Heard      = 0;     // never falls
+    uint64_t                 m_Heard      = 0;     // newest version that a live router told of; at least m_Held
     bool                     m_FarFirst   = false; // the newest version came from another region before it came from the store
     bool                     m_ReadsSlow  = false; // the last long answer came slowly; else reading costs little here
     bool                     m_TookOver   = false; // reads though it is no lead, or no other router is known
     TimePoint                m_StartedAt;          //
+    TimePoint                m_HeldAt;             // when m_Held rose last, or m_Heard rose over it
     TimePoint                m_AnsweredAt{};       // the store's last answer to this router
     TimePoint                m_CheckedAt{};        // when somebody was last told by the store that m_Held is the newest
     TimePoint                m_OwnFlowAt{};        // when bytes of the table last came to this router
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -167,6 +167,13 @@
         delay.Record(ToSeconds(Now() - rows.m_LearnedAt));
 }
 
+// Read from the store just now, all rows that name weights: what is new among them was named since the last read.
+void OnFewRows(Router& r, const RowRead& read)
+{
+    r.m_LearnedAt = Now();
+    r.m_Tables->UseOperatorRows(read);
+}
+
 void OnBelief(Router& r)
 {
     DeclarationsBelief& b = r.m_World.m_Belief;
@@ -265,6 +272,7 @@
 {
     PlatformHandlers h;
     h.m_OnOperatorTable = [&r](const RowRead& read, TableRead kind) { r.m_Peers->OnStoreRead(read, kind); };
+    h.m_OnOperatorFew   = [&r](const RowRead& read) { OnFewRows(r, read); };
     h.m_OnOperatorBytes = [&r] { r.m_Peers->OnStoreBytes(); };
     h.m_OnOperatorBack  = [&r] { r.m_Peers->OnStoreBack(); };
     h.m_OnConfig        = [&r](const RouteTableSpec& spec, uint64_t row_version) { OnConfig(r, spec, row_version); };
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -55,7 +55,9 @@
     TableHandlers h;
     h.m_OnAll     = taken(TableRead_Whole);
     h.m_OnChanges = taken(TableRead_Changes);
-    h.m_OnFew     = [this](const RowRead& read) { UseOperatorRows(read); };
+    h.m_OnFew     = m_Handlers.m_OnOperatorFew;
+    if (!h.m_OnFew)
+        h.m_OnFew = [this](const RowRead& read) { UseOperatorRows(read); };
     h.m_OnReached = m_Handlers.m_OnOperatorBack;
     if (m_Handlers.m_OnOperatorBytes)
         m_Store.SetOnBytes(
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -22,6 +22,7 @@
 struct PlatformHandlers
 {
     std::function<void(const RowRead& read, TableRead kind)> m_OnOperatorTable;       // instead of using them; empty: they are used at once
+    std::function<void(const RowRead& read)>                 m_OnOperatorFew;         // those that name weights; empty: they are used at once
     std::function<void()>                                    m_OnOperatorBytes;       // some of an answer of the operators' table came; may be empty
     std::function<void()>                                    m_OnOperatorBack;        // it answers again after a failure; may be empty
     std::function<void(const RouteTableSpec& spec, uint64_t row_version)> m_OnConfig; // declarations, perhaps ones known already
