Go on after a failure with the newest rows only, and read the whole table once

Cause: GoOn() cleared m_Series, which a failure sets, so that after an outage a reader asked for all changes since what it held; and it set m_Series where nothing was held, which means "read the whole table until a read brings no news", so twice. Now m_Series is cleared only if something newer than the own last answer came from elsewhere, and where nothing is held the whole table is read as the first time (m_Synced). Ruled out: going on after what was held whenever it is known: 44 versions of 60 KB after an outage were what the whole read was made for.

--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -68,15 +68,17 @@
     co_return co_await ReadAll();
 }
 
-// Urgent again: after what came from elsewhere, or with the whole table.
+// Urgent again: after what came from elsewhere, or with the whole table. What was held before a failure is no reason to ask for all changes since.
 void TableFollower::GoOn()
 {
     const auto known = m_Config.m_Known ? m_Config.m_Known() : std::nullopt;
+    const bool newer = known && *known > m_Since;
     m_Missed         = false;
-    m_Series         = !known;
-    m_Synced         = m_Synced || known;
+    m_Synced         = known.has_value();
+    m_Series         = m_Series && !newer;
     m_Since          = std::max(m_Since, known.value_or(0));
 }
+
 awaitable<bool> TableFollower::ReadFew(KeyRange keys)
 {
     const auto read = co_await m_Source.ReadAll(m_Table, keys, Now() + Patience(m_Config.m_ReadMax));
