Tests of the datagrams between routers and agents; one fails

Cause: the list of routers, asking for it, and news between routers had no tests. Figures: with 24 models with long names a request for reports has 3,328 bytes, and an agent, which takes in at most 1,200, hears of none of them (each_agent_is_told_of_its_model_however_many_there_are). Agents are to learn their model from these words alone, so it matters. Ruled out: lists of routers, which fit: 100 of the own region and 3 each of ten others come whole.

--- /dev/null
+++ b/tests/test_load_channel.cpp
@@ -0,0 +1,274 @@
+// Routers and agents over real datagrams on loopback: agents list routers to each other, and routers tell each other of their declarations.
+#include "connection/load_channel.h"
+#include "support_io.h"
+
+using namespace aldervale;
+
+namespace
+{
+
+Endpoint On(unsigned third, unsigned last, uint16_t port)
+{
+    return Endpoint{asio::ip::make_address("127.7." + std::to_string(third) + "." + std::to_string(last)), port};
+}
+
+// A router on an address of its own; all use one port, as deployed.
+struct TestRouter
+{
+    TestRouter(asio::io_context& ioc, const Endpoint& at, const std::string& region)
+        : m_At(at), m_Listener(ioc, {at.ToString(), "dc"}, [](const asio::ip::address&, const LoadReport&) {})
+    {
+        m_Listener.SetRegion(region);
+        m_Listener.SetOnRouters(
+            [this](std::span<const RouterPeer> routers)
+            {
+                m_Lists++;
+                m_Routers.assign(routers.begin(), routers.end());
+            });
+        m_Listener.SetOnNews(
+            [this](const wire::DeclarationsNews& news, const Endpoint& from)
+            {
+                m_News.push_back(news.version());
+                m_NewsFrom = from;
+            });
+        BOOST_REQUIRE(m_Listener.Listen(at).has_value());
+    }
+
+    std::set<std::string> Listed(bool same_region) const
+    {
+        std::set<std::string> out;
+        for (const RouterPeer& r : m_Routers)
+            if (r.m_SameRegion == same_region)
+                out.insert(r.m_Address.ToString());
+        return out;
+    }
+
+    Endpoint                m_At;        //
+    LoadListener            m_Listener;  //
+    std::vector<RouterPeer> m_Routers;   // last list
+    int                     m_Lists = 0; // that came
+    std::vector<uint64_t>   m_News;      // versions told
+    Endpoint                m_NewsFrom;  //
+};
+
+// Takes in whatever comes to an address, without answering.
+struct SilentBox
+{
+    SilentBox(asio::io_context& ioc, const Endpoint& at) : m_Socket(ioc, udp::endpoint(at.m_Address, at.m_Port)) { m_Socket.non_blocking(true); }
+
+    // Datagrams that came since the last call.
+    std::vector<std::vector<uint8_t>> Take()
+    {
+        std::vector<std::vector<uint8_t>> out;
+        for (;;)
+        {
+            std::vector<uint8_t>      buf(65'536);
+            boost::system::error_code ec;
+            const size_t              n = m_Socket.receive(asio::buffer(buf), 0, ec);
+            if (ec)
+                return out;
+            buf.resize(n);
+            out.push_back(std::move(buf));
+        }
+    }
+
+    udp::socket m_Socket;
+};
+
+// Runs until the condition holds; gives up after a time that only a hang reaches.
+template <class ConditionT> bool RunUntil(asio::io_context& ioc, ConditionT condition)
+{
+    const TimePoint end = Now() + seconds(60);
+    while (!condition() && Now() < end)
+        ioc.run_for(milliseconds(5));
+    return condition();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_agent_lists_the_routers_that_ask_it_to_each_other)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    LoadPublisher    agent(ioc, "dc");
+    BOOST_REQUIRE(agent.Listen(On(1, 1, port)).has_value());
+    TestRouter a(ioc, On(2, 1, port), "west");
+    TestRouter b(ioc, On(2, 2, port), "west");
+    TestRouter c(ioc, On(3, 1, port), "east");
+    for (TestRouter* r : {&a, &b, &c})
+        r->m_Listener.SetBoxes({On(1, 1, port)});
+    BOOST_TEST(RunUntil(ioc, [&] { return a.m_Routers.size() == 2 && b.m_Routers.size() == 2 && c.m_Routers.size() == 2; }));
+    BOOST_TEST(a.Listed(true) == std::set<std::string>{b.m_At.ToString()}, boost::test_tools::per_element());
+    BOOST_TEST(a.Listed(false) == std::set<std::string>{c.m_At.ToString()}, boost::test_tools::per_element());
+    BOOST_TEST(b.Listed(true) == std::set<std::string>{a.m_At.ToString()}, boost::test_tools::per_element());
+    BOOST_TEST(c.Listed(true).empty());
+    BOOST_TEST((c.Listed(false) == std::set<std::string>{a.m_At.ToString(), b.m_At.ToString()}));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_asks_no_more_is_soon_listed_no_more)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    LoadPublisher    agent(ioc, "dc");
+    BOOST_REQUIRE(agent.Listen(On(1, 1, port)).has_value());
+    TestRouter a(ioc, On(2, 1, port), "west");
+    TestRouter b(ioc, On(2, 2, port), "west");
+    a.m_Listener.SetBoxes({On(1, 1, port)});
+    b.m_Listener.SetBoxes({On(1, 1, port)});
+    BOOST_TEST(RunUntil(ioc, [&] { return a.m_Routers.size() == 1; }));
+    b.m_Listener.SetBoxes({});
+    BOOST_TEST(RunUntil(ioc, [&] { return a.m_Routers.empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_asks_other_agents_when_those_that_it_asked_are_silent)
+{
+    asio::io_context                        ioc;
+    const uint16_t                          port = FreeEndpoint().m_Port;
+    std::vector<Endpoint>                   boxes;
+    std::vector<std::unique_ptr<SilentBox>> silent;
+    for (unsigned i = 1; i <= 7; i++)
+    {
+        boxes.push_back(On(1, i, port));
+        silent.push_back(std::make_unique<SilentBox>(ioc, boxes.back()));
+    }
+    LoadPublisher agent(ioc, "dc"); // the last one of all
+    boxes.push_back(On(1, 8, port));
+    BOOST_REQUIRE(agent.Listen(boxes.back()).has_value());
+    TestRouter a(ioc, On(2, 1, port), "west");
+    a.m_Listener.SetBoxes(boxes);
+    BOOST_TEST(RunUntil(ioc, [&] { return a.m_Lists > 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(few_agents_are_asked_for_routers_and_all_for_reports)
+{
+    asio::io_context                        ioc;
+    const uint16_t                          port = FreeEndpoint().m_Port;
+    std::vector<Endpoint>                   boxes;
+    std::vector<std::unique_ptr<SilentBox>> silent;
+    LoadPublisher                           agent(ioc, "dc");
+    boxes.push_back(On(1, 1, port)); // asked first: its answer is enough
+    BOOST_REQUIRE(agent.Listen(boxes.back()).has_value());
+    for (unsigned i = 2; i <= 9; i++)
+    {
+        boxes.push_back(On(1, i, port));
+        silent.push_back(std::make_unique<SilentBox>(ioc, boxes.back()));
+    }
+    TestRouter a(ioc, On(2, 1, port), "west");
+    a.m_Listener.SetBoxes(boxes);
+    BOOST_REQUIRE(RunUntil(ioc, [&] { return a.m_Lists > 0; }));
+    size_t asked_for_list = 0;
+    size_t asked          = 0;
+    for (const auto& box : silent)
+    {
+        bool got  = false;
+        bool list = false;
+        for (const std::vector<uint8_t>& bytes : box->Take())
+        {
+            const wire::LoadSubscribe* ask = flatbuffers::GetRoot<wire::Frame>(bytes.data())->body_as_LoadSubscribe();
+            BOOST_REQUIRE(ask != nullptr);
+            got  = true;
+            list = list || ask->list_routers();
+        }
+        asked += got ? 1 : 0;
+        asked_for_list += list ? 1 : 0;
+    }
+    BOOST_TEST(asked == silent.size());
+    BOOST_TEST(asked_for_list <= 2 * kListAsked - 1); // besides the one that answered; twice, if its answer was slow
+}
+
+BOOST_AUTO_TEST_CASE(lists_of_a_hundred_routers_fit_a_datagram)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    LoadPublisher    agent(ioc, "dc");
+    BOOST_REQUIRE(agent.Listen(On(1, 1, port)).has_value());
+    TestRouter                               asker(ioc, On(2, 200, port), "region-0");
+    std::vector<std::unique_ptr<TestRouter>> near;
+    std::vector<std::unique_ptr<TestRouter>> far;
+    for (unsigned i = 1; i <= 100; i++)
+        near.push_back(std::make_unique<TestRouter>(ioc, On(2, i, port), "region-0"));
+    for (unsigned i = 0; i < 40; i++) // four each of ten other regions
+        far.push_back(std::make_unique<TestRouter>(ioc, On(3, i + 1, port), "region-" + std::to_string(1 + i % 10)));
+    for (const auto* routers : {&near, &far})
+        for (const auto& r : *routers)
+            r->m_Listener.SetBoxes({On(1, 1, port)});
+    asker.m_Listener.SetBoxes({On(1, 1, port)});
+    // A list that is longer than a datagram may be would not be taken in at all.
+    BOOST_TEST(RunUntil(ioc, [&] { return asker.m_Routers.size() == 100 + 10 * kRoutersListedFar; }));
+    BOOST_TEST(asker.Listed(true).size() == 100u);
+    BOOST_TEST(asker.Listed(false).size() == 10 * kRoutersListedFar);
+}
+
+// Agents know of their model only what routers tell: words of a dozen models with long names may not make a request for reports one that is too
+// long to be taken in.
+BOOST_AUTO_TEST_CASE(each_agent_is_told_of_its_model_however_many_there_are)
+{
+    constexpr unsigned    kModels = 24;
+    asio::io_context      ioc;
+    const uint16_t        port = FreeEndpoint().m_Port;
+    LoadPublisher         agent(ioc, "dc");
+    std::set<std::string> heard;
+    agent.SetOnNamed(
+        [&](const ModelNaming& n)
+        {
+            heard.insert(n.m_Service);
+            BOOST_TEST(n.m_Declared == 41u);
+            BOOST_TEST(n.m_Origin->ToString() == "10.1.2.3:8000");
+        });
+    BOOST_REQUIRE(agent.Listen(On(1, 1, port)).has_value());
+    SilentBox  box(ioc, On(1, 2, port));
+    TestRouter a(ioc, On(2, 1, port), "west");
+    a.m_Listener.SetBoxes({On(1, 1, port), On(1, 2, port)});
+    a.m_Listener.SetDeclared(41);
+    std::vector<ModelNaming> named;
+    for (unsigned i = 0; i < kModels; i++)
+    {
+        const std::string number = std::to_string(i);
+        named.push_back({"a-service-with-a-long-name-" + number, "a-model-with-a-long-name-" + number, 3, Now(),
+                         Endpoint{asio::ip::make_address("10.1.2.3"), 8000}, 9.5, 48, 0});
+    }
+    a.m_Listener.SetNamed(named);
+    BOOST_TEST(RunUntil(ioc, [&] { return heard.size() == kModels; }));
+    const auto datagrams = box.Take();
+    BOOST_TEST(!datagrams.empty());
+    size_t longest = 0;
+    for (const std::vector<uint8_t>& bytes : datagrams)
+        longest = std::max(longest, bytes.size());
+    BOOST_TEST(longest <= kDatagramMax);
+}
+
+BOOST_AUTO_TEST_CASE(a_router_is_told_news_by_another)
+{
+    asio::io_context        ioc;
+    const uint16_t          port = FreeEndpoint().m_Port;
+    TestRouter              a(ioc, On(2, 1, port), "west");
+    TestRouter              b(ioc, On(2, 2, port), "west");
+    wire::DeclarationsNewsT news;
+    news.name    = "a";
+    news.region  = "west";
+    news.version = 41;
+    a.m_Listener.Tell(b.m_At, news);
+    news.version = 42;
+    a.m_Listener.Tell(b.m_At, news);
+    BOOST_TEST(RunUntil(ioc, [&] { return b.m_News.size() == 2; }));
+    BOOST_TEST((b.m_News == std::vector<uint64_t>{41, 42}));
+    BOOST_TEST(b.m_NewsFrom.ToString() == a.m_At.ToString());
+    BOOST_TEST(a.m_News.empty());
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_change_nothing)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    TestRouter       a(ioc, On(2, 1, port), "west");
+    TestRouter       b(ioc, On(2, 2, port), "west");
+    SilentBox        stray(ioc, On(1, 1, port));
+    const auto       to = udp::endpoint(b.m_At.m_Address, b.m_At.m_Port);
+    stray.m_Socket.send_to(asio::buffer("not a frame", 11), to);
+    stray.m_Socket.send_to(asio::buffer("", 0), to);
+    wire::DeclarationsNewsT news;
+    news.version = 41;
+    a.m_Listener.Tell(b.m_At, news);
+    BOOST_TEST(RunUntil(ioc, [&] { return !b.m_News.empty(); }));
+    BOOST_TEST(b.m_Lists == 0);
+}
