Tell agents of many models in several datagrams

Cause: a request for reports names every model in one datagram; agents take in 1,200 bytes, so with many models none was told of any. Ruled out: longer datagrams: those over a link's unit are cut, and one lost part loses all.

--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -8,7 +8,9 @@
 namespace
 {
 
-constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr auto   kNoThrow     = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kAskBytes    = 160; // of a request for reports besides its texts and namings, at most
+constexpr size_t kNamingBytes = 144; // of a naming besides the names in it, at most; with an IPv6 address and a port
 
 Status OpenUdp(udp::socket& socket, const Endpoint& at)
 {
@@ -95,6 +97,27 @@
     return out;
 }
 
+std::unique_ptr<wire::ModelNamingT> ToWire(const ModelNaming& n, TimePoint now)
+{
+    auto out     = std::make_unique<wire::ModelNamingT>();
+    out->service = n.m_Service;
+    out->model   = n.m_Model;
+    out->version = n.m_Version;
+    out->age_ms  = n.m_At == TimePoint{} ? -1 : ToMs(now - n.m_At);
+    if (!n.m_Origin)
+        return out;
+    out->origin             = n.m_Origin->ToString();
+    out->origin_mbps        = static_cast<float>(n.m_OriginMbps);
+    out->origin_connections = n.m_OriginConnections;
+    return out;
+}
+
+// Of a datagram at most: a request for reports takes kAskBytes and its texts.
+size_t BytesOf(const ModelNaming& n)
+{
+    return kNamingBytes + n.m_Service.size() + n.m_Model.size();
+}
+
 bool SameLoad(const LoadReport& a, const LoadReport& b)
 {
     return a.m_Running == b.m_Running && a.m_Waiting == b.m_Waiting && a.m_Weights == b.m_Weights && a.m_Starting == b.m_Starting;
@@ -179,23 +202,20 @@
     ask.region       = m_Region;
     ask.list_routers = list_routers;
     ask.declared     = m_Declared;
-    for (const ModelNaming& n : m_Named)
+    size_t next      = 0; // of m_Named
+    do
     {
-        auto told     = std::make_unique<wire::ModelNamingT>();
-        told->service = n.m_Service;
-        told->model   = n.m_Model;
-        told->version = n.m_Version;
-        told->age_ms  = n.m_At == TimePoint{} ? -1 : ToMs(Now() - n.m_At);
-        if (n.m_Origin)
+        size_t bytes = kAskBytes + ask.name.size() + ask.data_centre.size() + ask.region.size();
+        ask.named.clear();
+        for (; next < m_Named.size() && (ask.named.empty() || bytes + BytesOf(m_Named[next]) <= kDatagramMax); next++)
         {
-            told->origin             = n.m_Origin->ToString();
-            told->origin_mbps        = static_cast<float>(n.m_OriginMbps);
-            told->origin_connections = n.m_OriginConnections;
+            bytes += BytesOf(m_Named[next]);
+            ask.named.push_back(ToWire(m_Named[next], Now()));
         }
-        ask.named.push_back(std::move(told));
-    }
-    for (const Endpoint& box : boxes)
-        SendDatagram(m_Socket, udp::endpoint(box.m_Address, box.m_Port), ask);
+        for (const Endpoint& box : boxes)
+            SendDatagram(m_Socket, udp::endpoint(box.m_Address, box.m_Port), ask);
+        ask.list_routers = false; // once is enough
+    } while (next < m_Named.size());
 }
 
 awaitable<void> LoadListener::SubscribeLoop()
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -84,8 +84,8 @@
     void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
     awaitable<void> SubscribeLoop();
     void            Subscribe();
-    void            AskForRouters(); // some of the boxes, other ones than the last time
-    void            SendAsk(std::span<const Endpoint> boxes, bool list_routers);
+    void            AskForRouters();                                             // some of the boxes, other ones than the last time
+    void            SendAsk(std::span<const Endpoint> boxes, bool list_routers); // in several datagrams, if there are many models
 
     asio::io_context&        m_Ioc;               //
     ProcessName              m_Self;              //
