What an agent knows of its model, as a module of its own

Cause: 15 to 30 agents of a region read the whole operators' table (1.1 MB) at their start, and again when a fetch took over 8 s and declarations had changed: 5 to 11 s of a link of 3 MB/s. Routers tell each agent all that it needs of it once a second. Origin and model now come from the teller with the newest declarations; the whole table is read only by an agent that isn't told for 5 to 10 s, and less often each time. When a version was named: kept with each version when it is heard, for all models, so that it stays right if the model is learned after the first read of the named versions. Ruled out: testing the agent's program as it was: its decision lay in main's file among sockets, so the tests are of the module and couldn't be run against the code before.

--- /dev/null
+++ b/src/version/model_knowledge.cpp
@@ -0,0 +1,109 @@
+// What an agent knows of its server's model. See model_knowledge.h.
+#include "version/model_knowledge.h"
+#include "common/hash.h"
+
+namespace aldervale
+{
+
+namespace
+{
+
+std::optional<WeightOrigin> OriginOf(const ModelNaming& n)
+{
+    if (!n.m_Origin)
+        return std::nullopt;
+    return WeightOrigin{*n.m_Origin, n.m_OriginMbps, n.m_OriginConnections};
+}
+
+const Service* FindModelService(const RouteTableSpec& spec, const std::string& name) // null: none
+{
+    for (const Service& s : spec.m_Services)
+        if (s.m_Name == name && s.m_Engine && s.m_Engine->m_Pieces > 0)
+            return &s;
+    return nullptr;
+}
+
+bool SameOrigin(const std::optional<WeightOrigin>& a, const std::optional<WeightOrigin>& b)
+{
+    if (!a || !b)
+        return a.has_value() == b.has_value();
+    return a->m_Address == b->m_Address && a->m_Mbps == b->m_Mbps && a->m_MaxConnections == b->m_MaxConnections;
+}
+
+} // namespace
+
+ModelKnowledge::ModelKnowledge(std::string service, std::string_view own_address, TimePoint now) : m_Service(std::move(service)), m_UntoldSince(now)
+{
+    const auto part = static_cast<int>(Hash64(own_address) % kUntoldParts);
+    m_Patience      = kUntoldMax + Duration(kUntoldSpread) * part / static_cast<int>(kUntoldParts);
+}
+
+bool ModelKnowledge::Take(uint64_t declared, const std::string& model, const std::optional<WeightOrigin>& origin)
+{
+    if (declared <= m_Declared)
+        return false;
+    const auto before = m_Origin;
+    const bool named  = m_Model.empty();
+    m_Declared        = declared;
+    if (named)
+        m_Model = model;
+    if (origin) // one that went away may still answer
+        m_Origin = origin;
+    return named || !SameOrigin(before, m_Origin);
+}
+
+bool ModelKnowledge::OnTold(const ModelNaming& naming, TimePoint now)
+{
+    if (naming.m_Service != m_Service || naming.m_Model.empty())
+        return false;
+    const bool news  = Take(naming.m_Declared, naming.m_Model, OriginOf(naming));
+    const bool exact = naming.m_At != TimePoint{};
+    Note(naming.m_Model, {naming.m_Version, exact ? naming.m_At : LearnedAt(now)});
+    // The same version may be known from the first read, at an unknown time.
+    VersionNamed& newest = m_Named[naming.m_Model];
+    if (exact && naming.m_Version == newest.m_Version && newest.m_At == TimePoint{})
+        newest.m_At = naming.m_At;
+    return news;
+}
+
+bool ModelKnowledge::OnDeclared(const RouteTableSpec& spec, TimePoint now)
+{
+    m_UntoldSince          = now;
+    const Service* service = FindModelService(spec, m_Service);
+    if (service != nullptr)
+        return Take(spec.m_Version, service->m_Engine->m_Model, spec.m_Origin);
+    m_Patience = std::min<Duration>(m_Patience * 2, kUntoldLongest);
+    return false;
+}
+
+void ModelKnowledge::OnRow(std::string_view model, uint64_t version, TimePoint now)
+{
+    Note(model, {version, LearnedAt(now)});
+}
+
+void ModelKnowledge::OnHeard(uint64_t version, TimePoint now)
+{
+    if (!m_Model.empty())
+        Note(m_Model, {version, LearnedAt(now)});
+}
+
+// Only a newer version replaces the one known: later reads repeat it, and its time was known best when it came.
+void ModelKnowledge::Note(std::string_view model, const VersionNamed& named)
+{
+    VersionNamed& newest = m_Named[std::string(model)];
+    if (named.m_Version > newest.m_Version)
+        newest = named;
+}
+
+VersionNamed ModelKnowledge::Newest() const
+{
+    const auto it = m_Named.find(m_Model);
+    return it == m_Named.end() ? VersionNamed{} : it->second;
+}
+
+bool ModelKnowledge::ReadsAll(TimePoint now) const
+{
+    return m_Model.empty() && now - m_UntoldSince >= m_Patience;
+}
+
+} // namespace aldervale
