--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -1,7 +1,9 @@
 // Declarations between routers. See declarations_peers.h.
 #include "process/declarations_peers.h"
 #include "common/log.h"
+#include "common/metrics.h"
 #include "connection/text_delta.h"
+#include "process/declarations_lag.h"
 
 namespace aldervale
 {
@@ -10,11 +12,12 @@
 {
 
 constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
-constexpr auto     kFetchLook    = milliseconds(50);   // for something to fetch, besides at news
+constexpr auto     kFetchLook    = milliseconds(50);   // while behind, for a router that isn't avoided any more
+constexpr auto     kFetchIdle    = seconds(1);         // while not behind: OnNews() ends it
 constexpr auto     kConnectMax   = milliseconds(300);  // to a router; a region's links take some 3 ms
 constexpr unsigned kDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
 constexpr auto     kServeMax     = seconds(10);        // of a connection that was taken: askers close theirs after one answer
-constexpr auto     kGoOnMax      = milliseconds(2000); // since versions were confirmed, for reading to go on after them: few are missed in that time
+constexpr auto     kGoOnMax      = milliseconds(1000); // since versions were confirmed, for reading to go on after them: few are missed in that time
 constexpr size_t   kLinkQueueMax = 32 * 1024 * 1024;   // bytes queued to an asker that doesn't read
 
 uint32_t AgeMs(TimePoint now, TimePoint at)
@@ -23,6 +26,14 @@
     return static_cast<uint32_t>(ToMs(std::min<Duration>(now - at, kOld)));
 }
 
+size_t BytesOf(const RowRead& read)
+{
+    size_t bytes = 0;
+    for (const Row& row : read.m_Rows)
+        bytes += row.m_Value.size();
+    return bytes;
+}
+
 } // namespace
 
 DeclarationsPeers::DeclarationsPeers(asio::io_context& ioc, RouterName self, LoadListener& datagrams, RowsHandler on_rows)
@@ -58,12 +69,45 @@
     return recent ? std::optional(m_Spread.Held()) : std::nullopt;
 }
 
+bool DeclarationsPeers::ReadsStore()
+{
+    const TimePoint now   = Now();
+    const bool      reads = m_Spread.Reads(now);
+    if (reads != m_Reading)
+    {
+        m_Reading = reads;
+        LogReading(now);
+    }
+    return reads;
+}
+
+void DeclarationsPeers::LogReading(TimePoint now) const
+{
+    LogEvent(m_Reading ? Event_ReadingStarted : Event_ReadingRested, {{"lead", m_Spread.Lead()},
+                                                                      {"rank", m_Spread.Rank()},
+                                                                      {"peers_listed", m_Spread.PeersKnown()},
+                                                                      {"peers", m_Spread.Peers()},
+                                                                      {"held", m_Spread.Held()},
+                                                                      {"heard", m_Spread.Heard()},
+                                                                      {"checked_age_ms", AgeOrNever(m_Spread.CheckedAt(), now)},
+                                                                      {"flow_age_ms", AgeOrNever(m_Spread.FlowAt(), now)}});
+}
+
+void DeclarationsPeers::OnBelief() const
+{
+    if (m_OnBelief)
+        m_OnBelief();
+}
+
 void DeclarationsPeers::OnStoreRead(const RowRead& read, TableRead kind)
 {
     const bool newer = kind == TableRead_Whole ? m_Rows.TakeAll(read) : m_Rows.TakeChanges(read);
-    m_Spread.OnStoreAnswer(m_Rows.Version(), Now());
+    m_Spread.OnStoreAnswer(m_Rows.Version(), Now(), BytesOf(read));
+    OnBelief();
     if (newer)
-        Hold(Now(), "store");
+        Hold(Now(), std::string(kFromStore));
+    else
+        Tell(); // others count how long ago the store confirmed: by the next round of news it would be a quarter of a second more
 }
 
 void DeclarationsPeers::OnStoreBack()
@@ -94,11 +138,8 @@
 // News
 //-----------------------------------------------------------------------------
 
-void DeclarationsPeers::Tell()
+wire::DeclarationsNewsT DeclarationsPeers::News(TimePoint now) const
 {
-    const TimePoint now = Now();
-    if (!m_Spread.Tells(now))
-        return;
     const SpreadNews        own = m_Spread.News(now);
     wire::DeclarationsNewsT news;
     news.name           = m_Self.m_Name;
@@ -107,6 +148,16 @@
     news.checked_age_ms = AgeMs(now, now - own.m_CheckedAge);
     news.flow_age_ms    = AgeMs(now, now - own.m_FlowAge);
     news.reads          = own.m_Reads;
+    news.rests          = own.m_Rests;
+    return news;
+}
+
+void DeclarationsPeers::Tell()
+{
+    const TimePoint now = Now();
+    if (!m_Spread.Tells(now))
+        return;
+    const wire::DeclarationsNewsT news = News(now);
     for (const Endpoint& to : m_Spread.Audience(now))
         m_Datagrams.Tell(to, news);
 }
@@ -123,12 +174,17 @@
 void DeclarationsPeers::OnNews(const wire::DeclarationsNews& news, const Endpoint& from)
 {
     SpreadNews told;
-    told.m_From       = from;
-    told.m_Version    = news.version();
-    told.m_CheckedAge = milliseconds(news.checked_age_ms());
-    told.m_FlowAge    = milliseconds(news.flow_age_ms());
-    told.m_Reads      = news.reads();
-    m_Spread.OnNews(told, Now());
+    told.m_From         = from;
+    told.m_Near         = news.region() != nullptr && news.region()->string_view() == m_Self.m_Region;
+    told.m_Version      = news.version();
+    told.m_CheckedAge   = milliseconds(news.checked_age_ms());
+    told.m_FlowAge      = milliseconds(news.flow_age_ms());
+    told.m_Reads        = news.reads();
+    const TimePoint now = Now();
+    m_Spread.OnNews(told, now);
+    OnBelief();
+    if (told.m_Version == 0 && m_Spread.Held() > 0) // it has just started
+        m_Datagrams.Tell(from, News(now));
     if (m_Spread.Heard() > m_Spread.Held())
         m_Wake.cancel();
 }
@@ -139,27 +195,35 @@
 
 awaitable<void> DeclarationsPeers::FetchLoop()
 {
+    static Counter& failed = Metrics().GetCounter("aldervale_declarations_fetches_failed_total");
     for (;;)
     {
         const std::optional<Endpoint> from = m_Spread.FetchFrom(Now());
         if (!from)
         {
-            m_Wake.expires_after(kFetchLook);
+            m_Wake.expires_after(m_Spread.Heard() > m_Spread.Held() ? Duration(kFetchLook) : Duration(kFetchIdle));
             co_await m_Wake.async_wait(kNoThrow);
             continue;
         }
-        const bool newer = co_await Fetch(*from);
+        const TimePoint asked = Now();
+        const uint64_t  held  = m_Spread.Held();
+        co_await Fetch(*from);
+        const bool newer = m_Spread.Held() > held; // by this fetch, or from the store meanwhile
         m_FetchFailures  = newer ? 0 : std::min(m_FetchFailures + 1, kDoublingsMax);
-        if (!newer)
-            m_Spread.OnFetchFailed(*from, Now());
+        if (newer)
+            continue;
+        const TimePoint now = Now();
+        failed.Add(1);
+        LogEvent(Event_DeclarationsNotFetched, {{"from", from->ToString()}, {"held", held}, {"heard", m_Spread.Heard()}, {"ms", ToMs(now - asked)}});
+        m_Spread.OnFetchFailed(*from, now);
     }
 }
 
-awaitable<bool> DeclarationsPeers::Fetch(Endpoint from)
+awaitable<void> DeclarationsPeers::Fetch(Endpoint from)
 {
     auto socket = co_await ConnectTcp(from, kConnectMax);
     if (!socket)
-        co_return false;
+        co_return;
     const auto link = std::make_shared<Link>(std::move(socket.value()), LinkSide_Dialled, LinkConfig{}, LinkHandlers{});
     link->Start();
     const MailboxPtr       answer = link->OpenExchange(m_Ioc.get_executor());
@@ -170,16 +234,18 @@
     const std::optional<FrameBuf> frame = co_await answer->Pop(until);
     link->Close();
     const wire::DeclarationsData* data = frame ? frame->Get()->body_as_DeclarationsData() : nullptr;
-    co_return data != nullptr&&   TakeData(*data, from);
+    if (data != nullptr)
+        TakeData(*data, from);
 }
 
-bool DeclarationsPeers::TakeData(const wire::DeclarationsData& data, const Endpoint& from)
+void DeclarationsPeers::TakeData(const wire::DeclarationsData& data, const Endpoint& from)
 {
+    static Counter& fetched = Metrics().GetCounter("aldervale_declarations_fetched_bytes_total");
     if (data.version() <= m_Rows.Version() || data.bytes() == nullptr)
-        return false;
+        return;
     const Text* base = data.base() == 0 ? nullptr : FindText(data.base());
     if (data.base() != 0 && base == nullptr)
-        return false;
+        return;
     const std::string_view bytes(reinterpret_cast<const char*>(data.bytes()->data()), data.bytes()->size());
     const auto             text  = ExpandText(bytes, base == nullptr ? std::string_view() : std::string_view(base->m_Text), data.length());
     auto                   copy  = text ? OperatorRows::Decode(text.value()) : Result<OperatorRows>(text.error());
@@ -187,14 +253,15 @@
     if (!taken)
     {
         LogEvent(Event_DeclarationsSpoilt, {{"from", from.ToString()}, {"version", data.version()}, {"base", data.base()}, {"bytes", bytes.size()}});
-        return false;
+        return;
     }
     m_Fetches++;
     m_FetchedBytes += bytes.size();
+    fetched.Add(bytes.size());
     const TimePoint now = Now();
     m_Spread.OnFetched(data.version(), now - milliseconds(data.checked_age_ms()));
+    OnBelief();
     Hold(now - milliseconds(data.learned_age_ms()), from.ToString());
-    return true;
 }
 
 //-----------------------------------------------------------------------------
