Few routers of a region take over while the store is away

Cause: ranks took over 0.12 s apart, the last 1.5 s after the first: after 2.7 s of silence every router of a region was reading. Requests that hadn't failed yet were answered when the store was back, each with the whole row: 50 of 1.13 MB over 3 MB/s.

Ruled out by reasoning, not run: a small read before each takeover. It would be in flight at the return in the same way.

Now the stagger doubles with each rank, as it does while bytes come: by its sum 9 routers after 10 s, leads included. Price: with the first five ranks of a region gone at once, the sixth reads 2.2 s after the last confirmation (1.7 s before).

--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-constexpr unsigned kDoublingsMax = 6;                  // of kFlowStagger: 26 s, more than any read should take
-constexpr auto     kStaggerMax   = milliseconds(1500); // of ranks that take over while nothing comes
+constexpr unsigned kFlowDoublings = 6; // of kFlowStagger at most: 26 s, more than any read should take
+constexpr unsigned kDoublings     = 8; // of kStagger at most: 31 s; by then reads of a store that is away have failed
 
 } // namespace
 
@@ -159,8 +159,7 @@
         return now - m_StartedAt >= kFirstWait + kFirstStagger * static_cast<int>(m_SelfRank % kStaggersFirst) && !Checked(now);
     const auto     place   = static_cast<unsigned>(m_Rank - kLeads); // among those that are no leads
     const bool     flowing = now - m_FlowAt < kFresh;
-    const Duration stagger =
-        flowing ? Duration(kFlowStagger) * (1u << std::min(place, kDoublingsMax)) : std::min<Duration>(kStaggerMax, Duration(kStagger) * (place + 1));
+    const Duration stagger = flowing ? kFlowStagger * (1u << std::min(place, kFlowDoublings)) : kStagger * (1u << std::min(place, kDoublings));
     TimePoint since = std::max(m_CheckedAt, m_StartedAt);
     if (flowing)
         since = std::max(since, m_FlowSince);
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -31,7 +31,7 @@
 constexpr size_t kLeads         = 2;                  // of a region: one may fail without anybody waiting for the other
 constexpr auto   kFresh         = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
 constexpr auto   kNewsEvery     = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
-constexpr auto   kStagger       = milliseconds(120);  // between two ranks that take over: a short row comes in less
+constexpr auto   kStagger       = milliseconds(120);  // until the first rank takes over when nothing comes; doubles with each further one
 constexpr auto   kWake          = milliseconds(400);  // of a lead that rested: to its first bytes, and to news of them
 constexpr auto   kFlowStagger   = milliseconds(400);  // the same while bytes come; doubles with each rank
 constexpr auto   kFirstWait     = milliseconds(600);  // of a router that starts and holds nothing: in that time it hears of others
