Readers tell of every answer of the store

Cause: kFresh (1.2 s) has to outlast a pause, a wait and an answer (0.95 s and a round trip) and up to 0.25 s until the next news: with both leads' news at the wrong moment it didn't, by some 10 ms. Told at once it is 1 s.

--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -72,6 +72,8 @@
     m_Spread.OnStoreAnswer(m_Rows.Version(), Now(), BytesOf(read));
     if (newer)
         Hold(Now(), "store");
+    else
+        Tell(); // what the others go by grows old as fast as the store is asked
 }
 
 void DeclarationsPeers::OnStoreBack()
