--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -160,7 +160,7 @@
     const auto     place   = static_cast<unsigned>(m_Rank - kLeads); // among those that are no leads
     const bool     flowing = now - m_FlowAt < kFresh;
     const Duration stagger = flowing ? kFlowStagger * (1u << std::min(place, kFlowDoublings)) : kStagger * (1u << std::min(place, kDoublings));
-    TimePoint since = std::max(m_CheckedAt, m_StartedAt);
+    TimePoint      since   = std::max(m_CheckedAt, m_StartedAt);
     if (flowing)
         since = std::max(since, m_FlowSince);
     const Duration wake = !flowing && LeadRests(now) ? Duration(kWake) : Duration::zero();
--- a/tests/support_spread.h
+++ b/tests/support_spread.h
@@ -875,6 +875,8 @@
         r.m_Spread->OnStoreAnswer(r.m_Rows.Version(), m_Now, static_cast<size_t>(m_Config.m_RowBytes) * rows);
         if (newer)
             Hold(i);
+        else
+            Tell(i);
     }
 
     void Hold(size_t i)
