--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-constexpr unsigned kDoublingsMax      = 6;                  // of kFlowStagger: 26 s, more than any read should take
-constexpr unsigned kFetchDoublingsMax = 3;                  // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
-constexpr auto     kStaggerMax        = milliseconds(1500); // of ranks that take over while nothing comes
+constexpr unsigned kFlowDoublings     = 6; // of kFlowStagger at most: 26 s, more than any read should take
+constexpr unsigned kDoublings         = 8; // of kStagger at most: 31 s; by then reads of a store that is away have failed
+constexpr unsigned kFetchDoublingsMax = 3; // of kFetchMax, by failures in a row: a squeezed link gives a little at a time
 
 } // namespace
 
@@ -119,8 +119,8 @@
     if (version > m_Heard)
         m_FarFirst = false;
     SetHeld(version, now);
-    if (version == m_Held) // as of when the store began to answer
-        m_CheckedAt = std::max(m_CheckedAt, bytes >= kLongAnswer ? m_AnswerSince : now);
+    if (version == m_Held)
+        m_CheckedAt = now;
 }
 
 // Everybody asks a store that is away, and all would read the whole rows at once when it is back.
@@ -191,9 +191,8 @@
         return now - m_StartedAt >= kFirstWait + kFirstStagger * static_cast<int>(m_SelfRank % kStaggersFirst) && !Checked(now);
     const auto     place   = static_cast<unsigned>(m_Rank - kLeads); // among those that are no leads
     const bool     flowing = now - m_FlowAt < kFresh;
-    const Duration stagger =
-        flowing ? Duration(kFlowStagger) * (1u << std::min(place, kDoublingsMax)) : std::min<Duration>(kStaggerMax, Duration(kStagger) * (place + 1));
-    TimePoint since = std::max(m_CheckedAt, m_StartedAt);
+    const Duration stagger = flowing ? kFlowStagger * (1u << std::min(place, kFlowDoublings)) : kStagger * (1u << std::min(place, kDoublings));
+    TimePoint      since   = std::max(m_CheckedAt, m_StartedAt);
     if (flowing)
         since = std::max(since, m_FlowSince);
     const Duration wake = !flowing && LeadRested(now) ? Duration(kWake) : Duration::zero();
@@ -202,8 +201,9 @@
 
 bool DeclarationsSpread::BehindLong(TimePoint now) const
 {
-    const auto place = static_cast<int>(m_Rank > kLeads ? m_Rank - kLeads : 0);
-    return m_Heard > m_Held && now - m_HeldAt > kBehindMax + std::min<Duration>(kStaggerMax, Duration(kStagger) * place);
+    const size_t place   = m_Rank > kLeads ? m_Rank - kLeads : 0;
+    const bool   settled = m_Held > 0 || now - m_StartedAt > kFirstNear;
+    return settled && m_Heard > m_Held && now - m_HeldAt > kBehindMax + kStagger * (1u << std::min<size_t>(place, kDoublings));
 }
 
 bool DeclarationsSpread::Reads(TimePoint now)
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -28,36 +28,36 @@
 namespace aldervale
 {
 
-constexpr size_t kLeads        = 2;                  // of a region: one may fail without anybody waiting for the other
-constexpr auto   kFresh        = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
-constexpr auto   kNewsEvery    = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
-constexpr auto   kStagger      = milliseconds(120);  // between two ranks that take over: a short row comes in less
-constexpr auto   kWake         = milliseconds(400);  // of a lead that rested: to its first bytes, and to news of them
-constexpr auto   kFlowStagger  = milliseconds(400);  // the same while bytes come; doubles with each rank
-constexpr auto   kFirstWait    = milliseconds(400);  // of a router that starts and holds nothing: in that time it hears of others
-constexpr auto   kFirstNear    = milliseconds(3000); // in which it leaves fetching the whole from other regions to its leads
-constexpr auto   kFirstStagger = milliseconds(100);  // between routers that start, as long as no other is known
-constexpr auto   kPeerKept     = milliseconds(5000); // of a router that no agent lists any more: two lists may be lost
-constexpr auto   kFetchMax     = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
-constexpr size_t kLongAnswer   = 200 * 1024;         // bytes of rows: 65 ms of a link of 24 Mbit/s
-constexpr auto   kQuickAnswer  = milliseconds(150);  // for a long one, over a wide link to the store
-constexpr auto   kSameAnswer   = milliseconds(300);  // between bytes of one answer: less than the shortest pause between two
+constexpr size_t kLeads         = 2;                  // of a region: one may fail without anybody waiting for the other
+constexpr auto   kFresh         = milliseconds(1200); // leads ask the store once in a second; longer than a pause, a wait and an answer
+constexpr auto   kNewsEvery     = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
+constexpr auto   kStagger       = milliseconds(120);  // until the first rank takes over when nothing comes; doubles with each further one
+constexpr auto   kWake          = milliseconds(400);  // of a lead that rested: to its first bytes, and to news of them
+constexpr auto   kFlowStagger   = milliseconds(400);  // the same while bytes come; doubles with each rank
+constexpr auto   kFirstWait     = milliseconds(600);  // of a router that starts and holds nothing: in that time it hears of others
+constexpr auto   kFirstNear     = milliseconds(3000); // in which it leaves fetching the whole from other regions to its leads
+constexpr auto   kFirstStagger  = milliseconds(100);  // between routers that start, as long as no other is known
+constexpr auto   kPeerKept      = milliseconds(5000); // of a router that no agent lists any more: two lists may be lost
+constexpr auto   kFetchMax      = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
+constexpr size_t kLongAnswer    = 200 * 1024;         // bytes of rows: 65 ms of a link of 24 Mbit/s
+constexpr auto   kQuickAnswer   = milliseconds(150);  // for a long one, over a wide link to the store
+constexpr auto   kSameAnswer    = milliseconds(300);  // between bytes of one answer: less than the shortest pause between two
+constexpr auto   kAvoided       = milliseconds(1000); // a router whose fetch failed
+constexpr size_t kStaggersFirst = 8;                  // places of routers that start
 constexpr auto kRelayCost  = milliseconds(60); // added to what is told on of confirmations: more than a way takes, so that no age is lost in a circle
-constexpr auto kBehindMax  = milliseconds(800);  // of a router that can't fetch what others hold
+constexpr auto kBehindMax  = milliseconds(1500); // of a router that can't fetch what others hold, before it reads for itself
 constexpr auto kNewsRecent = milliseconds(600);  // who told within this is asked first: it isn't frozen
 constexpr size_t kPeersMax = 256;                // that are known; more than any list holds
-constexpr auto   kAvoided  = milliseconds(1000); // a router whose fetch failed
-constexpr size_t kStaggersFirst = 8;             // places of routers that start
 
 struct SpreadNews // what another router told
 {
     Endpoint m_From;          //
     uint64_t m_Version = 0;   // store version of the newest row that it holds
     Duration m_CheckedAge{};  // since the store confirmed that to anyone
-    bool     m_Near = false;  // it is in the own region
     Duration m_FlowAge{};     // since bytes of the table came from the store to that router
     bool     m_Reads = false; // it follows the store, and was answered just now
     bool     m_Rests = false; // it would follow the store, but leaves that to another region
+    bool     m_Near  = false; // it is in the own region
 };
 
 class DeclarationsSpread // touched on one thread
