--- a/tests/test_declarations_spread.cpp
+++ b/tests/test_declarations_spread.cpp
@@ -259,7 +259,7 @@
 }
 
 // The store's region was cut off for 2.8 s. All 50 routers of another one had taken over reading by then, 0.12 s after each other, and their requests
-// were answered at its return: 47 whole rows of 1.13 MB within 0.25 s, over 3 MB/s. The last router held the newest after 19 s.
+// were answered at its return: 47 whole rows of 1.13 MB within 0.25 s, over 3 MB/s. The last router held the newest after 17 s.
 BOOST_AUTO_TEST_CASE(few_ranks_take_over_while_the_store_is_silent)
 {
     const Ranked r;
