Counts and copies in DeclarationsPeers that nobody read are gone

Cause: Fetches(), FetchedBytes() and From() had no caller, since metrics count the same and the rows say who gave them; DeclaredRows::m_Version repeated the store version of its rows. Change: removed; what the program does stays as it was.

--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -121,7 +121,6 @@
 void DeclarationsPeers::Hold(TimePoint learned, std::string from)
 {
     m_LearnedAt = learned;
-    m_From      = std::move(from);
     m_Texts.push_back({m_Rows.Version(), m_Rows.Encode()});
     m_Compressed.clear();
     size_t bytes = 0;
@@ -133,7 +132,7 @@
         m_Texts.pop_front();
     }
     Tell(); // before the rows are used here: others needn't wait for that
-    m_OnRows({m_Rows.Read(), learned, m_Rows.Version(), m_From});
+    m_OnRows({m_Rows.Read(), learned, std::move(from)});
 }
 
 //-----------------------------------------------------------------------------
@@ -258,8 +257,6 @@
         LogEvent(Event_DeclarationsSpoilt, {{"from", from.ToString()}, {"version", data.version()}, {"base", data.base()}, {"bytes", bytes.size()}});
         return;
     }
-    m_Fetches++;
-    m_FetchedBytes += bytes.size();
     fetched.Add(bytes.size());
     const TimePoint now = Now();
     m_Spread.OnFetched(data.version(), now - milliseconds(data.checked_age_ms()), now);
--- a/src/process/declarations_peers.h
+++ b/src/process/declarations_peers.h
@@ -33,9 +33,8 @@
 
 struct DeclaredRows // newer than what was held before
 {
-    RowRead     m_Rows;        // all of the operators' table
+    RowRead     m_Rows;        // all of the operators' table, as of its newest row
     TimePoint   m_LearnedAt{}; // when the first process that read their newest version had it; not before it was written
-    uint64_t    m_Version = 0; // store version of their newest row
     std::string m_From;        // "store", or the address of a router
 };
 
@@ -58,10 +57,7 @@
     void                    OnStoreBack();
 
     const DeclarationsSpread& Spread() const { return m_Spread; }
-    const std::string&        From() const { return m_From; }
     bool                      Reading() const { return m_Reading; } // what ReadsStore() last said
-    uint64_t                  Fetches() const { return m_Fetches; }
-    uint64_t                  FetchedBytes() const { return m_FetchedBytes; }
 
 private:
     struct Text // rows as text
@@ -85,24 +81,21 @@
     FrameBytes              DataFor(uint64_t exchange, uint64_t base);
     const Text*             FindText(uint64_t version) const; // null: forgotten
 
-    asio::io_context&               m_Ioc;                  //
-    RouterName                      m_Self;                 //
-    LoadListener&                   m_Datagrams;            //
-    RowsHandler                     m_OnRows;               //
-    BeliefHandler                   m_OnBelief;             // may be empty
-    DeclarationsSpread              m_Spread;               //
-    OperatorRows                    m_Rows;                 //
-    std::deque<Text>                m_Texts;                // newest last; its last one is of m_Rows
-    std::map<uint64_t, std::string> m_Compressed;           // by base, 0 alone: to the newest text
-    TimePoint                       m_LearnedAt{};          // of the newest version
-    std::string                     m_From;                 // who gave it
-    std::optional<tcp::acceptor>    m_Acceptor;             //
-    asio::steady_timer              m_Wake;                 // of FetchLoop(), when there may be something to fetch
-    bool                            m_Reading      = false; // as last told
-    bool                            m_AskWhole     = false; // the last difference was spoilt
-    size_t                          m_Serving      = 0;     // connections of askers
-    uint64_t                        m_Fetches      = 0;     // that brought something
-    uint64_t                        m_FetchedBytes = 0;     //
+    asio::io_context&               m_Ioc;              //
+    RouterName                      m_Self;             //
+    LoadListener&                   m_Datagrams;        //
+    RowsHandler                     m_OnRows;           //
+    BeliefHandler                   m_OnBelief;         // may be empty
+    DeclarationsSpread              m_Spread;           //
+    OperatorRows                    m_Rows;             //
+    std::deque<Text>                m_Texts;            // newest last; its last one is of m_Rows
+    std::map<uint64_t, std::string> m_Compressed;       // by base, 0 alone: to the newest text
+    TimePoint                       m_LearnedAt{};      // of the newest version
+    std::optional<tcp::acceptor>    m_Acceptor;         //
+    asio::steady_timer              m_Wake;             // of FetchLoop(), when there may be something to fetch
+    bool                            m_Reading  = false; // as last told
+    bool                            m_AskWhole = false; // the last difference was spoilt
+    size_t                          m_Serving  = 0;     // connections of askers
 };
 
 } // namespace aldervale
