--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -10,10 +10,11 @@
 {
 
 constexpr auto   kNoThrow      = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kAskBytes     = 160;    // of a request for reports besides its texts and namings, at most
-constexpr double kReadingMaxMs = 60'000; // of one prompt; more is no prompt
-constexpr double kShareMin     = 0.001;  // of boxes that a router follows
-constexpr size_t kNamingBytes  = 144;    // of a naming besides the names in it, at most; with an IPv6 address and a port
+constexpr size_t kAskBytes     = 160;       // of a request for reports besides its texts and namings, at most
+constexpr size_t kReceiveMax   = 16 * 1024; // bytes of a datagram: rows of one store version stay in one (server_news.h)
+constexpr double kReadingMaxMs = 60'000;    // of one prompt; more is no prompt
+constexpr double kShareMin     = 0.001;     // of boxes that a router follows
+constexpr size_t kNamingBytes  = 144;       // of a naming besides the names in it, at most; with an IPv6 address and a port
 
 Status OpenUdp(udp::socket& socket, const Endpoint& at)
 {
@@ -43,7 +44,7 @@
 // Hands on every datagram that is a whole frame, until the socket closes.
 awaitable<void> ReceiveFrames(udp::socket& socket, FrameHandler handler)
 {
-    std::vector<uint8_t> buf(kDatagramMax);
+    std::vector<uint8_t> buf(kReceiveMax);
     udp::endpoint        from;
     for (;;)
     {
@@ -171,6 +172,9 @@
     const wire::LoadState* s = frame.body_as_LoadState();
     if (s != nullptr)
         m_Handler(from.address(), FromWire(*s));
+    const wire::ServersNews* servers = frame.body_as_ServersNews();
+    if (servers != nullptr && m_OnServers)
+        m_OnServers(*servers);
     const wire::PlaceState* place = frame.body_as_PlaceState();
     if (place != nullptr && place->state() != nullptr && m_OnPlace)
     {
@@ -191,6 +195,18 @@
         m_OnNews(*news, FromUdp(from));
 }
 
+void LoadListener::TellServers(const Endpoint& to, const wire::ServersNewsT& news)
+{
+    SendDatagram(m_Socket, ToUdp(to), news);
+}
+
+void LoadListener::TellServersToBoxes(const wire::ServersNewsT& news)
+{
+    for (const FollowedBox& box : m_Boxes)
+        if (box.m_Near)
+            SendDatagram(m_Socket, ToUdp(box.m_At), news);
+}
+
 void LoadListener::AskPlace(const Endpoint& box, uint64_t number)
 {
     wire::PlaceAskT ask;
@@ -308,6 +324,9 @@
     const wire::PlaceAsk* ask = frame.body_as_PlaceAsk();
     if (ask != nullptr && m_OnAsk)
         m_OnAsk({FromUdp(from), ask->number()});
+    const wire::ServersNews* servers = frame.body_as_ServersNews();
+    if (servers != nullptr && m_OnServers)
+        m_OnServers(*servers);
     const wire::PlaceTake* take = frame.body_as_PlaceTake();
     if (take != nullptr && m_OnTake)
         m_OnTake(std::clamp<double>(take->reading_ms(), 0, kReadingMaxMs));
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -85,6 +85,7 @@
     using Handler        = std::function<void(const asio::ip::address& box, const LoadReport& report)>;
     using RoutersHandler = std::function<void(std::span<const RouterPeer> routers)>;
     using NewsHandler    = std::function<void(const wire::DeclarationsNews& news, const Endpoint& from)>;
+    using ServersHandler = std::function<void(const wire::ServersNews& news)>;
     using PlaceHandler   = std::function<void(uint64_t number, const Endpoint& box, const LoadReport& state)>;
 
     LoadListener(asio::io_context& ioc, ProcessName self, Handler handler);
@@ -100,6 +101,9 @@
     void   SetOnRouters(RoutersHandler fn) { m_OnRouters = std::move(fn); } // an agent listed the routers that it knows
     void   SetOnNews(NewsHandler fn) { m_OnNews = std::move(fn); }          // another router told of its declarations
     void   Tell(const Endpoint& router, const wire::DeclarationsNewsT& news);
+    void   SetOnServers(ServersHandler fn) { m_OnServers = std::move(fn); } // another router told of the list of servers
+    void   TellServers(const Endpoint& to, const wire::ServersNewsT& news);
+    void   TellServersToBoxes(const wire::ServersNewsT& news); // those of the own data centre
 
 private:
     void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
@@ -114,6 +118,7 @@
     RoutersHandler           m_OnRouters;     // may be empty
     NewsHandler              m_OnNews;        // may be empty
     PlaceHandler             m_OnPlace;       // may be empty
+    ServersHandler           m_OnServers;     // may be empty
     std::string              m_Region;        //
     udp::socket              m_Socket;        //
     std::vector<FollowedBox> m_Boxes;         //
@@ -130,16 +135,18 @@
 class LoadPublisher
 {
 public:
-    using NamedHandler = std::function<void(const ModelNaming& named)>;
-    using AskHandler   = std::function<void(const PlaceQuestion& question)>;
-    using TakeHandler  = std::function<void(double reading_ms)>;
+    using NamedHandler   = std::function<void(const ModelNaming& named)>;
+    using ServersHandler = std::function<void(const wire::ServersNews& news)>;
+    using AskHandler     = std::function<void(const PlaceQuestion& question)>;
+    using TakeHandler    = std::function<void(double reading_ms)>;
 
     LoadPublisher(asio::io_context& ioc, std::string data_centre);
 
     Status   Listen(const Endpoint& at);
-    void     SetOnNamed(NamedHandler fn) { m_OnNamed = std::move(fn); } // a router knows of a version; mostly a known one
-    void     SetOnAsk(AskHandler fn) { m_OnAsk = std::move(fn); }       // a router wants a place; Answer() it soon or not at all
-    void     SetOnTake(TakeHandler fn) { m_OnTake = std::move(fn); }    // a router sends a request to the server now
+    void     SetOnNamed(NamedHandler fn) { m_OnNamed = std::move(fn); }       // a router knows of a version; mostly a known one
+    void     SetOnAsk(AskHandler fn) { m_OnAsk = std::move(fn); }             // a router wants a place; Answer() it soon or not at all
+    void     SetOnTake(TakeHandler fn) { m_OnTake = std::move(fn); }          // a router sends a request to the server now
+    void     SetOnServers(ServersHandler fn) { m_OnServers = std::move(fn); } // a router told of the list of servers
     void     Answer(const PlaceQuestion& question, const LoadReport& state);
     void     Publish(LoadReport report); // its m_Routers is filled in
     uint64_t Sent() const { return m_Sent; }
@@ -169,6 +176,7 @@
     NamedHandler                        m_OnNamed;     // may be empty
     AskHandler                          m_OnAsk;       // may be empty
     TakeHandler                         m_OnTake;      // may be empty
+    ServersHandler                      m_OnServers;   // may be empty
 };
 
 } // namespace aldervale
--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -256,6 +256,15 @@
     return out;
 }
 
+std::vector<Endpoint> DeclarationsSpread::Near() const
+{
+    std::vector<Endpoint> out;
+    for (const auto& [address, peer] : m_Peers)
+        if (peer.m_Near)
+            out.push_back(address);
+    return out;
+}
+
 // Who holds nothing needs the whole. When a region starts, its leads get that from afar, and the others from them.
 bool DeclarationsSpread::LeavesFar(TimePoint now) const
 {
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -84,6 +84,7 @@
     bool                    Reads(TimePoint now);           // follow the store
     bool                    Tells(TimePoint now) const;     // tell others every kNewsEvery and at once of a new version
     std::vector<Endpoint>   Audience(TimePoint now) const;  // whom
+    std::vector<Endpoint>   Near() const;                   // routers of the own region
     std::optional<Endpoint> FetchFrom(TimePoint now) const; // whom to ask for what is newer; nothing: nobody has it
     Duration                FetchTimeout(const Endpoint& from) const;
     SpreadNews              News(TimePoint now) const; // of the own process
--- a/src/process/server_directory.cpp
+++ b/src/process/server_directory.cpp
@@ -23,6 +23,12 @@
         return;
     if (present != m_Known.end() && ServerLife::Earlier(entry.m_BornMs, present->second.m_Entry.m_BornMs))
         return;
+    if (present != m_Known.end() && present->second.m_Entry.m_RowVersion == entry.m_RowVersion)
+    {
+        m_Changes += present->second.m_Lapsed ? 1 : 0;
+        present->second.m_Lapsed = false; // it is listed
+        return;
+    }
     m_Changes++;
     m_GoneAt.erase(entry.m_Id);
     const std::string id = entry.m_Id;
@@ -81,6 +87,16 @@
     m_StoreVersion = store_version;
 }
 
+void ServerDirectory::OnUpTo(uint64_t store_version)
+{
+    m_StoreVersion = std::max(m_StoreVersion, store_version);
+}
+
+void ServerDirectory::OnUnsettled(TimePoint until)
+{
+    m_SettledAt = std::max(m_SettledAt, until);
+}
+
 void ServerDirectory::OnStoreLost()
 {
     m_Lost = true;
--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -50,15 +50,19 @@
     void OnRowGone(std::string_view id, uint64_t row_version, TimePoint now);
     void OnRowRefused(std::string_view id, uint64_t row_version);                            // it can't be decoded
     void OnReadAll(std::vector<ServerEntry> entries, uint64_t store_version, TimePoint now); // whole list; what isn't in it is gone
-    void OnStoreLost();                                                                      // it can't be reached
-    void OnStoreReached(TimePoint now);                                                      // an answer came after OnStoreLost()
-    void Expire(TimePoint now); // drops what was kept over an outage; call every second or so
+    void OnUpTo(uint64_t store_version);                                                     // all rows until then are known
+    void OnUnsettled(TimePoint until);  // others say that the store was away: rows that go away before may belong to servers that live
+    void OnStoreLost();                 // it can't be reached
+    void OnStoreReached(TimePoint now); // an answer came after OnStoreLost()
+    void Expire(TimePoint now);         // drops what was kept over an outage; call every second or so
 
     std::vector<const ServerEntry*> Usable(std::string_view service) const; // ready; by id
     std::vector<const ServerEntry*> All(std::string_view service) const;    // draining ones too
     std::vector<const ServerEntry*> Everywhere() const;                     // of all services, draining ones too
     const ServerEntry*              Find(std::string_view id) const;        // null: gone
     uint64_t                        StoreVersion() const { return m_StoreVersion; }
+    Duration                        UnsettledFor(TimePoint now) const { return std::max(Duration::zero(), m_SettledAt - now); }
+    bool                            Lost() const { return m_Lost; }
     uint64_t                        Changes() const { return m_Changes; } // grows with every change of what All() says
 
 private:
--- /dev/null
+++ b/src/process/server_news.cpp
@@ -0,0 +1,68 @@
+// News of the list of servers. See server_news.h.
+#include "process/server_news.h"
+#include <algorithm>
+
+namespace aldervale
+{
+
+namespace
+{
+
+constexpr size_t kRowBytes = 40; // of a row in a datagram besides its key and value
+
+}
+
+std::vector<ServersTold> SplitServerNews(uint64_t since, RowRead changes)
+{
+    std::sort(changes.m_Rows.begin(), changes.m_Rows.end(), [](const Row& a, const Row& b) { return a.m_Version < b.m_Version; });
+    std::vector<ServersTold> out(1);
+    out.back().m_Since = since;
+    size_t bytes       = 0;
+    for (Row& row : changes.m_Rows)
+    {
+        ServersTold& last = out.back();
+        const size_t more = kRowBytes + row.m_Key.size() + row.m_Value.size();
+        // Rows of one version stay together: a datagram leads to a version only with all of its rows.
+        const bool full = bytes + more > kServersNewsBytes && !last.m_Rows.m_Rows.empty() && last.m_Rows.m_Rows.back().m_Version < row.m_Version;
+        if (full)
+        {
+            last.m_Rows.m_StoreVersion = std::max(last.m_Since, last.m_Rows.m_Rows.back().m_Version);
+            const uint64_t from        = last.m_Rows.m_StoreVersion;
+            out.emplace_back();
+            out.back().m_Since = from;
+            bytes              = 0;
+        }
+        bytes += more;
+        out.back().m_Rows.m_Rows.push_back(std::move(row));
+    }
+    out.back().m_Rows.m_StoreVersion = std::max(out.back().m_Since, changes.m_StoreVersion);
+    return out;
+}
+
+bool ServerNewsListener::OnNews(const ServersTold& told, uint64_t held, TimePoint now)
+{
+    if (told.m_Lost)
+        return false;
+    m_HeardAt = now;
+    if (told.m_Rows.m_StoreVersion > m_Newest)
+    {
+        m_NewestAt = m_Newest <= held ? now : m_NewestAt; // a gap is as old as its first news
+        m_Newest   = told.m_Rows.m_StoreVersion;
+    }
+    return held > 0 && told.m_Since <= held;
+}
+
+bool ServerNewsListener::Behind(uint64_t held, TimePoint now) const
+{
+    return m_Newest > held && now - m_NewestAt > m_Patience.m_Behind;
+}
+
+bool ServerNewsListener::Reads(uint64_t held, size_t rank, TimePoint now) const
+{
+    if (held == 0 || Behind(held, now))
+        return true;
+    const auto place = static_cast<int>(std::min(rank, kServersStaggersMax));
+    return now - m_HeardAt > m_Patience.m_Silent + kServersStagger * place;
+}
+
+} // namespace aldervale
--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -33,8 +33,9 @@
         Duration   pause = !Urgent() ? CalmPause() : m_Probed ? Duration::zero() : m_Changed ? m_Config.m_Gather : m_Config.m_Quiet;
         if (!ok)
         {
-            pause = std::min(m_Config.m_RetryMax, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
-            pause = pause / 2 + pause * static_cast<int>(Hash64(m_Table, ++m_Seed) % 64) / 128; // spread over processes
+            const Duration most = m_Config.m_RetryMost ? m_Config.m_RetryMost() : m_Config.m_RetryMax;
+            pause               = std::min(most, m_Config.m_RetryMin * (1u << std::min(m_Failures, 6u)));
+            pause               = pause / 2 + pause * static_cast<int>(Hash64(m_Table, ++m_Seed) % 64) / 128; // spread over processes
         }
         co_await Rest(pause);
     }
@@ -47,6 +48,7 @@
     for (Duration left = pause; left > Duration::zero(); left = until - Now())
     {
         co_await SleepFor(calm ? std::min<Duration>(left, kRestLook) : left);
+        m_Missed = m_Missed || (calm && m_Config.m_Known);
         if (calm && Urgent())
             co_return;
     }
@@ -134,7 +136,7 @@
 {
     // After a failure a short wait: the answer itself is the news that the store is back.
     const Duration wait = m_Failures > 0 ? milliseconds(1) : m_Config.m_Wait;
-    const auto     read = co_await m_Source.ReadChanges(m_Table, m_Since, wait, Now() + wait + Patience(m_Config.m_Margin));
+    auto           read = co_await m_Source.ReadChanges(m_Table, m_Since, wait, Now() + wait + Patience(m_Config.m_Margin));
     if (!read)
     {
         if (read.error().m_Code != ErrorCode_Stale)
@@ -149,6 +151,8 @@
     OnAnswer();
     if (read.value().m_StoreVersion < m_Since)
         co_return true;
+    read.value().m_Since = m_Since;
+
     m_Since   = read.value().m_StoreVersion;
     m_Changed = !read.value().m_Rows.empty();
     m_Series  = m_Config.m_WholeAfter > 0 && read.value().m_Rows.size() >= m_Config.m_WholeAfter;
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -23,18 +23,19 @@
 
 struct TableFollowerConfig
 {
-    Duration                  m_Wait   = milliseconds(6000);   // of the standing request: bounds how long a silent loss of the store goes unseen
-    Duration                  m_Margin = milliseconds(1200);   // for the answer beyond m_Wait; longer after each failure in a row
-    Duration                  m_Gather = milliseconds(350);    // urgent: pause after changes, so that a series of them is taken together
-    Duration                  m_Quiet  = milliseconds(700);    // urgent: pause after no changes; those of other tables end standing requests, too
-    std::function<bool()>     m_Urgent;                        // changes matter now; empty: always
-    std::function<Duration()> m_Calm;                          // not urgent: mean pause after any answer; empty: 5 s
-    Duration                  m_RetryMin = milliseconds(100);  // pause after a failure, urgent or not; doubles with each in a row
-    Duration                  m_RetryMax = milliseconds(500);  //
-    Duration                  m_ReadMax  = milliseconds(1500); // for a read of the whole table
-    std::optional<KeyRange>   m_CalmKeys;                      // not urgent: only these rows are read, each time, without standing requests
-    unsigned                  m_WholeAfter = 0;                // rows in one answer that make the next read one of the whole table; 0: never
-    std::function<std::optional<uint64_t>()> m_Known;          // urgent again: version up to which rows came from elsewhere; empty, nothing: read all
+    Duration                  m_Wait   = milliseconds(6000);  // of the standing request: bounds how long a silent loss of the store goes unseen
+    Duration                  m_Margin = milliseconds(1200);  // for the answer beyond m_Wait; longer after each failure in a row
+    Duration                  m_Gather = milliseconds(350);   // urgent: pause after changes, so that a series of them is taken together
+    Duration                  m_Quiet  = milliseconds(700);   // urgent: pause after no changes; those of other tables end standing requests, too
+    std::function<bool()>     m_Urgent;                       // changes matter now; empty: always
+    std::function<Duration()> m_Calm;                         // not urgent: mean pause after any answer; empty: 5 s
+    Duration                  m_RetryMin = milliseconds(100); // pause after a failure, urgent or not; doubles with each in a row
+    Duration                  m_RetryMax = milliseconds(500); //
+    std::function<Duration()> m_RetryMost;                    // instead of m_RetryMax, where it varies; may be empty
+    Duration                  m_ReadMax = milliseconds(1500); // for a read of the whole table
+    std::optional<KeyRange>   m_CalmKeys;                     // not urgent: only these rows are read, each time, without standing requests
+    unsigned                  m_WholeAfter = 0;               // rows in one answer that make the next read one of the whole table; 0: never
+    std::function<std::optional<uint64_t>()> m_Known;         // urgent again: version up to which rows came from elsewhere; empty, nothing: read all
 };
 
 struct TableHandlers // what becomes of the rows
@@ -80,7 +81,7 @@
     bool                m_Changed  = true;  // the last answer held news
     bool                m_Series   = false; // more than the newest version of a row may have been missed: read the whole table next
     bool                m_Probed   = false; // the last read was one of m_CalmKeys
-    bool                m_Missed   = false; // so rows besides those may have been missed
+    bool                m_Missed   = false; // or it rested, so rows may have been missed, or came from elsewhere
     bool                m_Answered = false; // the last read was answered
     unsigned            m_Failures = 0;     // in a row
     uint64_t            m_Seed;             // of the pauses' random part; differs by process
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "platform/model_server_http.h"
 #include "platform_tables.h"
+#include "server_news_wire.h"
 #include "version/model_knowledge.h"
 #include "version/weight_keeper.h"
 
@@ -11,8 +12,9 @@
 namespace
 {
 
-constexpr double kBytesPerMbit = 1e6 / 8;
-constexpr auto   kWeightsLook  = milliseconds(6000); // mean pause between two looks for named versions, of each agent; routers tell of them sooner
+constexpr double kBytesPerMbit    = 1e6 / 8;
+constexpr auto   kWeightsLookTold = milliseconds(40'000); // the same while routers tell: 30 of them do, at once and every second
+constexpr auto   kWeightsLook     = milliseconds(6000); // mean pause between two looks for named versions, of each agent; routers tell of them sooner
 
 struct AgentSettings
 {
@@ -25,15 +27,16 @@
 
 struct Agent // lives as long as the process
 {
-    AgentSettings                              m_Settings;  //
-    ServerDirectory                            m_Servers;   // the other boxes
-    std::unique_ptr<ModelKnowledge>            m_Known;     // of the own service's model
-    std::unique_ptr<PlatformTables>            m_Tables;    //
-    std::unique_ptr<platform::ModelServerHttp> m_Server;    //
-    platform::PieceOriginHttp                  m_Origin;    //
-    std::unique_ptr<LoadPublisher>             m_Publisher; //
-    std::unique_ptr<PieceTransfer>             m_Transfer;  //
-    std::unique_ptr<WeightKeeper>              m_Keeper;    //
+    AgentSettings                              m_Settings;                    //
+    ServerDirectory                            m_Servers;                     // the other boxes
+    ServerNewsListener                         m_News{Now(), kAgentPatience}; // of their list
+    std::unique_ptr<ModelKnowledge>            m_Known;                       // of the own service's model
+    std::unique_ptr<PlatformTables>            m_Tables;                      //
+    std::unique_ptr<platform::ModelServerHttp> m_Server;                      //
+    platform::PieceOriginHttp                  m_Origin;                      //
+    std::unique_ptr<LoadPublisher>             m_Publisher;                   //
+    std::unique_ptr<PieceTransfer>             m_Transfer;                    //
+    std::unique_ptr<WeightKeeper>              m_Keeper;                      //
 };
 
 std::vector<SettingSpec> DescribeAgent(AgentSettings& s)
@@ -108,15 +111,33 @@
     a.m_Transfer->SetPeers(std::move(peers));
 }
 
+// Who fetches which piece from the origin follows from the set of boxes: all must know it when a version is named. With a sixth of them behind, the
+// origin sent three copies in place of one. Once pieces come the set is settled, and news that are lost on a full link are no reason to read.
+bool ReadsList(const Agent& a)
+{
+    const uint64_t held = a.m_Servers.StoreVersion();
+    return held == 0 || (!a.m_Transfer->UnderWay() && a.m_News.Reads(held, 0, Now()));
+}
+
+void OnServersNews(Agent& a, const wire::ServersNews& news)
+{
+    const ServersTold told = FromWire(news);
+    const bool        fits = a.m_News.OnNews(told, a.m_Servers.StoreVersion(), Now());
+    if (fits)
+        a.m_Tables->UseServerNews(told);
+}
+
 // Each answer of the store is priced. The other boxes matter only while weights move: until the own server serves, and in a fetch. Of a new
 // version an agent hears from routers at once, and from neighbours; it looks for itself in case it hears from neither. Declarations are long, and
 // routers tell what matters of them here (model_knowledge.h).
 TablePaces Paces(const Agent& a)
 {
     TablePaces p;
-    p.m_List.m_Urgent         = [&a] { return !a.m_Keeper->Serving() || a.m_Transfer->UnderWay(); };
+    p.m_List.m_Urgent         = [&a] { return ReadsList(a); };
+    p.m_List.m_Calm           = [] { return Duration(kListRest); };
+    p.m_List.m_Known          = [&a] { return std::optional(a.m_Servers.StoreVersion()); };
     p.m_Operator.m_Urgent     = [&a] { return a.m_Known->ReadsAll(Now()); };
-    p.m_Operator.m_Calm       = [] { return Duration(kWeightsLook); };
+    p.m_Operator.m_Calm       = [&a] { return a.m_Known->ToldLately(Now()) ? Duration(kWeightsLookTold) : Duration(kWeightsLook); };
     p.m_Operator.m_CalmKeys   = platform::WeightsKeys(); // declarations are long: 76 agents reading 1,690 routes fill a link of 27 Mbit/s for 9 s
     p.m_Operator.m_Wait       = milliseconds(15'000);    // a loss that goes unseen matters less here than on a router
     p.m_Operator.m_WholeAfter = 1;                       // a series goes on for a hundred versions while an agent pauses
@@ -134,7 +155,8 @@
     h.m_OnNamed         = [&a](const platform::NamedWeights& named) { OnNamed(a, named); };
     h.m_OnOperatorRead  = [&a] { a.m_Known->OnRead(); };
     h.m_OnServers       = [&a](bool) { FollowPeers(a); };
-    a.m_Tables          = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, Paces(a), a.m_Servers, h);
+    a.m_Publisher->SetOnServers([&a](const wire::ServersNews& news) { OnServersNews(a, news); });
+    a.m_Tables = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, Paces(a), a.m_Servers, h);
 }
 
 Status StartAgent(Daemon& daemon, Agent& a)
--- a/src/programs/platform_settings.h
+++ b/src/programs/platform_settings.h
@@ -14,6 +14,8 @@
     std::string m_Region;     // of data centres with wide links between them; empty: this data centre alone [region]
 };
 
+constexpr auto kListRest = seconds(3600); // mean pause of a process that is told of the list of servers; it ends when it isn't any more
+
 constexpr double kGraceUsed = 0.92; // part of the grace that a drain may take: ending itself takes time too
 
 inline std::vector<SettingSpec> DescribePlatform(PlatformSettings& s)
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "platform/names.h"
+#include <set>
 
 namespace aldervale
 {
@@ -20,8 +21,20 @@
 {
     const TableHandlers operators = OperatorHandlers();
     TableHandlers       list;
-    list.m_OnAll     = [this](const RowRead& read) { OnServerList(read); };
-    list.m_OnChanges = [this](const RowRead& read) { OnServerChanges(read); };
+    list.m_OnAll = [this](const RowRead& read)
+    {
+        const uint64_t since   = m_Servers.StoreVersion();
+        const RowRead  changes = ChangesOf(read);
+        OnServerList(read);
+        if (m_Handlers.m_OnListRead)
+            m_Handlers.m_OnListRead(since, changes);
+    };
+    list.m_OnChanges = [this](const RowRead& read)
+    {
+        OnServerChanges(read);
+        if (m_Handlers.m_OnListRead)
+            m_Handlers.m_OnListRead(read.m_Since, read); // not what the directory held: others may lack what another reader told it
+    };
     list.m_OnLost    = [this] { m_Servers.OnStoreLost(); };
     list.m_OnReached = [this] { m_Servers.OnStoreReached(Now()); };
     m_Operator       = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kOperatorTable), paces.m_Operator, operators);
@@ -131,7 +144,8 @@
             entries.push_back(std::move(*entry));
     if (m_Handlers.m_OnListed)
         for (const ServerEntry& e : entries)
-            m_Handlers.m_OnListed(e);
+            if (IsNews(e))
+                m_Handlers.m_OnListed(e);
     m_Servers.OnReadAll(std::move(entries), read.m_StoreVersion, Now());
     m_Handlers.m_OnServers(true);
 }
@@ -143,18 +157,50 @@
     {
         if (row.m_Gone)
         {
-            if (m_Handlers.m_OnUnlisted)
+            if (m_Handlers.m_OnUnlisted && m_Servers.Find(row.m_Key) != nullptr)
                 m_Handlers.m_OnUnlisted(row);
             m_Servers.OnRowGone(row.m_Key, row.m_Version, Now());
         }
         else if (auto entry = TakeEntry(row))
         {
-            if (m_Handlers.m_OnListed)
+            if (m_Handlers.m_OnListed && IsNews(*entry))
                 m_Handlers.m_OnListed(*entry);
             m_Servers.OnRow(std::move(*entry));
         }
     }
+    m_Servers.OnUpTo(read.m_StoreVersion);
     m_Handlers.m_OnServers(m_Servers.Changes() != before);
 }
 
+bool PlatformTables::IsNews(const ServerEntry& entry) const
+{
+    const ServerEntry* known = m_Servers.Find(entry.m_Id);
+    return known == nullptr || known->m_RowVersion < entry.m_RowVersion;
+}
+
+// Rows that aren't listed any more count as gone at the version of the read.
+RowRead PlatformTables::ChangesOf(const RowRead& whole) const
+{
+    RowRead               out;
+    std::set<std::string> listed;
+    out.m_StoreVersion = whole.m_StoreVersion;
+    for (const Row& row : whole.m_Rows)
+    {
+        listed.insert(row.m_Key);
+        if (row.m_Version > m_Servers.StoreVersion())
+            out.m_Rows.push_back(row);
+    }
+    for (const ServerEntry* e : m_Servers.Everywhere())
+        if (!listed.contains(e->m_Id))
+            out.m_Rows.push_back({e->m_Id, {}, whole.m_StoreVersion, true, false});
+    return out;
+}
+
+void PlatformTables::UseServerNews(const ServersTold& told)
+{
+    if (told.m_Unsettled > Duration::zero())
+        m_Servers.OnUnsettled(Now() + told.m_Unsettled);
+    OnServerChanges(told.m_Rows);
+}
+
 } // namespace aldervale
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -14,6 +14,7 @@
 #include "platform/declarations_decode.h"
 #include "platform/store_client.h"
 #include "platform_settings.h"
+#include "process/server_news.h"
 #include "process/table_follower.h"
 
 namespace aldervale
@@ -31,6 +32,7 @@
     std::function<void(const ServerEntry& entry)>                         m_OnListed;       // before it goes into the directory; may be empty
     std::function<void(const Row& row)>                                   m_OnUnlisted;     // before it leaves the directory; may be empty
     std::function<void(bool changed)>                                     m_OnServers;      // the directory took a read; the first one changes it
+    std::function<void(uint64_t since, const RowRead& changes)>           m_OnListRead; // rows of an answer of the store, by then used; may be empty
 };
 
 struct TablePaces // how closely each table is followed
@@ -45,7 +47,9 @@
     PlatformTables(asio::io_context& ioc, const PlatformSettings& s, const TablePaces& paces, ServerDirectory& servers, PlatformHandlers handlers);
 
     void     UseOperatorRows(const RowRead& read);
+    void     UseServerNews(const ServersTold& told); // of another process; its rows follow on what is held
     bool     Reachable() const { return m_Operator->Reachable() && m_List->Reachable(); }
+    bool     ListReachable() const { return m_List->Reachable(); }
     uint64_t Calls() const { return m_Store.Calls(); } // of the store; each is priced
 
 private:
@@ -54,6 +58,8 @@
     TableHandlers OperatorHandlers();
     void          OnServerList(const RowRead& read);
     void          OnServerChanges(const RowRead& read);
+    bool          IsNews(const ServerEntry& entry) const; // newer than what the directory holds
+    RowRead       ChangesOf(const RowRead& whole) const;  // against what the directory holds
 
     std::optional<ServerEntry> TakeEntry(const Row& row); // nothing: it can't be decoded, and names no server any more
 
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -17,9 +17,9 @@
 
 struct DirectServe::Impl::Asking // for one admission
 {
-    std::vector<ServerLife>  m_Asked;      //
-    std::vector<ServerEntry> m_Answered;   // copies: the directory may change meanwhile
-    Choice                   m_Best;       // of m_Answered
+    std::vector<ServerLife>  m_Asked;    //
+    std::vector<ServerEntry> m_Answered; // copies: the directory may change meanwhile
+    Choice                   m_Best;     // of m_Answered
 };
 
 RequestNeed DirectServe::Impl::NeedOf(const Call& call, std::span<const WeightsDeadline> deadlines, TimePoint now) const
--- a/src/version/model_knowledge.cpp
+++ b/src/version/model_knowledge.cpp
@@ -56,6 +56,7 @@
 {
     if (naming.m_Service != m_Service || naming.m_Model.empty())
         return false;
+    m_ToldAt         = now;
     const bool news  = Take(naming.m_Declared, naming.m_Model, OriginOf(naming));
     const bool exact = naming.m_At != TimePoint{};
     Note(naming.m_Model, {naming.m_Version, exact ? naming.m_At : LearnedAt(now)});
--- a/src/version/model_knowledge.h
+++ b/src/version/model_knowledge.h
@@ -30,6 +30,7 @@
 constexpr auto   kUntoldMax     = milliseconds(5000);  // least wait for a router to tell the model before the whole table is read
 constexpr auto   kUntoldSpread  = milliseconds(5000);  // and up to this much more, by hash of the own address: boxes start by the dozen
 constexpr auto   kUntoldLongest = milliseconds(80000); // of that wait, after reads without the own service
+constexpr auto   kToldLately    = milliseconds(3500);  // routers tell every second
 constexpr size_t kUntoldParts   = 64;                  // differing waits
 
 struct VersionNamed
@@ -52,6 +53,7 @@
     void OnReadAll(TimePoint now);                                   // the same, of the whole table
 
     bool                               ReadsAll(TimePoint now) const; // the whole table, until a router or the table tells the model
+    bool                               ToldLately(TimePoint now) const { return m_ToldAt != TimePoint{} && now - m_ToldAt < kToldLately; }
     const std::string&                 Model() const { return m_Model; }
     const std::optional<WeightOrigin>& Origin() const { return m_Origin; }
     uint64_t                           Declared() const { return m_Declared; }
@@ -69,6 +71,7 @@
     std::map<std::string, VersionNamed, std::less<>> m_Named;         // newest one of each model; may come before the own model is known
     bool                                             m_Read = false;  // the rows that name weights were read once
     Duration                                         m_Patience{};    // see ReadsAll()
+    TimePoint                                        m_ToldAt{};      // when a router last told anything of the own model
     TimePoint                                        m_UntoldSince{}; // start, or last own read of the whole table
 };
 
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -31,7 +31,7 @@
 };
 
 constexpr unsigned kPieceSlotsFirst = 3; // pieces asked of neighbours at once when a fetch begins: the link may be narrower than declared
-constexpr unsigned kPieceSlotsMax   = 8; // and at most
+constexpr unsigned kPieceSlotsMax   = 5; // and at most
 
 // Pieces asked at once after one that took so long. Live requests queue behind all that are on the way to this box, so a link that turns
 // out to be narrow is left with half as many.
@@ -129,9 +129,11 @@
     void            OnHave(const std::string& peer, const wire::HaveUpdate& have);
 
     // Pieces for neighbours (piece_transfer_uploads.cpp)
-    awaitable<void> UploadLoop(); // one piece at a time, at the pace that live answers leave room for
-    awaitable<void> SendPiece(const Upload& u);
-    void            OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& get);
+    awaitable<void>       UploadLoop(); // at the pace that live answers leave room for
+    awaitable<PieceBytes> PieceToSend(const Upload& u);
+    awaitable<void>       SendPiece(const Upload& u, PieceBytes bytes);
+    awaitable<void>       AwaitSent(LinkPtr link);
+    void                  OnChunkGet(const LinkPtr& link, uint64_t exchange, const wire::ChunkGet& get);
 
     asio::io_context&             m_Ioc;       //
     PieceOrigin&                  m_Origin;    //
@@ -147,6 +149,7 @@
     std::map<uint64_t, PieceSet>  m_Sets;            // by version; at most kVersionsKept
     std::shared_ptr<Job>          m_Job;             // null: nothing under way
     std::deque<Upload>            m_Uploads;         // at most kUploadsMax
+    unsigned                      m_Sending = 0;     // pieces that their links haven't taken
     asio::steady_timer            m_UploadWake;      // cancelled when m_Uploads gets an entry
     TokenBucket                   m_UploadBucket;    // bytes
     const double                  m_LinkBytes;       // of this box, a second, as declared; 0: not known
--- a/src/version/piece_transfer_job.cpp
+++ b/src/version/piece_transfer_job.cpp
@@ -34,7 +34,7 @@
 {
     ExchangeConfig c;
     c.m_DownloadSlots = kPieceSlotsFirst;
-    c.m_OriginSlots   = 1; // the origin takes few connections, and each box waits there as long with one as with two
+    c.m_OriginSlots   = 2; // one left its link half empty: a piece comes through the sharer's own link behind those of neighbours
     c.m_PerPeer       = 2;
     c.m_OriginRanks   = 64; // no cap on copies: a piece that is nowhere must be had, each further rank only steps in later
     c.m_TakeOver      = milliseconds(900);
--- a/src/version/piece_transfer_uploads.cpp
+++ b/src/version/piece_transfer_uploads.cpp
@@ -1,4 +1,4 @@
-// Pieces for neighbours, one at a time. See piece_transfer.h.
+// Pieces for neighbours, at the pace that live answers leave room for. See piece_transfer.h.
 #include "version/piece_transfer_internal.h"
 
 namespace aldervale
@@ -7,10 +7,11 @@
 namespace
 {
 
-constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
-constexpr unsigned kUploadsMax   = 6;               // waiting; more are refused as busy
-constexpr size_t   kUploadQueued = 4 * 1024;        // bytes left to send on a link below which the next piece may follow
-constexpr auto     kUploadPoll   = milliseconds(5); // looks whether a link has taken a piece
+constexpr auto     kNoThrow       = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned kUploadsMax    = 6;        // waiting; more are refused as busy
+constexpr unsigned kUploadsAtOnce = 4;        // on links that haven't taken theirs: windows are small, and one neighbour's full link held up all
+constexpr size_t   kUploadQueued  = 4 * 1024; // bytes left to send on a link below which the next piece may follow
+constexpr auto     kUploadPoll    = milliseconds(5); // looks whether a link has taken a piece
 
 } // namespace
 
@@ -33,19 +34,22 @@
 {
     for (;;)
     {
-        if (m_Uploads.empty())
+        if (m_Uploads.empty() || m_Sending >= kUploadsAtOnce)
         {
             m_UploadWake.expires_after(seconds(60));
             co_await m_UploadWake.async_wait(kNoThrow);
             continue;
         }
-        const Upload u = m_Uploads.front();
-        co_await SendPiece(u);
+        const Upload     u     = m_Uploads.front();
+        const PieceBytes bytes = co_await PieceToSend(u);
+        if (bytes)
+            co_await SendPiece(u, bytes);
         m_Uploads.pop_front();
     }
 }
 
-awaitable<void> PieceTransfer::SendPiece(const Upload& u)
+// Null: it isn't here, and the asker was told.
+awaitable<PieceBytes> PieceTransfer::PieceToSend(const Upload& u)
 {
     PieceBytes      bytes;
     const PieceSet* set = Find(u.m_Version);
@@ -57,21 +61,35 @@
         if (staged)
             bytes = std::make_shared<const std::vector<uint8_t>>(std::move(staged.value()));
     }
-    if (!bytes)
-    {
-        wire::ChunkRefusedT refused;
-        refused.index = u.m_Piece;
-        u.m_Link->Send(EncodeFrame(u.m_Exchange, refused));
-        co_return;
-    }
-    m_UploadBucket.SetRate(m_LinkBytes * kUploadShare / Pace(), 1, Now());
-    const TimePoint go = m_UploadBucket.Reserve(static_cast<double>(bytes->size()), Now());
+    if (bytes)
+        co_return bytes;
+    wire::ChunkRefusedT refused;
+    refused.index = u.m_Piece;
+    u.m_Link->Send(EncodeFrame(u.m_Exchange, refused));
+    co_return bytes;
+}
+
+// Returns when the next piece may follow; this one may still be on its way.
+awaitable<void> PieceTransfer::SendPiece(const Upload& u, PieceBytes bytes)
+{
+    const auto size = static_cast<double>(bytes->size());
+    m_UploadBucket.SetRate(m_LinkBytes * kUploadShare / Pace(), size, Now());
+    const TimePoint go = m_UploadBucket.Reserve(size, Now());
     co_await SleepFor(go - Now());
     const auto waited = static_cast<uint32_t>(ToMs(Now() - u.m_AskedAt));
     u.m_Link->Send(EncodeChunk(u.m_Exchange, NameOf(u.m_Version), u.m_Piece, *bytes, waited));
+    m_Sending++;
+    asio::co_spawn(
+        m_Ioc, [this, link = u.m_Link] { return AwaitSent(link); }, asio::detached);
+}
+
+awaitable<void> PieceTransfer::AwaitSent(LinkPtr link)
+{
     const TimePoint until = Now() + kPieceMax; // a neighbour that reads slowly may not hold up the others for longer
-    while (u.m_Link->Queued() > kUploadQueued && !u.m_Link->Closed() && Now() < until)
+    while (link->Queued() > kUploadQueued && !link->Closed() && Now() < until)
         co_await SleepFor(kUploadPoll);
+    m_Sending--;
+    m_UploadWake.cancel();
 }
 
 } // namespace aldervale
--- a/src/version/place_answers.cpp
+++ b/src/version/place_answers.cpp
@@ -5,8 +5,7 @@
 namespace aldervale
 {
 
-PlaceAnswers::PlaceAnswers(LoadPublisher& publisher, std::function<void()> want_report)
-    : m_Publisher(publisher), m_WantReport(std::move(want_report))
+PlaceAnswers::PlaceAnswers(LoadPublisher& publisher, std::function<void()> want_report) : m_Publisher(publisher), m_WantReport(std::move(want_report))
 {
     m_Publisher.SetOnAsk([this](const PlaceQuestion& question) { OnAsk(question); });
     m_Publisher.SetOnTake([this](double reading_ms) { m_Places.Take(reading_ms, Now()); });
@@ -38,7 +37,7 @@
 
 void PlaceAnswers::Answer(const PlaceQuestion& question, TimePoint now)
 {
-    const PlaceState s = m_Places.State(now);
+    const PlaceState s     = m_Places.State(now);
     LoadReport       state = m_Load;
     state.m_Promised       = s.m_Promised;
     state.m_UnreadMs       = static_cast<float>(s.m_UnreadMs);
--- /dev/null
+++ b/tests/test_place_channel.cpp
@@ -0,0 +1,138 @@
+// Routers ask boxes for a place over real datagrams on loopback: answers, silence, many questions at once.
+#include "connection/place_channel.h"
+#include "support_io.h"
+#include "version/place_answers.h"
+
+using namespace aldervale;
+
+namespace
+{
+
+Endpoint On(unsigned last, uint16_t port)
+{
+    return Endpoint{asio::ip::make_address("127.9.0." + std::to_string(last)), port};
+}
+
+struct TestBox
+{
+    TestBox(asio::io_context& ioc, const Endpoint& at, bool reports = true)
+        : m_Publisher(ioc, "dc"), m_Answers(m_Publisher,
+                                            [this]
+                                            {
+                                                m_Wanted++;
+                                                if (m_Reports)
+                                                    m_Answers.OnReport(m_Load, Now());
+                                            }),
+          m_Reports(reports)
+    {
+        m_Load.m_Weights = 3;
+        m_Load.m_BornMs  = 77;
+        BOOST_REQUIRE(m_Publisher.Listen(at).has_value());
+    }
+
+    LoadPublisher m_Publisher; //
+    LoadReport    m_Load;      // that the own server's report says
+    int           m_Wanted = 0;
+    PlaceAnswers  m_Answers; //
+    bool          m_Reports; // false: its server doesn't answer
+};
+
+struct TestRouter
+{
+    TestRouter(asio::io_context& ioc, const Endpoint& at)
+        : m_Listener(ioc, {at.ToString(), "dc"}, [](const asio::ip::address&, const LoadReport&) {}), m_Places(ioc, m_Listener)
+    {
+        BOOST_REQUIRE(m_Listener.Listen(at).has_value());
+    }
+
+    LoadListener m_Listener; //
+    PlaceChannel m_Places;   //
+};
+
+// The answers to one question; gives up after a time that only a hang reaches.
+std::vector<PlaceAnswer> Ask(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes)
+{
+    std::optional<std::vector<PlaceAnswer>> out;
+    asio::co_spawn(
+        ioc, [&]() -> awaitable<void> { out = co_await router.m_Places.Ask(boxes); }, asio::detached);
+    const TimePoint end = Now() + seconds(60);
+    while (!out && Now() < end)
+        ioc.run_for(milliseconds(2));
+    BOOST_REQUIRE(out.has_value());
+    return *out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(boxes_answer_with_their_load_and_tell_of_places_taken)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    TestBox          a(ioc, On(1, port));
+    TestRouter       router(ioc, On(10, port));
+    a.m_Load.m_Running = 4;
+    auto answers       = Ask(ioc, router, {On(1, port)});
+    BOOST_REQUIRE(answers.size() == 1u);
+    BOOST_TEST(answers[0].m_Box.to_string() == "127.9.0.1");
+    BOOST_TEST(answers[0].m_State.m_Running == 4u);
+    BOOST_TEST(answers[0].m_State.m_Weights == 3u);
+    BOOST_TEST(answers[0].m_State.m_BornMs == 77);
+    BOOST_TEST(answers[0].m_State.m_Promised == 0u);
+    router.m_Places.Take(On(1, port), 100'000);
+    uint32_t        promised = 0;
+    const TimePoint end      = Now() + seconds(60);
+    while (promised == 0 && Now() < end) // each place lapses soon: the box may be asked too late on a busy machine
+    {
+        router.m_Places.Take(On(1, port), 100'000);
+        answers  = Ask(ioc, router, {On(1, port)});
+        promised = answers.empty() ? 0 : answers[0].m_State.m_Promised;
+    }
+    BOOST_TEST(promised > 0u);
+    BOOST_TEST(answers[0].m_State.m_UnreadMs > 0);
+}
+
+BOOST_AUTO_TEST_CASE(silent_boxes_cost_a_short_wait_and_leave_nothing_behind)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    TestBox          dead_server(ioc, On(2, port), false);
+    TestRouter       router(ioc, On(10, port));
+    BOOST_TEST(Ask(ioc, router, {On(2, port), On(3, port)}).empty()); // one whose server is silent, one where nobody listens
+    dead_server.m_Reports = true;
+    dead_server.m_Answers.OnReport(dead_server.m_Load, Now()); // too late for the question that waited
+    ioc.run_for(milliseconds(5));
+    const auto answers = Ask(ioc, router, {On(2, port)});
+    BOOST_TEST(answers.size() <= 1u);
+}
+
+BOOST_AUTO_TEST_CASE(many_questions_at_once_each_get_their_own_answers)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    TestBox          a(ioc, On(1, port));
+    TestBox          b(ioc, On(2, port));
+    TestRouter       one(ioc, On(10, port));
+    TestRouter       two(ioc, On(11, port));
+    int              done    = 0;
+    size_t           answers = 0;
+    for (int i = 0; i < 200; i++)
+    {
+        TestRouter& router = i % 2 == 0 ? one : two;
+        asio::co_spawn(
+            ioc,
+            [&]() -> awaitable<void>
+            {
+                const std::vector<Endpoint>    boxes = {On(1, port), On(2, port), On(3, port)};
+                const std::vector<PlaceAnswer> got   = co_await router.m_Places.Ask(boxes);
+                BOOST_TEST(got.size() <= 2u);
+                answers += got.size();
+                done++;
+            },
+            asio::detached);
+    }
+    const TimePoint end = Now() + seconds(60);
+    while (done < 200 && Now() < end)
+        ioc.run_for(milliseconds(5));
+    BOOST_TEST(done == 200);
+    BOOST_TEST(answers > 0u);
+}
