--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -13,6 +13,8 @@
 constexpr size_t kAskBytes     = 160;       // of a request for reports besides its texts and namings, at most
 constexpr size_t kReceiveMax   = 16 * 1024; // bytes of a datagram: rows of one store version stay in one (server_news.h)
 constexpr double kReadingMaxMs = 60'000;    // of one prompt; more is no prompt
+constexpr float  kPaceMin      = 0.01F;     // of an engine, against its declared costs
+constexpr float  kPaceMax      = 1000;      //
 constexpr double kShareMin     = 0.001;     // of boxes that a router follows
 constexpr size_t kNamingBytes  = 144;       // of a naming besides the names in it, at most; with an IPv6 address and a port
 
@@ -62,7 +64,7 @@
     LoadReport r;
     r.m_Running  = s.running();
     r.m_Waiting  = s.waiting();
-    r.m_Pace     = s.pace();
+    r.m_Pace     = std::isfinite(s.pace()) ? std::clamp(s.pace(), kPaceMin, kPaceMax) : 1; // servers are sorted by what follows from it
     r.m_Weights  = s.weights();
     r.m_Starting = s.starting();
     r.m_Routers  = s.routers();
@@ -180,7 +182,7 @@
     {
         LoadReport state = FromWire(*place->state());
         state.m_Promised = place->promised();
-        state.m_UnreadMs = std::max(0.0F, place->unread_ms());
+        state.m_UnreadMs = std::isfinite(place->unread_ms()) ? std::max(0.0F, place->unread_ms()) : 0;
         m_OnPlace(place->number(), FromUdp(from), state);
     }
     const wire::RouterList* list = frame.body_as_RouterList();
--- a/src/process/server_news.h
+++ b/src/process/server_news.h
@@ -32,16 +32,16 @@
 
 struct ServersTold // one datagram
 {
-    uint64_t m_Since   = 0;     // see wire::ServersNews
-    bool     m_Lost    = false; //
-    Duration m_Unsettled{};     //
-    RowRead  m_Rows;            // m_StoreVersion: that they lead to
+    uint64_t m_Since = 0;     // see wire::ServersNews
+    bool     m_Lost  = false; //
+    Duration m_Unsettled{};   //
+    RowRead  m_Rows;          // m_StoreVersion: that they lead to
 };
 
 struct ServerNewsPatience
 {
     Duration m_Silent = milliseconds(800); // without news of a reader that reaches the store
-    Duration m_Behind = milliseconds(600);  // with a gap: the other reader of the region mostly fills it within that
+    Duration m_Behind = milliseconds(600); // with a gap: the other reader of the region mostly fills it within that
 };
 
 // Of an agent: it needs the other boxes when weights come, and 204 of them mustn't read because one router is away.
@@ -55,17 +55,17 @@
 public:
     ServerNewsListener(TimePoint now, const ServerNewsPatience& patience) : m_Patience(patience), m_HeardAt(now + kServersFirst) {}
 
-    bool OnNews(const ServersTold& told, uint64_t held, TimePoint now);        // true: its rows follow on what is held
-    bool Reads(uint64_t held, size_t rank, TimePoint now) const;               // this process needs the store's list itself
-    bool Behind(uint64_t held, TimePoint now) const;                           // a gap, and nobody fills it
+    bool OnNews(const ServersTold& told, uint64_t held, TimePoint now);                // true: its rows follow on what is held
+    bool Reads(uint64_t held, size_t rank, TimePoint now) const;                       // this process needs the store's list itself
+    bool Behind(uint64_t held, TimePoint now) const;                                   // a gap, and nobody fills it
     bool Silent(TimePoint now) const { return now - m_HeardAt > m_Patience.m_Silent; } // nobody tells
 
 private:
     ServerNewsPatience m_Patience; //
 
-    uint64_t  m_Newest = 0;     // store version that some reader told of
-    TimePoint m_HeardAt;        // of the last news of a reader that reaches the store; kServersFirst after the start before that
-    TimePoint m_NewestAt{};     // when m_Newest rose
+    uint64_t  m_Newest = 0; // store version that some reader told of
+    TimePoint m_HeardAt;    // of the last news of a reader that reaches the store; kServersFirst after the start before that
+    TimePoint m_NewestAt{}; // when m_Newest rose
 };
 
 } // namespace aldervale
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -9,7 +9,7 @@
 #include "process/declarations_peers.h"
 #include "request/direct_serve.h"
 #include "request/followed_boxes.h"
-#include "server_news_wire.h"
+#include "server_list_share.h"
 
 using namespace aldervale;
 
@@ -45,8 +45,7 @@
     std::string                        m_DataCentre;           //
     std::unique_ptr<LoadListener>      m_Loads;                //
     std::unique_ptr<PlaceChannel>      m_Places;               //
-    ServerNewsListener                 m_News{Now(), {}};      // of the list of servers
-    TimePoint                          m_ListReadAt{};         // when the store last answered this router about it
+    std::unique_ptr<ServerListShare>   m_List;                 // with other routers
     std::unique_ptr<DeclarationsPeers> m_Peers;                //
     DeclarationsLag                    m_Lag;                  // behind what m_Peers has heard of
     std::unique_ptr<DirectServe>       m_Serve;                //
@@ -249,85 +248,15 @@
     r.m_Serve->OnServersChanged();
 }
 
-//-----------------------------------------------------------------------------
-// The list of servers, between routers
-//-----------------------------------------------------------------------------
-
-bool ReadsList(Router& r)
-{
-    return r.m_Peers->ReadsStore() || r.m_News.Reads(r.m_World.m_Servers.StoreVersion(), r.m_Peers->Spread().Rank(), Now());
-}
-
-void TellServers(Router& r, ServersTold told)
-{
-    told.m_Unsettled              = r.m_World.m_Servers.UnsettledFor(Now());
-    const wire::ServersNewsT news = ToWire(told);
-    for (const Endpoint& router : r.m_Peers->Spread().Near())
-        r.m_Loads->TellServers(router, news);
-    r.m_Loads->TellServersToBoxes(news);
-}
-
-// Who reads only because it missed something tells nobody: those that tell did, already.
-bool TellsList(Router& r)
-{
-    return r.m_World.m_Servers.StoreVersion() > 0 && (r.m_Peers->ReadsStore() || r.m_News.Silent(Now()));
-}
-
-void OnListRead(Router& r, uint64_t since, const RowRead& changes)
-{
-    r.m_ListReadAt = Now();
-    if (!TellsList(r) || since == 0)
-        return;
-    for (ServersTold& told : SplitServerNews(since, changes))
-        TellServers(r, std::move(told));
-}
-
-// That this router reads the list, or can't.
-void TellThatItReads(Router& r)
-{
-    if (!TellsList(r))
-        return;
-    ServersTold told;
-    told.m_Since               = r.m_World.m_Servers.StoreVersion();
-    told.m_Rows.m_StoreVersion = told.m_Since;
-    told.m_Lost                = !r.m_Tables->ListReachable() || Now() - r.m_ListReadAt > kServersAnswered;
-    TellServers(r, std::move(told));
-}
-
-void OnServersNews(Router& r, const wire::ServersNews& news)
-{
-    static Counter&   taken = Metrics().GetCounter("aldervale_server_news_total", "used=\"yes\"");
-    static Counter&   gap   = Metrics().GetCounter("aldervale_server_news_total", "used=\"no\"");
-    const ServersTold told  = FromWire(news);
-    const bool        fits  = r.m_News.OnNews(told, r.m_World.m_Servers.StoreVersion(), Now());
-    (fits ? taken : gap).Add(1);
-    if (fits && !told.m_Rows.m_Rows.empty())
-        r.m_Tables->UseServerNews(told);
-    else if (fits)
-        r.m_World.m_Servers.OnUpTo(told.m_Rows.m_StoreVersion);
-}
-
-// Others read in this router's place: what they say of the store holds here, too.
-void NoteStoreOfOthers(Router& r, TimePoint now)
-{
-    if (!ReadsList(r)) // else its own follower tells
-        r.m_World.m_Servers.OnStoreReached(now);
-}
-
 awaitable<void> LookLoop(Router& r)
 {
-    TimePoint told_at{};
     for (;;)
     {
         co_await SleepFor(kLookEvery);
         const TimePoint now = Now();
         r.m_World.m_Servers.Expire(now);
         LookAtLag(r, now);
-        NoteStoreOfOthers(r, now);
-        if (now - told_at < kServersNewsEvery)
-            continue;
-        told_at = now;
-        TellThatItReads(r);
+        r.m_List->Look(now);
     }
 }
 
@@ -340,7 +269,7 @@
 {
     TablePaces p;
     p.m_List.m_Gather         = milliseconds(500);
-    p.m_List.m_Urgent         = [&r] { return ReadsList(r); };
+    p.m_List.m_Urgent         = [&r] { return r.m_List->Reads(); };
     p.m_List.m_Wait           = kListWait;
     p.m_List.m_RetryMost      = [&r] { return r.m_Peers->ReadsStore() ? Duration(kListRetry) : Duration(kListRetryOthers); };
     p.m_List.m_Calm           = [] { return Duration(kListRest); };
@@ -368,9 +297,10 @@
     h.m_OnListed        = LogServer;
     h.m_OnUnlisted      = [](const Row& row) { LogEvent(Event_ServerUnlisted, {{"server", row.m_Key}, {"row_version", row.m_Version}}); };
     h.m_OnServers       = [&r](bool changed) { OnServers(r, changed); };
-    h.m_OnListRead      = [&r](uint64_t since, const RowRead& changes) { OnListRead(r, since, changes); };
-    r.m_Loads->SetOnServers([&r](const wire::ServersNews& news) { OnServersNews(r, news); });
-    r.m_Tables = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, Paces(r), r.m_World.m_Servers, h);
+    h.m_OnListRead      = [&r](uint64_t since, const RowRead& changes) { r.m_List->OnListRead(since, changes); };
+    r.m_List            = std::make_unique<ServerListShare>(*r.m_Loads, *r.m_Peers, r.m_World.m_Servers);
+    r.m_Tables          = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, Paces(r), r.m_World.m_Servers, h);
+    r.m_List->Start(*r.m_Tables);
     asio::co_spawn(
         daemon.Ioc(), [&r] { return LookLoop(r); }, asio::detached);
 }
--- /dev/null
+++ b/src/programs/server_list_share.cpp
@@ -0,0 +1,79 @@
+// Sharing the list of servers between routers. See server_list_share.h.
+#include "server_list_share.h"
+#include "common/metrics.h"
+#include "server_news_wire.h"
+
+namespace aldervale
+{
+
+void ServerListShare::Start(PlatformTables& tables)
+{
+    m_Tables = &tables;
+    m_Loads.SetOnServers([this](const wire::ServersNews& news) { OnNews(news); });
+}
+
+bool ServerListShare::Reads() const
+{
+    return m_Peers.ReadsStore() || m_News.Reads(m_Servers.StoreVersion(), m_Peers.Spread().Rank(), Now());
+}
+
+// Who reads only because it missed something tells nobody: those that tell did, already.
+bool ServerListShare::Tells() const
+{
+    return m_Servers.StoreVersion() > 0 && (m_Peers.ReadsStore() || m_News.Silent(Now()));
+}
+
+void ServerListShare::Tell(ServersTold told)
+{
+    told.m_Unsettled              = m_Servers.UnsettledFor(Now());
+    const wire::ServersNewsT news = ToWire(told);
+    for (const Endpoint& router : m_Peers.Spread().Near())
+        m_Loads.TellServers(router, news);
+    m_Loads.TellServersToBoxes(news);
+}
+
+void ServerListShare::OnListRead(uint64_t since, const RowRead& changes)
+{
+    m_ListReadAt = Now();
+    if (!Tells() || since == 0)
+        return;
+    for (ServersTold& told : SplitServerNews(since, changes))
+        Tell(std::move(told));
+}
+
+// Or that it can't.
+void ServerListShare::TellThatItReads()
+{
+    if (!Tells())
+        return;
+    ServersTold told;
+    told.m_Since               = m_Servers.StoreVersion();
+    told.m_Rows.m_StoreVersion = told.m_Since;
+    told.m_Lost                = !m_Tables->ListReachable() || Now() - m_ListReadAt > kServersAnswered;
+    Tell(std::move(told));
+}
+
+void ServerListShare::OnNews(const wire::ServersNews& news)
+{
+    static Counter&   taken = Metrics().GetCounter("aldervale_server_news_total", "used=\"yes\"");
+    static Counter&   gap   = Metrics().GetCounter("aldervale_server_news_total", "used=\"no\"");
+    const ServersTold told  = FromWire(news);
+    const bool        fits  = m_News.OnNews(told, m_Servers.StoreVersion(), Now());
+    (fits ? taken : gap).Add(1);
+    if (fits && !told.m_Rows.m_Rows.empty())
+        m_Tables->UseServerNews(told);
+    else if (fits)
+        m_Servers.OnUpTo(told.m_Rows.m_StoreVersion);
+}
+
+void ServerListShare::Look(TimePoint now)
+{
+    if (!Reads()) // else the own follower tells
+        m_Servers.OnStoreReached(now);
+    if (now - m_ToldAt < kServersNewsEvery)
+        return;
+    m_ToldAt = now;
+    TellThatItReads();
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/programs/server_list_share.h
@@ -0,0 +1,43 @@
+// aldervale: a router's part in sharing the list of servers: tells what it reads of it, and takes what others tell
+//
+// The shell around ServerNewsListener: datagrams to the routers of the own region and the boxes of the own data centre, and from other routers.
+//
+// Usage (platform_router.cpp):
+//   ServerListShare share(loads, peers, directory);
+//   list_pace.m_Urgent = [&] { return share.Reads(); };
+//   share.Start(tables);                                     // once they exist
+//   share.Look(now);                                         // every 100 ms or so
+
+#pragma once
+#include "platform_tables.h"
+#include "process/declarations_peers.h"
+
+namespace aldervale
+{
+
+class ServerListShare // touched on one thread; lives as long as the process
+{
+public:
+    ServerListShare(LoadListener& loads, DeclarationsPeers& peers, ServerDirectory& servers) : m_Loads(loads), m_Peers(peers), m_Servers(servers) {}
+
+    void Start(PlatformTables& tables);
+    bool Reads() const;                                              // this router needs to read the list itself
+    void OnListRead(uint64_t since, const RowRead& changes);         // an answer of the store, by then used
+    void Look(TimePoint now);                                        // signs of life, and what follows from others'
+
+private:
+    bool Tells() const;
+    void Tell(ServersTold told);
+    void TellThatItReads();
+    void OnNews(const wire::ServersNews& news);
+
+    LoadListener&      m_Loads;            //
+    DeclarationsPeers& m_Peers;            //
+    ServerDirectory&   m_Servers;          //
+    PlatformTables*    m_Tables = nullptr; // null until Start()
+    ServerNewsListener m_News{Now(), {}};  //
+    TimePoint          m_ListReadAt{};     // when the store last answered this router about the list
+    TimePoint          m_ToldAt{};         // the last sign of life
+};
+
+} // namespace aldervale
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -13,6 +13,7 @@
 constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
 constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
 constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
+constexpr double   kBudgetGrown    = 1.5;                // times the routers that budgets were built for, from which on they are built anew
 constexpr double   kBudgetShare    = 0.6;                // of the declared budget that routers use together: windows slide
 
 Counter& OutcomeCounter(std::string_view outcome)
@@ -42,7 +43,8 @@
 
 RetryBudget& DirectServe::Impl::Budget(const std::string& service)
 {
-    if (m_BudgetRouters == 0 && m_Choice.RoutersHint() > 0) // known for the first time
+    // Boxes hear of routers one by one: a share that was built for the first few would be many times too large.
+    if (m_Choice.RoutersHint() > m_BudgetRouters * kBudgetGrown)
     {
         m_BudgetRouters = m_Choice.RoutersHint();
         m_Budgets.clear();
--- a/tests/test_server_news.cpp
+++ b/tests/test_server_news.cpp
@@ -123,21 +123,21 @@
     ALDERVALE_PROPERTY("a listener that loses some datagrams holds what the readers hold, or knows that it doesn't",
                        []
                        {
-                           ServerNewsListener                  l(kStart, {});
-                           std::map<std::string, uint64_t>     truth;
-                           std::map<std::string, uint64_t>     held_rows;
-                           uint64_t                            version = 5;
-                           uint64_t                            held    = 5;
-                           uint64_t                            read[2] = {5, 5}; // of each reader
+                           ServerNewsListener                    l(kStart, {});
+                           std::map<std::string, uint64_t>       truth;
+                           std::map<std::string, uint64_t>       held_rows;
+                           uint64_t                              version = 5;
+                           uint64_t                              held    = 5;
+                           uint64_t                              read[2] = {5, 5}; // of each reader
                            std::vector<std::pair<Row, uint64_t>> log;
-                           TimePoint                           now = kStart;
+                           TimePoint                             now = kStart;
                            for (int i = 0; i < 40; i++)
                            {
                                now += milliseconds(100);
                                Row row;
-                               row.m_Key     = "i" + std::to_string(*rc::gen::inRange(0, 6));
-                               row.m_Version = ++version;
-                               row.m_Value   = std::string(static_cast<size_t>(*rc::gen::inRange(0, 500)), 'x');
+                               row.m_Key        = "i" + std::to_string(*rc::gen::inRange(0, 6));
+                               row.m_Version    = ++version;
+                               row.m_Value      = std::string(static_cast<size_t>(*rc::gen::inRange(0, 500)), 'x');
                                truth[row.m_Key] = version;
                                log.emplace_back(row, version);
                                const size_t reader = *rc::gen::inRange<size_t>(0, 2);
