A connection's time limit touches nothing that is gone

The post that should have let it run first is overtaken by the strand. Test: heap-use-after-free under AddressSanitizer before, clean after.

--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -293,24 +293,41 @@
     return Endpoint{addr, static_cast<uint16_t>(port)};
 }
 
+namespace
+{
+
+struct Connecting // shared with the handler of its time limit, which may run after the coroutine's end
+{
+    explicit Connecting(const asio::any_io_executor& ex) : m_Socket(ex) {}
+
+    tcp::socket m_Socket;           //
+    bool        m_Over     = false; // the coroutine goes on by itself: the handler leaves the socket alone
+    bool        m_TimedOut = false; // the handler has closed the socket
+};
+
+} // namespace
+
+// When the connection and the limit's end are found together, the coroutine may end before the limit's handler runs. That one must not touch what is
+// gone by then: some two of 1,000 routers ended so on a day on which the store went silent.
 awaitable<Result<tcp::socket>> ConnectTcp(Endpoint to, Duration timeout, std::optional<asio::any_io_executor> owner)
 {
     const asio::any_io_executor ex = co_await asio::this_coro::executor;
-    tcp::socket                 socket(owner ? *owner : ex); // until it is returned only this coroutine's strand touches it
+    const auto                  c  = std::make_shared<Connecting>(owner ? *owner : ex); // until it is returned only this strand touches the socket
     asio::steady_timer          timer(ex, timeout);
     timer.async_wait(
-        [&socket](boost::system::error_code wait_ec)
+        [c](boost::system::error_code wait_ec)
         {
-            if (!wait_ec)
-                socket.close(wait_ec);
+            if (wait_ec || c->m_Over)
+                return;
+            c->m_TimedOut = true;
+            c->m_Socket.close(wait_ec);
         });
-    auto [ec]          = co_await socket.async_connect(tcp::endpoint(to.m_Address, to.m_Port), kNoThrow);
-    const bool in_time = timer.cancel() > 0;
-    if (!in_time) // the wait handler may be queued with a reference to the socket: let it run first
-        co_await asio::post(ex, asio::use_awaitable);
-    if (ec || !in_time)
+    const auto [ec] = co_await c->m_Socket.async_connect(tcp::endpoint(to.m_Address, to.m_Port), kNoThrow);
+    c->m_Over       = true;
+    timer.cancel();
+    if (ec || c->m_TimedOut)
         co_return MakeError(ErrorCode_Unavailable, "can't connect to " + to.ToString());
-    co_return std::move(socket);
+    co_return std::move(c->m_Socket);
 }
 
 Result<tcp::acceptor> ListenTcp(asio::any_io_executor ex, const Endpoint& at)
--- a/src/programs/server_list_share.h
+++ b/src/programs/server_list_share.h
@@ -21,9 +21,9 @@
     ServerListShare(LoadListener& loads, DeclarationsPeers& peers, ServerDirectory& servers) : m_Loads(loads), m_Peers(peers), m_Servers(servers) {}
 
     void Start(PlatformTables& tables);
-    bool Reads() const;                                              // this router needs to read the list itself
-    void OnListRead(uint64_t since, const RowRead& changes);         // an answer of the store, by then used
-    void Look(TimePoint now);                                        // signs of life, and what follows from others'
+    bool Reads() const;                                      // this router needs to read the list itself
+    void OnListRead(uint64_t since, const RowRead& changes); // an answer of the store, by then used
+    void Look(TimePoint now);                                // signs of life, and what follows from others'
 
 private:
     bool Tells() const;
