--- a/tests/test_connect.cpp
+++ b/tests/test_connect.cpp
@@ -1,6 +1,7 @@
 // Connecting with a time limit: the limit's end and the connection may come at the same moment.
 #include "connection/link.h"
 #include "support_io.h"
+#include <deque>
 #include <thread>
 
 using namespace aldervale;
@@ -8,7 +9,7 @@
 namespace
 {
 
-constexpr int  kLimits = 24;              // connections, each with another limit
+constexpr int  kLimits = 24;                 // connections, each with another limit
 constexpr auto kResent = milliseconds(1000); // until the system sends the first packet of a connection again that found the listener's queue full
 
 } // namespace
@@ -22,13 +23,10 @@
     const Endpoint   at = FreeEndpoint();
     tcp::acceptor    acceptor(ioc, tcp::endpoint(at.m_Address, at.m_Port));
     acceptor.listen(0);
-    std::vector<tcp::socket> in_queue;
+    std::deque<tcp::socket> in_queue;
     for (int i = 0; i < 2; i++)
     {
-        boost::system::error_code ec;
-        in_queue.emplace_back(ioc).open(tcp::v4());
-        in_queue.back().non_blocking(true);
-        in_queue.back().connect(tcp::endpoint(at.m_Address, at.m_Port), ec);
+        in_queue.emplace_back(ioc).async_connect(tcp::endpoint(at.m_Address, at.m_Port), [](const boost::system::error_code&) {});
     }
     int        ended   = 0;
     const auto connect = [&](int i) -> awaitable<void>
@@ -54,6 +52,7 @@
             co_await asio::post(ioc, asio::use_awaitable);
         }
         acceptor.close();
+        in_queue.clear();
     };
     for (int i = 0; i < kLimits; i++)
         asio::co_spawn(
