--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -30,18 +30,18 @@
 
 using asio::ip::udp;
 
-constexpr auto   kSubscribeEvery = milliseconds(1000); // of a router to each box of its data centre, and
-constexpr auto   kSubscribeFar   = milliseconds(3000); // to each other one that it follows
-constexpr auto   kSubscribeKeep  = milliseconds(3500); // a box forgets a router of its data centre that didn't ask for this long, and
-constexpr auto   kSubscribeKept  = milliseconds(9500); // another one
-constexpr auto   kNearEvery      = milliseconds(250);  // least pause between reports to a router of the own data centre: they only say whom to ask
-constexpr auto   kFarEvery       = milliseconds(700);  // to others
-constexpr auto   kUnchangedEvery = milliseconds(500);  // a report that says nothing new is still sent this often: it shows that the box lives
-constexpr auto   kListEvery      = milliseconds(2000); // of a router to some boxes, for the other routers that they know
-constexpr auto   kListEarly      = milliseconds(100);  // between questions for other routers until an answer comes, and
-constexpr auto   kListsFirst     = milliseconds(2000); // after the start: routers that start together don't know each other at first
-constexpr size_t kListAsked      = 3;                  // boxes asked for other routers each time, others the next time: some may be silent
-constexpr size_t kDatagramMax    = 1200;               // bytes
+constexpr auto   kSubscribeEvery   = milliseconds(1000); // of a router to each box of its data centre, and
+constexpr auto   kSubscribeFar     = milliseconds(3000); // to each other one that it follows
+constexpr auto   kSubscribeKeep    = milliseconds(3500); // a box forgets a router of its data centre that didn't ask for this long, and
+constexpr auto   kSubscribeKeepFar = milliseconds(9500); // another one
+constexpr auto   kNearEvery        = milliseconds(250);  // least pause between reports to a router of the own data centre: they only say whom to ask
+constexpr auto   kFarEvery         = milliseconds(700);  // to others
+constexpr auto   kUnchangedEvery   = milliseconds(500);  // a report that says nothing new is still sent this often: it shows that the box lives
+constexpr auto   kListEvery        = milliseconds(2000); // of a router to some boxes, for the other routers that they know
+constexpr auto   kListEarly        = milliseconds(100);  // between questions for other routers until an answer comes, and
+constexpr auto   kListsFirst       = milliseconds(2000); // after the start: routers that start together don't know each other at first
+constexpr size_t kListAsked        = 3;                  // boxes asked for other routers each time, others the next time: some may be silent
+constexpr size_t kDatagramMax      = 1200;               // bytes
 
 struct ModelNaming // what a router knows of a service's model
 {
@@ -161,7 +161,7 @@
         double      m_Share = 1;     // of boxes like this one, that the router follows
         std::string m_Region;        //
 
-        Duration Keep() const { return m_Near ? kSubscribeKeep : kSubscribeKept; }
+        Duration Keep() const { return m_Near ? kSubscribeKeep : kSubscribeKeepFar; }
     };
 
     void     OnFrame(const wire::Frame& frame, const udp::endpoint& from);
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -207,6 +207,7 @@
     std::sort(costs.begin(), costs.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     costs.resize(std::min(costs.size(), m_Config.m_AskAtOnce));
     std::vector<const ServerEntry*> out;
+    out.reserve(costs.size());
     for (const auto& [cost, entry] : costs)
         out.push_back(entry);
     return out;
