--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -153,7 +153,7 @@
 //-----------------------------------------------------------------------------
 
 LoadListener::LoadListener(asio::io_context& ioc, ProcessName self, Handler handler)
-    : m_Ioc(ioc), m_Self(std::move(self)), m_Handler(std::move(handler)), m_Socket(ioc)
+    : m_Self(std::move(self)), m_Handler(std::move(handler)), m_Socket(asio::make_strand(ioc))
 {
 }
 
@@ -163,9 +163,9 @@
     if (!opened)
         return opened;
     const FrameHandler on_frame = [this](const wire::Frame& frame, const udp::endpoint& from) { OnFrame(frame, from); };
-    asio::co_spawn(m_Ioc, ReceiveFrames(m_Socket, on_frame), asio::detached);
+    asio::co_spawn(m_Socket.get_executor(), ReceiveFrames(m_Socket, on_frame), asio::detached);
     asio::co_spawn(
-        m_Ioc, [this] { return SubscribeLoop(); }, asio::detached);
+        m_Socket.get_executor(), [this] { return SubscribeLoop(); }, asio::detached);
     return Ok();
 }
 
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -112,7 +112,6 @@
     void            AskForRouters();                                                // some of the boxes, other ones than the last time
     void            SendAsk(std::span<const FollowedBox> boxes, bool list_routers); // in several datagrams, if there are many models
 
-    asio::io_context&        m_Ioc;           //
     ProcessName              m_Self;          //
     Handler                  m_Handler;       //
     RoutersHandler           m_OnRouters;     // may be empty
@@ -120,7 +119,7 @@
     PlaceHandler             m_OnPlace;       // may be empty
     ServersHandler           m_OnServers;     // may be empty
     std::string              m_Region;        //
-    udp::socket              m_Socket;        //
+    udp::socket              m_Socket;        // on a strand: what comes and what is asked for run one after the other
     std::vector<FollowedBox> m_Boxes;         //
     size_t                   m_NextAsked = 0; // place in m_Boxes from which AskForRouters() goes on
     TimePoint                m_ListedAt{};    // when an agent last listed routers
