Who came back is guessed only where calm times show that the guess is right

Cause: a caller with 60 ms less than its route's limit was taken for one that had been refused before.

--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -10,8 +10,7 @@
 
 // Rounds of questions: one finds a server with room while there are any; a second one looks where the first found none. 3 rounds of 3 boxes are
 // 9 of the some 18 that are drawn; further ones found a server in time for under 1 request in 100.
-constexpr unsigned kAskRounds     = 3;
-constexpr auto     kCameBackSlack = milliseconds(60); // a caller with less time than the route's limit by more than this was here before
+constexpr unsigned kAskRounds = 3;
 
 } // namespace
 
@@ -25,14 +24,13 @@
 RequestNeed DirectServe::Impl::NeedOf(const Call& call, std::span<const WeightsDeadline> deadlines, TimePoint now) const
 {
     RequestNeed need;
-    need.m_Service       = call.m_Service;
-    need.m_Goal          = call.m_Route->m_Goal;
-    need.m_StrictestGoal = call.m_Routes->StrictestGoal(call.m_Service->m_Name);
-    need.m_Left          = call.Left(now);
-    need.m_Prompt        = call.m_Caller.m_Prompt;
-    need.m_Answer        = call.m_Caller.m_Answer;
-    need.m_CameBack      = !call.m_Tried.empty() || call.m_HeadSent ||
-                      call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout) + kCameBackSlack < call.m_Route->m_Timeout;
+    need.m_Service          = call.m_Service;
+    need.m_Goal             = call.m_Route->m_Goal;
+    need.m_StrictestGoal    = call.m_Routes->StrictestGoal(call.m_Service->m_Name);
+    need.m_Left             = call.Left(now);
+    need.m_Prompt           = call.m_Caller.m_Prompt;
+    need.m_Answer           = call.m_Caller.m_Answer;
+    need.m_CameBack         = call.m_Returned || !call.m_Tried.empty() || call.m_HeadSent;
     need.m_WeightsDeadlines = deadlines;
     need.m_DataCentre       = m_Daemon.Settings().m_DataCentre;
     need.m_Tried            = call.m_Tried;
@@ -127,6 +125,8 @@
     const RequestNeed                  need      = NeedOf(call, deadlines, Now());
     call.m_CameBack                              = need.m_CameBack;
     std::optional<ServerEntry> server            = co_await Place(call, need);
+    if (!server && call.m_Service->m_Engine)
+        m_Returns.OnRefused(Now());
     if (!server)
         call.m_Why = call.m_Choice.m_Candidates == 0 ? "no server can take it" : "no server would answer in time";
     co_return server;
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -124,6 +124,18 @@
     return out;
 }
 
+bool DirectServe::Impl::Returned(const Call& call)
+{
+    static Counter& first    = Metrics().GetCounter("aldervale_callers_total", "taken_for=\"first\"");
+    static Counter& returned = Metrics().GetCounter("aldervale_callers_total", "taken_for=\"returned\"");
+    if (!call.m_Service->m_Engine)
+        return false;
+    const Duration left = call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout);
+    const bool     back = m_Returns.OnAttempt(call.m_Route->m_Timeout, left, call.m_StartedAt);
+    (back ? returned : first).Add(1);
+    return back;
+}
+
 // Near a deadline and after it the server itself is asked to check: what is believed of it may be outdated.
 uint64_t DirectServe::Impl::ExpectedWeights(const Call& call, TimePoint now) const
 {
@@ -153,7 +165,8 @@
 awaitable<void> DirectServe::Impl::Serve(Call& call)
 {
     Budget(call.m_Service->m_Name).OnRequest();
-    AttemptEnd end = AttemptEnd_NotRun;
+    call.m_Returned = Returned(call);
+    AttemptEnd end  = AttemptEnd_NotRun;
     for (unsigned unreached = 0;; unreached++)
     {
         std::optional<ServerEntry> server; // a copy: the directory may change while the attempt waits
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -4,6 +4,7 @@
 #include "common/metrics.h"
 #include "request/direct_serve.h"
 #include "request/event_splitter.h"
+#include "request/return_guess.h"
 
 namespace aldervale
 {
@@ -44,6 +45,7 @@
     bool                        m_MayHaveRun = false; // some server may have run it
     bool                        m_BrokenOff  = false; // the answer was begun and ended before its end
     bool                        m_HeadSent   = false; // the answer's head went to the caller
+    bool                        m_Returned   = false; // the caller is taken for one that was refused before
     bool                        m_CameBack   = false; // when it was last admitted: refused before, or tried elsewhere
     unsigned                    m_Events     = 0;     // streams: events passed on
     std::string                 m_LastEvent;          // streams: id of the last event passed on, or where the caller asked to go on
@@ -70,6 +72,7 @@
     const RequestProtocol&                              m_Protocol;                //
     HttpClient                                          m_Client;                  //
     ServerChoice                                        m_Choice;                  //
+    ReturnGuess                                         m_Returns;                 // of callers of model services
     std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;                 // by service
     uint32_t                                            m_BudgetRouters = 0;       // routers that m_Budgets were built for; 0: assumed
     PlaceChannel*                                       m_Places        = nullptr; // null: boxes aren't asked
@@ -83,6 +86,7 @@
     std::optional<HttpResponse>  Identify(Call& call);                                          // an answer when the request can't go on
     std::vector<WeightsDeadline> WeightsDeadlines(const Call& call) const;
     uint64_t                     ExpectedWeights(const Call& call, TimePoint now) const; // that the server must hold; 0: any
+    bool                         Returned(const Call& call);                             // once for each call
     RetryBudget&                 Budget(const std::string& service);
     awaitable<void>              Serve(Call& call);
 
