--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -9,14 +9,15 @@
 namespace
 {
 
-constexpr auto   kNoThrow      = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kAskBytes     = 160;       // of a request for reports besides its texts and namings, at most
-constexpr size_t kReceiveMax   = 16 * 1024; // bytes of a datagram: rows of one store version stay in one (server_news.h)
-constexpr double kReadingMaxMs = 60'000;    // of one prompt; more is no prompt
-constexpr float  kPaceMin      = 0.01F;     // of an engine, against its declared costs
-constexpr float  kPaceMax      = 1000;      //
-constexpr double kShareMin     = 0.001;     // of boxes that a router follows
-constexpr size_t kNamingBytes  = 144;       // of a naming besides the names in it, at most; with an IPv6 address and a port
+constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
+constexpr size_t   kAskBytes     = 160;       // of a request for reports besides its texts and namings, at most
+constexpr size_t   kReceiveMax   = 16 * 1024; // bytes of a datagram: rows of one store version stay in one (server_news.h)
+constexpr double   kReadingMaxMs = 60'000;    // of one prompt; more is no prompt
+constexpr uint32_t kClaimMaxMs   = 2000;      // that a claim stands in line; callers' objectives are shorter
+constexpr float    kPaceMin      = 0.01F;     // of an engine, against its declared costs
+constexpr float    kPaceMax      = 1000;      //
+constexpr double   kShareMin     = 0.001;     // of boxes that a router follows
+constexpr size_t   kNamingBytes  = 144;       // of a naming besides the names in it, at most; with an IPv6 address and a port
 
 Status OpenUdp(udp::socket& socket, const Endpoint& at)
 {
@@ -59,6 +60,11 @@
     }
 }
 
+double ReadingOf(float told_ms)
+{
+    return std::isfinite(told_ms) ? std::clamp<double>(told_ms, 0, kReadingMaxMs) : 0;
+}
+
 LoadReport FromWire(const wire::LoadState& s)
 {
     LoadReport r;
@@ -185,6 +191,9 @@
         state.m_UnreadMs = std::isfinite(place->unread_ms()) ? std::max(0.0F, place->unread_ms()) : 0;
         m_OnPlace(place->number(), FromUdp(from), state);
     }
+    const wire::PlaceGrant* grant = frame.body_as_PlaceGrant();
+    if (grant != nullptr && m_OnGrant)
+        m_OnGrant(grant->number(), FromUdp(from), grant->granted());
     const wire::RouterList* list = frame.body_as_RouterList();
     if (list != nullptr)
     {
@@ -223,6 +232,23 @@
     SendDatagram(m_Socket, ToUdp(box), take);
 }
 
+void LoadListener::ClaimPlace(const Endpoint& box, const PlaceClaimed& claim)
+{
+    wire::PlaceClaimT out;
+    out.number     = claim.m_Question.m_Number;
+    out.most       = claim.m_Most;
+    out.wait_ms    = static_cast<uint32_t>(std::max<int64_t>(0, ToMs(claim.m_Wait)));
+    out.reading_ms = static_cast<float>(claim.m_ReadingMs);
+    SendDatagram(m_Socket, ToUdp(box), out);
+}
+
+void LoadListener::ReleasePlace(const Endpoint& box, uint64_t number)
+{
+    wire::PlaceReleaseT out;
+    out.number = number;
+    SendDatagram(m_Socket, ToUdp(box), out);
+}
+
 void LoadListener::Tell(const Endpoint& router, const wire::DeclarationsNewsT& news)
 {
     SendDatagram(m_Socket, ToUdp(router), news);
@@ -329,9 +355,16 @@
     const wire::ServersNews* servers = frame.body_as_ServersNews();
     if (servers != nullptr && m_OnServers)
         m_OnServers(*servers);
+    const wire::PlaceClaim* claim = frame.body_as_PlaceClaim();
+    if (claim != nullptr && m_OnClaim)
+        m_OnClaim(
+            {{FromUdp(from), claim->number()}, claim->most(), milliseconds(std::min(claim->wait_ms(), kClaimMaxMs)), ReadingOf(claim->reading_ms())});
+    const wire::PlaceRelease* release = frame.body_as_PlaceRelease();
+    if (release != nullptr && m_OnRelease)
+        m_OnRelease({FromUdp(from), release->number()});
     const wire::PlaceTake* take = frame.body_as_PlaceTake();
     if (take != nullptr && m_OnTake)
-        m_OnTake(std::clamp<double>(take->reading_ms(), 0, kReadingMaxMs));
+        m_OnTake(ReadingOf(take->reading_ms()));
 }
 
 void LoadPublisher::OnSubscribe(const wire::LoadSubscribe& ask, const udp::endpoint& from)
@@ -382,6 +415,14 @@
     SendDatagram(m_Socket, asker, ListRouters(routers, {asker.address(), m_Subscribers[asker].m_Region}));
 }
 
+void LoadPublisher::Grant(const PlaceQuestion& question, bool granted)
+{
+    wire::PlaceGrantT out;
+    out.number  = question.m_Number;
+    out.granted = granted;
+    SendDatagram(m_Socket, ToUdp(question.m_Router), out);
+}
+
 void LoadPublisher::Publish(LoadReport report)
 {
     const TimePoint now = Now();
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -69,6 +69,14 @@
     uint64_t m_Number = 0; // of the question, by the router's count
 };
 
+struct PlaceClaimed // of a router, as a box hears it
+{
+    PlaceQuestion m_Question;      //
+    uint32_t      m_Most = 0;      // a place is free while fewer requests are there
+    Duration      m_Wait{};        // in line
+    double        m_ReadingMs = 0; // engine time that its prompt takes to be read
+};
+
 struct ProcessName
 {
     std::string m_Name;       //
@@ -87,6 +95,7 @@
     using NewsHandler    = std::function<void(const wire::DeclarationsNews& news, const Endpoint& from)>;
     using ServersHandler = std::function<void(const wire::ServersNews& news)>;
     using PlaceHandler   = std::function<void(uint64_t number, const Endpoint& box, const LoadReport& state)>;
+    using GrantHandler   = std::function<void(uint64_t number, const Endpoint& box, bool granted)>;
 
     LoadListener(asio::io_context& ioc, ProcessName self, Handler handler);
 
@@ -95,6 +104,9 @@
     void   SetOnPlace(PlaceHandler fn) { m_OnPlace = std::move(fn); }               // a box answered a question for a place
     void   AskPlace(const Endpoint& box, uint64_t number);
     void   TakePlace(const Endpoint& box, double reading_ms);
+    void   SetOnGrant(GrantHandler fn) { m_OnGrant = std::move(fn); }  // a box settled a claim
+    void   ClaimPlace(const Endpoint& box, const PlaceClaimed& claim); // of m_Question only the number counts
+    void   ReleasePlace(const Endpoint& box, uint64_t number);
     void   SetDeclared(uint64_t version) { m_Declared = version; }
     void   SetNamed(std::vector<ModelNaming> named); // told to all boxes, at once if it is news, and with every request for reports
     void   SetRegion(std::string region) { m_Region = std::move(region); }  // of this router; before Listen()
@@ -117,6 +129,7 @@
     RoutersHandler           m_OnRouters;     // may be empty
     NewsHandler              m_OnNews;        // may be empty
     PlaceHandler             m_OnPlace;       // may be empty
+    GrantHandler             m_OnGrant;       // may be empty
     ServersHandler           m_OnServers;     // may be empty
     std::string              m_Region;        //
     udp::socket              m_Socket;        // on a strand: what comes and what is asked for run one after the other
@@ -138,6 +151,8 @@
     using ServersHandler = std::function<void(const wire::ServersNews& news)>;
     using AskHandler     = std::function<void(const PlaceQuestion& question)>;
     using TakeHandler    = std::function<void(double reading_ms)>;
+    using ClaimHandler   = std::function<void(const PlaceClaimed& claim)>;
+    using ReleaseHandler = std::function<void(const PlaceQuestion& question)>;
 
     LoadPublisher(asio::io_context& ioc, std::string data_centre);
 
@@ -146,7 +161,10 @@
     void     SetOnAsk(AskHandler fn) { m_OnAsk = std::move(fn); }             // a router wants a place; Answer() it soon or not at all
     void     SetOnTake(TakeHandler fn) { m_OnTake = std::move(fn); }          // a router sends a request to the server now
     void     SetOnServers(ServersHandler fn) { m_OnServers = std::move(fn); } // a router told of the list of servers
+    void     SetOnClaim(ClaimHandler fn) { m_OnClaim = std::move(fn); }       // a router wants the next place; Grant() it or say no
+    void     SetOnRelease(ReleaseHandler fn) { m_OnRelease = std::move(fn); } // it wants it no longer
     void     Answer(const PlaceQuestion& question, const LoadReport& state);
+    void     Grant(const PlaceQuestion& question, bool granted);
     void     Publish(LoadReport report); // its m_Routers is filled in
     uint64_t Sent() const { return m_Sent; }
 
@@ -175,6 +193,8 @@
     NamedHandler                        m_OnNamed;     // may be empty
     AskHandler                          m_OnAsk;       // may be empty
     TakeHandler                         m_OnTake;      // may be empty
+    ClaimHandler                        m_OnClaim;     // may be empty
+    ReleaseHandler                      m_OnRelease;   // may be empty
     ServersHandler                      m_OnServers;   // may be empty
 };
 
--- a/src/connection/place_channel.cpp
+++ b/src/connection/place_channel.cpp
@@ -10,6 +10,7 @@
 PlaceChannel::PlaceChannel(asio::io_context& ioc, LoadListener& datagrams) : m_Ioc(ioc), m_Datagrams(datagrams)
 {
     m_Datagrams.SetOnPlace([this](uint64_t number, const Endpoint& box, const LoadReport& state) { OnAnswer(number, box, state); });
+    m_Datagrams.SetOnGrant([this](uint64_t number, const Endpoint& box, bool granted) { OnGrant(number, box, granted); });
 }
 
 awaitable<std::vector<PlaceAnswer>> PlaceChannel::Ask(std::vector<Endpoint> boxes)
@@ -55,4 +56,42 @@
     m_Datagrams.TakePlace(box, reading_ms);
 }
 
+awaitable<std::optional<asio::ip::address>> PlaceChannel::Claim(std::vector<Endpoint> boxes, PlaceWanted wanted)
+{
+    static HistogramMetric& took   = Metrics().GetHistogram("aldervale_place_claim_seconds");
+    const TimePoint         began  = Now();
+    const uint64_t          number = ++m_Number;
+    Claiming                c(m_Ioc, boxes.size());
+    m_Claiming[number] = &c;
+    for (const Endpoint& box : boxes)
+        m_Datagrams.ClaimPlace(box, {{{}, number}, wanted.m_Most, wanted.m_Wait, wanted.m_ReadingMs});
+    c.m_Timer.expires_after(wanted.m_Wait + kPlaceAnswerMax);
+    if (c.m_Open > 0)
+        co_await c.m_Timer.async_wait(kNoThrow);
+    m_Claiming.erase(number);
+    for (const Endpoint& box : boxes)
+        if (c.m_Granted != box.m_Address)
+            m_Datagrams.ReleasePlace(box, number);
+    took.Record(ToSeconds(Now() - began));
+    co_return c.m_Granted;
+}
+
+void PlaceChannel::OnGrant(uint64_t number, const Endpoint& box, bool granted)
+{
+    const auto it = m_Claiming.find(number);
+    if (it == m_Claiming.end())
+    {
+        if (granted) // another box was first, or its request is gone
+            m_Datagrams.ReleasePlace(box, number);
+        return;
+    }
+    Claiming& c = *it->second;
+    if (granted && !c.m_Granted)
+        c.m_Granted = box.m_Address;
+    if (!granted && c.m_Open > 0)
+        c.m_Open--;
+    if (c.m_Granted || c.m_Open == 0)
+        c.m_Timer.cancel();
+}
+
 } // namespace aldervale
--- a/src/connection/place_channel.h
+++ b/src/connection/place_channel.h
@@ -3,12 +3,17 @@
 // One datagram to each box asked, one back from each; no connection and no retry. Who waits goes on when all have answered, kPlaceFurtherMax after
 // the first answer, or after kPlaceAnswerMax without any: a box that is frozen, cut off or overloaded costs a request no more than that.
 //
+// Where places are scarce a router claims one at a few boxes (place_line.h). A box that is silent for kPlaceAnswerMax longer than a claim may stand
+// in line costs the caller that; a grant that comes too late is given back.
+//
 // Usage (src/request/direct_place.cpp):
 //   std::vector<PlaceAnswer> answers = co_await channel.Ask(boxes);
 //   channel.Take(box, reading_ms);             // where the request goes
+//   auto granted = co_await channel.Claim(boxes, wanted);       // in its place: nobody else gets this place
 
 #pragma once
 #include "connection/load_channel.h"
+#include <optional>
 #include <unordered_map>
 
 namespace aldervale
@@ -17,6 +22,13 @@
 constexpr auto kPlaceAnswerMax  = milliseconds(15); // without any answer: of an objective of 400 to 600 ms; an answer takes 1 to 4 ms
 constexpr auto kPlaceFurtherMax = milliseconds(4);  // for more after the first one: the way to another region and back takes 2 to 3 ms
 
+struct PlaceWanted
+{
+    uint32_t m_Most = 1;      // a place is free while fewer requests are there
+    Duration m_Wait{};        // in line, at most
+    double   m_ReadingMs = 0; // as for Take()
+};
+
 struct PlaceAnswer
 {
     asio::ip::address m_Box;   //
@@ -31,6 +43,9 @@
     awaitable<std::vector<PlaceAnswer>> Ask(std::vector<Endpoint> boxes);
     void                                Take(const Endpoint& box, double reading_ms);
 
+    // The first of the boxes that grants a place, which is taken with it; the others are let go. Nothing: none in time.
+    awaitable<std::optional<asio::ip::address>> Claim(std::vector<Endpoint> boxes, PlaceWanted wanted);
+
 private:
     struct Asked // by one request; lives in its Ask()
     {
@@ -41,12 +56,24 @@
         std::vector<PlaceAnswer> m_Answers; // at most m_Boxes
     };
 
+    struct Claiming // by one request; lives in its Claim()
+    {
+        Claiming(asio::io_context& ioc, size_t boxes) : m_Timer(ioc), m_Open(boxes) {}
+
+        asio::steady_timer               m_Timer;   //
+        size_t                           m_Open;    // boxes that haven't said no
+        std::optional<asio::ip::address> m_Granted; // the first
+    };
+
+    void OnGrant(uint64_t number, const Endpoint& box, bool granted);
     void OnAnswer(uint64_t number, const Endpoint& box, const LoadReport& state);
 
     asio::io_context&                    m_Ioc;        //
     LoadListener&                        m_Datagrams;  //
     uint64_t                             m_Number = 0; // of the last question
     std::unordered_map<uint64_t, Asked*> m_Asked;      // by number; those whose Ask() waits
+
+    std::unordered_map<uint64_t, Claiming*> m_Claiming; // the same for Claim()
 };
 
 } // namespace aldervale
--- a/src/emulator/pool_emulator.cpp
+++ b/src/emulator/pool_emulator.cpp
@@ -3,7 +3,7 @@
 #include "emulator/engine_model.h"
 #include "request/engine_prediction.h"
 #include "request/followed_boxes.h"
-#include "request/place_promise.h"
+#include "request/place_line.h"
 #include <algorithm>
 #include <functional>
 #include <queue>
@@ -20,6 +20,7 @@
 constexpr auto     kWayToRouter = milliseconds(3);    // of a caller
 constexpr auto     kSubscribe   = milliseconds(1000); // a router that starts is heard of by boxes within this
 constexpr unsigned kAskRounds   = 3;                  // as direct_place.cpp
+constexpr auto     kLinePoll    = milliseconds(10);   // as place_answers.h
 constexpr auto     kBackAtOnce  = milliseconds(50);   // of callers that don't wait as told
 const auto         kBegin       = TimePoint{} + seconds(1000);
 
@@ -74,11 +75,13 @@
     struct Server
     {
         Server(const EngineCosts& costs) : m_Engine(costs) {}
-        EngineModel            m_Engine;       //
-        bool                   m_Busy = false; // a pass is under way
-        uint64_t               m_Life = 0;     // grows with each restart: events of an earlier life are void
-        std::vector<TimePoint> m_ReportedAt;   // by router
-        PlacePromises          m_Places;       // promised by its box
+        EngineModel            m_Engine;        //
+        bool                   m_Busy = false;  // a pass is under way
+        uint64_t               m_Life = 0;      // grows with each restart: events of an earlier life are void
+        std::vector<TimePoint> m_ReportedAt;    // by router
+        PlacePromises          m_Places;        // promised by its box
+        PlaceLine              m_Line;          // of claims at its box
+        bool                   m_Polls = false; // the line is looked after
     };
 
     struct Asking // boxes for a place, for one request
@@ -92,6 +95,16 @@
 
     using AskingPtr = std::shared_ptr<Asking>;
 
+    struct Claiming // a place at one of some boxes, for one request
+    {
+        AskingPtr           m_Asking;          //
+        std::vector<Choice> m_Hoped;           // where it was claimed
+        size_t              m_Open    = 0;     // of these, that haven't denied it
+        bool                m_Settled = false; //
+    };
+
+    using ClaimingPtr = std::shared_ptr<Claiming>;
+
     void                            At(TimePoint t, std::function<void()> fn) { m_Events.push({t, m_Order++, std::move(fn)}); }
     double                          Random01() { return static_cast<double>(m_Random() >> 11) * 0x1p-53; }
     double                          RateAt(TimePoint t) const;
@@ -103,6 +116,13 @@
     RequestNeed                     NeedOf(const Caller& c) const;
     void                            Ask(const AskingPtr& a);
     void                            OnAnswers(const AskingPtr& a, std::span<const size_t> asked);
+    void                            Claim(const AskingPtr& a, const Choice& best);
+    size_t                          IndexOf(const Choice& x) const { return static_cast<size_t>(x.m_Server - m_Entries.data()); }
+    void                            ClaimAt(const ClaimingPtr& c, size_t server, Duration wait);
+    void                            SettleLine(size_t server);
+    void                            OnGrant(const ClaimingPtr& c, size_t server, bool granted);
+    void                            ReleaseAt(size_t server, uint64_t id);
+    PlacePromises&                  PlacesNow(size_t server); // as its box counts them after a look at its server
     void                            Send(uint64_t id, const Choice& x);
     double                          Drawn(double mean);
     void                            Refuse(uint64_t id, Duration retry);
@@ -117,29 +137,30 @@
     LoadReport                      StateOf(size_t server) const;
     PoolSecond&                     SecondOf(const Caller& c);
 
-    const LoadPattern&                   m_Pattern;     //
-    size_t                               m_Centres;     // data centres
-    ServerChoiceConfig                   m_Config;      //
-    PoolView                             m_View;        //
-    pcg64                                m_Random;      //
-    Service                              m_Service;     //
-    std::vector<Rate>                    m_Rates;       //
-    std::vector<Kind>                    m_Kinds;       //
-    Duration                             m_Strictest{}; // goal
-    std::vector<ServerChoice>            m_Routers;     //
-    std::vector<TimePoint>               m_HeardFrom;   // by router: boxes know of it from then
-    std::vector<Server>                  m_Servers;     //
-    std::vector<ServerEntry>             m_Entries;     // of the servers
-    std::vector<std::vector<bool>>       m_Follows;     // by router, then server: its reports
-    std::unordered_map<uint64_t, Caller> m_Callers;     // under way
-    std::priority_queue<Event>           m_Events;      //
-    uint64_t                             m_Order  = 0;  //
-    uint64_t                             m_NextId = 1;  //
-    TimePoint                            m_Now    = kBegin;
-    TimePoint                            m_End;
-    TimePoint                            m_AwayUntil{}; // all processes are dead
-    PoolResult                           m_Result;
-    std::vector<double>                  m_KindOwed;
+    const LoadPattern&                           m_Pattern;     //
+    size_t                                       m_Centres;     // data centres
+    ServerChoiceConfig                           m_Config;      //
+    PoolView                                     m_View;        //
+    pcg64                                        m_Random;      //
+    Service                                      m_Service;     //
+    std::vector<Rate>                            m_Rates;       //
+    std::vector<Kind>                            m_Kinds;       //
+    Duration                                     m_Strictest{}; // goal
+    std::vector<ServerChoice>                    m_Routers;     //
+    std::vector<TimePoint>                       m_HeardFrom;   // by router: boxes know of it from then
+    std::vector<Server>                          m_Servers;     //
+    std::vector<ServerEntry>                     m_Entries;     // of the servers
+    std::vector<std::vector<bool>>               m_Follows;     // by router, then server: its reports
+    std::unordered_map<uint64_t, Caller>         m_Callers;     // under way
+    std::unordered_map<std::string, ClaimingPtr> m_InLine;      // by the claim's key: server and caller
+    std::priority_queue<Event>                   m_Events;      //
+    uint64_t                                     m_Order  = 0;  //
+    uint64_t                                     m_NextId = 1;  //
+    TimePoint                                    m_Now    = kBegin;
+    TimePoint                                    m_End;
+    TimePoint                                    m_AwayUntil{}; // all processes are dead
+    PoolResult                                   m_Result;
+    std::vector<double>                          m_KindOwed;
 };
 
 EngineCosts Costs(const LoadPattern& p, std::span<const Kind> kinds)
@@ -189,6 +210,7 @@
         m_Routers.emplace_back(m_Config, m_Random());
     m_HeardFrom.assign(routers, kBegin);
     m_Follows.resize(routers);
+    m_Entries.reserve(static_cast<size_t>(p.m_Servers + p.m_GrowBy)); // claims under way point to them
     for (int64_t s = 0; s < p.m_Servers; s++)
         AddServer();
     m_Result.m_Seconds.resize(static_cast<size_t>(p.m_Seconds) + 1);
@@ -296,7 +318,7 @@
     a->m_Centre            = "dc-" + std::to_string(c.m_Router % m_Centres);
     a->m_Need              = NeedOf(c);
     a->m_Need.m_DataCentre = a->m_Centre;
-    if (m_View == PoolView_Asked && !NoneServes())
+    if ((m_View == PoolView_Asked || m_View == PoolView_Claimed) && !NoneServes())
         return Ask(a);
     ServerChoice& router = m_Routers[c.m_Router];
     if (m_View == PoolView_Bound)
@@ -323,7 +345,7 @@
     need.m_Left          = FromSeconds(m_Pattern.m_LimitS) - (m_Now - c.m_FirstAt);
     need.m_Prompt        = c.m_Prompt;
     need.m_Answer        = c.m_Answer;
-    need.m_CameBack      = c.m_Back;
+    need.m_CameBack      = c.m_Back && m_Pattern.m_KnowsBack > 0;
     return need;
 }
 
@@ -355,10 +377,8 @@
         At(m_Now + kAskWay,
            [this, s, router]
            {
-               PlacePromises& places = m_Servers[s].m_Places;
-               LoadReport     state  = StateOf(s);
-               places.OnReport(state.m_Running, state.m_Waiting, m_Now, m_Now);
-               const PlaceState place = places.State(m_Now);
+               LoadReport       state = StateOf(s);
+               const PlaceState place = PlacesNow(s).State(m_Now);
                state.m_Promised       = place.m_Promised;
                state.m_UnreadMs       = static_cast<float>(place.m_UnreadMs);
                At(m_Now + kAskWay, [this, s, state, router] { m_Routers[router].OnReport(m_Entries[s].m_Id, state, m_Now); });
@@ -378,6 +398,8 @@
     const Choice best    = router.Best(answered, need, m_Now);
     if (!asked.empty() && ++a->m_Round < kAskRounds && router.Scarce(best, need))
         return Ask(a);
+    if (m_View == PoolView_Claimed && router.PlacesScarce(best, need))
+        return Claim(a, best);
     const Choice x = router.Decide(best, need, m_Now);
     if (x.m_Server != nullptr)
     {
@@ -388,6 +410,98 @@
     Send(a->m_Id, x);
 }
 
+PlacePromises& Pool::PlacesNow(size_t server)
+{
+    Server& s = m_Servers[server];
+    s.m_Places.OnReport(s.m_Engine.Running(), s.m_Engine.Waiting(), m_Now, m_Now);
+    return s.m_Places;
+}
+
+static std::string ClaimKey(size_t server, uint64_t id)
+{
+    return std::to_string(server) + "/" + std::to_string(id);
+}
+
+void Pool::Claim(const AskingPtr& a, const Choice& best)
+{
+    std::vector<const ServerEntry*> answered;
+    for (const size_t s : a->m_Answered)
+        answered.push_back(&m_Entries[s]);
+    ServerChoice& router = m_Routers[m_Callers.at(a->m_Id).m_Router];
+    auto          c      = std::make_shared<Claiming>();
+    c->m_Asking          = a;
+    c->m_Hoped           = router.WhomToClaim(answered, a->m_Need, m_Now);
+    c->m_Open            = c->m_Hoped.size();
+    if (c->m_Open == 0)
+        return Send(a->m_Id, router.Refuse(best, a->m_Need, m_Now));
+    const Duration wait = router.LineWait(c->m_Hoped.front(), a->m_Need);
+    for (const Choice& hoped : c->m_Hoped)
+        At(m_Now + kAskWay, [this, c, wait, s = IndexOf(hoped)] { ClaimAt(c, s, wait); });
+}
+
+void Pool::ClaimAt(const ClaimingPtr& c, size_t server, Duration wait)
+{
+    const std::string key     = ClaimKey(server, c->m_Asking->m_Id);
+    const double      reading = ReadingMs(*m_Service.m_Engine, c->m_Asking->m_Need.m_Prompt);
+    Server&           s       = m_Servers[server];
+    const PlaceClaim  claim   = {key, m_Service.m_Engine->m_Slots, m_Now + wait, reading};
+    const ClaimAnswer answer  = s.m_Line.Claim(claim, PlacesNow(server), m_Now);
+    if (answer != ClaimAnswer_Waits)
+        return At(m_Now + kAskWay, [this, c, server, answer] { OnGrant(c, server, answer == ClaimAnswer_Granted); });
+    m_InLine[key] = c;
+    if (!s.m_Polls)
+        At(m_Now + kLinePoll, [this, server] { SettleLine(server); });
+    s.m_Polls = true;
+}
+
+void Pool::SettleLine(size_t server)
+{
+    Server& s = m_Servers[server];
+    for (const SettledClaim& settled : s.m_Line.Settle(PlacesNow(server), m_Now))
+    {
+        const ClaimingPtr c = m_InLine.at(settled.m_Claim.m_Key);
+        m_InLine.erase(settled.m_Claim.m_Key);
+        At(m_Now + kAskWay, [this, c, server, granted = settled.m_Granted] { OnGrant(c, server, granted); });
+    }
+    s.m_Polls = !s.m_Line.Empty();
+    if (s.m_Polls)
+        At(m_Now + kLinePoll, [this, server] { SettleLine(server); });
+}
+
+void Pool::ReleaseAt(size_t server, uint64_t id)
+{
+    At(m_Now + kAskWay,
+       [this, server, id]
+       {
+           m_InLine.erase(ClaimKey(server, id));
+           m_Servers[server].m_Line.Release(ClaimKey(server, id), m_Servers[server].m_Places, m_Now);
+       });
+}
+
+void Pool::OnGrant(const ClaimingPtr& c, size_t server, bool granted)
+{
+    if (c->m_Settled)
+    {
+        if (granted)
+            ReleaseAt(server, c->m_Asking->m_Id);
+        return;
+    }
+    c->m_Open -= granted ? 0 : 1;
+    if (!granted && c->m_Open > 0)
+        return;
+    c->m_Settled          = true;
+    const uint64_t id     = c->m_Asking->m_Id;
+    ServerChoice&  router = m_Routers[m_Callers.at(id).m_Router];
+    if (!granted)
+        return Send(id, router.Refuse(c->m_Hoped.front(), c->m_Asking->m_Need, m_Now));
+    for (const Choice& hoped : c->m_Hoped)
+        if (IndexOf(hoped) != server)
+            ReleaseAt(IndexOf(hoped), id);
+    for (const Choice& hoped : c->m_Hoped)
+        if (IndexOf(hoped) == server)
+            return Send(id, router.Granted(hoped, c->m_Asking->m_Need, m_Now));
+}
+
 void Pool::Refuse(uint64_t id, Duration retry)
 {
     Caller& c = m_Callers.at(id);
--- a/src/emulator/pool_emulator.h
+++ b/src/emulator/pool_emulator.h
@@ -21,6 +21,7 @@
 {
     PoolView_Reports, // routers hear reports, late
     PoolView_Asked,   // routers hear reports, and ask a few boxes for a place for each request
+    PoolView_Claimed, // and claim a place where there are few
     PoolView_Bound,   // one router knows everything
 };
 
--- a/src/programs/lab.cpp
+++ b/src/programs/lab.cpp
@@ -42,6 +42,9 @@
     {"retry", "refusals ask for the shortest wait", [](ServerChoiceConfig& c) { c.m_Admission.m_RetryMax = c.m_Admission.m_RetryMin; }},
     {"mean", "the server that looks best is believed", [](ServerChoiceConfig& c) { c.m_ToMean = 0; }},
     {"others", "what other routers send isn't counted", [](ServerChoiceConfig& c) { c.m_OthersShare = 0; }},
+    {"line", "no claim stands in line", [](ServerChoiceConfig& c) { c.m_LineShare = 0; }},
+    {"many", "a place is claimed at one box", [](ServerChoiceConfig& c) { c.m_ClaimAtOnce = 1; }},
+    {"spare", "a place is claimed only when none is left", [](ServerChoiceConfig& c) { c.m_ClaimSpare = 1; }},
     {"tie", "equal views choose alike", [](ServerChoiceConfig& c) { c.m_TieMs = 0; }},
     {"far", "other data centres' servers cost no more", [](ServerChoiceConfig& c) { c.m_FarPenalty = Duration::zero(); }},
 };
@@ -68,7 +71,8 @@
     cxxopts::Options options("aldervale-lab", "Plays a load pattern (loads/*.toml) against the decisions of routers, in virtual time");
     options.add_options()("pattern", "TOML file", cxxopts::value<std::string>())("seed", "of everything random",
                                                                                  cxxopts::value<uint64_t>()->default_value("1"))(
-        "bound", "one router that knows the present state of all servers")("ask", "routers ask boxes for a place")("seconds", "print each second")(
+        "bound", "one router that knows the present state of all servers")("ask", "routers ask boxes for a place")(
+        "claim", "and claim one where there are few")("seconds", "print each second")(
         "without", "leave a mechanism out; an unknown name lists them", cxxopts::value<std::vector<std::string>>())("help", "this text");
     options.parse_positional({"pattern"});
     try
@@ -90,7 +94,10 @@
             for (const std::string& name : args["without"].as<std::vector<std::string>>())
                 if (!LeaveOut(config, name))
                     return 2;
-        const PoolView view = args.count("bound") > 0 ? PoolView_Bound : args.count("ask") > 0 ? PoolView_Asked : PoolView_Reports;
+        const PoolView view = args.count("bound") > 0   ? PoolView_Bound
+                              : args.count("claim") > 0 ? PoolView_Claimed
+                              : args.count("ask") > 0   ? PoolView_Asked
+                                                        : PoolView_Reports;
         std::printf("%s\n", pattern.m_What.c_str());
         Print(EmulatePool(pattern, config, view, args["seed"].as<uint64_t>()), args.count("seconds") > 0);
         return 0;
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -38,7 +38,7 @@
 }
 
 // Only those that are still listed and take new work.
-Choice DirectServe::Impl::BestAnswered(const Asking& a, RequestNeed need, TimePoint now)
+std::vector<const ServerEntry*> DirectServe::Impl::UsableOf(const Asking& a) const
 {
     std::vector<const ServerEntry*> usable;
     for (const ServerEntry& e : a.m_Answered)
@@ -47,8 +47,39 @@
         if (listed != nullptr && !listed->m_Draining && listed->Life().Is(e.Life()))
             usable.push_back(&e);
     }
+    return usable;
+}
+
+Choice DirectServe::Impl::BestAnswered(const Asking& a, RequestNeed need, TimePoint now)
+{
     need.m_Asked = true;
-    return m_Choice.Best(usable, need, now);
+    return m_Choice.Best(UsableOf(a), need, now);
+}
+
+// A place at one of the boxes that answered, or a refusal.
+awaitable<Choice> DirectServe::Impl::Claim(Call& call, const RequestNeed& need, const Asking& a)
+{
+    const TimePoint           began = Now();
+    const std::vector<Choice> hoped = m_Choice.WhomToClaim(UsableOf(a), need, began);
+    if (hoped.empty())
+        co_return m_Choice.Refuse(a.m_Best, need, began);
+    std::vector<Endpoint> boxes;
+    for (const Choice& c : hoped)
+        boxes.push_back(BoxOf(*c.m_Server));
+    const EngineCosts&                     costs   = *need.m_Service->m_Engine;
+    const Duration                         wait    = m_Choice.LineWait(hoped.front(), need);
+    const PlaceWanted                      wanted  = {costs.m_Slots, wait, ReadingMs(costs, need.m_Prompt)};
+    const std::optional<asio::ip::address> granted = co_await m_Places->Claim(boxes, wanted);
+    const TimePoint                        now     = Now();
+    call.m_Claimed                                 = boxes.size();
+    call.m_ClaimTook                               = now - began;
+    for (const Choice& c : hoped)
+        if (granted && c.m_Server->m_Address.m_Address == *granted)
+        {
+            call.m_Granted = true;
+            co_return m_Choice.Granted(c, need, now);
+        }
+    co_return m_Choice.Refuse(hoped.front(), need, now);
 }
 
 awaitable<void> DirectServe::Impl::AskRound(Call& call, const RequestNeed& need, Asking& a)
@@ -105,15 +136,18 @@
         call.m_Answered = a.m_Answered.size();
         call.m_AskTook  = Now() - began;
     }
-    const TimePoint now = Now();
+    call.m_Granted    = false;
+    const bool scarce = !a.m_Answered.empty() && m_Choice.PlacesScarce(a.m_Best, need);
     if (a.m_Answered.empty())
-        call.m_Choice = m_Choice.Choose(m_World.m_Servers.Usable(call.m_Service->m_Name), need, now);
+        call.m_Choice = m_Choice.Choose(m_World.m_Servers.Usable(call.m_Service->m_Name), need, Now());
+    else if (scarce)
+        call.m_Choice = co_await Claim(call, need, a);
     else
-        call.m_Choice = m_Choice.Decide(a.m_Best, need, now);
+        call.m_Choice = m_Choice.Decide(a.m_Best, need, Now());
     std::optional<ServerEntry> taken;
     if (call.m_Choice.m_Server != nullptr)
         taken = *call.m_Choice.m_Server;
-    if (taken && m_Places != nullptr && call.m_Service->m_Engine)
+    if (taken && !call.m_Granted && m_Places != nullptr && call.m_Service->m_Engine)
         m_Places->Take(BoxOf(*taken), ReadingMs(*call.m_Service->m_Engine, call.m_Caller.m_Prompt));
     call.m_Choice.m_Server = nullptr; // what it points to may not outlive this
     co_return taken;
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -57,6 +57,9 @@
     size_t                      m_Asked    = 0;       // boxes asked for a place, when it was last admitted
     size_t                      m_Answered = 0;       // of these
     Duration                    m_AskTook{};          // until enough had answered
+    size_t                      m_Claimed = 0;        // boxes at which a place was claimed, when it was last admitted
+    bool                        m_Granted = false;    // one of them granted it
+    Duration                    m_ClaimTook{};        // until then, or until none was left
     std::string                 m_Why;                // last thing that went wrong
     unsigned                    m_Status = 0;         // answered to the caller
 
@@ -96,7 +99,9 @@
     awaitable<std::optional<ServerEntry>> Admit(Call& call); // nothing: refused
     awaitable<std::optional<ServerEntry>> Place(Call& call, const RequestNeed& need);
     awaitable<void>                       AskRound(Call& call, const RequestNeed& need, Asking& a);
+    std::vector<const ServerEntry*>       UsableOf(const Asking& a) const;
     Choice                                BestAnswered(const Asking& a, RequestNeed need, TimePoint now);
+    awaitable<Choice>                     Claim(Call& call, const RequestNeed& need, const Asking& a);
     RequestNeed                           NeedOf(const Call& call, std::span<const WeightsDeadline> deadlines, TimePoint now) const;
     Endpoint                              BoxOf(const ServerEntry& server) const;
 
--- a/src/request/place_promise.cpp
+++ b/src/request/place_promise.cpp
@@ -39,6 +39,14 @@
     m_ReadAt = std::max(m_ReadAt, now) + FromMs(reading_ms);
 }
 
+void PlacePromises::GiveBack(double reading_ms, TimePoint taken_at)
+{
+    const auto taken = std::find(m_Taken.begin(), m_Taken.end(), taken_at);
+    if (taken != m_Taken.end()) // else a report took its place: that counts only what is there
+        m_Taken.erase(taken);
+    m_ReadAt -= FromMs(reading_ms);
+}
+
 void PlacePromises::Clear()
 {
     m_Taken.clear();
--- a/src/request/place_promise.h
+++ b/src/request/place_promise.h
@@ -51,8 +51,9 @@
 
     void       OnReport(uint32_t running, uint32_t waiting, TimePoint asked_at, TimePoint now);
     PlaceState State(TimePoint now);
-    void       Take(double reading_ms, TimePoint now); // reading_ms: engine time that the request's prompt takes to be read
-    void       Clear();                                // the server started again: it holds nothing
+    void       Take(double reading_ms, TimePoint now);          // reading_ms: engine time that the request's prompt takes to be read
+    void       GiveBack(double reading_ms, TimePoint taken_at); // a place taken then: no request comes with it
+    void       Clear();                                         // the server started again: it holds nothing
 
 private:
     void Lapse(TimePoint now);
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -213,6 +213,48 @@
     return out;
 }
 
+bool ServerChoice::PlacesScarce(const Choice& best, const RequestNeed& need) const
+{
+    const bool model = need.m_Service->m_Engine.has_value();
+    return model && best.m_Server != nullptr && !need.m_CameBack && best.m_InFlight + m_Config.m_ClaimSpare > need.m_Service->m_Engine->m_Slots;
+}
+
+std::vector<Choice> ServerChoice::WhomToClaim(Servers answered, RequestNeed need, TimePoint now)
+{
+    need.m_Asked                                          = true;
+    need.m_Granted                                        = true;
+    const std::vector<Option>                     options = Options(answered, need, now);
+    std::vector<std::pair<double, const Option*>> costs;
+    for (const Option& o : options)
+        if (now >= o.m_Server->m_SuspendedUntil)
+            costs.emplace_back(CostOf(o, need, false, now), &o);
+    std::sort(costs.begin(), costs.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    costs.resize(std::min(costs.size(), m_Config.m_ClaimAtOnce));
+    std::vector<Choice> out;
+    for (const auto& [cost, option] : costs)
+    {
+        const Choice c = ChoiceOf(*option, options, need, now);
+        if (m_Admission.Takes(AdmissionOf(need), c.m_Predicted - FromMs(OwnPart(need))))
+            out.push_back(c);
+    }
+    return out;
+}
+
+// What is left of the time that admission allows, up to a part of the objective: who is refused early can still be served in time elsewhere.
+Duration ServerChoice::LineWait(const Choice& best, const RequestNeed& need) const
+{
+    const double   goal  = ToSeconds(StrictGoal(need));
+    const Duration usual = best.m_Predicted - FromMs(OwnPart(need));
+    return std::clamp(FromSeconds(goal * m_Config.m_Admission.m_GoalShare) - usual, Duration::zero(), FromSeconds(goal * m_Config.m_LineShare));
+}
+
+Choice ServerChoice::Granted(const Choice& granted, const RequestNeed& need, TimePoint now)
+{
+    if (!need.m_CameBack)
+        m_Admission.OnFirst(false, now);
+    return granted;
+}
+
 bool ServerChoice::Scarce(const Choice& best, const RequestNeed& need) const
 {
     return best.m_Server == nullptr || best.m_Predicted > std::chrono::duration_cast<Duration>(need.m_Goal * m_Config.m_ScarceAt);
@@ -227,34 +269,44 @@
 {
     const std::vector<Option> options = Options(candidates, need, now);
     const Option*             chosen  = Cheapest(options, need, now);
-    Choice                    best;
-    best.m_Candidates = options.size();
     if (chosen != nullptr)
-    {
-        best.m_Server    = chosen->m_Entry;
-        best.m_Predicted = FromMs(PredictAdmitted(*chosen, options, need, now));
-        best.m_InFlight  = static_cast<uint32_t>(InFlight(*chosen, now));
-        best.m_Weights   = chosen->m_Weights;
-        best.m_ReportAge = Fresh(*chosen->m_Server, now) ? now - chosen->m_Server->m_ReportAt : Duration::max();
-    }
-    return best;
+        return ChoiceOf(*chosen, options, need, now);
+    Choice none;
+    none.m_Candidates = options.size();
+    return none;
+}
+
+Choice ServerChoice::ChoiceOf(const Option& o, std::span<const Option> options, const RequestNeed& need, TimePoint now) const
+{
+    Choice c;
+    c.m_Candidates = options.size();
+    c.m_Server     = o.m_Entry;
+    c.m_Predicted  = FromMs(PredictAdmitted(o, options, need, now));
+    c.m_InFlight   = static_cast<uint32_t>(InFlight(o, now));
+    c.m_Weights    = o.m_Weights;
+    c.m_ReportAge  = Fresh(*o.m_Server, now) ? now - o.m_Server->m_ReportAt : Duration::max();
+    return c;
 }
 
 // Refuses what can't be answered in time.
 Choice ServerChoice::Decide(Choice best, const RequestNeed& need, TimePoint now)
 {
-    AdmissionNeed ask;
-    ask.m_Goal               = need.m_StrictestGoal > Duration::zero() ? need.m_StrictestGoal : need.m_Goal;
-    ask.m_Left               = need.m_Left;
-    ask.m_CameBack           = need.m_CameBack;
-    const bool     model     = need.m_Service->m_Engine.has_value();
-    const Duration predicted = best.m_Server == nullptr ? ask.m_Goal : best.m_Predicted;
-    const Duration usual     = model ? predicted - FromMs(OwnPart(need)) : predicted;
-    const bool     taken     = best.m_Server != nullptr && (!model || m_Admission.Takes(ask, usual));
+    const bool     model = need.m_Service->m_Engine.has_value();
+    const Duration usual = model ? best.m_Predicted - FromMs(OwnPart(need)) : best.m_Predicted;
+    const bool     taken = best.m_Server != nullptr && (!model || m_Admission.Takes(AdmissionOf(need), usual));
+    if (!taken)
+        return Refuse(best, need, now);
     if (model && !need.m_CameBack)
-        m_Admission.OnFirst(!taken, now);
-    if (taken)
-        return best;
+        m_Admission.OnFirst(false, now);
+    return best;
+}
+
+Choice ServerChoice::Refuse(Choice best, const RequestNeed& need, TimePoint now)
+{
+    const AdmissionNeed ask       = AdmissionOf(need);
+    const Duration      predicted = best.m_Server == nullptr ? ask.m_Goal : best.m_Predicted;
+    if (need.m_Service->m_Engine && !need.m_CameBack)
+        m_Admission.OnFirst(true, now);
     best.m_RetryAfter = m_Admission.RetryAfter(ask, predicted, RandomPart());
     best.m_Server     = nullptr;
     return best;
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -8,6 +8,9 @@
 //     without a fresh report, the router's own times m_BlindFactor.
 //   - Boxes are asked first (WhomToAsk(), place_promise.h): an answer counts what all routers were promised there, so nothing is guessed.
 //     Choose() with m_Asked set takes the best of those that answered just now.
+//   - Where the best server has fewer than m_ClaimSpare free places, one is claimed at a few boxes (WhomToClaim(), place_line.h), and the request
+//     goes where it is granted or is refused: several routers hear of the same free place. 1.4 times of what the servers can do: 21 in 100 of the
+//     admitted streams came late without claims, 1.3 with them; worth 0.46 to 0.50.
 //   - Where no box answers, reports decide. What others sent since a report isn't known, but they choose as this router does: the better a
 //     server looks, the more of them chose it. Their requests are handed out over the servers of each data centre, each to the one that looks
 //     best then, prompts unread.
@@ -31,6 +34,9 @@
 //   ServerChoice c(config, seed);
 //   Choice x = c.Choose(candidates, need, now);
 //   if (x.m_Server) { c.OnSent(life, prompt, now); ... c.OnFirstEvent(life, prompt); ... c.OnEnd(life, ServerOutcome_Good, 0, took, now); }
+// Usage, claiming a place:
+//   if (c.PlacesScarce(best, need)) for (const Choice& x : c.WhomToClaim(answered, need, now)) ...
+//   x = granted ? c.Granted(x, need, now) : c.Refuse(x, need, now);
 // Usage, asking boxes:
 //   for (const ServerEntry* s : c.WhomToAsk(candidates, need, {}, now)) ...        // each answer: c.OnReport(life, answer, now)
 //   need.m_Asked = true;
@@ -73,6 +79,9 @@
     size_t   m_AskAtOnce   = 3;                  // boxes asked at once; two find a server with room less often, four cost a third more datagrams
     Duration m_AnswerMax   = milliseconds(60);   // older answers of boxes count as reports
     Duration m_SilentFor   = milliseconds(1500); // a box that didn't answer is asked last for this long: it is frozen, cut off or overloaded
+    uint32_t m_ClaimSpare  = 2;                  // places that the best server must have free for a request to be sent without a claim
+    size_t   m_ClaimAtOnce = 3;                  // boxes at which a place is claimed at once
+    double   m_LineShare   = 0.2;                // of the objective, that a request stands in line at most
     double   m_ScarceAt    = 0.5;                // of the objective: a better server is looked for when the best that answered would take longer
 };
 
@@ -102,6 +111,7 @@
     Duration                         m_Left     = seconds(6); // until the caller's deadline
     bool                             m_CameBack = false;      // the caller was refused before
     bool                             m_Asked    = false;      // candidates have answered just now: nothing else counts
+    bool                             m_Granted  = false;      // a slot is free for it wherever it goes: else it isn't sent
     std::span<const WeightsDeadline> m_WeightsDeadlines;      // of versions named for this model, oldest first
     std::string_view                 m_DataCentre;            // of this router
     std::span<const ServerLife>      m_Tried;                 // lifetimes of servers that this request reached already
@@ -133,6 +143,14 @@
     Choice Decide(Choice best, const RequestNeed& need, TimePoint now); // takes or refuses; once for each admission, after the last Best()
     Choice Best(Servers candidates, const RequestNeed& need, TimePoint now);
 
+    // Where places are scarce one is claimed (place_line.h): at whose boxes, the best first, and how long it may stand in line there. Each is as it
+    // will be when its box grants a place. None: it can't be in time even then.
+    bool                PlacesScarce(const Choice& best, const RequestNeed& need) const;
+    std::vector<Choice> WhomToClaim(Servers answered, RequestNeed need, TimePoint now);
+    Duration            LineWait(const Choice& best, const RequestNeed& need) const;
+    Choice              Granted(const Choice& granted, const RequestNeed& need, TimePoint now);
+    Choice              Refuse(Choice best, const RequestNeed& need, TimePoint now); // `best` may have no server
+
     void OnSent(const ServerLife& life, double prompt, TimePoint now); // prompt: tokens, 0 at plain services
     void OnFirstEvent(const ServerLife& life, double prompt);          // its prompt is read
     void OnEnd(const ServerLife& life, ServerOutcome outcome, double unread_prompt, Duration took, TimePoint now); // every OnSent() once
@@ -202,6 +220,10 @@
     bool                BeginsTooLate(const Option& o, const RequestNeed& need, TimePoint now) const;
     bool                SoonTooOld(const Option& o, const RequestNeed& need, TimePoint now) const;
 
+    Duration      StrictGoal(const RequestNeed& need) const { return need.m_StrictestGoal > Duration::zero() ? need.m_StrictestGoal : need.m_Goal; }
+    AdmissionNeed AdmissionOf(const RequestNeed& need) const { return {StrictGoal(need), need.m_Left, need.m_CameBack}; }
+    Choice        ChoiceOf(const Option& o, std::span<const Option> options, const RequestNeed& need, TimePoint now) const;
+
     // What is learned from requests
     double FailShare(const Server& s, TimePoint now) const; // as faded since
     void   CountFailure(Server& s, double failure, TimePoint now) const;
--- a/src/version/place_answers.h
+++ b/src/version/place_answers.h
@@ -1,7 +1,7 @@
-// aldervale: answers routers that ask a box for a place at its model server
+// aldervale: answers routers that ask a box for a place at its model server, or claim one
 //
-// The shell around PlacePromises: takes questions from the load channel, has the own server's report read again where the last one is older than
-// kFreshReport, and answers. A question that waited for longer than kAskKept is dropped: its router went by reports.
+// The shell around PlacePromises and PlaceLine: takes questions from the load channel, has the own server's report read again where the last one is
+// older than kFreshReport, and answers. A question that waited for longer than kAskKept is dropped: its router went by reports.
 //
 // Usage (src/version/weight_keeper.cpp):
 //   PlaceAnswers answers(publisher, [this] { m_Wake.cancel(); });
@@ -9,13 +9,15 @@
 
 #pragma once
 #include "connection/load_channel.h"
-#include "request/place_promise.h"
+#include "request/place_line.h"
+#include <unordered_map>
 
 namespace aldervale
 {
 
 constexpr auto kFreshReport = milliseconds(15); // a request comes to a server each 200 ms, one ends as often
 constexpr auto kAskKept     = milliseconds(50); // a router waits for less
+constexpr auto kLinePoll    = milliseconds(10); // between reports while claims stand in line: a slot stays empty for half of it
 
 class PlaceAnswers // touched on one thread
 {
@@ -23,7 +25,8 @@
     PlaceAnswers(LoadPublisher& publisher, std::function<void()> want_report);
 
     void OnReport(const LoadReport& load, TimePoint asked_at);
-    void OnServerStarted() { m_Places.Clear(); } // a new lifetime of it
+    void OnServerStarted() { m_Places.Clear(); }     // a new lifetime of it
+    bool HasLine() const { return !m_Line.Empty(); } // reports are wanted each kLinePoll
 
 private:
     struct Waiting
@@ -32,15 +35,31 @@
         TimePoint     m_HeardAt{}; //
     };
 
+    struct Claimed
+    {
+        PlaceClaimed m_Claim;     //
+        TimePoint    m_HeardAt{}; //
+    };
+
     void OnAsk(const PlaceQuestion& question);
+    void OnClaim(const PlaceClaimed& claim);
+    void OnRelease(const PlaceQuestion& question);
+    void TakeClaim(const Claimed& claim, TimePoint now);
+    void Settle(TimePoint now);
+    bool Fresh(TimePoint now) const { return m_AskedAt != TimePoint{} && now - m_AskedAt <= kFreshReport; }
+    bool TakesNothing() const { return m_Load.m_Starting || m_Load.m_Weights == 0; }
     void Answer(const PlaceQuestion& question, TimePoint now);
 
     LoadPublisher&        m_Publisher;  //
     std::function<void()> m_WantReport; // soon
     PlacePromises         m_Places;     //
+    PlaceLine             m_Line;       //
     LoadReport            m_Load;       // as last reported
     TimePoint             m_AskedAt{};  // when that report was asked for; default: there was none
     std::vector<Waiting>  m_Waiting;    // for a report; each less than kAskKept
+    std::vector<Claimed>  m_Claims;     // the same
+
+    std::unordered_map<std::string, PlaceQuestion> m_InLine; // whom to tell, by the claim's key; of m_Line
 };
 
 } // namespace aldervale
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -115,7 +115,7 @@
         Publish();
         if (taken || !m_Reachable)
             m_Places.OnReport(Load(), asked);
-        m_Wake.expires_after(kReportEvery);
+        m_Wake.expires_after(m_Places.HasLine() ? kLinePoll : kReportEvery);
         co_await m_Wake.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -163,6 +163,33 @@
     }
 }
 
+// 40 routers before 45 servers, a quarter more than those can do, for good. An answer that a place is free is heard by several routers before the
+// first of their requests is there. Of the answers of three seeds 26 in 100 come late without claims (those counted whose caller had been refused
+// before) and 15 with them; credit 0.685 and 0.765.
+BOOST_AUTO_TEST_CASE(under_a_lasting_overload_of_many_routers_claims_give_each_place_to_one)
+{
+    const LoadPattern p = Pattern("overfull");
+    for (const uint64_t seed : std::span(kSeeds).first(3))
+    {
+        const PoolResult asked   = EmulatePool(p, {}, PoolView_Asked, seed);
+        const PoolResult claimed = EmulatePool(p, {}, PoolView_Claimed, seed);
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << asked.Credit() << " asked, " << claimed.Credit() << " claimed");
+        BOOST_TEST(claimed.Credit() > asked.Credit() + 0.04, "seed " << seed);
+        BOOST_TEST(claimed.Total().m_Late < 0.75 * asked.Total().m_Late, "seed " << seed);
+    }
+}
+
+// A claim costs nothing where places are free: it is made where fewer than two are left.
+BOOST_AUTO_TEST_CASE(where_places_are_free_claims_are_no_worse_than_asking)
+{
+    for (const std::string name : {"burst", "lasting_overload", "recovery"})
+    {
+        const LoadPattern p = Pattern(name);
+        BOOST_TEST_MESSAGE(name << ": " << Credit(p, {}, PoolView_Asked) << " asked, " << Credit(p, {}, PoolView_Claimed) << " claimed");
+        BOOST_TEST(Credit(p, {}, PoolView_Claimed) > Credit(p, {}, PoolView_Asked) - 0.015, name);
+    }
+}
+
 // What boxes say is no worse than reports where few routers share few servers.
 BOOST_AUTO_TEST_CASE(with_few_routers_asking_boxes_is_no_worse_than_reports)
 {
--- a/tests/test_place_channel.cpp
+++ b/tests/test_place_channel.cpp
@@ -101,6 +101,69 @@
     BOOST_TEST(answers[0].m_State.m_UnreadMs > 0);
 }
 
+namespace
+{
+
+// Where a place was granted; gives up after a time that only a hang reaches.
+std::optional<asio::ip::address> Claim(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes, const PlaceWanted& wanted)
+{
+    std::optional<std::optional<asio::ip::address>> out;
+    asio::co_spawn(
+        ioc, [&]() -> awaitable<void> { out = co_await router.m_Places.Claim(boxes, wanted); }, asio::detached);
+    const TimePoint end = Now() + seconds(60);
+    while (!out && Now() < end)
+        ioc.run_for(milliseconds(2));
+    BOOST_REQUIRE(out.has_value());
+    return *out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_claim_is_granted_where_a_place_is_free_and_denied_where_none_is)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    TestBox          full(ioc, On(1, port));
+    TestBox          free(ioc, On(2, port));
+    TestRouter       router(ioc, On(10, port));
+    full.m_Load.m_Running    = 12;
+    free.m_Load.m_Running    = 11;
+    const PlaceWanted wanted = {12, milliseconds(2000), 50};
+    const auto        got    = Claim(ioc, router, {On(1, port), On(2, port)}, wanted);
+    BOOST_REQUIRE(got.has_value());
+    BOOST_TEST(got->to_string() == "127.9.0.2");
+    const PlaceWanted at_once = {12, Duration::zero(), 50};
+    BOOST_TEST(!Claim(ioc, router, {On(1, port)}, at_once).has_value());
+    BOOST_TEST(!Claim(ioc, router, {On(3, port)}, at_once).has_value()); // nobody listens there
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_in_line_gets_the_place_that_becomes_free)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    TestBox          box(ioc, On(1, port));
+    TestRouter       router(ioc, On(10, port));
+    box.m_Load.m_Running = 12;
+    std::optional<std::optional<asio::ip::address>> got;
+    asio::co_spawn(
+        ioc,
+        [&]() -> awaitable<void> {
+            got = co_await router.m_Places.Claim({On(1, port)}, {12, milliseconds(2000), 50});
+        },
+        asio::detached);
+    const TimePoint end = Now() + seconds(60);
+    while (!box.m_Answers.HasLine() && Now() < end)
+        ioc.run_for(milliseconds(2));
+    BOOST_TEST(box.m_Answers.HasLine());
+    box.m_Load.m_Running = 11;
+    box.m_Answers.OnReport(box.m_Load, Now());
+    while (!got && Now() < end)
+        ioc.run_for(milliseconds(2));
+    BOOST_REQUIRE(got.has_value());
+    BOOST_TEST(got->has_value());
+    BOOST_TEST(!box.m_Answers.HasLine());
+}
+
 BOOST_AUTO_TEST_CASE(silent_boxes_cost_a_short_wait_and_leave_nothing_behind)
 {
     asio::io_context ioc;
