--- a/tests/test_place_channel.cpp
+++ b/tests/test_place_channel.cpp
@@ -145,12 +145,10 @@
     TestRouter       router(ioc, On(10, port));
     box.m_Load.m_Running = 12;
     std::optional<std::optional<asio::ip::address>> got;
+    const std::vector<Endpoint>                     boxes  = {On(1, port)};
+    const PlaceWanted                               wanted = {12, milliseconds(2000), 50};
     asio::co_spawn(
-        ioc,
-        [&]() -> awaitable<void> {
-            got = co_await router.m_Places.Claim({On(1, port)}, {12, milliseconds(2000), 50});
-        },
-        asio::detached);
+        ioc, [&]() -> awaitable<void> { got = co_await router.m_Places.Claim(boxes, wanted); }, asio::detached);
     const TimePoint end = Now() + seconds(60);
     while (!box.m_Answers.HasLine() && Now() < end)
         ioc.run_for(milliseconds(2));
