--- a/src/connection/place_channel.cpp
+++ b/src/connection/place_channel.cpp
@@ -56,7 +56,7 @@
     m_Datagrams.TakePlace(box, reading_ms);
 }
 
-awaitable<std::optional<asio::ip::address>> PlaceChannel::Claim(std::vector<Endpoint> boxes, PlaceWanted wanted)
+awaitable<ClaimOutcome> PlaceChannel::Claim(std::vector<Endpoint> boxes, PlaceWanted wanted)
 {
     static HistogramMetric& took   = Metrics().GetHistogram("aldervale_place_claim_seconds");
     const TimePoint         began  = Now();
@@ -70,10 +70,10 @@
         co_await c.m_Timer.async_wait(kNoThrow);
     m_Claiming.erase(number);
     for (const Endpoint& box : boxes)
-        if (c.m_Granted != box.m_Address)
+        if (c.m_Outcome.m_Granted != box.m_Address)
             m_Datagrams.ReleasePlace(box, number);
     took.Record(ToSeconds(Now() - began));
-    co_return c.m_Granted;
+    co_return c.m_Outcome;
 }
 
 void PlaceChannel::OnGrant(uint64_t number, const Endpoint& box, bool granted)
@@ -85,12 +85,13 @@
             m_Datagrams.ReleasePlace(box, number);
         return;
     }
-    Claiming& c = *it->second;
-    if (granted && !c.m_Granted)
-        c.m_Granted = box.m_Address;
+    Claiming& c         = *it->second;
+    c.m_Outcome.m_Heard = true;
+    if (granted && !c.m_Outcome.m_Granted)
+        c.m_Outcome.m_Granted = box.m_Address;
     if (!granted && c.m_Open > 0)
         c.m_Open--;
-    if (c.m_Granted || c.m_Open == 0)
+    if (c.m_Outcome.m_Granted || c.m_Open == 0)
         c.m_Timer.cancel();
 }
 
--- a/src/connection/place_channel.h
+++ b/src/connection/place_channel.h
@@ -3,8 +3,8 @@
 // One datagram to each box asked, one back from each; no connection and no retry. Who waits goes on when all have answered, kPlaceFurtherMax after
 // the first answer, or after kPlaceAnswerMax without any: a box that is frozen, cut off or overloaded costs a request no more than that.
 //
-// Where places are scarce a router claims one at a few boxes (place_line.h). A box that is silent for kPlaceAnswerMax longer than a claim may stand
-// in line costs the caller that; a grant that comes too late is given back.
+// Where places are scarce a router claims one at a few boxes (place_line.h). Boxes that are silent for kPlaceAnswerMax longer than a claim may stand
+// in line cost the caller that; a grant that comes too late is given back.
 //
 // Usage (src/request/direct_place.cpp):
 //   std::vector<PlaceAnswer> answers = co_await channel.Ask(boxes);
@@ -29,6 +29,12 @@
     double   m_ReadingMs = 0; // as for Take()
 };
 
+struct ClaimOutcome
+{
+    std::optional<asio::ip::address> m_Granted;       // the first box that granted a place
+    bool                             m_Heard = false; // some box answered: without a grant there is no place
+};
+
 struct PlaceAnswer
 {
     asio::ip::address m_Box;   //
@@ -43,8 +49,8 @@
     awaitable<std::vector<PlaceAnswer>> Ask(std::vector<Endpoint> boxes);
     void                                Take(const Endpoint& box, double reading_ms);
 
-    // The first of the boxes that grants a place, which is taken with it; the others are let go. Nothing: none in time.
-    awaitable<std::optional<asio::ip::address>> Claim(std::vector<Endpoint> boxes, PlaceWanted wanted);
+    // The place is taken with the grant; the other boxes are let go.
+    awaitable<ClaimOutcome> Claim(std::vector<Endpoint> boxes, PlaceWanted wanted);
 
 private:
     struct Asked // by one request; lives in its Ask()
@@ -60,9 +66,9 @@
     {
         Claiming(asio::io_context& ioc, size_t boxes) : m_Timer(ioc), m_Open(boxes) {}
 
-        asio::steady_timer               m_Timer;   //
-        size_t                           m_Open;    // boxes that haven't said no
-        std::optional<asio::ip::address> m_Granted; // the first
+        asio::steady_timer m_Timer;   //
+        size_t             m_Open;    // boxes that haven't said no
+        ClaimOutcome       m_Outcome; // so far
     };
 
     void OnGrant(uint64_t number, const Endpoint& box, bool granted);
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -66,15 +66,16 @@
     std::vector<Endpoint> boxes;
     for (const Choice& c : hoped)
         boxes.push_back(BoxOf(*c.m_Server));
-    const EngineCosts&                     costs   = *need.m_Service->m_Engine;
-    const Duration                         wait    = m_Choice.LineWait(hoped.front(), need);
-    const PlaceWanted                      wanted  = {costs.m_Slots, wait, ReadingMs(costs, need.m_Prompt)};
-    const std::optional<asio::ip::address> granted = co_await m_Places->Claim(boxes, wanted);
-    const TimePoint                        now     = Now();
-    call.m_Claimed                                 = boxes.size();
-    call.m_ClaimTook                               = now - began;
+    const EngineCosts& costs   = *need.m_Service->m_Engine;
+    const PlaceWanted  wanted  = {costs.m_Slots, m_Choice.LineWait(hoped.front(), need), ReadingMs(costs, need.m_Prompt)};
+    const ClaimOutcome outcome = co_await m_Places->Claim(boxes, wanted);
+    const TimePoint    now     = Now();
+    call.m_Claimed             = boxes.size();
+    call.m_ClaimTook           = now - began;
+    if (!outcome.m_Heard) // agents that know no claims, or datagrams that were lost: what was answered before decides
+        co_return m_Choice.Decide(a.m_Best, need, now);
     for (const Choice& c : hoped)
-        if (granted && c.m_Server->m_Address.m_Address == *granted)
+        if (outcome.m_Granted && c.m_Server->m_Address.m_Address == *outcome.m_Granted)
         {
             call.m_Granted = true;
             co_return m_Choice.Granted(c, need, now);
