--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -232,7 +232,7 @@
     SendDatagram(m_Socket, ToUdp(box), take);
 }
 
-void LoadListener::ClaimPlace(const Endpoint& box, const PlaceClaimed& claim)
+void LoadListener::ClaimPlace(const Endpoint& box, const ClaimMessage& claim)
 {
     wire::PlaceClaimT out;
     out.number     = claim.m_Question.m_Number;
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -69,7 +69,7 @@
     uint64_t m_Number = 0; // of the question, by the router's count
 };
 
-struct PlaceClaimed // of a router, as a box hears it
+struct ClaimMessage // of a router, as a box hears it
 {
     PlaceQuestion m_Question;      //
     uint32_t      m_Most = 0;      // a place is free while fewer requests are there
@@ -105,7 +105,7 @@
     void   AskPlace(const Endpoint& box, uint64_t number);
     void   TakePlace(const Endpoint& box, double reading_ms);
     void   SetOnGrant(GrantHandler fn) { m_OnGrant = std::move(fn); }  // a box settled a claim
-    void   ClaimPlace(const Endpoint& box, const PlaceClaimed& claim); // of m_Question only the number counts
+    void   ClaimPlace(const Endpoint& box, const ClaimMessage& claim); // of m_Question only the number counts
     void   ReleasePlace(const Endpoint& box, uint64_t number);
     void   SetDeclared(uint64_t version) { m_Declared = version; }
     void   SetNamed(std::vector<ModelNaming> named); // told to all boxes, at once if it is news, and with every request for reports
@@ -151,7 +151,7 @@
     using ServersHandler = std::function<void(const wire::ServersNews& news)>;
     using AskHandler     = std::function<void(const PlaceQuestion& question)>;
     using TakeHandler    = std::function<void(double reading_ms)>;
-    using ClaimHandler   = std::function<void(const PlaceClaimed& claim)>;
+    using ClaimHandler   = std::function<void(const ClaimMessage& claim)>;
     using ReleaseHandler = std::function<void(const PlaceQuestion& question)>;
 
     LoadPublisher(asio::io_context& ioc, std::string data_centre);
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -1,6 +1,7 @@
 // A server for a request: boxes are asked for a place, and the best that answers is taken; without answers reports decide. See direct_serve.h.
 #include "request/direct_serve_internal.h"
 #include "request/engine_prediction.h"
+#include <algorithm>
 
 namespace aldervale
 {
@@ -74,8 +75,9 @@
     call.m_ClaimTook           = now - began;
     if (!outcome.m_Heard) // agents that know no claims, or datagrams that were lost: what was answered before decides
         co_return m_Choice.Decide(a.m_Best, need, now);
+    const std::vector<const ServerEntry*> usable = UsableOf(a); // a server may have left meanwhile
     for (const Choice& c : hoped)
-        if (outcome.m_Granted && c.m_Server->m_Address.m_Address == *outcome.m_Granted)
+        if (outcome.m_Granted && c.m_Server->m_Address.m_Address == *outcome.m_Granted && std::count(usable.begin(), usable.end(), c.m_Server) > 0)
         {
             call.m_Granted = true;
             co_return m_Choice.Granted(c, need, now);
@@ -138,6 +140,7 @@
         call.m_AskTook  = Now() - began;
     }
     call.m_Granted    = false;
+    call.m_Claimed    = 0;
     const bool scarce = !a.m_Answered.empty() && m_Choice.PlacesScarce(a.m_Best, need);
     if (a.m_Answered.empty())
         call.m_Choice = m_Choice.Choose(m_World.m_Servers.Usable(call.m_Service->m_Name), need, Now());
--- a/src/version/place_answers.cpp
+++ b/src/version/place_answers.cpp
@@ -14,7 +14,7 @@
 {
     m_Publisher.SetOnAsk([this](const PlaceQuestion& question) { OnAsk(question); });
     m_Publisher.SetOnTake([this](double reading_ms) { m_Places.Take(reading_ms, Now()); });
-    m_Publisher.SetOnClaim([this](const PlaceClaimed& claim) { OnClaim(claim); });
+    m_Publisher.SetOnClaim([this](const ClaimMessage& claim) { OnClaim(claim); });
     m_Publisher.SetOnRelease([this](const PlaceQuestion& question) { OnRelease(question); });
 }
 
@@ -29,7 +29,7 @@
     m_WantReport();
 }
 
-void PlaceAnswers::OnClaim(const PlaceClaimed& claim)
+void PlaceAnswers::OnClaim(const ClaimMessage& claim)
 {
     const TimePoint now = Now();
     if (Fresh(now))
@@ -41,12 +41,12 @@
 void PlaceAnswers::OnRelease(const PlaceQuestion& question)
 {
     const std::string key = KeyOf(question);
-    std::erase_if(m_Claims, [&](const Claimed& c) { return KeyOf(c.m_Claim.m_Question) == key; });
+    std::erase_if(m_Claims, [&](const HeardClaim& c) { return KeyOf(c.m_Claim.m_Question) == key; });
     m_InLine.erase(key);
     m_Line.Release(key, m_Places, Now());
 }
 
-void PlaceAnswers::TakeClaim(const Claimed& claim, TimePoint now)
+void PlaceAnswers::TakeClaim(const HeardClaim& claim, TimePoint now)
 {
     static Counter& granted = Metrics().GetCounter("aldervale_place_claims_total", "answer=\"granted\"");
     static Counter& denied  = Metrics().GetCounter("aldervale_place_claims_total", "answer=\"denied\"");
@@ -83,9 +83,9 @@
     m_AskedAt           = asked_at;
     m_Places.OnReport(load.m_Running, load.m_Waiting, asked_at, now);
     Settle(now);
-    const std::vector<Claimed> claims = std::move(m_Claims);
+    const std::vector<HeardClaim> claims = std::move(m_Claims);
     m_Claims.clear();
-    for (const Claimed& c : claims)
+    for (const HeardClaim& c : claims)
         if (now - c.m_HeardAt <= kAskKept)
             TakeClaim(c, now);
     const std::vector<Waiting> waiting = std::move(m_Waiting);
--- a/src/version/place_answers.h
+++ b/src/version/place_answers.h
@@ -35,29 +35,29 @@
         TimePoint     m_HeardAt{}; //
     };
 
-    struct Claimed
+    struct HeardClaim
     {
-        PlaceClaimed m_Claim;     //
+        ClaimMessage m_Claim;     //
         TimePoint    m_HeardAt{}; //
     };
 
     void OnAsk(const PlaceQuestion& question);
-    void OnClaim(const PlaceClaimed& claim);
+    void OnClaim(const ClaimMessage& claim);
     void OnRelease(const PlaceQuestion& question);
-    void TakeClaim(const Claimed& claim, TimePoint now);
+    void TakeClaim(const HeardClaim& claim, TimePoint now);
     void Settle(TimePoint now);
     bool Fresh(TimePoint now) const { return m_AskedAt != TimePoint{} && now - m_AskedAt <= kFreshReport; }
     bool TakesNothing() const { return m_Load.m_Starting || m_Load.m_Weights == 0; }
     void Answer(const PlaceQuestion& question, TimePoint now);
 
-    LoadPublisher&        m_Publisher;  //
-    std::function<void()> m_WantReport; // soon
-    PlacePromises         m_Places;     //
-    PlaceLine             m_Line;       //
-    LoadReport            m_Load;       // as last reported
-    TimePoint             m_AskedAt{};  // when that report was asked for; default: there was none
-    std::vector<Waiting>  m_Waiting;    // for a report; each less than kAskKept
-    std::vector<Claimed>  m_Claims;     // the same
+    LoadPublisher&          m_Publisher;  //
+    std::function<void()>   m_WantReport; // soon
+    PlacePromises           m_Places;     //
+    PlaceLine               m_Line;       //
+    LoadReport              m_Load;       // as last reported
+    TimePoint               m_AskedAt{};  // when that report was asked for; default: there was none
+    std::vector<Waiting>    m_Waiting;    // for a report; each less than kAskKept
+    std::vector<HeardClaim> m_Claims;     // the same
 
     std::unordered_map<std::string, PlaceQuestion> m_InLine; // whom to tell, by the claim's key; of m_Line
 };
