--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -65,6 +65,7 @@
     if (hoped.empty())
         co_return m_Choice.Refuse(a.m_Best, need, began);
     std::vector<Endpoint> boxes;
+    boxes.reserve(hoped.size());
     for (const Choice& c : hoped)
         boxes.push_back(BoxOf(*c.m_Server));
     const EngineCosts& costs   = *need.m_Service->m_Engine;
