--- a/tests/test_place_channel.cpp
+++ b/tests/test_place_channel.cpp
@@ -49,12 +49,12 @@
     PlaceChannel m_Places;   //
 };
 
-// The answers to one question; gives up after a time that only a hang reaches.
-std::vector<PlaceAnswer> Ask(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes)
+// What `work` results in; gives up after a time that only a hang reaches.
+template <class T> T Finish(asio::io_context& ioc, std::function<awaitable<T>()> work)
 {
-    std::optional<std::vector<PlaceAnswer>> out;
+    std::optional<T> out;
     asio::co_spawn(
-        ioc, [&]() -> awaitable<void> { out = co_await router.m_Places.Ask(boxes); }, asio::detached);
+        ioc, [&]() -> awaitable<void> { out = co_await work(); }, asio::detached);
     const TimePoint end = Now() + seconds(60);
     while (!out && Now() < end)
         ioc.run_for(milliseconds(2));
@@ -62,6 +62,18 @@
     return *out;
 }
 
+// The answers to one question.
+std::vector<PlaceAnswer> Ask(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes)
+{
+    return Finish<std::vector<PlaceAnswer>>(ioc, [&] { return router.m_Places.Ask(boxes); });
+}
+
+// What comes of a claim.
+ClaimOutcome Claim(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes, const PlaceWanted& wanted)
+{
+    return Finish<ClaimOutcome>(ioc, [&] { return router.m_Places.Claim(boxes, wanted); });
+}
+
 // Asks until somebody answers within the channel's limit, which a busy machine may miss; gives up after a time that only a hang reaches.
 std::vector<PlaceAnswer> AskUntilAnswered(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes)
 {
@@ -101,24 +113,6 @@
     BOOST_TEST(answers[0].m_State.m_UnreadMs > 0);
 }
 
-namespace
-{
-
-// What came of a claim; gives up after a time that only a hang reaches.
-ClaimOutcome Claim(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes, const PlaceWanted& wanted)
-{
-    std::optional<ClaimOutcome> out;
-    asio::co_spawn(
-        ioc, [&]() -> awaitable<void> { out = co_await router.m_Places.Claim(boxes, wanted); }, asio::detached);
-    const TimePoint end = Now() + seconds(60);
-    while (!out && Now() < end)
-        ioc.run_for(milliseconds(2));
-    BOOST_REQUIRE(out.has_value());
-    return *out;
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(a_claim_is_granted_where_a_place_is_free_and_denied_where_none_is)
 {
     asio::io_context ioc;
