A server that went away is not listed again by an older row

Callers saw requests sent to a server 5,168 to 5,318 ms after it had left, by routers of three data centres; some would have gone on as long as they lived.

Cause: a newer fact was kept without its version. An entry that goes away in the grace after an outage stays usable, but the directory didn't remember the version at which it went; the row of before, told once more by a router that came back, counted as "it is listed". Alike for a going away, or a row that can't be decoded, of an id that isn't known: nothing was kept of it. And all that was remembered was forgotten at once at 4,096 ids.

Why the mend holds: whatever goes away leaves its version behind, kept or not, and Takes() is the one place that compares; the log's "listed" asks it, too (it named rows that changed nothing).

The same class looked for: operators' rows are taken whole by version (an older text or batch changes nothing); named weights and declared models keep the highest version; load reports carry no version, a reordered one lasts until the next, 250 ms.

--- a/src/process/server_directory.cpp
+++ b/src/process/server_directory.cpp
@@ -1,5 +1,6 @@
 // Backend servers known from the platform's list. See server_directory.h.
 #include "process/server_directory.h"
+#include <algorithm>
 #include <set>
 
 namespace aldervale
@@ -8,43 +9,50 @@
 namespace
 {
 
-constexpr size_t kGoneKept = 4096; // ids remembered as gone; older ones can't come back, ids are never used again
+constexpr size_t kGoneKept = 4096; // ids remembered as gone; the older half of them can be forgotten, nobody tells rows of minutes ago
 
 }
 
-void ServerDirectory::OnRow(ServerEntry entry)
+bool ServerDirectory::Takes(const ServerEntry& entry) const
 {
-    m_StoreVersion     = std::max(m_StoreVersion, entry.m_RowVersion);
     const auto gone    = m_GoneAt.find(entry.m_Id);
     const auto present = m_Known.find(entry.m_Id);
     if (gone != m_GoneAt.end() && gone->second >= entry.m_RowVersion)
+        return false;
+    if (present == m_Known.end())
+        return true;
+    // A row from before it went away lists nothing: routers that came back told such rows again, and requests went to servers that had left
+    // 5 s before.
+    const uint64_t known = std::max(present->second.m_Entry.m_RowVersion, present->second.m_LapsedAt);
+    return known < entry.m_RowVersion && !ServerLife::Earlier(entry.m_BornMs, present->second.m_Entry.m_BornMs);
+}
+
+void ServerDirectory::OnRow(ServerEntry entry)
+{
+    m_StoreVersion = std::max(m_StoreVersion, entry.m_RowVersion);
+    if (!Takes(entry))
         return;
-    if (present != m_Known.end() && present->second.m_Entry.m_RowVersion > entry.m_RowVersion)
-        return;
-    if (present != m_Known.end() && ServerLife::Earlier(entry.m_BornMs, present->second.m_Entry.m_BornMs))
-        return;
-    if (present != m_Known.end() && present->second.m_Entry.m_RowVersion == entry.m_RowVersion)
-    {
-        m_Changes += present->second.m_Lapsed ? 1 : 0;
-        present->second.m_Lapsed = false; // it is listed
-        return;
-    }
     m_Changes++;
     m_GoneAt.erase(entry.m_Id);
     const std::string id = entry.m_Id;
-    m_Known[id]          = Known{std::move(entry), false};
+    m_Known[id]          = Known{std::move(entry)};
 }
 
 void ServerDirectory::OnRowGone(std::string_view id, uint64_t row_version, TimePoint now)
 {
     m_StoreVersion = std::max(m_StoreVersion, row_version);
     const auto it  = m_Known.find(id);
-    if (it == m_Known.end() || it->second.m_Entry.m_RowVersion > row_version)
+    if (it == m_Known.end())
+    {
+        NoteGone(id, row_version);
+        return;
+    }
+    if (it->second.m_Entry.m_RowVersion > row_version)
         return;
     m_Changes++;
     if (Unsettled(now) && !it->second.m_Entry.m_Draining)
     {
-        it->second.m_Lapsed = true;
+        it->second.m_LapsedAt = std::max(it->second.m_LapsedAt, row_version);
         return;
     }
     Drop(it, row_version);
@@ -54,7 +62,12 @@
 {
     m_StoreVersion = std::max(m_StoreVersion, row_version);
     const auto it  = m_Known.find(id);
-    if (it == m_Known.end() || it->second.m_Entry.m_RowVersion >= row_version)
+    if (it == m_Known.end())
+    {
+        NoteGone(id, row_version);
+        return;
+    }
+    if (it->second.m_Entry.m_RowVersion >= row_version)
         return;
     m_Changes++;
     Drop(it, row_version);
@@ -62,12 +75,25 @@
 
 void ServerDirectory::Drop(KnownServers::iterator it, uint64_t row_version)
 {
-    if (m_GoneAt.size() >= kGoneKept)
-        m_GoneAt.clear();
-    m_GoneAt[it->first] = row_version;
+    NoteGone(it->first, std::max(row_version, it->second.m_LapsedAt));
     m_Known.erase(it);
 }
 
+void ServerDirectory::NoteGone(std::string_view id, uint64_t row_version)
+{
+    if (m_GoneAt.size() >= kGoneKept)
+    {
+        std::vector<uint64_t> versions;
+        for (const auto& [gone, version] : m_GoneAt)
+            versions.push_back(version);
+        const auto middle = versions.begin() + static_cast<ptrdiff_t>(versions.size() / 2);
+        std::nth_element(versions.begin(), middle, versions.end());
+        std::erase_if(m_GoneAt, [&](const auto& item) { return item.second <= *middle; });
+    }
+    uint64_t& at = m_GoneAt[std::string(id)];
+    at           = std::max(at, row_version);
+}
+
 void ServerDirectory::OnReadAll(std::vector<ServerEntry> entries, uint64_t store_version, TimePoint now)
 {
     if (store_version < m_StoreVersion)
@@ -114,8 +140,14 @@
 {
     if (Unsettled(now))
         return;
-    const size_t dropped = std::erase_if(m_Known, [](const auto& item) { return item.second.m_Lapsed; });
-    m_Changes += dropped;
+    for (auto it = m_Known.begin(); it != m_Known.end();)
+    {
+        const auto next = std::next(it);
+        m_Changes += it->second.Lapsed() ? 1 : 0;
+        if (it->second.Lapsed())
+            Drop(it, it->second.m_LapsedAt);
+        it = next;
+    }
 }
 
 std::vector<const ServerEntry*> ServerDirectory::Of(std::string_view service, bool with_draining) const
--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -9,7 +9,8 @@
 //   - A row that names a server as draining, or that goes away, ends new work for it at once.
 //   - While the list's store can't be reached, entries run out although their servers live. So an entry that goes away while the store
 //     is unreachable, or until kLapseGrace after it was reached again, stays usable until that moment; then it is gone.
-//   - A row older than the one already seen of the same id is ignored: reads may lag behind.
+//   - A row older than what is already known of the same id is ignored, also than that it went away: reads may lag behind, and a router that
+//     comes back tells others all that it missed. So whatever goes away leaves the version behind at which it went, kept or not.
 //
 // Usage:
 //   ServerDirectory d;
@@ -47,6 +48,7 @@
 {
 public:
     void OnRow(ServerEntry entry);
+    bool Takes(const ServerEntry& entry) const; // it is newer than all that is known of its id
     void OnRowGone(std::string_view id, uint64_t row_version, TimePoint now);
     void OnRowRefused(std::string_view id, uint64_t row_version);                            // it can't be decoded
     void OnReadAll(std::vector<ServerEntry> entries, uint64_t store_version, TimePoint now); // whole list; what isn't in it is gone
@@ -68,19 +70,22 @@
 private:
     struct Known
     {
-        ServerEntry m_Entry;          //
-        bool        m_Lapsed = false; // its row went away during an outage; usable until the grace ends
+        ServerEntry m_Entry;        //
+        uint64_t    m_LapsedAt = 0; // row version at which it went away during an outage; usable until the grace ends; 0: it is listed
+
+        bool Lapsed() const { return m_LapsedAt > 0; }
     };
 
     using KnownServers = std::map<std::string, Known, std::less<>>; // by id
 
     std::vector<const ServerEntry*> Of(std::string_view service, bool with_draining) const;
     void                            Drop(KnownServers::iterator it, uint64_t row_version);
+    void                            NoteGone(std::string_view id, uint64_t row_version);
 
     bool Unsettled(TimePoint now) const { return m_Lost || now < m_SettledAt; }
 
     KnownServers                                 m_Known;                //
-    std::map<std::string, uint64_t, std::less<>> m_GoneAt;               // row version at which an id went away, against late rows
+    std::map<std::string, uint64_t, std::less<>> m_GoneAt;               // row version at which an id that isn't known went away, against late rows
     uint64_t                                     m_StoreVersion = 0;     // newest read; never falls
     uint64_t                                     m_Changes      = 0;     //
     bool                                         m_Lost         = false; // the store can't be reached
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -144,7 +144,7 @@
             entries.push_back(std::move(*entry));
     if (m_Handlers.m_OnListed)
         for (const ServerEntry& e : entries)
-            if (IsNews(e))
+            if (m_Servers.Takes(e))
                 m_Handlers.m_OnListed(e);
     m_Servers.OnReadAll(std::move(entries), read.m_StoreVersion, Now());
     m_Handlers.m_OnServers(true);
@@ -163,7 +163,7 @@
         }
         else if (auto entry = TakeEntry(row))
         {
-            if (m_Handlers.m_OnListed && IsNews(*entry))
+            if (m_Handlers.m_OnListed && m_Servers.Takes(*entry))
                 m_Handlers.m_OnListed(*entry);
             m_Servers.OnRow(std::move(*entry));
         }
@@ -172,12 +172,6 @@
     m_Handlers.m_OnServers(m_Servers.Changes() != before);
 }
 
-bool PlatformTables::IsNews(const ServerEntry& entry) const
-{
-    const ServerEntry* known = m_Servers.Find(entry.m_Id);
-    return known == nullptr || known->m_RowVersion < entry.m_RowVersion;
-}
-
 // Rows that aren't listed any more count as gone at the version of the read.
 RowRead PlatformTables::ChangesOf(const RowRead& whole) const
 {
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -58,8 +58,7 @@
     TableHandlers OperatorHandlers();
     void          OnServerList(const RowRead& read);
     void          OnServerChanges(const RowRead& read);
-    bool          IsNews(const ServerEntry& entry) const; // newer than what the directory holds
-    RowRead       ChangesOf(const RowRead& whole) const;  // against what the directory holds
+    RowRead       ChangesOf(const RowRead& whole) const; // against what the directory holds
 
     std::optional<ServerEntry> TakeEntry(const Row& row); // nothing: it can't be decoded, and names no server any more
 
--- a/tests/test_server_news_bound.cpp
+++ b/tests/test_server_news_bound.cpp
@@ -26,7 +26,8 @@
 constexpr uint64_t kBefore    = 10;                // store version that all hold at first
 constexpr uint64_t kLeaving   = 11;                // of the row that says that a server leaves
 
-// Nothing changes but that one row. A reader asks, hears after kServersWait that nothing changed, pauses and asks again, until the store falls silent to it.
+// Nothing changes but that one row. A reader asks, hears after kServersWait that nothing changed, pauses and asks again, until the store falls silent
+// to it.
 struct Reader
 {
     ServerNewsReader m_News;
@@ -64,8 +65,8 @@
 
 struct Listener
 {
-    ServerNewsListener m_News;
-    uint64_t           m_Held = kBefore;
+    ServerNewsListener       m_News;
+    uint64_t                 m_Held = kBefore;
     std::optional<TimePoint> m_ReadEnds{};
 };
 
@@ -122,7 +123,8 @@
                 region.Step(now, cut);
             for (; !region.AllKnow() && now < cut + seconds(20); now += kStep)
                 region.Step(now, cut);
-            BOOST_TEST(ToMs(now - cut) <= ToMs(kServersKnownMax - kServersAttempt), "known after " << ToMs(now - cut) << " ms, phase " << ToMs(phase));
+            BOOST_TEST(ToMs(now - cut) <= ToMs(kServersKnownMax - kServersAttempt),
+                       "known after " << ToMs(now - cut) << " ms, phase " << ToMs(phase));
         }
 }
 
