What a router holds of the list of servers has an age, and the age has one bound

Cause: age was lost at every hand-over. A reader's sign of life counted as news as of now, though its last answer was up to 3.5 s old; then came 0.8 to 1.4 s without any reader, then the own read; each within its own limit. A router that had just started took 3 s for granted and then waited the same.

Now news carry how long ago the store was asked for the answer that confirms them, counted from the question, so that an answer that waited beside a frozen process isn't new; what is held is as old as the best confirmation, the own read among them; whoever holds nothing younger than 1.2 s reads, and tells. Why it holds: there is one clock for all failures, and a static_assert adds up all steps to two seconds. A reader waits 0.1 s instead of 2 s for changes: where any row changes the question ends at once as before, so that costs calls only while the store rests.

Looked for elsewhere: the declarations' spread carries ages already; agents' lists take the same way with 6 s, and send no requests. The burst that a whole region loses in part stays red (server_news_bound).

--- a/src/process/server_news.cpp
+++ b/src/process/server_news.cpp
@@ -27,6 +27,7 @@
         if (full)
         {
             last.m_Rows.m_StoreVersion = std::max(last.m_Since, last.m_Rows.m_Rows.back().m_Version);
+            last.m_More                = true;
             const uint64_t from        = last.m_Rows.m_StoreVersion;
             out.emplace_back();
             out.back().m_Since = from;
@@ -44,7 +45,8 @@
     ServersTold told;
     told.m_Since               = held;
     told.m_Rows.m_StoreVersion = held;
-    told.m_Lost                = !reachable || now - m_AnsweredAt > kServersAnswered;
+    told.m_CheckedAge          = CheckedAge(now);
+    told.m_Lost                = !reachable || told.m_CheckedAge > kServersFresh;
     return told;
 }
 
@@ -52,13 +54,16 @@
 {
     if (told.m_Lost)
         return false;
-    m_HeardAt = now;
+    const bool fits  = held > 0 && told.m_Since <= held;
+    const bool whole = fits || told.m_Rows.m_StoreVersion <= held; // with these rows all is held that the sender holds
+    if (whole && held > 0 && !told.m_More)
+        m_CheckedAt = std::max(m_CheckedAt, now - told.m_CheckedAge);
     if (told.m_Rows.m_StoreVersion > m_Newest)
     {
         m_NewestAt = m_Newest <= held ? now : m_NewestAt; // a gap is as old as its first news
         m_Newest   = told.m_Rows.m_StoreVersion;
     }
-    return held > 0 && told.m_Since <= held;
+    return fits;
 }
 
 bool ServerNewsListener::Behind(uint64_t held, TimePoint now) const
@@ -68,10 +73,9 @@
 
 bool ServerNewsListener::Reads(uint64_t held, size_t rank, TimePoint now) const
 {
-    if (held == 0 || Behind(held, now))
-        return true;
-    const auto place = static_cast<int>(std::min(rank, kServersStaggersMax));
-    return now - m_HeardAt > m_Patience.m_Silent + kServersStagger * place;
+    const auto place   = static_cast<int>(std::min(rank, kServersStaggersMax));
+    const auto stagger = kServersStagger * place;
+    return held == 0 || Behind(held, now - stagger) || Stale(now - stagger);
 }
 
 } // namespace aldervale
--- a/src/process/server_news.h
+++ b/src/process/server_news.h
@@ -8,9 +8,14 @@
 //   - News are datagrams: rows that changed from one store version to another. Each follows on what was told before, so who misses one sees the
 //     gap, at the latest with the next sign of life (kServersNewsEvery), and reads from the store where it is.
 //   - Intervals may overlap: two readers of a region each tell all that they read. A row that is known already changes nothing.
-//   - Who hears of no reader that reaches the store for m_Silent reads for itself, the better its rank the sooner, and tells the others: a
-//     server that leaves must be known within two seconds. Two leads of a region that were cut off from the store while the third router
-//     was not, and waited for them, had it send 7 requests to a server 2.1 to 2.6 s after that had said that it leaves.
+//   - What is told has an age: how long ago the store was asked for the answer that confirmed it. What a process holds is as old as the best that it
+//   was
+//     told, or read itself. A sign of life says nothing more: readers that the store had fallen silent to went on telling that they live, and a
+//     region sent to servers for 4 to 5 s after those had said that they leave.
+//   - Whoever holds nothing younger than m_Fresh reads for itself, the better its rank the sooner, and tells the others. So the age of what
+//     anybody acts on has one bound, whatever failed: kServersFresh and what it takes to read (kServersKnownMax). Two leads of a
+//     region that were cut off from the store while the third router was not, and waited for them, had it send 7 requests to a server 2.1 to 2.6 s
+//     after that had said that it leaves.
 //
 // Usage (src/programs/platform_router.cpp, platform_agent.cpp):
 //   for (const ServersTold& t : SplitServerNews(since, changes)) ...                  // a reader, after each answer of the store
@@ -23,31 +28,42 @@
 namespace aldervale
 {
 
-constexpr auto   kServersNewsEvery   = milliseconds(250);  // signs of life of a reader; three may be lost before anybody notices
-constexpr auto   kServersStagger     = milliseconds(60);   // between two ranks that begin to read for want of news
-constexpr auto   kServersFirst       = milliseconds(3000); // of a process that starts: until it is known to who reads
-constexpr auto   kServersAnswered    = milliseconds(3500); // of a reader: since its last answer; a standing request waits 2 s
-constexpr auto   kServersWait        = milliseconds(2000); // of a reader's standing request: a silent connection is seen in 3.2 s
-constexpr auto   kServersMargin      = milliseconds(1200); // for its answer beyond that
-constexpr auto   kServersQuiet       = milliseconds(700);  // pause of a reader after an answer without changes
-constexpr size_t kServersNewsBytes   = 1000;               // of the rows in one datagram, about
-constexpr size_t kServersStaggersMax = 10;                 // ranks beyond that begin together
+constexpr auto   kServersNewsEvery = milliseconds(250); // signs of life of a reader; three may be lost before anybody notices
+constexpr size_t kServersNewsBytes = 1000;              // of the rows in one datagram, about
+
+// A reader asks, waits, pauses and asks again: with one of two readers gone and one answer late, what it tells is still fresh.
+constexpr auto kServersWait = milliseconds(100);    // of a reader's standing request: any row of any table ends it; while nothing changes the answer
+                                                    // itself is the news
+constexpr auto kServersMargin = milliseconds(1200); // for its answer beyond that
+constexpr auto kServersQuiet  = milliseconds(700);  // pause of a reader after an answer without changes
 
 // The aim: so long after a server said that it leaves, no router sends to it any more. The smallest that deployments ask for.
-constexpr auto kServersKnownMax = milliseconds(2000);
-constexpr auto kServersAttempt  = milliseconds(250); // part of it from the choice of a server until the request is there
+constexpr auto   kServersKnownMax = milliseconds(2000);
+constexpr auto   kServersFresh = milliseconds(1200); // age at which what is held needs to be confirmed; a single reader's news are 0.95 s old at most
+constexpr auto   kServersStagger     = milliseconds(40);  // between two ranks that then begin to read
+constexpr size_t kServersStaggersMax = 5;                 // ranks beyond that begin together
+constexpr auto   kServersLook        = milliseconds(50);  // how often a process asks itself whether it needs to read
+constexpr auto   kServersOwnRead     = milliseconds(150); // of one that hasn't read before: a connection and an answer
+constexpr auto   kServersAttempt     = milliseconds(250); // from the choice of a server until the request is there
+
+static_assert(2 * kServersWait + kServersQuiet < kServersFresh, "a reader that is answered keeps the others from reading");
+static_assert(kServersFresh + kServersStagger * static_cast<int>(kServersStaggersMax) + kServersLook + kServersOwnRead + kServersAttempt <=
+                  kServersKnownMax,
+              "all steps together keep the aim");
 
 struct ServersTold // one datagram
 {
     uint64_t m_Since = 0;     // see wire::ServersNews
     bool     m_Lost  = false; //
     Duration m_Unsettled{};   //
+    Duration m_CheckedAge{};  // since the store was asked for the answer that confirms m_StoreVersion as the newest
+    bool     m_More = false;  // another datagram of the same changes follows: this one confirms nothing
     RowRead  m_Rows;          // m_StoreVersion: that they lead to
 };
 
 struct ServerNewsPatience
 {
-    Duration m_Silent = milliseconds(800); // without news of a reader that reaches the store
+    Duration m_Fresh  = kServersFresh;     // age of what is held
     Duration m_Behind = milliseconds(600); // with a gap: the other reader of the region mostly fills it within that
 };
 
@@ -60,28 +76,32 @@
 class ServerNewsReader // touched on one thread
 {
 public:
-    void        OnAnswer(TimePoint now) { m_AnsweredAt = now; }                 // of the store, about the list
+    void        OnAnswer(TimePoint asked) { m_AskedAt = std::max(m_AskedAt, asked); } // the store answered about the list
+    Duration    CheckedAge(TimePoint now) const { return now - m_AskedAt; }
     ServersTold SignOfLife(uint64_t held, bool reachable, TimePoint now) const; // or that it can't read. reachable: its last read didn't fail
 
 private:
-    TimePoint m_AnsweredAt{}; //
+    TimePoint m_AskedAt{}; // when the store was asked for its last answer: that holds all that was written before
 };
 
 class ServerNewsListener // touched on one thread
 {
 public:
-    ServerNewsListener(TimePoint now, const ServerNewsPatience& patience) : m_Patience(patience), m_HeardAt(now + kServersFirst) {}
+    ServerNewsListener(TimePoint now, const ServerNewsPatience& patience) : m_Patience(patience), m_CheckedAt(now) {}
 
     bool OnNews(const ServersTold& told, uint64_t held, TimePoint now);                // true: its rows follow on what is held
+    void OnOwnRead(TimePoint asked) { m_CheckedAt = std::max(m_CheckedAt, asked); }    // the store answered this process; asked: when it was asked
     bool Reads(uint64_t held, size_t rank, TimePoint now) const;                       // this process needs the store's list itself
     bool Behind(uint64_t held, TimePoint now) const;                                   // a gap, and nobody fills it
-    bool Silent(TimePoint now) const { return now - m_HeardAt > m_Patience.m_Silent; } // nobody tells
+    bool Stale(TimePoint now) const { return now - m_CheckedAt > m_Patience.m_Fresh; } // nobody has confirmed lately what is held
+
+    TimePoint CheckedAt() const { return m_CheckedAt; }
 
 private:
     ServerNewsPatience m_Patience; //
 
     uint64_t  m_Newest = 0; // store version that some reader told of
-    TimePoint m_HeardAt;    // of the last news of a reader that reaches the store; kServersFirst after the start before that
+    TimePoint m_CheckedAt;  // all that the store held then is held here; at first the start of the process
     TimePoint m_NewestAt{}; // when m_Newest rose
 };
 
--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -106,8 +106,9 @@
 
 awaitable<bool> TableFollower::ReadAll()
 {
-    const KeyRange whole;
-    const auto     read = co_await m_Source.ReadAll(m_Table, whole, Now() + Patience(m_Config.m_ReadMax));
+    const KeyRange  whole;
+    const TimePoint asked = Now();
+    auto            read  = co_await m_Source.ReadAll(m_Table, whole, asked + Patience(m_Config.m_ReadMax));
     if (!read)
     {
         OnFailure(read.error());
@@ -123,6 +124,8 @@
     m_Series  = m_Series && m_Changed; // until a read of it brings no news
     m_Since   = read.value().m_StoreVersion;
     m_Synced  = true;
+
+    read.value().m_AskedAt = asked;
     m_Handlers.m_OnAll(read.value());
     co_return true;
 }
@@ -135,8 +138,9 @@
 awaitable<bool> TableFollower::ReadChanges()
 {
     // After a failure a short wait: the answer itself is the news that the store is back.
-    const Duration wait = m_Failures > 0 ? milliseconds(1) : m_Config.m_Wait;
-    auto           read = co_await m_Source.ReadChanges(m_Table, m_Since, wait, Now() + wait + Patience(m_Config.m_Margin));
+    const Duration  wait  = m_Failures > 0 ? milliseconds(1) : m_Config.m_Wait;
+    const TimePoint asked = Now();
+    auto            read  = co_await m_Source.ReadChanges(m_Table, m_Since, wait, asked + wait + Patience(m_Config.m_Margin));
     if (!read)
     {
         if (read.error().m_Code != ErrorCode_Stale)
@@ -151,7 +155,8 @@
     OnAnswer();
     if (read.value().m_StoreVersion < m_Since)
         co_return true;
-    read.value().m_Since = m_Since;
+    read.value().m_Since   = m_Since;
+    read.value().m_AskedAt = asked;
 
     m_Since   = read.value().m_StoreVersion;
     m_Changed = !read.value().m_Rows.empty();
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -155,6 +155,7 @@
     h.m_OnNamed         = [&a](const platform::NamedWeights& named) { OnNamed(a, named); };
     h.m_OnOperatorRead  = [&a] { a.m_Known->OnRead(); };
     h.m_OnServers       = [&a](bool) { FollowPeers(a); };
+    h.m_OnListRead      = [&a](uint64_t, const RowRead& read) { a.m_News.OnOwnRead(read.m_AskedAt); };
     a.m_Publisher->SetOnServers([&a](const wire::ServersNews& news) { OnServersNews(a, news); });
     a.m_Tables = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, Paces(a), a.m_Servers, h);
 }
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -178,6 +178,7 @@
     RowRead               out;
     std::set<std::string> listed;
     out.m_StoreVersion = whole.m_StoreVersion;
+    out.m_AskedAt      = whole.m_AskedAt;
     for (const Row& row : whole.m_Rows)
     {
         listed.insert(row.m_Key);
--- a/src/programs/server_list_share.cpp
+++ b/src/programs/server_list_share.cpp
@@ -20,12 +20,14 @@
 // Who reads only because it missed something tells nobody: those that tell did, already.
 bool ServerListShare::Tells() const
 {
-    return m_Servers.StoreVersion() > 0 && (m_Peers.ReadsStore() || m_News.Silent(Now()));
+    return m_Servers.StoreVersion() > 0 && (m_Peers.ReadsStore() || m_News.Stale(Now()));
 }
 
 void ServerListShare::Tell(ServersTold told)
 {
-    told.m_Unsettled              = m_Servers.UnsettledFor(Now());
+    const TimePoint now           = Now();
+    told.m_Unsettled              = m_Servers.UnsettledFor(now);
+    told.m_CheckedAge             = m_Reader.CheckedAge(now);
     const wire::ServersNewsT news = ToWire(told);
     for (const Endpoint& router : m_Peers.Spread().Near())
         m_Loads.TellServers(router, news);
@@ -34,8 +36,10 @@
 
 void ServerListShare::OnListRead(uint64_t since, const RowRead& changes)
 {
-    m_Reader.OnAnswer(Now());
-    if (!Tells() || since == 0)
+    const bool tells = Tells() && since > 0; // before this answer ends its cause
+    m_Reader.OnAnswer(changes.m_AskedAt);
+    m_News.OnOwnRead(changes.m_AskedAt);
+    if (!tells)
         return;
     for (ServersTold& told : SplitServerNews(since, changes))
         Tell(std::move(told));
