--- a/src/common/events.h
+++ b/src/common/events.h
@@ -43,6 +43,8 @@
     X(1220, DeclarationsBehind, Warn, "newer declarations have been known for over a second and aren't here yet")                                    \
     X(1221, DeclarationsCaughtUp, Info, "the declarations here are as new as what was known a second ago")                                           \
     X(1222, DeclarationsNotFetched, Info, "another router gave no newer declarations; the next one is asked")                                        \
+    X(1223, ListReadingStarted, Info, "this process reads the list of servers from the store itself")                                                \
+    X(1224, ListReadingRested, Info, "this process leaves reading the list of servers to others")                                                    \
     X(1301, LeaseTaken, Info, "controller lease taken")                                                                                              \
     X(1302, LeaseLost, Warn, "controller lease lost or given up")                                                                                    \
     X(1303, OrderSent, Info, "order sent")                                                                                                           \
--- a/src/connection/paced_sender.h
+++ b/src/connection/paced_sender.h
@@ -43,10 +43,10 @@
     bool            SendSome(); // one burst; false: the socket takes no more now
     awaitable<void> SendRest();
 
-    udp::socket&         m_Socket;            //
-    std::deque<Datagram> m_Queue;             // oldest first
-    uint64_t             m_Dropped = 0;       //
-    bool                 m_Running = false;   // SendRest() is under way
+    udp::socket&         m_Socket;          //
+    std::deque<Datagram> m_Queue;           // oldest first
+    uint64_t             m_Dropped = 0;     //
+    bool                 m_Running = false; // SendRest() is under way
 };
 
 } // namespace aldervale
--- a/src/process/server_news.h
+++ b/src/process/server_news.h
@@ -101,6 +101,7 @@
     bool Stale(TimePoint now) const { return now - m_CheckedAt > m_Patience.m_Fresh; } // nobody has confirmed lately what is held
 
     TimePoint CheckedAt() const { return m_CheckedAt; }
+    uint64_t  Newest() const { return m_Newest; }
 
 private:
     ServerNewsPatience m_Patience; //
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -213,6 +213,7 @@
     static Gauge&             heard    = Metrics().GetGauge("aldervale_declarations_row_heard");
     static Gauge&             reading  = Metrics().GetGauge("aldervale_declarations_reads_store");
     static Gauge&             checked  = Metrics().GetGauge("aldervale_declarations_checked_age_seconds"); // -1: never
+    static Gauge&             list     = Metrics().GetGauge("aldervale_servers_checked_age_seconds");
     static Gauge&             behind   = Metrics().GetGauge("aldervale_declarations_behind_seconds");
     const DeclarationsBelief& b        = r.m_World.m_Belief;
     const TimePoint           now      = Now();
@@ -221,6 +222,8 @@
     heard.Set(static_cast<double>(b.m_Heard));
     reading.Set(r.m_Peers->Reading() ? 1 : 0);
     checked.Set(b.m_CheckedAt == TimePoint{} ? -1 : ToSeconds(now - b.m_CheckedAt));
+    if (r.m_List)
+        list.Set(ToSeconds(r.m_List->CheckedAge(now)));
     behind.Set(ToSeconds(r.m_Lag.Behind(now)));
 }
 
@@ -228,14 +231,23 @@
 // Backend servers
 //-----------------------------------------------------------------------------
 
-void LogServer(const ServerEntry& e)
+void LogServer(const Router& r, const ServerEntry& e)
 {
     LogEvent(Event_ServerListed, {{"server", e.m_Id},
                                   {"service", e.m_Service},
                                   {"address", e.m_Address.ToString()},
                                   {"draining", e.m_Draining},
                                   {"weights", e.m_Weights},
-                                  {"row_version", e.m_RowVersion}});
+                                  {"row_version", e.m_RowVersion},
+                                  {"checked_age_ms", ToMs(r.m_List->CheckedAge(Now()))}});
+}
+
+void LogUnlisted(const Router& r, const Row& row)
+{
+    LogEvent(Event_ServerUnlisted, {{"server", row.m_Key},
+                                    {"row_version", row.m_Version},
+                                    {"kept_ms", ToMs(r.m_World.m_Servers.UnsettledFor(Now()))}, // usable for so long: it may live
+                                    {"checked_age_ms", ToMs(r.m_List->CheckedAge(Now()))}});
 }
 
 void OnServers(Router& r, bool changed)
@@ -295,8 +307,8 @@
     h.m_OnConfig        = [&r](const RouteTableSpec& spec, uint64_t row_version) { OnConfig(r, spec, row_version); };
     h.m_OnNamed         = [&r](const platform::NamedWeights& named) { OnNamed(r, named); };
     h.m_OnOperatorRead  = [&r] { r.m_OperatorRead = true; };
-    h.m_OnListed        = LogServer;
-    h.m_OnUnlisted      = [](const Row& row) { LogEvent(Event_ServerUnlisted, {{"server", row.m_Key}, {"row_version", row.m_Version}}); };
+    h.m_OnListed        = [&r](const ServerEntry& e) { LogServer(r, e); };
+    h.m_OnUnlisted      = [&r](const Row& row) { LogUnlisted(r, row); };
     h.m_OnServers       = [&r](bool changed) { OnServers(r, changed); };
     h.m_OnListRead      = [&r](uint64_t since, TimePoint asked) { r.m_List->OnListRead(since, asked); };
     r.m_List            = std::make_unique<ServerListShare>(*r.m_Loads, *r.m_Peers, r.m_World.m_Servers);
--- a/src/programs/server_list_share.cpp
+++ b/src/programs/server_list_share.cpp
@@ -1,5 +1,6 @@
 // Sharing the list of servers between routers. See server_list_share.h.
 #include "server_list_share.h"
+#include "common/log.h"
 #include "common/metrics.h"
 #include "server_news_wire.h"
 
@@ -13,9 +14,20 @@
     m_Loads.SetOnServersAsked([this](uint64_t held, const Endpoint& from) { OnAsked(held, from); });
 }
 
-bool ServerListShare::Reads() const
+bool ServerListShare::Reads()
 {
-    return m_Peers.ReadsStore() || m_News.Reads(m_Servers.StoreVersion(), m_Peers.Spread().Rank(), Now());
+    const TimePoint now   = Now();
+    const bool      reads = m_Peers.ReadsStore() || m_News.Reads(m_Servers.StoreVersion(), m_Peers.Spread().Rank(), now);
+    if (reads != m_Reading)
+    {
+        m_Reading = reads;
+        LogEvent(reads ? Event_ListReadingStarted : Event_ListReadingRested, {{"lead", m_Peers.ReadsStore()},
+                                                                              {"rank", m_Peers.Spread().Rank()},
+                                                                              {"held", m_Servers.StoreVersion()},
+                                                                              {"heard", m_News.Newest()},
+                                                                              {"checked_age_ms", ToMs(CheckedAge(now))}});
+    }
+    return reads;
 }
 
 // Who reads only because it missed something tells nobody: those that tell did, already.
--- a/src/programs/server_list_share.h
+++ b/src/programs/server_list_share.h
@@ -20,10 +20,11 @@
 public:
     ServerListShare(LoadListener& loads, DeclarationsPeers& peers, ServerDirectory& servers) : m_Loads(loads), m_Peers(peers), m_Servers(servers) {}
 
-    void Start(PlatformTables& tables);
-    bool Reads() const;                               // this router needs to read the list itself
-    void OnListRead(uint64_t since, TimePoint asked); // an answer of the store about what follows on `since`, by then used
-    void Look(TimePoint now);                         // signs of life, and what follows from others'
+    void     Start(PlatformTables& tables);
+    bool     Reads();                                     // this router needs to read the list itself; asked often, each change is logged
+    void     OnListRead(uint64_t since, TimePoint asked); // an answer of the store about what follows on `since`, by then used
+    Duration CheckedAge(TimePoint now) const { return now - m_News.CheckedAt(); } // all that the store held so long ago is held here
+    void     Look(TimePoint now);                                                 // signs of life, and what follows from others'
 
 private:
     bool Tells() const;
@@ -41,6 +42,7 @@
     ServerNewsListener m_News{Now(), {}};  //
     ServerNewsReader   m_Reader;           //
     TimePoint          m_ToldAt{};         // the last sign of life
+    bool               m_Reading = false;  // what Reads() last said
 };
 
 } // namespace aldervale
