--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -273,3 +273,22 @@
                            RC_ASSERT(teller.StoreVersion() == hearer.StoreVersion());
                        });
 }
+
+// The store turned a part of the routers away for some seconds, now these, now those. Each that was answered again told the others that rows which go
+// away may belong to servers that live, for 1.9 s more; that held for all that had gone away before as well. So the entry of a server that had left
+// was kept for as long as routers came back one after the other, though each of them only had a doubt about its own rows.
+BOOST_AUTO_TEST_CASE(an_entry_that_went_away_is_not_kept_longer_because_other_routers_come_back)
+{
+    ServerDirectory d;
+    d.OnReadAll({Entry("left", "plain", "dc-1", 5)}, 10, kStart);
+    d.OnUnsettled(kStart + kLapseGrace);
+    d.OnRowGone("left", 11, kStart);
+    for (int ms = 100; ms <= 3000; ms += 100)
+    {
+        if (ms % 500 == 0) // others come back
+            d.OnUnsettled(kStart + milliseconds(ms) + kLapseGrace);
+        d.Expire(kStart + milliseconds(ms));
+        if (milliseconds(ms) >= kLapseGrace)
+            BOOST_TEST(d.Usable("plain").empty(), "still used after " << ms << " ms");
+    }
+}
