The entry of a server that left is kept by its own doubt only

Callers would have been sent to servers that had left for as long as routers that the store had turned away came back one after the other.

Cause: a doubt that belongs to rows was kept for the process. A router that was answered again told with its news that rows may have run out for 1.9 s more, and each hearer took that for all entries it kept, gone before or told by others.

Now a doubt goes with the rows of one message: such an entry is kept until then, no longer when it is told again, and the word of a process that wasn't cut off ends it. Only the own loss of the store prolongs it, as its server couldn't write either. Why it holds: the end of each entry is set when it goes away, so it can't be put off by others.

--- a/src/process/server_directory.cpp
+++ b/src/process/server_directory.cpp
@@ -39,6 +39,17 @@
 }
 
 void ServerDirectory::OnRowGone(std::string_view id, uint64_t row_version, TimePoint now)
+{
+    Lapse(id, row_version, Unsettled(now), m_SettledAt);
+}
+
+void ServerDirectory::OnRowGoneTold(std::string_view id, uint64_t row_version, TimePoint now, TimePoint kept_until)
+{
+    Lapse(id, row_version, now < kept_until, kept_until);
+}
+
+// doubted: the row may have run out while its server lives.
+void ServerDirectory::Lapse(std::string_view id, uint64_t row_version, bool doubted, TimePoint kept_until)
 {
     m_StoreVersion = std::max(m_StoreVersion, row_version);
     const auto it  = m_Known.find(id);
@@ -47,15 +58,18 @@
         NoteGone(id, row_version);
         return;
     }
-    if (it->second.m_Entry.m_RowVersion > row_version)
+    Known& known = it->second;
+    if (known.m_Entry.m_RowVersion > row_version)
         return;
     m_Changes++;
-    if (Unsettled(now) && !it->second.m_Entry.m_Draining)
+    if (!doubted || known.m_Entry.m_Draining)
     {
-        it->second.m_LapsedAt = std::max(it->second.m_LapsedAt, row_version);
+        Drop(it, row_version);
         return;
     }
-    Drop(it, row_version);
+    // Told again it is kept no longer: each router that comes back doubts it anew.
+    known.m_KeptUntil = known.Lapsed() ? std::min(known.m_KeptUntil, kept_until) : kept_until;
+    known.m_LapsedAt  = std::max(known.m_LapsedAt, row_version);
 }
 
 void ServerDirectory::OnRowRefused(std::string_view id, uint64_t row_version)
@@ -140,11 +154,6 @@
     m_StoreVersion = std::max(m_StoreVersion, store_version);
 }
 
-void ServerDirectory::OnUnsettled(TimePoint until)
-{
-    m_SettledAt = std::max(m_SettledAt, until);
-}
-
 void ServerDirectory::OnStoreLost()
 {
     m_Lost = true;
@@ -156,18 +165,23 @@
         return;
     m_Lost      = false;
     m_SettledAt = now + kLapseGrace;
+    for (auto& [id, known] : m_Known)
+        if (known.Lapsed()) // its server couldn't write in the meantime either
+            known.m_KeptUntil = std::max(known.m_KeptUntil, m_SettledAt);
 }
 
 void ServerDirectory::Expire(TimePoint now)
 {
-    if (Unsettled(now))
+    if (m_Lost)
         return;
     for (auto it = m_Known.begin(); it != m_Known.end();)
     {
         const auto next = std::next(it);
-        m_Changes += it->second.Lapsed() ? 1 : 0;
-        if (it->second.Lapsed())
+        if (it->second.Lapsed() && now >= it->second.m_KeptUntil)
+        {
+            m_Changes++;
             Drop(it, it->second.m_LapsedAt);
+        }
         it = next;
     }
 }
--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -7,8 +7,10 @@
 //   - A server may start again under its id: a row of an earlier lifetime than the known one (ServerLife) says nothing, however new the row.
 //   - A row that can't be decoded names no server: what was known under its id ends for new work, until a later row can be read.
 //   - A row that names a server as draining, or that goes away, ends new work for it at once.
-//   - While the list's store can't be reached, entries run out although their servers live. So an entry that goes away while the store
-//     is unreachable, or until kLapseGrace after it was reached again, stays usable until that moment; then it is gone.
+//   - While the list's store can't be reached, entries run out although their servers live. So an entry that goes away until kLapseGrace after the
+//     store was reached again stays usable until that moment, or, if the store is lost once more before, until the same after that. Whether a
+//     row may have run out so is known to who read it: of a row that another process told, that process's doubt counts, and the word of one
+//     without a doubt ends it. Doubts of others say nothing of other rows: they come back one by one, and entries would never end.
 //   - A row older than what is already known of the same id is ignored, also than that it went away: reads may lag behind, and a router that
 //     comes back tells others all that it missed. So whatever goes away leaves the version behind at which it went, kept or not.
 //
@@ -60,13 +62,14 @@
     void OnRow(ServerEntry entry, std::string text = {}); // text: the row's value as the list holds it, for other processes
     bool Takes(const ServerEntry& entry) const;           // it is newer than all that is known of its id
     void OnRowGone(std::string_view id, uint64_t row_version, TimePoint now);
+    void OnRowGoneTold(std::string_view id, uint64_t row_version, TimePoint now,
+                       TimePoint kept_until);                                                 // by another process, which doubts it until then
     void OnRowRefused(std::string_view id, uint64_t row_version);                             // it can't be decoded
     void OnReadAll(std::vector<ListedServer> entries, uint64_t store_version, TimePoint now); // whole list; what isn't in it is gone
     void OnUpTo(uint64_t store_version);                                                      // all rows until then are known
-    void OnUnsettled(TimePoint until);  // others say that the store was away: rows that go away before may belong to servers that live
-    void OnStoreLost();                 // it can't be reached
-    void OnStoreReached(TimePoint now); // an answer came after OnStoreLost()
-    void Expire(TimePoint now);         // drops what was kept over an outage; call every second or so
+    void OnStoreLost();                                                                       // it can't be reached
+    void OnStoreReached(TimePoint now);                                                       // an answer came after OnStoreLost()
+    void Expire(TimePoint now); // drops what was kept over an outage; call every second or so
 
     std::vector<const ServerEntry*> Usable(std::string_view service) const; // ready; by id
     std::vector<const ServerEntry*> All(std::string_view service) const;    // draining ones too
@@ -83,6 +86,7 @@
     {
         ServerEntry m_Entry;        //
         std::string m_Text;         // its row's value
+        TimePoint   m_KeptUntil{};  // if it lapsed: usable until then
         uint64_t    m_LapsedAt = 0; // row version at which it went away during an outage; usable until the grace ends; 0: it is listed
 
         bool Lapsed() const { return m_LapsedAt > 0; }
@@ -92,6 +96,7 @@
 
     std::vector<const ServerEntry*> Of(std::string_view service, bool with_draining) const;
     void                            Drop(KnownServers::iterator it, uint64_t row_version);
+    void                            Lapse(std::string_view id, uint64_t row_version, bool doubted, TimePoint kept_until);
     void                            NoteGone(std::string_view id, uint64_t row_version);
 
     bool Unsettled(TimePoint now) const { return m_Lost || now < m_SettledAt; }
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -149,16 +149,20 @@
     m_Handlers.m_OnServers(true);
 }
 
-void PlatformTables::OnServerChanges(const RowRead& read)
+void PlatformTables::OnServerChanges(const RowRead& read, std::optional<TimePoint> doubted_until)
 {
-    const uint64_t before = m_Servers.Changes();
+    const TimePoint now    = Now();
+    const uint64_t  before = m_Servers.Changes();
     for (const Row& row : read.m_Rows)
     {
         if (row.m_Gone)
         {
             if (m_Handlers.m_OnUnlisted && m_Servers.Find(row.m_Key) != nullptr)
                 m_Handlers.m_OnUnlisted(row);
-            m_Servers.OnRowGone(row.m_Key, row.m_Version, Now());
+            if (doubted_until)
+                m_Servers.OnRowGoneTold(row.m_Key, row.m_Version, now, *doubted_until);
+            else
+                m_Servers.OnRowGone(row.m_Key, row.m_Version, now);
         }
         else if (auto entry = TakeEntry(row))
         {
@@ -173,9 +177,7 @@
 
 void PlatformTables::UseServerNews(const ServersTold& told)
 {
-    if (told.m_Unsettled > Duration::zero())
-        m_Servers.OnUnsettled(Now() + told.m_Unsettled);
-    OnServerChanges(told.m_Rows);
+    OnServerChanges(told.m_Rows, Now() + told.m_Unsettled);
 }
 
 } // namespace aldervale
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -58,7 +58,7 @@
     void          OnWeightsRow(const Row& row);
     TableHandlers OperatorHandlers();
     void          OnServerList(const RowRead& read);
-    void          OnServerChanges(const RowRead& read);
+    void          OnServerChanges(const RowRead& read, std::optional<TimePoint> doubted_until = {}); // doubted_until: told by another process
 
     std::optional<ServerEntry> TakeEntry(const Row& row); // nothing: it can't be decoded, and names no server any more
 
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -281,14 +281,42 @@
 {
     ServerDirectory d;
     d.OnReadAll({Entry("left", "plain", "dc-1", 5)}, 10, kStart);
-    d.OnUnsettled(kStart + kLapseGrace);
-    d.OnRowGone("left", 11, kStart);
+    d.OnRowGoneTold("left", 11, kStart, kStart + kLapseGrace);
     for (int ms = 100; ms <= 3000; ms += 100)
     {
         if (ms % 500 == 0) // others come back
-            d.OnUnsettled(kStart + milliseconds(ms) + kLapseGrace);
+            d.OnRowGoneTold("left", 11, kStart + milliseconds(ms), kStart + milliseconds(ms) + kLapseGrace);
         d.Expire(kStart + milliseconds(ms));
         if (milliseconds(ms) >= kLapseGrace)
             BOOST_TEST(d.Usable("plain").empty(), "still used after " << ms << " ms");
     }
 }
+
+BOOST_AUTO_TEST_CASE(of_a_row_that_was_told_as_gone_the_word_without_a_doubt_counts)
+{
+    ServerDirectory d;
+    d.OnReadAll({Entry("a", "plain", "dc-1", 5), Entry("b", "plain", "dc-1", 6)}, 10, kStart);
+    d.OnStoreLost(); // here; others read it
+    d.OnRowGoneTold("a", 11, kStart, kStart + kLapseGrace);
+    BOOST_TEST(d.Usable("plain").size() == 2u);
+    d.OnRowGoneTold("a", 11, kStart, kStart);
+    d.OnRowGoneTold("b", 12, kStart, kStart);
+    BOOST_TEST(d.Usable("plain").empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_is_kept_over_another_outage_of_the_store)
+{
+    ServerDirectory d;
+    d.OnReadAll({Entry("a", "plain", "dc-1", 5)}, 10, kStart);
+    d.OnStoreLost();
+    d.OnStoreReached(kStart);
+    d.OnRowGone("a", 11, kStart);
+    d.OnStoreLost();
+    d.Expire(kStart + 2 * kLapseGrace);
+    BOOST_TEST(d.Usable("plain").size() == 1u);
+    d.OnStoreReached(kStart + 2 * kLapseGrace);
+    d.Expire(kStart + 3 * kLapseGrace - milliseconds(1));
+    BOOST_TEST(d.Usable("plain").size() == 1u);
+    d.Expire(kStart + 3 * kLapseGrace);
+    BOOST_TEST(d.Usable("plain").empty());
+}
