--- a/src/process/server_news.h
+++ b/src/process/server_news.h
@@ -7,14 +7,12 @@
 // How it is told:
 //   - News are datagrams: rows that changed from one store version to another. Each follows on what was told before, so who misses one sees the
 //     gap, at the latest with the next sign of life (kServersNewsEvery), and reads from the store where it is.
-//   - Who sees a gap asks the teller at once for what changed since, and reads itself only if that brings nothing. 29 routers of a region and as many
-//   boxes
-//     that each read 200 to 400 kB over the region's one link of 26 Mbit/s had them 2 to 4 s later.
+//   - Who sees a gap asks the teller at once for what changed since, and reads itself only if that brings nothing. 29 routers of a region that
+//     each read 200 to 400 kB over the region's one link of 26 Mbit/s had them 2 to 4 s later.
 //   - Intervals may overlap: two readers of a region each tell all that they read. A row that is known already changes nothing.
-//   - What is told has an age: how long ago the store was asked for the answer that confirmed it. What a process holds is as old as the best that it
-//   was
-//     told, or read itself. A sign of life says nothing more: readers that the store had fallen silent to went on telling that they live, and a
-//     region sent to servers for 4 to 5 s after those had said that they leave.
+//   - What is told has an age: how long ago the store was asked for the answer that confirmed it. What a process holds is as old as the best
+//     that it was told, or read itself. A sign of life says nothing more: readers that the store had fallen silent to went on telling that
+//     they live, and a region sent to servers for 4 to 5 s after those had said that they leave.
 //   - Whoever holds nothing younger than m_Fresh reads for itself, the better its rank the sooner, and tells the others. So the age of what
 //     anybody acts on has one bound, whatever failed: kServersFresh and what it takes to read (kServersKnownMax). Two leads of a
 //     region that were cut off from the store while the third router was not, and waited for them, had it send 7 requests to a server 2.1 to 2.6 s
@@ -36,8 +34,7 @@
 constexpr auto   kServersAskEvery  = milliseconds(150); // of a process with a gap: a way and back, and what is sent to others that ask
 
 // A reader asks, waits, pauses and asks again: with one of two readers gone and one answer late, what it tells is still fresh.
-constexpr auto kServersWait = milliseconds(100);    // of a reader's standing request: any row of any table ends it; while nothing changes the answer
-                                                    // itself is the news
+constexpr auto kServersWait   = milliseconds(100);  // of a reader's standing request, which any row of any table ends
 constexpr auto kServersMargin = milliseconds(1200); // for its answer beyond that
 constexpr auto kServersQuiet  = milliseconds(700);  // pause of a reader after an answer without changes
 
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -242,12 +242,11 @@
                                   {"checked_age_ms", ToMs(r.m_List->CheckedAge(Now()))}});
 }
 
-void LogUnlisted(const Router& r, const Row& row)
+// kept: its entry stays usable for the grace of an outage.
+void LogUnlisted(const Router& r, const Row& row, bool kept)
 {
-    LogEvent(Event_ServerUnlisted, {{"server", row.m_Key},
-                                    {"row_version", row.m_Version},
-                                    {"kept_ms", ToMs(r.m_World.m_Servers.UnsettledFor(Now()))}, // usable for so long: it may live
-                                    {"checked_age_ms", ToMs(r.m_List->CheckedAge(Now()))}});
+    LogEvent(Event_ServerUnlisted,
+             {{"server", row.m_Key}, {"row_version", row.m_Version}, {"kept", kept}, {"checked_age_ms", ToMs(r.m_List->CheckedAge(Now()))}});
 }
 
 void OnServers(Router& r, bool changed)
@@ -308,7 +307,7 @@
     h.m_OnNamed         = [&r](const platform::NamedWeights& named) { OnNamed(r, named); };
     h.m_OnOperatorRead  = [&r] { r.m_OperatorRead = true; };
     h.m_OnListed        = [&r](const ServerEntry& e) { LogServer(r, e); };
-    h.m_OnUnlisted      = [&r](const Row& row) { LogUnlisted(r, row); };
+    h.m_OnUnlisted      = [&r](const Row& row, bool kept) { LogUnlisted(r, row, kept); };
     h.m_OnServers       = [&r](bool changed) { OnServers(r, changed); };
     h.m_OnListRead      = [&r](uint64_t since, TimePoint asked) { r.m_List->OnListRead(since, asked); };
     r.m_List            = std::make_unique<ServerListShare>(*r.m_Loads, *r.m_Peers, r.m_World.m_Servers);
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -149,21 +149,25 @@
     m_Handlers.m_OnServers(true);
 }
 
+void PlatformTables::OnServerGone(const Row& row, std::optional<TimePoint> doubted_until)
+{
+    const TimePoint now   = Now();
+    const bool      known = m_Servers.Find(row.m_Key) != nullptr;
+    if (doubted_until)
+        m_Servers.OnRowGoneTold(row.m_Key, row.m_Version, now, *doubted_until);
+    else
+        m_Servers.OnRowGone(row.m_Key, row.m_Version, now);
+    if (known && m_Handlers.m_OnUnlisted)
+        m_Handlers.m_OnUnlisted(row, m_Servers.Find(row.m_Key) != nullptr);
+}
+
 void PlatformTables::OnServerChanges(const RowRead& read, std::optional<TimePoint> doubted_until)
 {
-    const TimePoint now    = Now();
-    const uint64_t  before = m_Servers.Changes();
+    const uint64_t before = m_Servers.Changes();
     for (const Row& row : read.m_Rows)
     {
         if (row.m_Gone)
-        {
-            if (m_Handlers.m_OnUnlisted && m_Servers.Find(row.m_Key) != nullptr)
-                m_Handlers.m_OnUnlisted(row);
-            if (doubted_until)
-                m_Servers.OnRowGoneTold(row.m_Key, row.m_Version, now, *doubted_until);
-            else
-                m_Servers.OnRowGone(row.m_Key, row.m_Version, now);
-        }
+            OnServerGone(row, doubted_until);
         else if (auto entry = TakeEntry(row))
         {
             if (m_Handlers.m_OnListed && m_Servers.Takes(*entry))
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -30,8 +30,8 @@
     std::function<void(const platform::NamedWeights& named)>              m_OnNamed;  // a version of weights, perhaps a known one
     std::function<void()>                                                 m_OnOperatorRead; // after what one read of the operators' table told
     std::function<void(const ServerEntry& entry)>                         m_OnListed;       // before it goes into the directory; may be empty
-    std::function<void(const Row& row)>                                   m_OnUnlisted;     // before it leaves the directory; may be empty
-    std::function<void(bool changed)>                                     m_OnServers;      // the directory took a read; the first one changes it
+    std::function<void(const Row& row, bool kept)> m_OnUnlisted; // its row went away; kept: its entry stays a while, it may live; may be empty
+    std::function<void(bool changed)>              m_OnServers;  // the directory took a read; the first one changes it
     std::function<void(uint64_t since, TimePoint asked)>
         m_OnListRead; // the directory took an answer of the store about what follows on `since`; may be empty
 };
@@ -58,6 +58,7 @@
     void          OnWeightsRow(const Row& row);
     TableHandlers OperatorHandlers();
     void          OnServerList(const RowRead& read);
+    void          OnServerGone(const Row& row, std::optional<TimePoint> doubted_until);
     void          OnServerChanges(const RowRead& read, std::optional<TimePoint> doubted_until = {}); // doubted_until: told by another process
 
     std::optional<ServerEntry> TakeEntry(const Row& row); // nothing: it can't be decoded, and names no server any more
