--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -184,6 +184,13 @@
     return Endpoint{e.address(), e.port()};
 }
 
+void SendServersAsk(udp::socket& socket, const Endpoint& router, uint64_t held)
+{
+    wire::ServersAskT ask;
+    ask.held = held;
+    SendDatagram(socket, ToUdp(router), ask);
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -260,9 +267,7 @@
 
 void LoadListener::AskServers(const Endpoint& router, uint64_t held)
 {
-    wire::ServersAskT ask;
-    ask.held = held;
-    SendDatagram(m_Socket, ToUdp(router), ask);
+    SendServersAsk(m_Socket, router, held);
 }
 
 void LoadListener::AskPlace(const Endpoint& box, uint64_t number)
@@ -436,9 +441,7 @@
 
 void LoadPublisher::AskServers(const Endpoint& router, uint64_t held)
 {
-    wire::ServersAskT ask;
-    ask.held = held;
-    SendDatagram(m_Socket, ToUdp(router), ask);
+    SendServersAsk(m_Socket, router, held);
 }
 
 // A router that follows one box in eight like this one stands for eight of its kind.
