--- a/src/connection/paced_sender.cpp
+++ b/src/connection/paced_sender.cpp
@@ -15,7 +15,6 @@
             m_Queue.push_back({receiver, frame});
             continue;
         }
-        m_Dropped++;
         dropped.Add(1);
     }
     if (m_Running || m_Queue.empty())
@@ -28,7 +27,7 @@
         m_Socket.get_executor(), [this] { return SendRest(); }, asio::detached);
 }
 
-bool PacedSender::SendSome()
+void PacedSender::SendSome()
 {
     for (size_t i = 0; i < kPacedBurst && !m_Queue.empty(); i++)
     {
@@ -36,10 +35,9 @@
         boost::system::error_code ec;
         m_Socket.send_to(asio::buffer(d.m_Frame->data() + kFramePrefixLen, d.m_Frame->size() - kFramePrefixLen), d.m_To, 0, ec);
         if (ec == asio::error::would_block)
-            return false;
+            return;
         m_Queue.pop_front(); // whoever can't be reached misses it, and sees the gap
     }
-    return true;
 }
 
 awaitable<void> PacedSender::SendRest()
--- a/src/connection/paced_sender.h
+++ b/src/connection/paced_sender.h
@@ -29,9 +29,7 @@
 public:
     explicit PacedSender(udp::socket& socket) : m_Socket(socket) {}
 
-    void     Send(const FrameBytes& frame, std::span<const udp::endpoint> to);
-    size_t   Waiting() const { return m_Queue.size(); }
-    uint64_t Dropped() const { return m_Dropped; }
+    void Send(const FrameBytes& frame, std::span<const udp::endpoint> to);
 
 private:
     struct Datagram
@@ -40,12 +38,11 @@
         FrameBytes    m_Frame; // shared by all receivers
     };
 
-    bool            SendSome(); // one burst; false: the socket takes no more now
+    void            SendSome(); // one burst, or less if the socket takes no more now
     awaitable<void> SendRest();
 
     udp::socket&         m_Socket;          //
     std::deque<Datagram> m_Queue;           // oldest first
-    uint64_t             m_Dropped = 0;     //
     bool                 m_Running = false; // SendRest() is under way
 };
 
--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -48,7 +48,7 @@
     ServerLife Life() const { return {m_Id, m_BornMs}; }
 };
 
-struct ListedServer
+struct ListedServer // a row of the whole list
 {
     ServerEntry m_Entry; //
     std::string m_Text;  // see ServerDirectory::OnRow()
