--- a/tests/test_load_channel.cpp
+++ b/tests/test_load_channel.cpp
@@ -340,9 +340,12 @@
     SilentBox             box(ioc, On(9, 2, port));
     std::vector<Endpoint> to(kPacedBurst + 10, On(9, 2, port));
     reader.m_Listener.TellServers(to, NewsOfRows());
-    const auto first = box.Take();
+    std::vector<std::vector<uint8_t>> first;
+    while (first.size() < kPacedBurst) // nothing runs that could send more; the system may hand them over a little later
+        for (std::vector<uint8_t>& datagram : box.Take())
+            first.push_back(std::move(datagram));
     BOOST_TEST(first.size() == kPacedBurst);
-    for (const auto& datagram : first)
+    for (const std::vector<uint8_t>& datagram : first)
         BOOST_TEST(datagram.size() <= kDatagramMax);
     size_t rest = 0;
     BOOST_TEST(RunUntil(ioc, [&] { return (rest += box.Take().size()) == 10; }));
