News tell their age as they are sent, not as they begin to wait

The age goes beside the packed rows (ServersPacked.checked_age_ms) and is taken for each burst; PacedSender encodes a message as it sends it.

--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -11,15 +11,16 @@
 {
 
 constexpr auto     kNoThrow      = asio::as_tuple(asio::use_awaitable);
-constexpr size_t   kAskBytes     = 160;       // of a request for reports besides its texts and namings, at most
-constexpr size_t   kReceiveMax   = 16 * 1024; // bytes of a datagram: rows of one store version stay in one (server_news.h)
-constexpr double   kReadingMaxMs = 60'000;    // of one prompt; more is no prompt
-constexpr uint32_t kClaimMaxMs   = 2000;      // that a claim stands in line; callers' objectives are shorter
-constexpr float    kPaceMin      = 0.01F;     // of an engine, against its declared costs
-constexpr float    kPaceMax      = 1000;      //
-constexpr double   kShareMin     = 0.001;     // of boxes that a router follows
-constexpr size_t   kUnpackedMax  = 64 * 1024; // bytes of a packed datagram when expanded
-constexpr size_t   kNamingBytes  = 144;       // of a naming besides the names in it, at most; with an IPv6 address and a port
+constexpr size_t   kAskBytes     = 160;           // of a request for reports besides its texts and namings, at most
+constexpr size_t   kReceiveMax   = 16 * 1024;     // bytes of a datagram: rows of one store version stay in one (server_news.h)
+constexpr double   kReadingMaxMs = 60'000;        // of one prompt; more is no prompt
+constexpr uint32_t kClaimMaxMs   = 2000;          // that a claim stands in line; callers' objectives are shorter
+constexpr float    kPaceMin      = 0.01F;         // of an engine, against its declared costs
+constexpr float    kPaceMax      = 1000;          //
+constexpr double   kShareMin     = 0.001;         // of boxes that a router follows
+constexpr auto     kAgeMax       = seconds(3600); // that is told; says as much as any longer one
+constexpr size_t   kUnpackedMax  = 64 * 1024;     // bytes of a packed datagram when expanded
+constexpr size_t   kNamingBytes  = 144;           // of a naming besides the names in it, at most; with an IPv6 address and a port
 
 Status OpenUdp(udp::socket& socket, const Endpoint& at)
 {
@@ -44,7 +45,8 @@
     return !ec;
 }
 
-FrameBytes PackServers(const wire::ServersNewsT& news)
+// checked_at: as of when the news are the newest; the receiver is told how long ago that was as it is sent.
+PacedSender::Message PackServers(const wire::ServersNewsT& news, TimePoint checked_at)
 {
     const FrameBytes       frame = EncodeFrame(0, news);
     const std::string_view text(reinterpret_cast<const char*>(frame->data()) + kFramePrefixLen, frame->size() - kFramePrefixLen);
@@ -52,10 +54,15 @@
     wire::ServersPackedT   out;
     out.length = static_cast<uint32_t>(text.size());
     out.bytes.assign(bytes.begin(), bytes.end());
-    return EncodeFrame(0, out);
+    return [out, checked_at]() mutable
+    {
+        const Duration age = std::clamp<Duration>(Now() - checked_at, Duration::zero(), kAgeMax);
+        out.checked_age_ms = static_cast<uint32_t>(ToMs(age));
+        return EncodeFrame(0, out);
+    };
 }
 
-using ServersHandler = std::function<void(const wire::ServersNews& news, const Endpoint& from)>;
+using ServersHandler = std::function<void(const wire::ServersNews& news, Duration checked_age, const Endpoint& from)>;
 
 // Bytes that aren't a whole frame of that kind are passed over, like any other datagram.
 void UnpackServers(const wire::ServersPacked& packed, const Endpoint& from, const ServersHandler& handler)
@@ -71,7 +78,7 @@
         return;
     const wire::ServersNews* news = flatbuffers::GetRoot<wire::Frame>(frame.data())->body_as_ServersNews();
     if (news != nullptr)
-        handler(*news, from);
+        handler(*news, milliseconds(packed.checked_age_ms()), from);
 }
 
 using FrameHandler = std::function<void(const wire::Frame& frame, const udp::endpoint& from)>;
@@ -248,7 +255,7 @@
         m_OnNews(*news, FromUdp(from));
 }
 
-void LoadListener::TellServers(std::span<const Endpoint> routers, const wire::ServersNewsT& news)
+void LoadListener::TellServers(std::span<const Endpoint> routers, const wire::ServersNewsT& news, TimePoint checked_at)
 {
     std::vector<udp::endpoint> to;
     for (const Endpoint& router : routers)
@@ -256,13 +263,13 @@
     for (const FollowedBox& box : m_Boxes)
         if (box.m_Near)
             to.push_back(ToUdp(box.m_At));
-    m_Paced.Send(PackServers(news), to);
+    m_Paced.Send(PackServers(news, checked_at), to);
 }
 
-void LoadListener::AnswerServers(const Endpoint& asker, const wire::ServersNewsT& news)
+void LoadListener::AnswerServers(const Endpoint& asker, const wire::ServersNewsT& news, TimePoint checked_at)
 {
     const udp::endpoint to = ToUdp(asker);
-    m_Paced.Send(PackServers(news), std::span(&to, 1));
+    m_Paced.Send(PackServers(news, checked_at), std::span(&to, 1));
 }
 
 void LoadListener::AskServers(const Endpoint& router, uint64_t held)
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -92,7 +92,7 @@
     using Handler        = std::function<void(const asio::ip::address& box, const LoadReport& report)>;
     using RoutersHandler = std::function<void(std::span<const RouterPeer> routers)>;
     using NewsHandler    = std::function<void(const wire::DeclarationsNews& news, const Endpoint& from)>;
-    using ServersHandler = std::function<void(const wire::ServersNews& news, const Endpoint& from)>;
+    using ServersHandler = std::function<void(const wire::ServersNews& news, Duration checked_age, const Endpoint& from)>;
     using AskedHandler   = std::function<void(uint64_t held, const Endpoint& from)>;
     using PlaceHandler   = std::function<void(uint64_t number, const Endpoint& box, const LoadReport& state)>;
     using GrantHandler   = std::function<void(uint64_t number, const Endpoint& box, bool granted)>;
@@ -113,11 +113,12 @@
     void   SetOnRouters(RoutersHandler fn) { m_OnRouters = std::move(fn); } // an agent listed the routers that it knows
     void   SetOnNews(NewsHandler fn) { m_OnNews = std::move(fn); }          // another router told of its declarations
     void   Tell(const Endpoint& router, const wire::DeclarationsNewsT& news);
-    void   SetOnServers(ServersHandler fn) { m_OnServers = std::move(fn); }                // another router told of the list of servers
-    void   SetOnServersAsked(AskedHandler fn) { m_OnServersAsked = std::move(fn); }        // a router or box misses what changed since it held that
-    void   TellServers(std::span<const Endpoint> routers, const wire::ServersNewsT& news); // and the boxes of the own data centre
-    void   AnswerServers(const Endpoint& asker, const wire::ServersNewsT& news);
-    void   AskServers(const Endpoint& router, uint64_t held);
+    void   SetOnServers(ServersHandler fn) { m_OnServers = std::move(fn); }         // another router told of the list of servers
+    void   SetOnServersAsked(AskedHandler fn) { m_OnServersAsked = std::move(fn); } // a router or box misses what changed since it held that
+    // To these and the boxes of the own data centre; checked_at: the store was asked then for the answer that confirms them as the newest.
+    void TellServers(std::span<const Endpoint> routers, const wire::ServersNewsT& news, TimePoint checked_at);
+    void AnswerServers(const Endpoint& asker, const wire::ServersNewsT& news, TimePoint checked_at);
+    void AskServers(const Endpoint& router, uint64_t held);
 
 private:
     void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
@@ -152,7 +153,7 @@
 {
 public:
     using NamedHandler   = std::function<void(const ModelNaming& named)>;
-    using ServersHandler = std::function<void(const wire::ServersNews& news, const Endpoint& from)>;
+    using ServersHandler = std::function<void(const wire::ServersNews& news, Duration checked_age, const Endpoint& from)>;
     using AskHandler     = std::function<void(const PlaceQuestion& question)>;
     using TakeHandler    = std::function<void(double reading_ms)>;
     using ClaimHandler   = std::function<void(const ClaimMessage& claim)>;
--- a/src/connection/paced_sender.cpp
+++ b/src/connection/paced_sender.cpp
@@ -5,14 +5,15 @@
 namespace aldervale
 {
 
-void PacedSender::Send(const FrameBytes& frame, std::span<const udp::endpoint> to)
+void PacedSender::Send(Message message, std::span<const udp::endpoint> to)
 {
     static Counter& dropped = Metrics().GetCounter("aldervale_datagrams_dropped_total");
+    const auto      shared  = std::make_shared<const Message>(std::move(message));
     for (const udp::endpoint& receiver : to)
     {
         if (m_Queue.size() < kQueuedMax)
         {
-            m_Queue.push_back({receiver, frame});
+            m_Queue.push_back({receiver, shared});
             continue;
         }
         dropped.Add(1);
@@ -29,11 +30,16 @@
 
 void PacedSender::SendSome()
 {
+    const Message* encoded = nullptr;
+    FrameBytes     frame;
     for (size_t i = 0; i < kPacedBurst && !m_Queue.empty(); i++)
     {
-        const Datagram&           d = m_Queue.front();
+        const Datagram& d = m_Queue.front();
+        if (d.m_Message.get() != encoded)
+            frame = (*d.m_Message)();
+        encoded = d.m_Message.get();
         boost::system::error_code ec;
-        m_Socket.send_to(asio::buffer(d.m_Frame->data() + kFramePrefixLen, d.m_Frame->size() - kFramePrefixLen), d.m_To, 0, ec);
+        m_Socket.send_to(asio::buffer(frame->data() + kFramePrefixLen, frame->size() - kFramePrefixLen), d.m_To, 0, ec);
         if (ec == asio::error::would_block)
             return;
         m_Queue.pop_front(); // whoever can't be reached misses it, and sees the gap
--- a/src/connection/paced_sender.h
+++ b/src/connection/paced_sender.h
@@ -6,8 +6,9 @@
 //
 // Usage:
 //   PacedSender s(socket);
-//   s.Send(frame, receivers);            // the same frame to each of them
+//   s.Send([] { return EncodeFrame(0, message); }, receivers);
 //
+// A message is encoded as it is sent, not as it begins to wait: it may tell ages, and a process may stand still between the two.
 // The socket outlives it; touched on the socket's executor only.
 
 #pragma once
@@ -29,13 +30,15 @@
 public:
     explicit PacedSender(udp::socket& socket) : m_Socket(socket) {}
 
-    void Send(const FrameBytes& frame, std::span<const udp::endpoint> to);
+    using Message = std::function<FrameBytes()>; // called once for each burst that it is in
+
+    void Send(Message message, std::span<const udp::endpoint> to);
 
 private:
     struct Datagram
     {
-        udp::endpoint m_To;    //
-        FrameBytes    m_Frame; // shared by all receivers
+        udp::endpoint                  m_To;      //
+        std::shared_ptr<const Message> m_Message; // shared by all receivers
     };
 
     void            SendSome(); // one burst, or less if the socket takes no more now
--- a/src/process/server_news.cpp
+++ b/src/process/server_news.cpp
@@ -45,7 +45,7 @@
     ServersTold told;
     told.m_Since               = held;
     told.m_Rows.m_StoreVersion = held;
-    told.m_CheckedAge          = CheckedAge(now);
+    told.m_CheckedAge          = now - m_AskedAt;
     told.m_Lost                = !reachable || told.m_CheckedAge > kServersFresh;
     return told;
 }
--- a/src/process/server_news.h
+++ b/src/process/server_news.h
@@ -78,7 +78,7 @@
 {
 public:
     void        OnAnswer(TimePoint asked) { m_AskedAt = std::max(m_AskedAt, asked); } // the store answered about the list
-    Duration    CheckedAge(TimePoint now) const { return now - m_AskedAt; }
+    TimePoint   CheckedAt() const { return m_AskedAt; }
     ServersTold SignOfLife(uint64_t held, bool reachable, TimePoint now) const; // or that it can't read. reachable: its last read didn't fail
 
 private:
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -119,9 +119,9 @@
     return held == 0 || (!a.m_Transfer->UnderWay() && a.m_News.Reads(held, 0, Now()));
 }
 
-void OnServersNews(Agent& a, const wire::ServersNews& news, const Endpoint& from)
+void OnServersNews(Agent& a, const wire::ServersNews& news, Duration checked_age, const Endpoint& from)
 {
-    const ServersTold told = FromWire(news);
+    const ServersTold told = FromWire(news, checked_age);
     const bool        fits = a.m_News.OnNews(told, a.m_Servers.StoreVersion(), Now());
     if (fits)
         a.m_Tables->UseServerNews(told);
@@ -158,7 +158,7 @@
     h.m_OnOperatorRead  = [&a] { a.m_Known->OnRead(); };
     h.m_OnServers       = [&a](bool) { FollowPeers(a); };
     h.m_OnListRead      = [&a](uint64_t, TimePoint asked) { a.m_News.OnOwnRead(asked); };
-    a.m_Publisher->SetOnServers([&a](const wire::ServersNews& news, const Endpoint& from) { OnServersNews(a, news, from); });
+    a.m_Publisher->SetOnServers([&a](const wire::ServersNews& news, Duration age, const Endpoint& from) { OnServersNews(a, news, age, from); });
     a.m_Tables = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, Paces(a), a.m_Servers, h);
 }
 
--- a/src/programs/server_list_share.cpp
+++ b/src/programs/server_list_share.cpp
@@ -10,7 +10,7 @@
 void ServerListShare::Start(PlatformTables& tables)
 {
     m_Tables = &tables;
-    m_Loads.SetOnServers([this](const wire::ServersNews& news, const Endpoint& from) { OnNews(news, from); });
+    m_Loads.SetOnServers([this](const wire::ServersNews& news, Duration age, const Endpoint& from) { OnNews(news, age, from); });
     m_Loads.SetOnServersAsked([this](uint64_t held, const Endpoint& from) { OnAsked(held, from); });
 }
 
@@ -36,16 +36,16 @@
     return m_Servers.StoreVersion() > 0 && (m_Peers.ReadsStore() || m_News.Stale(Now()));
 }
 
-wire::ServersNewsT ServerListShare::Dated(ServersTold told) const
+// With the doubt about rows that went away as of now.
+wire::ServersNewsT ServerListShare::Doubted(ServersTold told) const
 {
-    told.m_Unsettled  = m_Servers.UnsettledFor(Now());
-    told.m_CheckedAge = m_Reader.CheckedAge(Now());
+    told.m_Unsettled = m_Servers.UnsettledFor(Now());
     return ToWire(told);
 }
 
 void ServerListShare::Tell(const ServersTold& told)
 {
-    m_Loads.TellServers(m_Peers.Spread().Near(), Dated(told));
+    m_Loads.TellServers(m_Peers.Spread().Near(), Doubted(told), m_Reader.CheckedAt());
 }
 
 void ServerListShare::OnListRead(uint64_t since, TimePoint asked)
@@ -70,7 +70,7 @@
     if (!changes)
         return;
     for (const ServersTold& told : SplitServerNews(held, *changes))
-        m_Loads.AnswerServers(from, Dated(told));
+        m_Loads.AnswerServers(from, Doubted(told), m_Reader.CheckedAt());
 }
 
 // Or that it can't.
@@ -81,11 +81,11 @@
     Tell(m_Reader.SignOfLife(m_Servers.StoreVersion(), m_Tables->ListReachable(), Now()));
 }
 
-void ServerListShare::OnNews(const wire::ServersNews& news, const Endpoint& from)
+void ServerListShare::OnNews(const wire::ServersNews& news, Duration checked_age, const Endpoint& from)
 {
     static Counter&   taken = Metrics().GetCounter("aldervale_server_news_total", "used=\"yes\"");
     static Counter&   gap   = Metrics().GetCounter("aldervale_server_news_total", "used=\"no\"");
-    const ServersTold told  = FromWire(news);
+    const ServersTold told  = FromWire(news, checked_age);
     const bool        fits  = m_News.OnNews(told, m_Servers.StoreVersion(), Now());
     (fits ? taken : gap).Add(1);
     if (fits && !told.m_Rows.m_Rows.empty())
--- a/src/programs/server_list_share.h
+++ b/src/programs/server_list_share.h
@@ -30,10 +30,10 @@
     bool Tells() const;
     void Tell(const ServersTold& told);
     void TellThatItReads();
-    void OnNews(const wire::ServersNews& news, const Endpoint& from);
+    void OnNews(const wire::ServersNews& news, Duration checked_age, const Endpoint& from);
     void OnAsked(uint64_t held, const Endpoint& from);
 
-    wire::ServersNewsT Dated(ServersTold told) const; // as of now
+    wire::ServersNewsT Doubted(ServersTold told) const;
 
     LoadListener&      m_Loads;            //
     DeclarationsPeers& m_Peers;            //
--- a/src/programs/server_news_wire.h
+++ b/src/programs/server_news_wire.h
@@ -6,13 +6,13 @@
 namespace aldervale
 {
 
-inline ServersTold FromWire(const wire::ServersNews& news)
+inline ServersTold FromWire(const wire::ServersNews& news, Duration checked_age)
 {
     ServersTold out;
     out.m_Since               = news.since();
     out.m_Lost                = news.lost();
     out.m_Unsettled           = milliseconds(news.unsettled_ms());
-    out.m_CheckedAge          = milliseconds(news.checked_age_ms());
+    out.m_CheckedAge          = checked_age;
     out.m_More                = news.more();
     out.m_Rows.m_StoreVersion = news.version();
     if (news.rows() == nullptr)
@@ -34,13 +34,11 @@
 inline wire::ServersNewsT ToWire(const ServersTold& told)
 {
     wire::ServersNewsT out;
-    constexpr auto     kOld = seconds(3600); // says as much as any longer one
-    out.since               = told.m_Since;
-    out.version             = told.m_Rows.m_StoreVersion;
-    out.lost                = told.m_Lost;
-    out.unsettled_ms        = static_cast<uint32_t>(ToMs(told.m_Unsettled));
-    out.checked_age_ms      = static_cast<uint32_t>(ToMs(std::clamp<Duration>(told.m_CheckedAge, Duration::zero(), kOld)));
-    out.more                = told.m_More;
+    out.since        = told.m_Since;
+    out.version      = told.m_Rows.m_StoreVersion;
+    out.lost         = told.m_Lost;
+    out.unsettled_ms = static_cast<uint32_t>(ToMs(told.m_Unsettled));
+    out.more         = told.m_More;
     for (const Row& row : told.m_Rows.m_Rows)
     {
         auto r     = std::make_unique<wire::ServerRowT>();
--- a/tests/test_load_channel.cpp
+++ b/tests/test_load_channel.cpp
@@ -323,11 +323,12 @@
     for (unsigned i = 0; i < kReceivers; i++)
     {
         others.push_back(std::make_unique<TestRouter>(ioc, On(9, 2 + i, port), "north"));
-        others.back()->m_Listener.SetOnServers([&rows, i](const wire::ServersNews& told, const Endpoint&) { rows[i] += told.rows()->size(); });
+        others.back()->m_Listener.SetOnServers([&rows, i](const wire::ServersNews& told, Duration, const Endpoint&)
+                                               { rows[i] += told.rows()->size(); });
         to.push_back(others.back()->m_At);
     }
     for (unsigned m = 0; m < kMessages; m++)
-        reader.m_Listener.TellServers(to, news);
+        reader.m_Listener.TellServers(to, news, Now());
     const auto whole = [&](size_t n) { return n == kMessages * news.rows.size(); };
     BOOST_TEST(RunUntil(ioc, [&] { return std::all_of(rows.begin(), rows.end(), whole); }));
 }
@@ -339,7 +340,7 @@
     TestRouter            reader(ioc, On(9, 1, port), "north");
     SilentBox             box(ioc, On(9, 2, port));
     std::vector<Endpoint> to(kPacedBurst + 10, On(9, 2, port));
-    reader.m_Listener.TellServers(to, NewsOfRows());
+    reader.m_Listener.TellServers(to, NewsOfRows(), Now());
     std::vector<std::vector<uint8_t>> first;
     while (first.size() < kPacedBurst) // nothing runs that could send more; the system may hand them over a little later
         for (std::vector<uint8_t>& datagram : box.Take())
@@ -365,13 +366,14 @@
             wire::ServersNewsT news;
             news.since   = held;
             news.version = held + 5;
-            reader.m_Listener.AnswerServers(from, news);
+            reader.m_Listener.AnswerServers(from, news, Now());
         });
     uint64_t router_holds = 0;
     uint64_t agent_holds  = 0;
-    asker.m_Listener.SetOnServers([&](const wire::ServersNews& news, const Endpoint& from)
+    asker.m_Listener.SetOnServers([&](const wire::ServersNews& news, Duration, const Endpoint& from)
                                   { router_holds = from == reader.m_At ? news.version() : 0; });
-    agent.SetOnServers([&](const wire::ServersNews& news, const Endpoint& from) { agent_holds = from == reader.m_At ? news.version() : 0; });
+    agent.SetOnServers([&](const wire::ServersNews& news, Duration, const Endpoint& from)
+                       { agent_holds = from == reader.m_At ? news.version() : 0; });
     asker.m_Listener.AskServers(reader.m_At, 20);
     agent.AskServers(reader.m_At, 30);
     BOOST_TEST(RunUntil(ioc, [&] { return router_holds == 25 && agent_holds == 35; }));
@@ -384,7 +386,7 @@
     TestRouter       router(ioc, On(10, 1, port), "north");
     TestRouter       teller(ioc, On(10, 3, port), "north");
     unsigned         heard = 0;
-    router.m_Listener.SetOnServers([&](const wire::ServersNews&, const Endpoint&) { heard++; });
+    router.m_Listener.SetOnServers([&](const wire::ServersNews&, Duration, const Endpoint&) { heard++; });
     udp::socket sender(ioc, udp::endpoint(asio::ip::make_address("127.7.10.2"), port));
     const auto  send = [&](const wire::ServersPackedT& packed)
     {
@@ -403,7 +405,25 @@
     packed.length           = static_cast<uint32_t>(text.size());
     packed.bytes.assign(bytes.begin(), bytes.end());
     send(packed);
-    teller.m_Listener.TellServers(std::vector<Endpoint>{router.m_At}, wire::ServersNewsT{});
+    teller.m_Listener.TellServers(std::vector<Endpoint>{router.m_At}, wire::ServersNewsT{}, Now());
     BOOST_TEST(RunUntil(ioc, [&] { return heard > 0; }));
     BOOST_TEST(heard == 1u);
 }
+
+// What waits to be sent grows older: a word that is told as young as when it began to wait would be taken for news as of now.
+BOOST_AUTO_TEST_CASE(news_tell_their_age_as_they_are_sent)
+{
+    asio::io_context      ioc;
+    const uint16_t        port = FreeEndpoint().m_Port;
+    TestRouter            reader(ioc, On(9, 1, port), "north");
+    TestRouter            hearer(ioc, On(9, 2, port), "north");
+    SilentBox             box(ioc, On(9, 3, port));
+    std::vector<Endpoint> to(kPacedBurst, On(9, 3, port));
+    Duration              age{};
+    to.push_back(hearer.m_At); // it waits for the others
+    hearer.m_Listener.SetOnServers([&](const wire::ServersNews&, Duration checked_age, const Endpoint&) { age = checked_age; });
+    reader.m_Listener.TellServers(to, NewsOfRows(), Now() - milliseconds(500));
+    std::this_thread::sleep_for(milliseconds(100)); // the process stands still
+    BOOST_TEST(RunUntil(ioc, [&] { return age > Duration::zero(); }));
+    BOOST_TEST(ToMs(age) >= 600);
+}
