--- a/src/process/server_news.h
+++ b/src/process/server_news.h
@@ -6,7 +6,7 @@
 //
 // How it is told:
 //   - News are datagrams: rows that changed from one store version to another. Each follows on what was told before, so who misses one sees the
-//     gap, at the latest with the next sign of life (kServersNewsEvery), and reads from the store where it is.
+//     gap, at the latest with the next sign of life (kServersNewsEvery).
 //   - Who sees a gap asks the teller at once for what changed since, and reads itself only if that brings nothing. 29 routers of a region that
 //     each read 200 to 400 kB over the region's one link of 26 Mbit/s had them 2 to 4 s later.
 //   - Intervals may overlap: two readers of a region each tell all that they read. A row that is known already changes nothing.
