One can see who ended a broken answer, and whether the router itself stood still

A broken stream left one line whose last reason was overwritten by the search for another server ("no server would answer in time"), so nobody could tell a server that fell silent from one that closed its connection, nor either from a router that got no processor. Each settled request now tells what ended its last attempt, how long its server had said nothing, and why no other server was tried; an answer that is broken off is a warning of its own and counted by cause; a process that was held up for over 250 ms says so.

Ruled out: telling it from the record of the incident, whose lines are cut before the reason. Conclusion: the three hypotheses can be told apart by two log lines.

--- a/src/common/events.h
+++ b/src/common/events.h
@@ -17,6 +17,7 @@
     X(1003, ProcessStopped, Info, "process stopped")                                                                                                 \
     X(1004, ProcessFailed, Error, "process can't go on")                                                                                             \
     X(1005, HandlerFailed, Error, "a request handler failed; its connection is closed")                                                              \
+    X(1006, ProcessStalled, Warn, "process stood still; what it measured meanwhile is late")                                                         \
     X(1101, LinkUp, Info, "link to a peer established")                                                                                              \
     X(1102, LinkDown, Warn, "link to a peer lost")                                                                                                   \
     X(1103, LinkRefused, Warn, "peer refused: bad frame or newer schema")                                                                            \
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -16,7 +16,9 @@
 {
 
 constexpr auto kDrainPoll     = milliseconds(50);
-constexpr auto kSettingsWatch = seconds(2); // between looks at the settings file's time of change
+constexpr auto kSettingsWatch = seconds(2);        // between looks at the settings file's time of change
+constexpr auto kStallLook     = milliseconds(250); // between looks whether the process was held up
+constexpr auto kStallLeast    = milliseconds(250); // a shorter hold-up ends no wait of ours that matters
 
 EventLevel ParseLevel(std::string_view name)
 {
@@ -133,6 +135,8 @@
     if (!m_SettingsFile.empty())
         asio::co_spawn(
             m_Ioc, [this] { return WatchSettings(); }, asio::detached);
+    asio::co_spawn(
+        m_Ioc, [this] { return WatchStalls(); }, asio::detached);
     if (m_Settings.m_OpsListen.empty())
         return Ok();
     const HttpHandler handler = [this](HttpRequest& req, HttpReply& reply) -> awaitable<void>
@@ -175,6 +179,22 @@
     }
 }
 
+// Without it a process that got no processor, or was busy with one long task, looks in its logs as if its peers had been silent.
+awaitable<void> Daemon::WatchStalls()
+{
+    static HistogramMetric& stalls = Metrics().GetHistogram("aldervale_process_stall_seconds");
+    for (;;)
+    {
+        const TimePoint due = Now() + kStallLook;
+        co_await SleepFor(kStallLook);
+        const Duration late = Now() - due;
+        if (late < kStallLeast)
+            continue;
+        stalls.Record(ToSeconds(late));
+        LogEvent(Event_ProcessStalled, {{"late_ms", ToMs(late)}});
+    }
+}
+
 void Daemon::Reload(std::string_view why)
 {
     const std::vector<SettingFault> faults = m_Load ? m_Load() : std::vector<SettingFault>();
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -78,6 +78,7 @@
 private:
     awaitable<void> WaitForSignal();
     awaitable<void> WatchSettings(); // the file may change without a signal
+    awaitable<void> WatchStalls();   // tells when the process was held up
     void            Reload(std::string_view why);
     awaitable<void> DrainAndStop();
 
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -33,6 +33,19 @@
     return pace.m_Begun && (pace.m_First > call.m_Choice.m_Predicted + call.m_Route->m_Goal || pace.m_Gap > call.m_Route->m_MaxGap);
 }
 
+AttemptCause CauseOf(const Error& e)
+{
+    if (e.m_Verdict == Verdict_NotRun)
+        return AttemptCause_Unreachable;
+    return e.m_Code == ErrorCode_Timeout ? AttemptCause_Silence : AttemptCause_Closed;
+}
+
+void NoteFailure(Call& call, AttemptCause cause, std::string why)
+{
+    call.m_Cause = cause;
+    call.m_Why   = std::move(why);
+}
+
 ServerOutcome OutcomeOf(AttemptEnd end, const Call& call, bool reached, const StreamPace& pace)
 {
     if (end == AttemptEnd_CallerGone || call.m_Abort.Aborted())
@@ -110,9 +123,9 @@
     auto       opened  = co_await m_Client.Open(server.m_Address, forward, head_until, options);
     if (!opened)
     {
-        reached    = opened.error().m_Verdict != Verdict_NotRun;
-        end        = reached ? AttemptEnd_MayHaveRun : AttemptEnd_NotRun;
-        call.m_Why = opened.error().m_Message;
+        reached = opened.error().m_Verdict != Verdict_NotRun;
+        end     = reached ? AttemptEnd_MayHaveRun : AttemptEnd_NotRun;
+        NoteFailure(call, CauseOf(opened.error()), opened.error().m_Message);
     }
     if (reached)
         call.m_Tried.push_back(life);
@@ -128,12 +141,15 @@
 {
     if (call.m_Abort.Aborted())
         end = AttemptEnd_CallerGone;
+    if (end == AttemptEnd_CallerGone)
+        call.m_Cause = AttemptCause_CallerGone;
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerFault)
         call.m_MayHaveRun = true;
     const TimePoint now      = Now();
     const bool      too_late = now >= call.m_Deadline - kEndSlack && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
     if (too_late)
-        call.m_Why = "deadline reached";
+        NoteFailure(call, AttemptCause_Deadline, "deadline reached");
+    call.m_Quiet                = now - std::max(pace.m_SentAt, pace.m_HeardAt);
     const ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached, pace);
     const double        unread  = pace.m_Begun ? 0 : call.m_Caller.m_Prompt;
     m_Choice.OnEnd(server, outcome, unread, now - pace.m_SentAt, now);
@@ -150,7 +166,7 @@
     const ServerAnswer answer = m_Protocol.DecodeAnswer(stream.Head());
     if (answer.m_NotRun)
     {
-        call.m_Why = "server " + server.m_Id + " refused with " + std::to_string(status);
+        NoteFailure(call, AttemptCause_Refused, "server " + server.m_Id + " refused with " + std::to_string(status));
         co_await ReadToEnd(stream, Now() + milliseconds(m_Settings.m_ConnectMs));
         co_return AttemptEnd_NotRun;
     }
@@ -167,7 +183,7 @@
         const auto piece = co_await stream.Read(call.m_Deadline - kEndSlack);
         if (!piece)
         {
-            call.m_Why = piece.error().m_Message;
+            NoteFailure(call, CauseOf(piece.error()), piece.error().m_Message);
             co_return AttemptEnd_MayHaveRun;
         }
         if (piece.value().m_Done)
@@ -175,18 +191,18 @@
         res.m_Body.append(piece.value().m_Bytes);
         if (res.m_Body.size() > kAnswerMax)
         {
-            call.m_Why = "answer over the bound";
+            NoteFailure(call, AttemptCause_Spoilt, "answer over the bound");
             co_return AttemptEnd_MayHaveRun;
         }
     }
     if (call.m_HeadSent) // a stream that was to be taken up ended in another answer
     {
-        call.m_Why = "server answered " + std::to_string(res.m_Status) + " to a resumed stream";
+        NoteFailure(call, AttemptCause_Fault, "server answered " + std::to_string(res.m_Status) + " to a resumed stream");
         co_return AttemptEnd_MayHaveRun;
     }
     if (IsServerFault(res.m_Status))
     {
-        call.m_Why   = "server answered " + std::to_string(res.m_Status);
+        NoteFailure(call, AttemptCause_Fault, "server answered " + std::to_string(res.m_Status));
         call.m_Fault = std::move(res);
         co_return AttemptEnd_ServerFault;
     }
@@ -239,11 +255,12 @@
         const auto     piece    = co_await stream.Read(resume ? std::min(end_at, heard + patience) : end_at);
         if (!piece)
         {
-            call.m_Why = piece.error().m_Message;
+            NoteFailure(call, CauseOf(piece.error()), piece.error().m_Message);
             co_return AttemptEnd_MayHaveRun;
         }
         if (piece.value().m_Done)
             break;
+        pace.m_HeardAt = Now();
         events.Feed(piece.value().m_Bytes);
         const std::string out = TakeEvents(call, events);
         if (out.empty())
@@ -259,7 +276,7 @@
     }
     if (events.Left() > 0 || !call.m_HeadSent)
     {
-        call.m_Why = "stream ended inside an event";
+        NoteFailure(call, AttemptCause_Closed, "stream ended inside an event");
         co_return AttemptEnd_MayHaveRun;
     }
     co_await call.m_Reply.Finish({});
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -16,6 +16,9 @@
 constexpr double   kBudgetGrown    = 1.5;                // times the routers that budgets were built for, from which on they are built anew
 constexpr double   kBudgetShare    = 0.6;                // of the declared budget that routers use together: windows slide
 
+constexpr std::string_view kCauseNames[]   = {"none", "silence", "closed", "refused", "unreachable", "fault", "spoilt", "deadline", "caller-gone"};
+constexpr std::string_view kGivenUpNames[] = {"no", "no-server", "attempts", "budget", "no-time", "runs-once"};
+
 Counter& OutcomeCounter(std::string_view outcome)
 {
     return Metrics().GetCounter("aldervale_requests_total", "outcome=\"" + std::string(outcome) + "\"");
@@ -23,6 +26,16 @@
 
 } // namespace
 
+std::string_view CauseName(AttemptCause c)
+{
+    return kCauseNames[c];
+}
+
+std::string_view GivenUpName(GivenUp g)
+{
+    return kGivenUpNames[g];
+}
+
 std::vector<SettingSpec> DescribeDirectServe(DirectServeSettings& s)
 {
     return {
@@ -149,17 +162,27 @@
 // Attempts
 //-----------------------------------------------------------------------------
 
+GivenUp DirectServe::Impl::WhyNotAgain(const Call& call, AttemptEnd end, TimePoint now) const
+{
+    if (call.Left(now) < kMinLeft)
+        return GivenUp_NoTime;
+    if (call.m_Tried.size() >= call.m_Route->m_MaxAttempts)
+        return GivenUp_Attempts;
+    return end != AttemptEnd_NotRun && !call.m_Route->MayRepeat() ? GivenUp_RunsOnce : GivenUp_No;
+}
+
 bool DirectServe::Impl::TryAgain(Call& call, AttemptEnd end, TimePoint now)
 {
     if (end == AttemptEnd_Answered || end == AttemptEnd_CallerGone || call.m_Abort.Aborted())
         return false;
-    if (call.Left(now) < kMinLeft || call.m_Tried.size() >= call.m_Route->m_MaxAttempts)
-        return false;
-    const bool repeatable = call.m_Route->MayRepeat();
-    if (end != AttemptEnd_NotRun && !repeatable)
+    call.m_GivenUp = WhyNotAgain(call, end, now);
+    if (call.m_GivenUp != GivenUp_No)
         return false;
     // A server that was never reached costs the service nothing; only what arrives somewhere counts against the budget.
-    return call.m_Tried.empty() || Budget(call.m_Service->m_Name).TryTake();
+    const bool allowed = call.m_Tried.empty() || Budget(call.m_Service->m_Name).TryTake();
+    if (!allowed)
+        call.m_GivenUp = GivenUp_Budget;
+    return allowed;
 }
 
 awaitable<void> DirectServe::Impl::Serve(Call& call)
@@ -175,7 +198,10 @@
         if (call.m_Abort.Aborted()) // while boxes were asked
             end = AttemptEnd_CallerGone;
         if (!server || end == AttemptEnd_CallerGone)
+        {
+            call.m_GivenUp = server ? call.m_GivenUp : GivenUp_NoServer;
             break;
+        }
         const ServerEntry chosen = *server;
         end                      = co_await Attempt(call, chosen);
         const bool again         = TryAgain(call, end, Now());
@@ -196,6 +222,18 @@
     co_await call.m_Reply.Send(res);
 }
 
+static void LogBroken(const Call& call)
+{
+    Metrics().GetCounter("aldervale_answers_broken_total", "cause=\"" + std::string(CauseName(call.m_Cause)) + "\"").Add(1);
+    LogEvent(Event_AnswerBroken, {{"id", call.m_Caller.m_Id},
+                                  {"server", call.m_Tried.empty() ? std::string() : call.m_Tried.back().m_Id},
+                                  {"cause", CauseName(call.m_Cause)},
+                                  {"quiet_ms", ToMs(call.m_Quiet)},
+                                  {"given_up", GivenUpName(call.m_GivenUp)},
+                                  {"events", call.m_Events},
+                                  {"left_ms", ToMs(call.Left(Now()))}});
+}
+
 awaitable<void> DirectServe::Impl::Settle(Call& call, AttemptEnd end)
 {
     if (end == AttemptEnd_Answered || end == AttemptEnd_CallerGone)
@@ -203,6 +241,7 @@
     if (call.m_HeadSent)
     {
         call.m_BrokenOff = true;
+        LogBroken(call);
         call.m_Reply.Abort(); // the caller sees a broken answer, and may take it up after the last event
         co_return;
     }
@@ -246,6 +285,10 @@
                                     {"status", call.m_Status},
                                     {"verdict", verdict},
                                     {"why", call.m_Why},
+                                    {"cause", CauseName(call.m_Cause)},
+                                    {"given_up", GivenUpName(call.m_GivenUp)},
+                                    {"quiet_ms", ms(call.m_Quiet)},
+                                    {"broken_off", call.m_BrokenOff},
                                     {"servers", TriedIds(call)},
                                     {"predicted_ms", ms(call.m_Choice.m_Predicted)},
                                     {"report_age_ms", ms(call.m_Choice.m_ReportAge)},
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -18,50 +18,80 @@
     AttemptEnd_CallerGone,  //
 };
 
+enum AttemptCause // what ended the last attempt; for the log
+{
+    AttemptCause_None,        // it was answered whole, or there was none
+    AttemptCause_Silence,     // nothing came from the server for as long as we wait
+    AttemptCause_Closed,      // the server, or the way there, ended the connection
+    AttemptCause_Refused,     // the server said that it did not run it
+    AttemptCause_Unreachable, // no connection
+    AttemptCause_Fault,       // the server answered that it failed
+    AttemptCause_Spoilt,      // what came is no answer
+    AttemptCause_Deadline,    //
+    AttemptCause_CallerGone,  //
+};
+
+enum GivenUp // why no other server was tried after the last attempt; for the log
+{
+    GivenUp_No,       // none was needed, or none was tried at all
+    GivenUp_NoServer, // none would take it
+    GivenUp_Attempts, // as many as the route allows were made
+    GivenUp_Budget,   // retries would be too many
+    GivenUp_NoTime,   //
+    GivenUp_RunsOnce, // it may have run, and must not run again
+};
+
+std::string_view CauseName(AttemptCause c);
+std::string_view GivenUpName(GivenUp g);
+
 struct StreamPace // how quickly the events of one attempt came
 {
     TimePoint m_SentAt{};      //
     bool      m_Begun = false; // an event came
     Duration  m_First{};       // until the first event
     Duration  m_Gap{};         // longest pause between events
+    TimePoint m_HeardAt{};     // when its last bytes came; default: none did
 };
 
 struct Call // one caller's request, from its head to its last byte
 {
     Call(HttpRequest& request, HttpReply& reply) : m_Request(request), m_Reply(reply) {}
 
-    HttpRequest&                m_Request;            //
-    HttpReply&                  m_Reply;              //
-    CallerRequest               m_Caller;             //
-    TimePoint                   m_StartedAt;          //
-    TimePoint                   m_Deadline;           // the caller's or the route's, whichever is first
-    DeclarationsBelief          m_Belief;             // when it came
-    RouteTablePtr               m_Routes;             // keeps m_Route, m_Account and m_Service alive
-    const Route*                m_Route   = nullptr;  //
-    const ClientAccount*        m_Account = nullptr;  // null: the route is public, or nobody needs a key
-    const Service*              m_Service = nullptr;  //
-    HttpAbort                   m_Abort;              // ends the exchange under way when the caller leaves
-    std::vector<ServerLife>     m_Tried;              // servers that the request was sent to
-    bool                        m_MayHaveRun = false; // some server may have run it
-    bool                        m_BrokenOff  = false; // the answer was begun and ended before its end
-    bool                        m_HeadSent   = false; // the answer's head went to the caller
-    bool                        m_Returned   = false; // the caller is taken for one that was refused before
-    bool                        m_CameBack   = false; // when it was last admitted: refused before, or tried elsewhere
-    unsigned                    m_Events     = 0;     // streams: events passed on
-    std::string                 m_LastEvent;          // streams: id of the last event passed on, or where the caller asked to go on
-    TimePoint                   m_FirstAt{};          // when the first event or answer went to the caller
-    Duration                    m_WorstGap{};         // streams: longest pause between events
-    TimePoint                   m_EventAt{};          // when the last event went to the caller
-    std::optional<HttpResponse> m_Fault;              // whole answer of a server that failed, if nothing better comes
-    Choice                      m_Choice;             // the last one made
-    size_t                      m_Asked    = 0;       // boxes asked for a place, when it was last admitted
-    size_t                      m_Answered = 0;       // of these
-    Duration                    m_AskTook{};          // until enough had answered
-    size_t                      m_Claimed = 0;        // boxes at which a place was claimed, when it was last admitted
-    bool                        m_Granted = false;    // one of them granted it
-    Duration                    m_ClaimTook{};        // until then, or until none was left
-    std::string                 m_Why;                // last thing that went wrong
-    unsigned                    m_Status = 0;         // answered to the caller
+    HttpRequest&                m_Request;                     //
+    HttpReply&                  m_Reply;                       //
+    CallerRequest               m_Caller;                      //
+    TimePoint                   m_StartedAt;                   //
+    TimePoint                   m_Deadline;                    // the caller's or the route's, whichever is first
+    DeclarationsBelief          m_Belief;                      // when it came
+    RouteTablePtr               m_Routes;                      // keeps m_Route, m_Account and m_Service alive
+    const Route*                m_Route   = nullptr;           //
+    const ClientAccount*        m_Account = nullptr;           // null: the route is public, or nobody needs a key
+    const Service*              m_Service = nullptr;           //
+    HttpAbort                   m_Abort;                       // ends the exchange under way when the caller leaves
+    std::vector<ServerLife>     m_Tried;                       // servers that the request was sent to
+    bool                        m_MayHaveRun = false;          // some server may have run it
+    bool                        m_BrokenOff  = false;          // the answer was begun and ended before its end
+    bool                        m_HeadSent   = false;          // the answer's head went to the caller
+    bool                        m_Returned   = false;          // the caller is taken for one that was refused before
+    bool                        m_CameBack   = false;          // when it was last admitted: refused before, or tried elsewhere
+    unsigned                    m_Events     = 0;              // streams: events passed on
+    std::string                 m_LastEvent;                   // streams: id of the last event passed on, or where the caller asked to go on
+    TimePoint                   m_FirstAt{};                   // when the first event or answer went to the caller
+    Duration                    m_WorstGap{};                  // streams: longest pause between events
+    TimePoint                   m_EventAt{};                   // when the last event went to the caller
+    std::optional<HttpResponse> m_Fault;                       // whole answer of a server that failed, if nothing better comes
+    Choice                      m_Choice;                      // the last one made
+    size_t                      m_Asked    = 0;                // boxes asked for a place, when it was last admitted
+    size_t                      m_Answered = 0;                // of these
+    Duration                    m_AskTook{};                   // until enough had answered
+    size_t                      m_Claimed = 0;                 // boxes at which a place was claimed, when it was last admitted
+    bool                        m_Granted = false;             // one of them granted it
+    Duration                    m_ClaimTook{};                 // until then, or until none was left
+    std::string                 m_Why;                         // last thing that went wrong
+    AttemptCause                m_Cause   = AttemptCause_None; // of the last attempt's end
+    GivenUp                     m_GivenUp = GivenUp_No;        //
+    Duration                    m_Quiet{};                     // from the last bytes of the last attempt's server, or its sending, to its end
+    unsigned                    m_Status = 0;                  // answered to the caller
 
     Duration Left(TimePoint now) const { return m_Deadline - now; }
     bool     IsStream() const { return m_Route->m_Kind == RouteKind_Stream; }
@@ -117,6 +147,7 @@
     awaitable<void>       Settle(Call& call, AttemptEnd end);
     awaitable<void>       Answer(Call& call, HttpResponse res);
     bool                  TryAgain(Call& call, AttemptEnd end, TimePoint now);
+    GivenUp               WhyNotAgain(const Call& call, AttemptEnd end, TimePoint now) const; // but for the budget
 };
 
 } // namespace aldervale
