A client can wait for an answer without ending the exchange

What callers saw: streams that ended at servers that only paused. A read that ran into its time closed its connection, so a router could not look elsewhere and come back. HttpClient::Send() gives the exchange before its head is there; a read of head or body may end because nothing came, and goes on later where it stopped. Bytes that lie in the socket are taken before any time counts as over, so a process that stood still doesn't take its own pause for the server's.

Ruled out: cancelling Beast's reads, which promise nothing of what they had read so far; the parser is fed here instead.

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -13,6 +13,7 @@
 //   HttpClient client;
 //   Result<HttpResponse> r = co_await client.Call(endpoint, req, deadline);
 //   Result<HttpStreamPtr> s = co_await client.Open(endpoint, req, deadline);      // then s->Read() until m_Done
+//   Result<HttpStreamPtr> s = co_await client.Send(endpoint, req, deadline);      // then s->ReadHead() until it is true, s->Read() until m_Done
 //
 // Index of this file:
 // [SECTION] Messages
@@ -22,6 +23,7 @@
 #pragma once
 #include "connection/link.h"
 #include <boost/json.hpp>
+#include <map>
 
 namespace aldervale
 {
@@ -110,18 +112,18 @@
 // [SECTION] Client
 //-----------------------------------------------------------------------------
 
-// Ends a call from outside the coroutine that makes it, on the same strand. Safe to call at any time, also before and after the call.
+// Ends calls from outside the coroutine that makes them, on the same strand. Safe to call at any time, also before and after the calls.
 class HttpAbort
 {
 public:
     void Abort();
     bool Aborted() const { return m_Aborted; }
-    void Arm(std::function<void()> close) { m_Close = std::move(close); } // by the client: what ends the operation under way
-    void Disarm() { m_Close = nullptr; }                                  // by the client: nothing is under way
+    void Arm(const void* call, std::function<void()> close) { m_Close[call] = std::move(close); } // by the client: what ends that call
+    void Disarm(const void* call) { m_Close.erase(call); }                                        // by the client: it is over
 
 private:
-    std::function<void()> m_Close;           // empty while nothing is under way
-    bool                  m_Aborted = false; // never goes back to false
+    std::map<const void*, std::function<void()>> m_Close;           // of calls under way
+    bool                                         m_Aborted = false; // never goes back to false
 };
 
 struct HttpCallOptions
@@ -136,19 +138,25 @@
     std::function<void(size_t)>              m_OnBytes;       // Call(): so many bytes of a 200's body have come; may be empty
 };
 
-class HttpStream // an answer whose head has arrived and whose body is read piece by piece
+// An answer that is read as it comes: its head, then its body piece by piece. A read that ends at `quiet_until` because nothing came loses nothing:
+// the next one goes on where it stopped, so a server that pauses need not be given up to look elsewhere. After an error nothing more is read.
+class HttpStream
 {
 public:
     struct Piece
     {
-        std::string_view m_Bytes;        // valid until the next Read()
-        bool             m_Done = false; // the body is complete and its length was checked
+        std::string_view m_Bytes;         // valid until the next Read()
+        bool             m_Done  = false; // the body is complete and its length was checked
+        bool             m_Quiet = false; // nothing came until `quiet_until`
     };
 
-    virtual ~HttpStream()                                     = default;
-    virtual const HttpResponse&      Head() const             = 0; // m_Body is empty
-    virtual awaitable<Result<Piece>> Read(TimePoint deadline) = 0;
-    virtual const HttpFields&        Trailers() const         = 0; // after m_Done
+    virtual ~HttpStream()                                                                = default;
+    virtual awaitable<Result<bool>>  ReadHead(TimePoint quiet_until, TimePoint deadline) = 0; // false: it isn't there by `quiet_until`
+    virtual const HttpResponse&      Head() const                                        = 0; // after ReadHead(); m_Body is empty
+    virtual awaitable<Result<Piece>> Read(TimePoint quiet_until, TimePoint deadline)     = 0;
+    virtual const HttpFields&        Trailers() const                                    = 0; // after m_Done
+
+    awaitable<Result<Piece>> Read(TimePoint deadline) { return Read(deadline, deadline); } // never quiet
 };
 using HttpStreamPtr = std::unique_ptr<HttpStream>;
 
@@ -163,6 +171,7 @@
     awaitable<Result<HttpResponse>>  Call(Endpoint to, const HttpRequest& req, TimePoint deadline, HttpCallOptions options);
     awaitable<Result<HttpStreamPtr>> Open(Endpoint to, const HttpRequest& req, TimePoint deadline);
     awaitable<Result<HttpStreamPtr>> Open(Endpoint to, const HttpRequest& req, TimePoint deadline, HttpCallOptions options);
+    awaitable<Result<HttpStreamPtr>> Send(Endpoint to, const HttpRequest& req, TimePoint deadline, HttpCallOptions options); // as Open(), head unread
     uint64_t                         Connects() const; // connections opened so far
 
     struct Impl;
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -18,6 +18,7 @@
 constexpr size_t kPieceSize       = 64 * 1024;          // bytes of body read at a time
 constexpr size_t kBufferSmall     = 16 * 1024;          // Beast reads no more at once than the buffer has room for, and starts at 512
 constexpr size_t kBufferLarge     = 256 * 1024;         // for long and chunked bodies
+constexpr size_t kReadLeast       = 512;                // bytes asked for at once when the buffer has no room left
 constexpr auto   kIdleMargin      = milliseconds(1000); // a kept connection is given up this long before its server says it closes it
 constexpr auto   kIdleUnknown     = seconds(10);        // how long a connection is kept whose server doesn't say
 constexpr auto   kLateHeadMax     = milliseconds(200);  // wait for an answer that was sent before the request was taken whole
@@ -129,71 +130,180 @@
 {
 public:
     BeastStream(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c, HttpCallOptions options)
-        : m_Impl(std::move(impl)), m_Key(std::move(key)), m_Connection(std::move(c)), m_Options(std::move(options))
+        : m_Impl(std::move(impl)), m_Key(std::move(key)), m_Connection(std::move(c)), m_Options(std::move(options)),
+          m_Timer(m_Connection->m_Stream.get_executor())
     {
         m_Piece.resize(kPieceSize);
+        NextAnswer();
         if (m_Options.m_Abort != nullptr)
-            m_Options.m_Abort->Arm([this] { CloseSocket(); });
+            m_Options.m_Abort->Arm(this, [this] { CloseSocket(); });
     }
 
     ~BeastStream() override
     {
         if (m_Options.m_Abort != nullptr)
-            m_Options.m_Abort->Disarm();
+            m_Options.m_Abort->Disarm(this);
         CloseSocket();
     }
 
     ClientStream& Stream() { return m_Connection->m_Stream; }
+    void          ExpectHeadBy(TimePoint latest) { m_HeadBy = latest; }
 
     // Reads heads until one belongs to this request. A surplus answer to an earlier request may lie before it.
-    awaitable<boost::system::error_code> ReadHead(TimePoint deadline)
+    awaitable<Result<bool>> ReadHead(TimePoint quiet_until, TimePoint deadline) override
     {
-        for (int skipped = 0; skipped <= kSkippedMax; skipped++)
+        const TimePoint           end_at = std::min(deadline, m_HeadBy);
+        boost::system::error_code ec;
+        while (!m_OwnHead && !ec)
         {
-            const boost::system::error_code ec = co_await ReadOneHead(deadline);
-            if (ec)
-                co_return ec;
-            const bool interim = m_Head.m_Status < 200;
-            if (!interim && (!m_Options.m_IsOurs || m_Options.m_IsOurs(m_Head)))
-                co_return ec;
-            const bool dropped = co_await DropBody(deadline);
-            if (!dropped)
-                co_return http::error::partial_message;
+            if (!m_Dropping)
+                ec = co_await ParseHead(quiet_until, end_at);
+            else if (m_Parser->is_done())
+                ec = DropAnswer();
+            else
+                ec = co_await ParseOn(quiet_until, end_at);
         }
-        co_return http::error::unexpected_body;
+        if (ec == kQuiet)
+            co_return false;
+        if (ec)
+            co_return AnswerError("no answer from " + m_Key + ": ", ec);
+        co_return true;
     }
 
     const HttpResponse& Head() const override { return m_Head; }
     const HttpFields&   Trailers() const override { return m_Trailers; }
 
-    awaitable<Result<Piece>> Read(TimePoint deadline) override
+    using HttpStream::Read;
+
+    awaitable<Result<Piece>> Read(TimePoint quiet_until, TimePoint deadline) override
     {
         if (m_Parser->is_done())
             co_return Done();
-        Stream().expires_at(deadline);
-        m_Parser->get().body().data = m_Piece.data();
-        m_Parser->get().body().size = m_Piece.size();
-        auto [ec, n]                = co_await http::async_read_some(Stream(), m_Connection->m_Buffer, *m_Parser, kNoThrow);
-        if (ec && ec != http::error::need_buffer)
+        GiveRoom();
+        const boost::system::error_code ec = co_await ParseOn(quiet_until, deadline);
+        if (ec == kQuiet)
+            co_return Piece{{}, false, true};
+        if (ec)
             co_return AnswerError("answer broken off: ", ec);
         const size_t got = m_Piece.size() - m_Parser->get().body().size;
         if (got == 0 && m_Parser->is_done())
             co_return Done();
-        co_return Piece{std::string_view(m_Piece.data(), got), false};
+        co_return Piece{std::string_view(m_Piece.data(), got), false, false};
     }
 
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
-    awaitable<boost::system::error_code> ReadOneHead(TimePoint deadline)
+    static constexpr auto kQuiet = asio::error::try_again; // nothing came until then; never given to callers
+
+    struct Wait // for bytes; kept alive by its timer's handler, which may run after the wait is over
+    {
+        bool m_Over = false; //
+        bool m_Late = false; // the time was up first
+    };
+
+    void NextAnswer()
     {
         m_Parser.emplace();
         m_Parser->header_limit(64 * 1024);
         m_Parser->body_limit(boost::none);
-        Stream().expires_at(deadline);
-        auto [ec, n] = co_await http::async_read_header(Stream(), m_Connection->m_Buffer, *m_Parser, kNoThrow);
-        if (ec)
-            co_return ec;
+    }
+
+    void GiveRoom()
+    {
+        m_Parser->get().body().data = m_Piece.data();
+        m_Parser->get().body().size = m_Piece.size();
+    }
+
+    // Reading by Beast's own timers would end the connection with the wait. False: the time was up.
+    awaitable<bool> Readable(TimePoint until)
+    {
+        const auto   wait   = std::make_shared<Wait>();
+        tcp::socket& socket = Stream().socket();
+        m_Timer.expires_at(until);
+        m_Timer.async_wait(
+            [wait, &socket](const boost::system::error_code& ec)
+            {
+                if (ec || wait->m_Over)
+                    return;
+                wait->m_Late = true;
+                boost::system::error_code ignored;
+                socket.cancel(ignored);
+            });
+        const auto [ec] = co_await socket.async_wait(tcp::socket::wait_read, kNoThrow);
+        wait->m_Over    = true;
+        m_Timer.cancel();
+        co_return !ec || !wait->m_Late;
+    }
+
+    // Takes what has come into the buffer, or waits for it. Bytes that lie in the socket count before any time that is up: this process may have
+    // stood still.
+    awaitable<boost::system::error_code> Fill(TimePoint until)
+    {
+        tcp::socket&              socket = Stream().socket();
+        beast::flat_buffer&       buffer = m_Connection->m_Buffer;
+        boost::system::error_code ec;
+        socket.non_blocking(true, ec);
+        for (;;)
+        {
+            const size_t room = std::max(kReadLeast, buffer.capacity() - buffer.size());
+            const size_t got  = socket.receive(buffer.prepare(room), 0, ec);
+            buffer.commit(ec ? 0 : got);
+            if (ec != asio::error::would_block && ec != asio::error::try_again)
+                co_return ec;
+            const bool readable = co_await Readable(until);
+            if (!readable)
+                co_return kQuiet;
+        }
+    }
+
+    // Until the parser has made a step.
+    awaitable<boost::system::error_code> ParseOn(TimePoint quiet_until, TimePoint deadline)
+    {
+        beast::flat_buffer& buffer = m_Connection->m_Buffer;
+        for (;;)
+        {
+            boost::system::error_code ec = http::error::need_more;
+            if (buffer.size() > 0)
+                buffer.consume(m_Parser->put(buffer.data(), ec));
+            if (ec != http::error::need_more)
+                co_return ec == http::error::need_buffer ? boost::system::error_code() : ec;
+            ec = co_await Fill(std::min(quiet_until, deadline));
+            if (ec == kQuiet && Now() >= deadline)
+                co_return beast::error::timeout;
+            if (ec == asio::error::eof)
+                co_return ParseEnd();
+            if (ec)
+                co_return ec;
+        }
+    }
+
+    boost::system::error_code ParseEnd()
+    {
+        boost::system::error_code ec = http::error::end_of_stream;
+        if (m_Parser->got_some())
+            m_Parser->put_eof(ec);
+        return ec;
+    }
+
+    awaitable<boost::system::error_code> ParseHead(TimePoint quiet_until, TimePoint deadline)
+    {
+        while (!m_Parser->is_header_done())
+        {
+            const boost::system::error_code ec = co_await ParseOn(quiet_until, deadline);
+            if (ec)
+                co_return ec;
+        }
+        TakeHead();
+        const bool interim = m_Head.m_Status < 200;
+        m_OwnHead          = !interim && (!m_Options.m_IsOurs || m_Options.m_IsOurs(m_Head));
+        m_Dropping         = !m_OwnHead;
+        GiveRoom();
+        co_return boost::system::error_code();
+    }
+
+    void TakeHead()
+    {
         if (m_Parser->content_length().value_or(0) > kPieceSize ||
             (m_Parser->chunked() && !m_Parser->get()[http::field::content_type].starts_with("text/")))
         {
@@ -204,19 +314,18 @@
         m_Head.m_Fields.clear();
         for (const auto& f : m_Parser->get())
             m_Head.m_Fields.push_back({std::string(f.name_string()), std::string(f.value())});
-        co_return ec;
     }
 
-    // Reads the body of an answer that is skipped. False: nothing can follow it on this connection.
-    awaitable<bool> DropBody(TimePoint deadline)
+    // After a whole answer to another request: the next one is read, if any may follow on this connection.
+    boost::system::error_code DropAnswer()
     {
-        while (!m_Parser->is_done())
-        {
-            const auto piece = co_await Read(deadline);
-            if (!piece)
-                co_return false;
-        }
-        co_return m_Parser->keep_alive();
+        if (!m_Parser->keep_alive())
+            return http::error::partial_message;
+        if (m_Skipped++ == kSkippedMax)
+            return http::error::unexpected_body;
+        m_Dropping = false;
+        NextAnswer();
+        return {};
     }
 
     // Ends an exchange that isn't complete with a reset: bytes of the request that are still held up on the way then don't arrive later.
@@ -240,17 +349,22 @@
                 m_Impl->PutIdle(m_Key, Stream().release_socket(), KeepFor(m_Head.m_Fields));
             m_Connection.reset();
         }
-        return Piece{{}, true};
+        return Piece{{}, true, false};
     }
 
-    std::shared_ptr<HttpClient::Impl> m_Impl;       //
-    std::string                       m_Key;        // endpoint of m_Connection
-    ConnectionPtr                     m_Connection; // null once the answer is complete
-    HttpCallOptions                   m_Options;    //
-    std::optional<Parser>             m_Parser;     // of the answer being read
-    HttpResponse                      m_Head;       //
-    HttpFields                        m_Trailers;   //
-    std::vector<char>                 m_Piece;      //
+    std::shared_ptr<HttpClient::Impl> m_Impl;                        //
+    std::string                       m_Key;                         // endpoint of m_Connection
+    ConnectionPtr                     m_Connection;                  // null once the answer is complete
+    HttpCallOptions                   m_Options;                     //
+    asio::steady_timer                m_Timer;                       // of the wait for bytes
+    std::optional<Parser>             m_Parser;                      // of the answer being read
+    HttpResponse                      m_Head;                        // of the answer being read, once it is there
+    HttpFields                        m_Trailers;                    //
+    std::vector<char>                 m_Piece;                       //
+    TimePoint                         m_HeadBy   = TimePoint::max(); // ends the wait for the head early
+    bool                              m_OwnHead  = false;            // m_Head is of the answer to this request
+    bool                              m_Dropping = false;            // the answer being read is to another request
+    int                               m_Skipped  = 0;                // answers to other requests
 };
 
 http::request<http::string_body> ToMessage(const HttpRequest& req, const std::string& host, bool keep)
@@ -268,7 +382,7 @@
 }
 
 // One attempt on one connection.
-awaitable<Result<HttpStreamPtr>> OpenOn(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c, const HttpRequest& req,
+awaitable<Result<HttpStreamPtr>> SendOn(std::shared_ptr<HttpClient::Impl> impl, std::string key, ConnectionPtr c, const HttpRequest& req,
                                         TimePoint deadline, HttpCallOptions options)
 {
     http::request<http::string_body> msg = ToMessage(req, key, options.m_Keep);
@@ -278,10 +392,8 @@
     if (ec && n == 0)
         co_return MakeError(ErrorCode_Unavailable, "request not sent to " + key + ": " + ec.message(), {}, Verdict_NotRun);
     // A server may answer and close before it has taken the whole request: its answer may still lie in the socket.
-    const TimePoint                 head_until = ec ? std::min(deadline, Now() + kLateHeadMax) : deadline;
-    const boost::system::error_code head_ec    = co_await answer->ReadHead(head_until);
-    if (head_ec)
-        co_return AnswerError("no answer from " + key + ": ", head_ec);
+    if (ec)
+        answer->ExpectHeadBy(Now() + kLateHeadMax);
     co_return HttpStreamPtr(std::move(answer));
 }
 
@@ -290,8 +402,8 @@
 void HttpAbort::Abort()
 {
     m_Aborted = true;
-    if (m_Close)
-        m_Close();
+    for (const auto& [call, close] : m_Close)
+        close();
 }
 
 HttpClient::HttpClient() : m_Impl(std::make_shared<Impl>())
@@ -311,6 +423,17 @@
 }
 
 awaitable<Result<HttpStreamPtr>> HttpClient::Open(Endpoint to, const HttpRequest& req, TimePoint deadline, HttpCallOptions options)
+{
+    auto sent = co_await Send(to, req, deadline, std::move(options));
+    if (!sent)
+        co_return sent.error();
+    const auto head = co_await sent.value()->ReadHead(deadline, deadline);
+    if (!head)
+        co_return head.error();
+    co_return std::move(sent.value());
+}
+
+awaitable<Result<HttpStreamPtr>> HttpClient::Send(Endpoint to, const HttpRequest& req, TimePoint deadline, HttpCallOptions options)
 {
     const std::string          key  = to.ToString();
     const auto                 ex   = co_await asio::this_coro::executor;
@@ -330,7 +453,7 @@
     }
     if (options.m_Abort != nullptr && options.m_Abort->Aborted())
         co_return MakeError(ErrorCode_Unavailable, "call ended before it was sent to " + key);
-    co_return co_await OpenOn(m_Impl, key, std::make_unique<Connection>(std::move(*kept)), req, deadline, std::move(options));
+    co_return co_await SendOn(m_Impl, key, std::make_unique<Connection>(std::move(*kept)), req, deadline, std::move(options));
 }
 
 awaitable<Result<HttpResponse>> HttpClient::Call(Endpoint to, const HttpRequest& req, TimePoint deadline)
