A stream whose server pauses is kept until another server has an event

Callers saw streams end in the middle while their servers were still at work on them; requests at one server ended on several routers at once. A router reset a stream that may be resumed after 1.5 s without an event (2 s without the first) and only then asked whether another server would take it, whether attempts were left and whether its share of retries allowed it. Where one of these said no, the caller was broken off, or got 502 before the first event.

Now silence only makes a router look for another server. The attempt is set aside with its connection open, and ends when any server has an event to pass on; where no other takes the request it is gone on with to the deadline, with a look for another server every 0.5 s. A token of the retry budget that sent nothing is given back. Because a request may now wait longer at a server, one that has not begun is withdrawn before that server's weights are too old to begin with.

Why it holds: nothing ends an attempt any more but its own end, an event of another one, the deadline, or the caller's leaving. Ruled out: a shorter ask before giving up (the pause would be as long, and a second silent server would still lose the stream); the router's own stall (the bytes that lie in its sockets are taken first). Conclusion: this way to lose a stream is closed; resets by servers that our own orders cut are the next one.

--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -7,11 +7,13 @@
 namespace
 {
 
-constexpr auto     kIdleRepeatable  = seconds(4);       // a connection that rested longer isn't used: its server may have forgotten it
-constexpr auto     kIdleOnce        = milliseconds(0);  // a server may have forgotten a resting connection: a request that runs once gets a new one
-constexpr auto     kEndSlack        = milliseconds(20); // an exchange ends this long before the deadline, so that our answer is in time
-constexpr unsigned kPriorityResumed = 0;                // a stream that broke: its caller sees the pause until it goes on
-constexpr size_t   kAnswerMax       = 64 * 1024 * 1024; // bytes of an answer that is held until it is whole
+constexpr auto     kIdleRepeatable  = seconds(4);        // a connection that rested longer isn't used: its server may have forgotten it
+constexpr auto     kIdleOnce        = milliseconds(0);   // a server may have forgotten a resting connection: a request that runs once gets a new one
+constexpr auto     kEndSlack        = milliseconds(20);  // an exchange ends this long before the deadline, so that our answer is in time
+constexpr auto     kTurn            = milliseconds(50);  // that one of several servers is listened to while all pause
+constexpr auto     kWithdrawn       = milliseconds(150); // a reset is at the server this much before it must not begin; beyond the way there
+constexpr unsigned kPriorityResumed = 0;                 // a stream that broke: its caller sees the pause until it goes on
+constexpr size_t   kAnswerMax       = 64 * 1024 * 1024;  // bytes of an answer that is held until it is whole
 
 bool IsServerFault(unsigned status)
 {
@@ -28,9 +30,10 @@
 }
 
 // By a whole objective later than predicted: waits vary by less than that while the view of the servers is right.
-bool IsSlow(const Call& call, const StreamPace& pace)
+bool IsSlow(const Call& call, const RequestAttempt& attempt)
 {
-    return pace.m_Begun && (pace.m_First > call.m_Choice.m_Predicted + call.m_Route->m_Goal || pace.m_Gap > call.m_Route->m_MaxGap);
+    return attempt.m_Pace.m_Begun &&
+           (attempt.m_Pace.m_First > attempt.m_Predicted + call.m_Route->m_Goal || attempt.m_Pace.m_Gap > call.m_Route->m_MaxGap);
 }
 
 AttemptCause CauseOf(const Error& e)
@@ -46,7 +49,7 @@
     call.m_Why   = std::move(why);
 }
 
-ServerOutcome OutcomeOf(AttemptEnd end, const Call& call, bool reached, const StreamPace& pace)
+ServerOutcome OutcomeOf(AttemptEnd end, const Call& call, bool reached, const RequestAttempt& attempt)
 {
     if (end == AttemptEnd_CallerGone || call.m_Abort.Aborted())
         return ServerOutcome_Cancelled;
@@ -56,7 +59,7 @@
         return ServerOutcome_Refused;
     if (end != AttemptEnd_Answered)
         return ServerOutcome_Failed;
-    return IsSlow(call, pace) ? ServerOutcome_Slow : ServerOutcome_Good;
+    return IsSlow(call, attempt) ? ServerOutcome_Slow : ServerOutcome_Good;
 }
 
 // Drops the rest of an answer, so that its connection can be kept.
@@ -100,45 +103,102 @@
     return options;
 }
 
-// Only a stream that may be sent again is given up early for want of a first event.
-TimePoint DirectServe::Impl::HeadUntil(const Call& call, TimePoint sent_at) const
+// After this the attempt must not begin any more: its server's weights are too old then. Default: any time.
+TimePoint DirectServe::Impl::BeginBy(const Call& call, const RequestAttempt& attempt) const
 {
-    const TimePoint end_at     = call.m_Deadline - kEndSlack;
-    const bool      may_resume = call.IsStream() && call.m_Route->MayRepeat();
-    return may_resume ? std::min(end_at, sent_at + milliseconds(m_Settings.m_FirstEventMs)) : end_at;
+    for (const WeightsDeadline& d : WeightsDeadlines(call))
+        if (attempt.m_Weights > 0 && d.m_Version > attempt.m_Weights)
+            return d.m_At - kWithdrawn;
+    return TimePoint::max();
+}
+
+TimePoint DirectServe::Impl::EndAt(const Call& call, const RequestAttempt& attempt) const
+{
+    const TimePoint end_at   = call.m_Deadline - kEndSlack;
+    const bool      may_wait = attempt.m_Pace.m_Begun || !call.IsStream() || !call.m_Route->MayRepeat();
+    return may_wait ? end_at : std::min(end_at, BeginBy(call, attempt));
+}
+
+// Only a stream that may be sent again is looked for elsewhere while its server is at work on it.
+TimePoint DirectServe::Impl::QuietUntil(const Call& call, const RequestAttempt& attempt) const
+{
+    const TimePoint end_at = EndAt(call, attempt);
+    if (!call.IsStream() || !call.m_Route->MayRepeat())
+        return end_at;
+    const TimePoint look_at = call.m_Paused.empty() ? call.m_LookAt : std::min<TimePoint>(call.m_LookAt, Now() + kTurn);
+    return std::min(end_at, look_at);
 }
 
 awaitable<AttemptEnd> DirectServe::Impl::Attempt(Call& call, ServerEntry server)
 {
-    const ServerLife      life       = server.Life();
-    const TimePoint       sent_at    = Now();
-    const HttpRequest     forward    = m_Protocol.Forward(call.m_Request, FieldsFor(call, server, sent_at));
-    const HttpCallOptions options    = OptionsFor(call);
-    const TimePoint       head_until = HeadUntil(call, sent_at);
+    const TimePoint       sent_at = Now();
+    const HttpRequest     forward = m_Protocol.Forward(call.m_Request, FieldsFor(call, server, sent_at));
+    const HttpCallOptions options = OptionsFor(call);
+    RequestAttemptPtr     attempt = std::make_unique<RequestAttempt>(server.Life());
+    attempt->m_Weights            = call.m_Choice.m_Weights;
+    attempt->m_Predicted          = call.m_Choice.m_Predicted;
+    attempt->m_Pace.m_SentAt      = sent_at;
+    call.m_LookAt                 = sent_at + milliseconds(m_Settings.m_FirstEventMs);
+
+    m_Choice.OnSent(attempt->m_Server, call.m_Caller.m_Prompt, sent_at);
+    auto sent = co_await m_Client.Send(server.m_Address, forward, EndAt(call, *attempt), options);
+    if (!sent)
+    {
+        const bool reached = sent.error().m_Verdict != Verdict_NotRun; // the request may have arrived
+        NoteFailure(call, CauseOf(sent.error()), sent.error().m_Message);
+        if (reached)
+            call.m_Tried.push_back(attempt->m_Server);
+        co_return Conclude(call, *attempt, reached ? AttemptEnd_MayHaveRun : AttemptEnd_NotRun, reached);
+    }
+    call.m_Tried.push_back(attempt->m_Server);
+    attempt->m_Stream = std::move(sent.value());
+    co_return co_await Follow(call, std::move(attempt));
+}
+
+// A server that says nothing may go on yet, and what it has done can't be had elsewhere for nothing: its attempt is only set aside, and ends when
+// another server has an event to pass on. Ended at once, streams were broken off that no other server took.
+awaitable<AttemptEnd> DirectServe::Impl::Follow(Call& call, RequestAttemptPtr attempt)
+{
+    const AttemptEnd end = co_await Relay(call, *attempt);
+    if (end != AttemptEnd_Paused || call.m_Abort.Aborted())
+        co_return Conclude(call, *attempt, end, true);
+    if (!attempt->m_WasQuiet && Now() >= call.m_LookAt)
+    {
+        attempt->m_WasQuiet = true;
+        call.m_Pauses++;
+        call.m_Why = "server " + attempt->m_Server.m_Id + " pauses";
+        m_Choice.OnPause(attempt->m_Server, Now());
+    }
+    call.m_Paused.push_back(std::move(attempt));
+    co_return end;
+}
 
-    m_Choice.OnSent(life, call.m_Caller.m_Prompt, sent_at);
-    StreamPace pace{sent_at};
-    bool       reached = true; // the request may have arrived
-    AttemptEnd end     = AttemptEnd_MayHaveRun;
-    auto       opened  = co_await m_Client.Open(server.m_Address, forward, head_until, options);
-    if (!opened)
+awaitable<AttemptEnd> DirectServe::Impl::GoOn(Call& call)
+{
+    AttemptEnd end = AttemptEnd_Paused;
+    while (end == AttemptEnd_Paused && !call.m_Paused.empty() && Now() < call.m_LookAt)
     {
-        reached = opened.error().m_Verdict != Verdict_NotRun;
-        end     = reached ? AttemptEnd_MayHaveRun : AttemptEnd_NotRun;
-        NoteFailure(call, CauseOf(opened.error()), opened.error().m_Message);
+        RequestAttemptPtr attempt = std::move(call.m_Paused.front());
+        call.m_Paused.pop_front();
+        end = co_await Follow(call, std::move(attempt));
     }
-    if (reached)
-        call.m_Tried.push_back(life);
-    if (opened)
+    co_return end;
+}
+
+void DirectServe::Impl::DropPaused(Call& call)
+{
+    const TimePoint now = Now();
+    for (const RequestAttemptPtr& attempt : call.m_Paused)
     {
-        const HttpStreamPtr stream = std::move(opened.value());
-        end                        = co_await Relay(call, *stream, life, pace);
+        const double unread = attempt->m_Pace.m_Begun ? 0 : call.m_Caller.m_Prompt;
+        m_Choice.OnEnd(attempt->m_Server, ServerOutcome_Cancelled, unread, now - attempt->m_Pace.m_SentAt, now); // the pause was counted as it came
     }
-    co_return Conclude(call, life, end, reached, pace);
+    call.m_Paused.clear();
 }
 
-AttemptEnd DirectServe::Impl::Conclude(Call& call, const ServerLife& server, AttemptEnd end, bool reached, const StreamPace& pace)
+AttemptEnd DirectServe::Impl::Conclude(Call& call, const RequestAttempt& attempt, AttemptEnd end, bool reached)
 {
+    const StreamPace& pace = attempt.m_Pace;
     if (call.m_Abort.Aborted())
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_CallerGone)
@@ -150,9 +210,9 @@
     if (too_late)
         NoteFailure(call, AttemptCause_Deadline, "deadline reached");
     call.m_Quiet                = now - std::max(pace.m_SentAt, pace.m_HeardAt);
-    const ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached, pace);
+    const ServerOutcome outcome = too_late ? ServerOutcome_Cancelled : OutcomeOf(end, call, reached, attempt);
     const double        unread  = pace.m_Begun ? 0 : call.m_Caller.m_Prompt;
-    m_Choice.OnEnd(server, outcome, unread, now - pace.m_SentAt, now);
+    m_Choice.OnEnd(attempt.m_Server, outcome, unread, now - pace.m_SentAt, now);
     return end;
 }
 
@@ -160,27 +220,40 @@
 // Passing the answer on
 //-----------------------------------------------------------------------------
 
-awaitable<AttemptEnd> DirectServe::Impl::Relay(Call& call, HttpStream& stream, const ServerLife& server, StreamPace& pace)
+awaitable<AttemptEnd> DirectServe::Impl::Relay(Call& call, RequestAttempt& attempt)
 {
-    const unsigned     status = stream.Head().m_Status;
-    const ServerAnswer answer = m_Protocol.DecodeAnswer(stream.Head());
+    if (!attempt.m_Headed)
+    {
+        const auto head = co_await attempt.m_Stream->ReadHead(QuietUntil(call, attempt), EndAt(call, attempt));
+        if (!head)
+        {
+            NoteFailure(call, CauseOf(head.error()), head.error().m_Message);
+            co_return AttemptEnd_MayHaveRun;
+        }
+        if (!head.value())
+            co_return AttemptEnd_Paused;
+        attempt.m_Headed = true;
+    }
+    const unsigned     status = attempt.m_Stream->Head().m_Status;
+    const ServerAnswer answer = m_Protocol.DecodeAnswer(attempt.m_Stream->Head());
     if (answer.m_NotRun)
     {
-        NoteFailure(call, AttemptCause_Refused, "server " + server.m_Id + " refused with " + std::to_string(status));
-        co_await ReadToEnd(stream, Now() + milliseconds(m_Settings.m_ConnectMs));
+        NoteFailure(call, AttemptCause_Refused, "server " + attempt.m_Server.m_Id + " refused with " + std::to_string(status));
+        co_await ReadToEnd(*attempt.m_Stream, Now() + milliseconds(m_Settings.m_ConnectMs));
         co_return AttemptEnd_NotRun;
     }
     if (answer.m_Stream && status == 200)
-        co_return co_await RelayStream(call, stream, server, pace);
-    co_return co_await RelayWhole(call, stream);
+        co_return co_await RelayStream(call, attempt);
+    co_return co_await RelayWhole(call, attempt);
 }
 
-awaitable<AttemptEnd> DirectServe::Impl::RelayWhole(Call& call, HttpStream& stream)
+awaitable<AttemptEnd> DirectServe::Impl::RelayWhole(Call& call, RequestAttempt& attempt)
 {
-    HttpResponse res = {stream.Head().m_Status, m_Protocol.CallerFields(stream.Head()), {}};
+    HttpStream&  stream = *attempt.m_Stream;
+    HttpResponse res    = {stream.Head().m_Status, m_Protocol.CallerFields(stream.Head()), {}};
     for (;;)
     {
-        const auto piece = co_await stream.Read(call.m_Deadline - kEndSlack);
+        const auto piece = co_await stream.Read(EndAt(call, attempt));
         if (!piece)
         {
             NoteFailure(call, CauseOf(piece.error()), piece.error().m_Message);
@@ -243,38 +316,38 @@
     co_return co_await call.m_Reply.Write(events);
 }
 
-awaitable<AttemptEnd> DirectServe::Impl::RelayStream(Call& call, HttpStream& stream, const ServerLife& server, StreamPace& pace)
+awaitable<AttemptEnd> DirectServe::Impl::RelayStream(Call& call, RequestAttempt& attempt)
 {
-    EventSplitter   events;
-    const TimePoint end_at = call.m_Deadline - kEndSlack;
-    const bool      resume = call.m_Route->MayRepeat();
-    TimePoint       heard  = Now();
+    StreamPace& pace = attempt.m_Pace;
     for (;;)
     {
-        const Duration patience = milliseconds(pace.m_Begun ? m_Settings.m_NextEventMs : m_Settings.m_FirstEventMs);
-        const auto     piece    = co_await stream.Read(resume ? std::min(end_at, heard + patience) : end_at);
+        const auto piece = co_await attempt.m_Stream->Read(QuietUntil(call, attempt), EndAt(call, attempt));
         if (!piece)
         {
             NoteFailure(call, CauseOf(piece.error()), piece.error().m_Message);
             co_return AttemptEnd_MayHaveRun;
         }
+        if (piece.value().m_Quiet)
+            co_return AttemptEnd_Paused;
         if (piece.value().m_Done)
             break;
-        pace.m_HeardAt = Now();
-        events.Feed(piece.value().m_Bytes);
-        const std::string out = TakeEvents(call, events);
+        const TimePoint before = pace.m_Begun ? pace.m_HeardAt : pace.m_SentAt;
+        attempt.m_Events.Feed(piece.value().m_Bytes);
+        const std::string out = TakeEvents(call, attempt.m_Events);
         if (out.empty())
             continue;
-        const TimePoint before = heard;
-        heard                  = Now();
+        pace.m_HeardAt     = Now();
+        attempt.m_WasQuiet = false;
+        call.m_LookAt      = pace.m_HeardAt + milliseconds(m_Settings.m_NextEventMs);
+        DropPaused(call); // what they would say comes again from here
         if (!pace.m_Begun)
-            m_Choice.OnFirstEvent(server, call.m_Caller.m_Prompt);
-        NoteEvent(pace, before, heard);
-        const bool written = co_await PassOn(call, stream.Head(), out, heard);
+            m_Choice.OnFirstEvent(attempt.m_Server, call.m_Caller.m_Prompt);
+        NoteEvent(pace, before, pace.m_HeardAt);
+        const bool written = co_await PassOn(call, attempt.m_Stream->Head(), out, pace.m_HeardAt);
         if (!written)
             co_return AttemptEnd_CallerGone;
     }
-    if (events.Left() > 0 || !call.m_HeadSent)
+    if (attempt.m_Events.Left() > 0 || !call.m_HeadSent)
     {
         NoteFailure(call, AttemptCause_Closed, "stream ended inside an event");
         co_return AttemptEnd_MayHaveRun;
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -164,7 +164,7 @@
     const RequestNeed                  need      = NeedOf(call, deadlines, Now());
     call.m_CameBack                              = need.m_CameBack;
     std::optional<ServerEntry> server            = co_await Place(call, need);
-    if (!server && call.m_Service->m_Engine)
+    if (!server && call.m_Service->m_Engine && call.m_Paused.empty()) // one whose server pauses doesn't come back: it is still here
         m_Returns.OnRefused(Now());
     if (!server)
         call.m_Why = call.m_Choice.m_Candidates == 0 ? "no server can take it" : "no server would answer in time";
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto     kMinLeft        = milliseconds(40);   // time before the deadline below which no attempt is begun
 constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
+constexpr auto     kLookAgain      = milliseconds(500);  // between looks for another server while the ones that have the request pause
 constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
 constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
 constexpr double   kBudgetGrown    = 1.5;                // times the routers that budgets were built for, from which on they are built anew
@@ -185,30 +186,56 @@
     return allowed;
 }
 
+// A budget's token is given back where no server takes the request: nothing was sent again.
+awaitable<std::optional<ServerEntry>> DirectServe::Impl::Another(Call& call, AttemptEnd end)
+{
+    const bool paid    = !call.m_Tried.empty();
+    const bool allowed = TryAgain(call, end, Now());
+    call.m_LookAt      = std::max<TimePoint>(call.m_LookAt, Now() + kLookAgain);
+    if (!allowed)
+        co_return std::nullopt;
+    std::optional<ServerEntry> server = co_await Admit(call);
+    if (server)
+        co_return server;
+    call.m_GivenUp = GivenUp_NoServer;
+    if (paid)
+        Budget(call.m_Service->m_Name).GiveBack();
+    co_return std::nullopt;
+}
+
 awaitable<void> DirectServe::Impl::Serve(Call& call)
 {
     Budget(call.m_Service->m_Name).OnRequest();
-    call.m_Returned = Returned(call);
-    AttemptEnd end  = AttemptEnd_NotRun;
-    for (unsigned unreached = 0;; unreached++)
+    call.m_Returned                   = Returned(call);
+    AttemptEnd                 end    = AttemptEnd_NotRun;
+    unsigned                   made   = 1;
+    std::optional<ServerEntry> server = co_await Admit(call); // a copy: the directory may change while the attempt waits
+    if (!server)
+        call.m_GivenUp = GivenUp_NoServer;
+    while (server || !call.m_Paused.empty())
     {
-        std::optional<ServerEntry> server; // a copy: the directory may change while the attempt waits
-        if (unreached <= call.m_Route->m_MaxAttempts + 1)
-            server = co_await Admit(call);
         if (call.m_Abort.Aborted()) // while boxes were asked
-            end = AttemptEnd_CallerGone;
-        if (!server || end == AttemptEnd_CallerGone)
-        {
-            call.m_GivenUp = server ? call.m_GivenUp : GivenUp_NoServer;
             break;
-        }
-        const ServerEntry chosen = *server;
-        end                      = co_await Attempt(call, chosen);
-        const bool again         = TryAgain(call, end, Now());
-        if (!again)
+        if (server)
+            end = co_await Attempt(call, *server);
+        else
+            end = co_await GoOn(call);
+        if (end == AttemptEnd_Answered || end == AttemptEnd_CallerGone)
             break;
-        LogEvent(Event_RequestRetried, {{"id", call.m_Caller.m_Id}, {"server", chosen.m_Id}, {"why", call.m_Why}, {"events", call.m_Events}});
+        server.reset();
+        const bool look = end != AttemptEnd_Paused || Now() >= call.m_LookAt;
+        if (look && made <= call.m_Route->m_MaxAttempts + 1)
+            server = co_await Another(call, end);
+        if (!server)
+            continue;
+        made++;
+        LogEvent(Event_RequestRetried, {{"id", call.m_Caller.m_Id}, {"server", server->m_Id}, {"why", call.m_Why}, {"events", call.m_Events}});
     }
+    if (call.m_Abort.Aborted())
+        end = AttemptEnd_CallerGone;
+    if (end == AttemptEnd_Answered)
+        call.m_GivenUp = GivenUp_No;
+    DropPaused(call);
     co_await Settle(call, end);
 }
 
@@ -289,6 +316,7 @@
                                     {"given_up", GivenUpName(call.m_GivenUp)},
                                     {"quiet_ms", ms(call.m_Quiet)},
                                     {"broken_off", call.m_BrokenOff},
+                                    {"pauses", call.m_Pauses},
                                     {"servers", TriedIds(call)},
                                     {"predicted_ms", ms(call.m_Choice.m_Predicted)},
                                     {"report_age_ms", ms(call.m_Choice.m_ReportAge)},
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -5,6 +5,7 @@
 #include "request/direct_serve.h"
 #include "request/event_splitter.h"
 #include "request/return_guess.h"
+#include <deque>
 
 namespace aldervale
 {
@@ -15,6 +16,7 @@
     AttemptEnd_NotRun,      // the server did not run it, or was not reached
     AttemptEnd_MayHaveRun,  // no whole answer
     AttemptEnd_ServerFault, // a whole answer that says that the server failed; kept in Call::m_Fault
+    AttemptEnd_Paused,      // nothing came for too long; the attempt is kept in Call::m_Paused
     AttemptEnd_CallerGone,  //
 };
 
@@ -53,45 +55,63 @@
     TimePoint m_HeardAt{};     // when its last bytes came; default: none did
 };
 
+struct RequestAttempt // at one server, from the sending of the request on
+{
+    explicit RequestAttempt(ServerLife server) : m_Server(std::move(server)) {}
+
+    ServerLife    m_Server;           //
+    uint64_t      m_Weights = 0;      // version that it is believed to hold; 0: no model server
+    Duration      m_Predicted{};      // time to the first event, when it was chosen
+    HttpStreamPtr m_Stream;           //
+    StreamPace    m_Pace;             //
+    EventSplitter m_Events;           // what has come and is no whole event yet
+    bool          m_Headed   = false; // the head of its answer has come
+    bool          m_WasQuiet = false; // it has paused for too long before
+};
+using RequestAttemptPtr = std::unique_ptr<RequestAttempt>;
+
 struct Call // one caller's request, from its head to its last byte
 {
     Call(HttpRequest& request, HttpReply& reply) : m_Request(request), m_Reply(reply) {}
 
-    HttpRequest&                m_Request;                     //
-    HttpReply&                  m_Reply;                       //
-    CallerRequest               m_Caller;                      //
-    TimePoint                   m_StartedAt;                   //
-    TimePoint                   m_Deadline;                    // the caller's or the route's, whichever is first
-    DeclarationsBelief          m_Belief;                      // when it came
-    RouteTablePtr               m_Routes;                      // keeps m_Route, m_Account and m_Service alive
-    const Route*                m_Route   = nullptr;           //
-    const ClientAccount*        m_Account = nullptr;           // null: the route is public, or nobody needs a key
-    const Service*              m_Service = nullptr;           //
-    HttpAbort                   m_Abort;                       // ends the exchange under way when the caller leaves
-    std::vector<ServerLife>     m_Tried;                       // servers that the request was sent to
-    bool                        m_MayHaveRun = false;          // some server may have run it
-    bool                        m_BrokenOff  = false;          // the answer was begun and ended before its end
-    bool                        m_HeadSent   = false;          // the answer's head went to the caller
-    bool                        m_Returned   = false;          // the caller is taken for one that was refused before
-    bool                        m_CameBack   = false;          // when it was last admitted: refused before, or tried elsewhere
-    unsigned                    m_Events     = 0;              // streams: events passed on
-    std::string                 m_LastEvent;                   // streams: id of the last event passed on, or where the caller asked to go on
-    TimePoint                   m_FirstAt{};                   // when the first event or answer went to the caller
-    Duration                    m_WorstGap{};                  // streams: longest pause between events
-    TimePoint                   m_EventAt{};                   // when the last event went to the caller
-    std::optional<HttpResponse> m_Fault;                       // whole answer of a server that failed, if nothing better comes
-    Choice                      m_Choice;                      // the last one made
-    size_t                      m_Asked    = 0;                // boxes asked for a place, when it was last admitted
-    size_t                      m_Answered = 0;                // of these
-    Duration                    m_AskTook{};                   // until enough had answered
-    size_t                      m_Claimed = 0;                 // boxes at which a place was claimed, when it was last admitted
-    bool                        m_Granted = false;             // one of them granted it
-    Duration                    m_ClaimTook{};                 // until then, or until none was left
-    std::string                 m_Why;                         // last thing that went wrong
-    AttemptCause                m_Cause   = AttemptCause_None; // of the last attempt's end
-    GivenUp                     m_GivenUp = GivenUp_No;        //
-    Duration                    m_Quiet{};                     // from the last bytes of the last attempt's server, or its sending, to its end
-    unsigned                    m_Status = 0;                  // answered to the caller
+    HttpRequest&                  m_Request;                     //
+    HttpReply&                    m_Reply;                       //
+    CallerRequest                 m_Caller;                      //
+    TimePoint                     m_StartedAt;                   //
+    TimePoint                     m_Deadline;                    // the caller's or the route's, whichever is first
+    DeclarationsBelief            m_Belief;                      // when it came
+    RouteTablePtr                 m_Routes;                      // keeps m_Route, m_Account and m_Service alive
+    const Route*                  m_Route   = nullptr;           //
+    const ClientAccount*          m_Account = nullptr;           // null: the route is public, or nobody needs a key
+    const Service*                m_Service = nullptr;           //
+    HttpAbort                     m_Abort;                       // ends the exchange under way when the caller leaves
+    std::vector<ServerLife>       m_Tried;                       // servers that the request was sent to
+    bool                          m_MayHaveRun = false;          // some server may have run it
+    bool                          m_BrokenOff  = false;          // the answer was begun and ended before its end
+    bool                          m_HeadSent   = false;          // the answer's head went to the caller
+    bool                          m_Returned   = false;          // the caller is taken for one that was refused before
+    bool                          m_CameBack   = false;          // when it was last admitted: refused before, or tried elsewhere
+    unsigned                      m_Events     = 0;              // streams: events passed on
+    std::string                   m_LastEvent;                   // streams: id of the last event passed on, or where the caller asked to go on
+    TimePoint                     m_FirstAt{};                   // when the first event or answer went to the caller
+    Duration                      m_WorstGap{};                  // streams: longest pause between events
+    TimePoint                     m_EventAt{};                   // when the last event went to the caller
+    std::optional<HttpResponse>   m_Fault;                       // whole answer of a server that failed, if nothing better comes
+    Choice                        m_Choice;                      // the last one made
+    size_t                        m_Asked    = 0;                // boxes asked for a place, when it was last admitted
+    size_t                        m_Answered = 0;                // of these
+    Duration                      m_AskTook{};                   // until enough had answered
+    size_t                        m_Claimed = 0;                 // boxes at which a place was claimed, when it was last admitted
+    bool                          m_Granted = false;             // one of them granted it
+    Duration                      m_ClaimTook{};                 // until then, or until none was left
+    std::string                   m_Why;                         // last thing that went wrong
+    AttemptCause                  m_Cause   = AttemptCause_None; // of the last attempt's end
+    GivenUp                       m_GivenUp = GivenUp_No;        //
+    Duration                      m_Quiet{};                     // from the last bytes of the last attempt's server, or its sending, to its end
+    unsigned                      m_Status = 0;                  // answered to the caller
+    std::deque<RequestAttemptPtr> m_Paused;                      // attempts whose servers say nothing, until any server has an event
+    TimePoint                     m_LookAt{};                    // when another server is looked for next, unless an event comes
+    unsigned                      m_Pauses = 0;                  // that made it look for another server
 
     Duration Left(TimePoint now) const { return m_Deadline - now; }
     bool     IsStream() const { return m_Route->m_Kind == RouteKind_Stream; }
@@ -136,18 +156,24 @@
     Endpoint                              BoxOf(const ServerEntry& server) const;
 
     awaitable<AttemptEnd> Attempt(Call& call, ServerEntry server);
-    AttemptEnd            Conclude(Call& call, const ServerLife& server, AttemptEnd end, bool reached, const StreamPace& pace);
+    awaitable<AttemptEnd> GoOn(Call& call);                              // with whichever paused server has something first
+    awaitable<AttemptEnd> Follow(Call& call, RequestAttemptPtr attempt); // until it ends or pauses
+    AttemptEnd            Conclude(Call& call, const RequestAttempt& attempt, AttemptEnd end, bool reached);
+    void                  DropPaused(Call& call); // another server has an event, or the call is over
+    TimePoint             BeginBy(const Call& call, const RequestAttempt& attempt) const;
+    TimePoint             EndAt(const Call& call, const RequestAttempt& attempt) const;      // it is given up then
+    TimePoint             QuietUntil(const Call& call, const RequestAttempt& attempt) const; // and set aside then, if nothing comes
     ForwardFields         FieldsFor(const Call& call, const ServerEntry& server, TimePoint now) const;
-    HttpCallOptions       OptionsFor(Call& call) const;                         // refers to the call
-    TimePoint             HeadUntil(const Call& call, TimePoint sent_at) const; // how long to wait for the head of an answer
-    awaitable<AttemptEnd> Relay(Call& call, HttpStream& stream, const ServerLife& server, StreamPace& pace);
-    awaitable<AttemptEnd> RelayWhole(Call& call, HttpStream& stream);
-    awaitable<AttemptEnd> RelayStream(Call& call, HttpStream& stream, const ServerLife& server, StreamPace& pace);
+    HttpCallOptions       OptionsFor(Call& call) const; // refers to the call
+    awaitable<AttemptEnd> Relay(Call& call, RequestAttempt& attempt);
+    awaitable<AttemptEnd> RelayWhole(Call& call, RequestAttempt& attempt);
+    awaitable<AttemptEnd> RelayStream(Call& call, RequestAttempt& attempt);
     awaitable<bool>       PassOn(Call& call, const HttpResponse& head, const std::string& events, TimePoint heard); // false: caller gone
-    awaitable<void>       Settle(Call& call, AttemptEnd end);
-    awaitable<void>       Answer(Call& call, HttpResponse res);
-    bool                  TryAgain(Call& call, AttemptEnd end, TimePoint now);
-    GivenUp               WhyNotAgain(const Call& call, AttemptEnd end, TimePoint now) const; // but for the budget
+    awaitable<std::optional<ServerEntry>> Another(Call& call, AttemptEnd end); // nothing: none is allowed, or none takes it
+    awaitable<void>                       Settle(Call& call, AttemptEnd end);
+    awaitable<void>                       Answer(Call& call, HttpResponse res);
+    bool                                  TryAgain(Call& call, AttemptEnd end, TimePoint now);
+    GivenUp                               WhyNotAgain(const Call& call, AttemptEnd end, TimePoint now) const; // but for the budget
 };
 
 } // namespace aldervale
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -41,6 +41,12 @@
         return true;
     }
 
+    void GiveBack() // a token that was taken for a retry that wasn't made
+    {
+        std::lock_guard lock(m_Mutex);
+        m_Tokens = std::min(m_Config.m_BudgetMax, m_Tokens + 1);
+    }
+
     const RetryConfig& Config() const { return m_Config; }
 
 private:
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -352,6 +352,13 @@
         CountTook(*s, took);
 }
 
+void ServerChoice::OnPause(const ServerLife& life, TimePoint now)
+{
+    Server* s = Find(life);
+    if (s != nullptr)
+        CountFailure(*s, FailureOf(ServerOutcome_Failed), now);
+}
+
 void ServerChoice::CountFailure(Server& s, double failure, TimePoint now) const
 {
     const double before = FailShare(s, now);
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -154,9 +154,10 @@
     void OnSent(const ServerLife& life, double prompt, TimePoint now); // prompt: tokens, 0 at plain services
     void OnFirstEvent(const ServerLife& life, double prompt);          // its prompt is read
     void OnEnd(const ServerLife& life, ServerOutcome outcome, double unread_prompt, Duration took, TimePoint now); // every OnSent() once
-    void OnReport(const ServerLife& life, const LoadReport& r, TimePoint now);                                     // or an answer of its box
-    void OnSilent(const ServerLife& life, TimePoint now); // its box was asked and didn't answer
-    void Forget(Servers keep);                            // drops what is known of servers not in `keep`
+    void OnPause(const ServerLife& life, TimePoint now);                       // it has said nothing for too long; the request is still there
+    void OnReport(const ServerLife& life, const LoadReport& r, TimePoint now); // or an answer of its box
+    void OnSilent(const ServerLife& life, TimePoint now);                      // its box was asked and didn't answer
+    void Forget(Servers keep);                                                 // drops what is known of servers not in `keep`
 
     uint32_t RoutersHint() const { return m_Routers; } // routers that share the servers, as last reported; 0: unknown
 
