A request that was taken and lost its server isn't held to what returned callers get

Routers held them to the share of the objective that callers get who come back into an overload (180 ms while many are refused), so a stream that was taken once counted for less than a new request.

Now such a request is taken as long as its caller bears the wait: callers give a stream up after the longest of 2 s, four objectives and eight pauses. One whose server only pauses is still held to the strict share: it isn't lost, and a full pool would do its work twice. Why it holds: the limit is what makes the answer useless to its caller, not what keeps newcomers out.

Ruled out: lengthening the drain before the order alone (streams take up to 5 s; a server would be out of the pool for as long).

--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -9,12 +9,20 @@
 namespace
 {
 
-constexpr double kWindowS    = 2.5;     // over which the share of refused first attempts is a mean
-constexpr double kFewFirsts  = 30;      // first attempts below which that share says little: one refusal is no overload
-constexpr double kSpreadFrom = 2.0 / 3; // of a long wait: the rest is by chance, so that callers don't return together
+constexpr double kWindowS    = 2.5;        // over which the share of refused first attempts is a mean
+constexpr double kFewFirsts  = 30;         // first attempts below which that share says little: one refusal is no overload
+constexpr auto   kPauseLeast = seconds(2); // callers' rule for giving up a stream: the longest of this,
+constexpr int    kPauseGoals = 4;          // so many objectives,
+constexpr int    kPauseGaps  = 8;          // and so many of the pauses that are still in time
+constexpr double kSpreadFrom = 2.0 / 3;    // of a long wait: the rest is by chance, so that callers don't return together
 
 } // namespace
 
+Duration LongestPause(Duration goal, Duration max_gap)
+{
+    return std::max({Duration(kPauseLeast), kPauseGoals * goal, kPauseGaps * max_gap});
+}
+
 double Admission::RefusedShare() const
 {
     return m_Refused / (m_First + kFewFirsts);
@@ -22,6 +30,8 @@
 
 Duration Admission::Allowed(const AdmissionNeed& need) const
 {
+    if (need.m_Bears > Duration::zero())
+        return std::min(need.m_Bears, need.m_Left);
     if (!need.m_CameBack)
         return FromSeconds(ToSeconds(need.m_Goal) * m_Config.m_GoalShare);
     const double strict  = ToSeconds(need.m_Goal) * m_Config.m_BackShare;
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -12,6 +12,8 @@
 //   - A caller that was refused before has lost its objective by then. While few are refused it is taken, up to m_LateMax. While many are,
 //     it is taken only where m_BackShare of the objective is enough: where there is room to spare. Taken like first attempts, those that
 //     came back had half of the servers' work, and as many first attempts were refused in their place. Lasting overload: 0.39 to 0.50.
+//   - A request that was taken here and lost its server, by a crash or a start of weights, is taken again as long as its caller bears the wait
+//     (m_Bears): it isn't new, and refusing it breaks off what its caller has. Of what callers bear, LongestPause() knows the rule.
 //   - A refusal tells when to come back. While few are refused, that is when the queue has become shorter; while many are, after up to
 //     m_RetryShare of what the caller has left, by chance over the last third of that: who comes back into the same overload is refused again.
 //
@@ -44,8 +46,12 @@
     Duration m_Goal     = seconds(1); // strictest objective of the service
     Duration m_Left     = seconds(6); // until the caller's deadline
     bool     m_CameBack = false;      // refused before, or tried elsewhere
+    Duration m_Bears{};               // over zero: it was taken here before, and its caller waits this long for what comes next
 };
 
+// Longest wait for the next event of a stream, its first one included, after which callers give it up.
+Duration LongestPause(Duration goal, Duration max_gap);
+
 class Admission
 {
 public:
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -13,6 +13,21 @@
 // 9 of the some 18 that are drawn; further ones found a server in time for under 1 request in 100.
 constexpr unsigned kAskRounds = 3;
 
+constexpr auto kEventWay = milliseconds(100); // from a server's first event to the caller: what a caller bears is less by this
+
+// How long the caller of a request that has lost its server still waits. A request whose server only pauses is not lost: it is taken elsewhere where
+// there is room to spare, or a full pool would do its work twice.
+Duration Bears(const Call& call, TimePoint now)
+{
+    if (call.m_Tried.empty() || !call.m_Paused.empty())
+        return {};
+    if (!call.IsStream())
+        return call.Left(now);
+    const TimePoint heard = call.m_Events > 0 ? call.m_EventAt : call.m_StartedAt;
+    const Duration  left  = LongestPause(call.m_Route->m_Goal, call.m_Route->m_MaxGap) - (now - heard) - kEventWay;
+    return std::max<Duration>(left, milliseconds(1));
+}
+
 } // namespace
 
 struct DirectServe::Impl::Asking // for one admission
@@ -33,6 +48,7 @@
     need.m_Answer           = call.m_Caller.m_Answer;
     need.m_CameBack         = call.m_Returned || !call.m_Tried.empty() || call.m_HeadSent;
     need.m_WeightsDeadlines = deadlines;
+    need.m_Bears            = Bears(call, now);
     need.m_DataCentre       = m_Daemon.Settings().m_DataCentre;
     need.m_Tried            = call.m_Tried;
     return need;
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -110,8 +110,9 @@
     Duration                         m_StrictestGoal{};       // of the service's routes; zero: as m_Goal
     Duration                         m_Left     = seconds(6); // until the caller's deadline
     bool                             m_CameBack = false;      // the caller was refused before
-    bool                             m_Asked    = false;      // candidates have answered just now: nothing else counts
-    bool                             m_Granted  = false;      // a slot is free for it wherever it goes: else it isn't sent
+    Duration                         m_Bears{};               // see AdmissionNeed
+    bool                             m_Asked   = false;       // candidates have answered just now: nothing else counts
+    bool                             m_Granted = false;       // a slot is free for it wherever it goes: else it isn't sent
     std::span<const WeightsDeadline> m_WeightsDeadlines;      // of versions named for this model, oldest first
     std::string_view                 m_DataCentre;            // of this router
     std::span<const ServerLife>      m_Tried;                 // lifetimes of servers that this request reached already
@@ -222,7 +223,7 @@
     bool                SoonTooOld(const Option& o, const RequestNeed& need, TimePoint now) const;
 
     Duration      StrictGoal(const RequestNeed& need) const { return need.m_StrictestGoal > Duration::zero() ? need.m_StrictestGoal : need.m_Goal; }
-    AdmissionNeed AdmissionOf(const RequestNeed& need) const { return {StrictGoal(need), need.m_Left, need.m_CameBack}; }
+    AdmissionNeed AdmissionOf(const RequestNeed& need) const { return {StrictGoal(need), need.m_Left, need.m_CameBack, need.m_Bears}; }
     Choice        ChoiceOf(const Option& o, std::span<const Option> options, const RequestNeed& need, TimePoint now) const;
 
     // What is learned from requests
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -48,6 +48,28 @@
     BOOST_TEST(busy.Takes(Need(true), FromSeconds(0.4 * cfg.m_BackShare)));
 }
 
+// Streams that had begun were broken off in calm seconds: their servers were told to start other weights and cut what still ran, and no other server
+// took them. A router held them to what it asks of callers that come back, under half of the strictest objective while many are refused:
+//   AnswerBroken  cause closed, given_up no-server, events 15; the same line for twelve streams of one server within 20 ms
+// They were taken once; what they may wait is what their callers bear.
+BOOST_AUTO_TEST_CASE(a_request_that_was_taken_and_lost_its_server_is_taken_again_up_to_what_its_caller_bears)
+{
+    const Admission busy = After(2);
+    AdmissionNeed   need = Need(true);
+    need.m_Bears         = milliseconds(1500);
+    BOOST_TEST(busy.Takes(need, milliseconds(1500)));
+    BOOST_TEST(!busy.Takes(need, milliseconds(1501)));
+    need.m_Left = milliseconds(700); // nobody waits past the deadline
+    BOOST_TEST(!busy.Takes(need, milliseconds(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(callers_bear_the_longest_of_two_seconds_and_multiples_of_objective_and_pause)
+{
+    BOOST_TEST((LongestPause(milliseconds(400), milliseconds(200)) == seconds(2)));
+    BOOST_TEST((LongestPause(milliseconds(600), milliseconds(200)) == milliseconds(2400)));
+    BOOST_TEST((LongestPause(milliseconds(600), milliseconds(400)) == milliseconds(3200)));
+}
+
 BOOST_AUTO_TEST_CASE(a_single_refusal_is_no_overload)
 {
     Admission a({});
