A long answer to another request is skipped, however long

Callers of a router would have had no answer at all: the new reading of answers went round without waiting when a surplus answer to an earlier request was longer than a piece (64 KB), because the parser was given room only once. Found in review, before it was in use. Why it holds: each piece of an answer that is dropped gets room as each piece of one that is read. Ruled out: other steps of the parser that make no progress; only a full piece does.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -161,7 +161,10 @@
             else if (m_Parser->is_done())
                 ec = DropAnswer();
             else
+            {
+                GiveRoom(); // for the next piece; a parser without room makes no step
                 ec = co_await ParseOn(quiet_until, end_at);
+            }
         }
         if (ec == kQuiet)
             co_return false;
@@ -298,7 +301,6 @@
         const bool interim = m_Head.m_Status < 200;
         m_OwnHead          = !interim && (!m_Options.m_IsOurs || m_Options.m_IsOurs(m_Head));
         m_Dropping         = !m_OwnHead;
-        GiveRoom();
         co_return boost::system::error_code();
     }
 
