A router that runs out of looks for another server still waits, and a paused one is heard in all cases

Callers of a router would have been left without answers: with one server that pauses and others that can't be reached the loop went round without waiting, and the router's one thread was gone. With it came three cases in which a paused server wasn't listened to, or nobody looked elsewhere: a server that doesn't take the request's body, one that stalls inside a failure, and weights that become too old to begin with while another server is looked for.

Now the limit of attempts lies where it is asked for, and the time of the next look moves with each look. A request is written for no longer than a first event is waited for; an answer that is passed on whole gives way to paused servers, and a failure isn't passed on while one may do better; attempts that would soon begin too late are withdrawn before a look.

Ruled out: a second loop of this kind (each path now ends in a wait, an attempt or the end).

--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -7,13 +7,14 @@
 namespace
 {
 
-constexpr auto     kIdleRepeatable  = seconds(4);        // a connection that rested longer isn't used: its server may have forgotten it
-constexpr auto     kIdleOnce        = milliseconds(0);   // a server may have forgotten a resting connection: a request that runs once gets a new one
-constexpr auto     kEndSlack        = milliseconds(20);  // an exchange ends this long before the deadline, so that our answer is in time
-constexpr auto     kTurn            = milliseconds(50);  // that one of several servers is listened to while all pause
-constexpr auto     kWithdrawn       = milliseconds(150); // a reset is at the server this much before it must not begin; beyond the way there
-constexpr unsigned kPriorityResumed = 0;                 // a stream that broke: its caller sees the pause until it goes on
-constexpr size_t   kAnswerMax       = 64 * 1024 * 1024;  // bytes of an answer that is held until it is whole
+constexpr auto     kIdleRepeatable = seconds(4);        // a connection that rested longer isn't used: its server may have forgotten it
+constexpr auto     kIdleOnce       = milliseconds(0);   // a server may have forgotten a resting connection: a request that runs once gets a new one
+constexpr auto     kEndSlack       = milliseconds(20);  // an exchange ends this long before the deadline, so that our answer is in time
+constexpr auto     kTurn           = milliseconds(50);  // that one of several servers is listened to while all pause
+constexpr auto     kWithdrawn      = milliseconds(150); // a reset is at the server this much before it must not begin; beyond the way there
+constexpr auto     kLookTakes = milliseconds(700); // for asking boxes and connecting elsewhere, at most; paused attempts aren't listened to meanwhile
+constexpr unsigned kPriorityResumed = 0;           // a stream that broke: its caller sees the pause until it goes on
+constexpr size_t   kAnswerMax       = 64 * 1024 * 1024; // bytes of an answer that is held until it is whole
 
 bool IsServerFault(unsigned status)
 {
@@ -125,7 +126,7 @@
     const TimePoint end_at = EndAt(call, attempt);
     if (!call.IsStream() || !call.m_Route->MayRepeat())
         return end_at;
-    const TimePoint look_at = call.m_Paused.empty() ? call.m_LookAt : std::min<TimePoint>(call.m_LookAt, Now() + kTurn);
+    const TimePoint look_at = call.m_Paused.empty() ? call.m_LookAt : std::min(call.m_LookAt, attempt.m_TurnEnd);
     return std::min(end_at, look_at);
 }
 
@@ -141,7 +142,11 @@
     call.m_LookAt                 = sent_at + milliseconds(m_Settings.m_FirstEventMs);
 
     m_Choice.OnSent(attempt->m_Server, call.m_Caller.m_Prompt, sent_at);
-    auto sent = co_await m_Client.Send(server.m_Address, forward, EndAt(call, *attempt), options);
+    // A server that doesn't take the request has nothing to go on with: it is waited for no longer than for a first event.
+    const bool      elsewhere = call.IsStream() && call.m_Route->MayRepeat();
+    const TimePoint end_at    = EndAt(call, *attempt);
+    const TimePoint sent_by   = elsewhere ? std::min(end_at, call.m_LookAt) : end_at;
+    auto            sent      = co_await m_Client.Send(server.m_Address, forward, sent_by, options);
     if (!sent)
     {
         const bool reached = sent.error().m_Verdict != Verdict_NotRun; // the request may have arrived
@@ -159,6 +164,7 @@
 // another server has an event to pass on. Ended at once, streams were broken off that no other server took.
 awaitable<AttemptEnd> DirectServe::Impl::Follow(Call& call, RequestAttemptPtr attempt)
 {
+    attempt->m_TurnEnd   = Now() + kTurn;
     const AttemptEnd end = co_await Relay(call, *attempt);
     if (end != AttemptEnd_Paused || call.m_Abort.Aborted())
         co_return Conclude(call, *attempt, end, true);
@@ -173,6 +179,20 @@
     co_return end;
 }
 
+// While another server is looked for nobody listens to them, and their weights may become too old to begin with.
+void DirectServe::Impl::WithdrawLate(Call& call, TimePoint now)
+{
+    std::deque<RequestAttemptPtr> kept;
+    for (RequestAttemptPtr& attempt : call.m_Paused)
+    {
+        if (attempt->m_Pace.m_Begun || BeginBy(call, *attempt) > now + kLookTakes)
+            kept.push_back(std::move(attempt));
+        else
+            m_Choice.OnEnd(attempt->m_Server, ServerOutcome_Cancelled, call.m_Caller.m_Prompt, now - attempt->m_Pace.m_SentAt, now);
+    }
+    call.m_Paused = std::move(kept);
+}
+
 awaitable<AttemptEnd> DirectServe::Impl::GoOn(Call& call)
 {
     AttemptEnd end = AttemptEnd_Paused;
@@ -205,6 +225,7 @@
         call.m_Cause = AttemptCause_CallerGone;
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerFault)
         call.m_MayHaveRun = true;
+    call.m_LastServer        = attempt.m_Server.m_Id;
     const TimePoint now      = Now();
     const bool      too_late = now >= call.m_Deadline - kEndSlack && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
     if (too_late)
@@ -249,31 +270,34 @@
 
 awaitable<AttemptEnd> DirectServe::Impl::RelayWhole(Call& call, RequestAttempt& attempt)
 {
-    HttpStream&  stream = *attempt.m_Stream;
-    HttpResponse res    = {stream.Head().m_Status, m_Protocol.CallerFields(stream.Head()), {}};
+    HttpStream& stream = *attempt.m_Stream;
     for (;;)
     {
-        const auto piece = co_await stream.Read(EndAt(call, attempt));
+        const auto piece = co_await stream.Read(QuietUntil(call, attempt), EndAt(call, attempt));
         if (!piece)
         {
             NoteFailure(call, CauseOf(piece.error()), piece.error().m_Message);
             co_return AttemptEnd_MayHaveRun;
         }
+        if (piece.value().m_Quiet)
+            co_return AttemptEnd_Paused;
         if (piece.value().m_Done)
             break;
-        res.m_Body.append(piece.value().m_Bytes);
-        if (res.m_Body.size() > kAnswerMax)
+        attempt.m_Body.append(piece.value().m_Bytes);
+        if (attempt.m_Body.size() > kAnswerMax)
         {
             NoteFailure(call, AttemptCause_Spoilt, "answer over the bound");
             co_return AttemptEnd_MayHaveRun;
         }
     }
+    HttpResponse res = {stream.Head().m_Status, m_Protocol.CallerFields(stream.Head()), std::move(attempt.m_Body)};
     if (call.m_HeadSent) // a stream that was to be taken up ended in another answer
     {
         NoteFailure(call, AttemptCause_Fault, "server answered " + std::to_string(res.m_Status) + " to a resumed stream");
         co_return AttemptEnd_MayHaveRun;
     }
-    if (IsServerFault(res.m_Status))
+    const bool hopeful = res.m_Status >= 400 && !call.m_Paused.empty(); // a server that pauses may still do better
+    if (IsServerFault(res.m_Status) || hopeful)
     {
         NoteFailure(call, AttemptCause_Fault, "server answered " + std::to_string(res.m_Status));
         call.m_Fault = std::move(res);
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -167,7 +167,7 @@
 {
     if (call.Left(now) < kMinLeft)
         return GivenUp_NoTime;
-    if (call.m_Tried.size() >= call.m_Route->m_MaxAttempts)
+    if (call.m_Tried.size() >= call.m_Route->m_MaxAttempts || call.m_Made > call.m_Route->m_MaxAttempts + 1)
         return GivenUp_Attempts;
     return end != AttemptEnd_NotRun && !call.m_Route->MayRepeat() ? GivenUp_RunsOnce : GivenUp_No;
 }
@@ -194,6 +194,7 @@
     call.m_LookAt      = std::max<TimePoint>(call.m_LookAt, Now() + kLookAgain);
     if (!allowed)
         co_return std::nullopt;
+    WithdrawLate(call, Now());
     std::optional<ServerEntry> server = co_await Admit(call);
     if (server)
         co_return server;
@@ -208,14 +209,12 @@
     Budget(call.m_Service->m_Name).OnRequest();
     call.m_Returned                   = Returned(call);
     AttemptEnd                 end    = AttemptEnd_NotRun;
-    unsigned                   made   = 1;
     std::optional<ServerEntry> server = co_await Admit(call); // a copy: the directory may change while the attempt waits
     if (!server)
         call.m_GivenUp = GivenUp_NoServer;
-    while (server || !call.m_Paused.empty())
+    while ((server || !call.m_Paused.empty()) && !call.m_Abort.Aborted())
     {
-        if (call.m_Abort.Aborted()) // while boxes were asked
-            break;
+        call.m_Made += server ? 1 : 0;
         if (server)
             end = co_await Attempt(call, *server);
         else
@@ -224,17 +223,18 @@
             break;
         server.reset();
         const bool look = end != AttemptEnd_Paused || Now() >= call.m_LookAt;
-        if (look && made <= call.m_Route->m_MaxAttempts + 1)
+        if (look)
             server = co_await Another(call, end);
-        if (!server)
-            continue;
-        made++;
-        LogEvent(Event_RequestRetried, {{"id", call.m_Caller.m_Id}, {"server", server->m_Id}, {"why", call.m_Why}, {"events", call.m_Events}});
+        if (server)
+            LogEvent(Event_RequestRetried, {{"id", call.m_Caller.m_Id}, {"server", server->m_Id}, {"why", call.m_Why}, {"events", call.m_Events}});
     }
     if (call.m_Abort.Aborted())
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_Answered)
+    {
+        call.m_Cause   = AttemptCause_None;
         call.m_GivenUp = GivenUp_No;
+    }
     DropPaused(call);
     co_await Settle(call, end);
 }
@@ -253,7 +253,7 @@
 {
     Metrics().GetCounter("aldervale_answers_broken_total", "cause=\"" + std::string(CauseName(call.m_Cause)) + "\"").Add(1);
     LogEvent(Event_AnswerBroken, {{"id", call.m_Caller.m_Id},
-                                  {"server", call.m_Tried.empty() ? std::string() : call.m_Tried.back().m_Id},
+                                  {"server", call.m_LastServer},
                                   {"cause", CauseName(call.m_Cause)},
                                   {"quiet_ms", ToMs(call.m_Quiet)},
                                   {"given_up", GivenUpName(call.m_GivenUp)},
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -67,6 +67,8 @@
     EventSplitter m_Events;           // what has come and is no whole event yet
     bool          m_Headed   = false; // the head of its answer has come
     bool          m_WasQuiet = false; // it has paused for too long before
+    TimePoint     m_TurnEnd{};        // others that pause are listened to after it
+    std::string   m_Body;             // of an answer that is passed on whole
 };
 using RequestAttemptPtr = std::unique_ptr<RequestAttempt>;
 
@@ -111,6 +113,8 @@
     unsigned                      m_Status = 0;                  // answered to the caller
     std::deque<RequestAttemptPtr> m_Paused;                      // attempts whose servers say nothing, until any server has an event
     TimePoint                     m_LookAt{};                    // when another server is looked for next, unless an event comes
+    unsigned                      m_Made = 0;                    // attempts, unreachable servers included
+    std::string                   m_LastServer;                  // of the attempt that ended last
     unsigned                      m_Pauses = 0;                  // that made it look for another server
 
     Duration Left(TimePoint now) const { return m_Deadline - now; }
@@ -156,6 +160,7 @@
     Endpoint                              BoxOf(const ServerEntry& server) const;
 
     awaitable<AttemptEnd> Attempt(Call& call, ServerEntry server);
+    void                  WithdrawLate(Call& call, TimePoint now);       // paused attempts that would soon begin too late
     awaitable<AttemptEnd> GoOn(Call& call);                              // with whichever paused server has something first
     awaitable<AttemptEnd> Follow(Call& call, RequestAttemptPtr attempt); // until it ends or pauses
     AttemptEnd            Conclude(Call& call, const RequestAttempt& attempt, AttemptEnd end, bool reached);
