A begun stream that lost its server is looked for a place as long as its caller waits

Callers saw begun streams broken off at the first no: no server with room at that moment (99 of one second in which all servers were about to start other weights), or the router's share of retries spent on other requests a moment before. Their callers wait for 2 s and more, and places and tokens come back within tenths of a second.

Now a stream that has begun and has no server any more is looked for a place every 0.1 s, up to what its caller bears and the deadline; nothing that hasn't begun is kept waiting. A quarter of a router's share of the retry budget is left for such streams; routers use 0.8 of the declared budget together, 0.6 before, of which requests that haven't begun can have 0.6 at once, as before. Why it holds: what ends such a stream is its caller's patience, the deadline, the route's number of attempts, or a budget that stays empty.

Ruled out: a larger share without a reserve (plain retries would spend it first).

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -12,10 +12,12 @@
 constexpr auto     kMinLeft        = milliseconds(40);   // time before the deadline below which no attempt is begun
 constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
 constexpr auto     kLookAgain      = milliseconds(500);  // between looks for another server while the ones that have the request pause
+constexpr auto     kLookLost       = milliseconds(100);  // and while none has it: its caller waits, and places become free all the time
 constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
 constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
 constexpr double   kBudgetGrown    = 1.5;                // times the routers that budgets were built for, from which on they are built anew
-constexpr double   kBudgetShare    = 0.6;                // of the declared budget that routers use together: windows slide
+constexpr double   kBudgetShare    = 0.8;                // of the declared budget that routers use together: windows slide
+constexpr double   kBudgetReserve  = 0.25;               // of that, left for answers that have begun
 
 constexpr std::string_view kCauseNames[]   = {"none", "silence", "closed", "refused", "unreachable", "fault", "spoilt", "deadline", "caller-gone"};
 constexpr std::string_view kGivenUpNames[] = {"no", "no-server", "attempts", "budget", "no-time", "runs-once"};
@@ -70,6 +72,7 @@
         RetryConfig  cfg;
         cfg.m_PerRequest = m_Settings.m_RetryRatio * kBudgetShare;
         cfg.m_BudgetMax  = std::max(1.0, m_Settings.m_RetryExtra * kBudgetShare / routers);
+        cfg.m_Reserve    = cfg.m_BudgetMax * kBudgetReserve;
         cfg.m_MinLeft    = kMinLeft;
         b                = std::make_unique<RetryBudget>(cfg);
     }
@@ -180,7 +183,7 @@
     if (call.m_GivenUp != GivenUp_No)
         return false;
     // A server that was never reached costs the service nothing; only what arrives somewhere counts against the budget.
-    const bool allowed = call.m_Tried.empty() || Budget(call.m_Service->m_Name).TryTake();
+    const bool allowed = call.m_Tried.empty() || Budget(call.m_Service->m_Name).TryTake(call.m_HeadSent);
     if (!allowed)
         call.m_GivenUp = GivenUp_Budget;
     return allowed;
@@ -204,6 +207,26 @@
     co_return std::nullopt;
 }
 
+// A stream that has begun and has no server any more is looked for a place for as long as its caller waits: the pool that is full now has room within
+// some tenths of a second, and what the caller has would be lost. Nothing is kept waiting that hasn't begun.
+bool DirectServe::Impl::MayLookOn(const Call& call, TimePoint now) const
+{
+    const bool refused = call.m_GivenUp == GivenUp_NoServer || call.m_GivenUp == GivenUp_Budget;
+    const bool bears   = now - call.m_EventAt < LongestPause(call.m_Route->m_Goal, call.m_Route->m_MaxGap);
+    return refused && bears && call.m_HeadSent && call.m_Paused.empty() && call.m_Route->MayRepeat() && call.Left(now) > kMinLeft + kLookLost;
+}
+
+awaitable<std::optional<ServerEntry>> DirectServe::Impl::LookOn(Call& call, AttemptEnd end)
+{
+    std::optional<ServerEntry> server = co_await Another(call, end);
+    while (!server && !call.m_Abort.Aborted() && MayLookOn(call, Now()))
+    {
+        co_await SleepFor(kLookLost);
+        server = co_await Another(call, end);
+    }
+    co_return server;
+}
+
 awaitable<void> DirectServe::Impl::Serve(Call& call)
 {
     Budget(call.m_Service->m_Name).OnRequest();
@@ -224,7 +247,7 @@
         server.reset();
         const bool look = end != AttemptEnd_Paused || Now() >= call.m_LookAt;
         if (look)
-            server = co_await Another(call, end);
+            server = co_await LookOn(call, end);
         if (server)
             LogEvent(Event_RequestRetried, {{"id", call.m_Caller.m_Id}, {"server", server->m_Id}, {"why", call.m_Why}, {"events", call.m_Events}});
     }
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -175,6 +175,8 @@
     awaitable<AttemptEnd> RelayStream(Call& call, RequestAttempt& attempt);
     awaitable<bool>       PassOn(Call& call, const HttpResponse& head, const std::string& events, TimePoint heard); // false: caller gone
     awaitable<std::optional<ServerEntry>> Another(Call& call, AttemptEnd end); // nothing: none is allowed, or none takes it
+    awaitable<std::optional<ServerEntry>> LookOn(Call& call, AttemptEnd end);  // the same, for as long as a begun stream's caller waits
+    bool                                  MayLookOn(const Call& call, TimePoint now) const;
     awaitable<void>                       Settle(Call& call, AttemptEnd end);
     awaitable<void>                       Answer(Call& call, HttpResponse res);
     bool                                  TryAgain(Call& call, AttemptEnd end, TimePoint now);
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -18,6 +18,7 @@
     unsigned m_MaxAttempts = 3;               // first one included
     double   m_PerRequest  = 0.2;             // tokens gained with each request
     double   m_BudgetMax   = 20;              // tokens that may gather
+    double   m_Reserve     = 0;               // of these, left for answers that have begun: their callers lose what they have
     Duration m_MinLeft     = milliseconds(5); // time before the deadline below which no attempt is begun
 };
 
@@ -32,10 +33,10 @@
         m_Tokens = std::min(m_Config.m_BudgetMax, m_Tokens + m_Config.m_PerRequest);
     }
 
-    bool TryTake()
+    bool TryTake(bool begun = false) // begun: some of the answer went to the caller
     {
         std::lock_guard lock(m_Mutex);
-        if (m_Tokens < 1)
+        if (m_Tokens < 1 + (begun ? 0 : m_Config.m_Reserve))
             return false;
         m_Tokens -= 1;
         return true;
