Settings that are read again give no new retries

Servers that fail would have got as many retries as if there were no bound, where a platform writes its settings file often: each reading built the shares of the retry budget anew, and full. They are built anew only when the declared bound changes. Why it holds: nothing else of the settings is in a budget. Ruled out: carrying tokens over a changed bound; a new bound starts a new share, as at a start.

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -443,8 +443,11 @@
 
 void DirectServe::SetSettings(const DirectServeSettings& s)
 {
-    m_Impl->m_Settings = s;
-    m_Impl->m_Budgets.clear(); // built anew from the new bounds
+    const DirectServeSettings& before    = m_Impl->m_Settings;
+    const bool                 new_bound = s.m_RetryRatio != before.m_RetryRatio || s.m_RetryExtra != before.m_RetryExtra;
+    m_Impl->m_Settings                   = s;
+    if (new_bound) // only then: budgets that are built anew are full, and a file that is written often would undo the bound
+        m_Impl->m_Budgets.clear();
 }
 
 uint64_t DirectServe::InFlight() const
