A small share of retries still has one for requests that have not begun

Where many routers share a small budget, requests that had not begun would have got no retry at all: the part that is left for begun streams was a quarter of a share of one. The share leaves one token for anybody. Ruled out: a share below one, which RetryBudget never has.

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -72,7 +72,7 @@
         RetryConfig  cfg;
         cfg.m_PerRequest = m_Settings.m_RetryRatio * kBudgetShare;
         cfg.m_BudgetMax  = std::max(1.0, m_Settings.m_RetryExtra * kBudgetShare / routers);
-        cfg.m_Reserve    = cfg.m_BudgetMax * kBudgetReserve;
+        cfg.m_Reserve    = std::min(cfg.m_BudgetMax * kBudgetReserve, cfg.m_BudgetMax - 1); // a small share still has one for anybody
         cfg.m_MinLeft    = kMinLeft;
         b                = std::make_unique<RetryBudget>(cfg);
     }
