The drain before new weights ends only by a report that is newer than the drain

Callers saw streams cut by an order for new weights although a drain of 0.6 s came before it: the drain ended at once when the newest report said that nothing ran, and that report could be older than the last request (reports come every 75 ms, and routers hear of the drain some 25 ms later). It ends now by a report that was asked for after routers were told. Why it holds: what such a report doesn't see was sent by a router that had been told for 25 ms, or had not heard. Ruled out: a longer least drain, which every start would pay for.

--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -99,6 +99,7 @@
         const bool      was    = m_Reachable;
         const uint64_t  held   = m_Report.m_Weights;
         const bool      taken  = report && TakeReport(report.value());
+        m_ReportAsked          = taken ? asked : m_ReportAsked;
         m_Missed               = taken ? 0 : m_Missed + 1;
         m_Reachable            = taken || (m_Reachable && m_Missed < kMissedMax);
         if (was && !m_Reachable)
@@ -170,8 +171,11 @@
     m_Draining = true;
     Publish();
     co_await SleepFor(kTellRouters);
-    const TimePoint end = Now() + kDrainMax;
-    while (m_Reachable && m_Report.m_Weights > 0 && m_Report.m_Running + m_Report.m_Waiting > 0 && Now() < end)
+    // A report that was asked for earlier may be older than the last request that came.
+    const TimePoint told = Now();
+    const TimePoint end  = told + kDrainMax;
+    const auto      idle = [&] { return m_ReportAsked >= told && m_Report.m_Running + m_Report.m_Waiting == 0; };
+    while (m_Reachable && m_Report.m_Weights > 0 && !idle() && Now() < end)
         co_await SleepFor(kDrainPoll);
 }
 
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -48,6 +48,7 @@
     StartPlan          m_Plan;              //
     std::string        m_Model;             //
     ServerReport       m_Report;            // last one
+    TimePoint          m_ReportAsked{};     // when it was asked for
     bool               m_Reachable = false; // reports come: fewer than kMissedMax in a row were missed
     unsigned           m_Missed    = 0;     // reports in a row without an answer
     bool               m_Ordering  = false; // pieces are being checked for a start, or it was ordered and isn't done
