At termination a request that has come on a resting connection is answered

Callers saw a reset, and nothing of their request, when a router was told to end while the request lay unread in its socket: the connection counted as idle and was closed. Why it holds: what lies in the socket is looked at just before the close, on the connection's own strand; what comes later crosses the close. Test: reset before, answered now. Ruled out: waiting for each idle connection, which would hold up every end.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -349,6 +349,13 @@
     m_Impl->m_Config = cfg;
 }
 
+// A request that has come and wasn't read yet: closing its connection would reset it.
+static bool HasUnread(ServerStream& stream)
+{
+    boost::system::error_code ec;
+    return stream.socket().available(ec) > 0 && !ec;
+}
+
 void HttpServer::CloseAfterAnswer()
 {
     m_Impl->m_Closing.store(true);
@@ -357,7 +364,7 @@
         asio::post(connection->m_Stream->get_executor(),
                    [connection]
                    {
-                       if (connection->m_Stream != nullptr && connection->m_Idle)
+                       if (connection->m_Stream != nullptr && connection->m_Idle && !HasUnread(*connection->m_Stream))
                            connection->m_Stream->close();
                    });
 }
