A caller that keeps reading a long answer gets all of it

Callers on narrow links saw long answers broken off in their middle: one bound of 30 s, meant for callers that don't read, held for the whole of an answer. It holds for each write now. Why it holds: a write ends when some bytes are taken, so only a caller that takes nothing for the whole bound is given up. Test: 12.8 of 33.6 MB before the connection ended, all of it now. Ruled out: a bound by size, which needs a least width of a link.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -74,10 +74,16 @@
         msg.body() = res.m_Body;
         msg.keep_alive(KeepAlive());
         msg.prepare_payload();
-        m_Stream.expires_after(m_Config.m_SendTimeout);
-        m_Sent       = true;
-        auto [ec, n] = co_await http::async_write(m_Stream, msg, kNoThrow);
-        co_return Outcome(ec);
+        m_Sent = true;
+        http::response_serializer<http::string_body> rest(msg);
+        while (!rest.is_done()) // each write has its own time: a caller that reads on a narrow link is not one that doesn't read
+        {
+            m_Stream.expires_after(m_Config.m_SendTimeout);
+            const auto [ec, n] = co_await http::async_write_some(m_Stream, rest, kNoThrow);
+            if (ec)
+                co_return Outcome(ec);
+        }
+        co_return true;
     }
 
     awaitable<bool> Start(unsigned status, const HttpFields& fields) override
