A router that ends waits for requests whose bodies are still coming

Callers saw a reset when a router was told to end while they were still sending their request: a request counted as in flight only once it was whole, so the process ended 2.6 s after the signal with several seconds of its grace left. Connections of which some of a request has come now count until their answer is out. Why it holds: what is counted is what the process would drop; the bounds for reading a request and for the whole drain stay. Test (a real router): both cases failed, both pass. Ruled out: a longer fixed wait.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,6 +1,8 @@
 // HTTP server over Boost.Beast. See http.h.
 #include "common/log.h"
 #include "connection/http.h"
+#include <algorithm>
+#include <atomic>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
@@ -21,8 +23,10 @@
 {
     struct Connection // one that is being served
     {
-        ServerStream* m_Stream; // null once it ended
-        bool          m_Idle;   // no byte of a request has come since the last answer; touched on the stream's strand
+        Connection(ServerStream* stream, bool idle) : m_Stream(stream), m_Idle(idle) {}
+
+        ServerStream*     m_Stream; // null once it ended
+        std::atomic<bool> m_Idle;   // no byte of a request has come since the last answer; written on the stream's strand
     };
 
     asio::io_context&                     m_Ioc;             //
@@ -243,7 +247,7 @@
 struct Registration // of a connection with its server, for as long as it is served
 {
     Registration(HttpServer::Impl& impl, ServerStream& stream)
-        : m_Impl(impl), m_Connection(std::make_shared<HttpServer::Impl::Connection>(HttpServer::Impl::Connection{&stream, false}))
+        : m_Impl(impl), m_Connection(std::make_shared<HttpServer::Impl::Connection>(&stream, true))
     {
         std::lock_guard lock(m_Impl.m_Mutex);
         m_Impl.m_Connections.insert(m_Connection);
@@ -375,6 +379,13 @@
                    });
 }
 
+size_t HttpServer::Busy() const
+{
+    std::lock_guard lock(m_Impl->m_Mutex);
+    const auto      busy = [](const auto& connection) { return !connection->m_Idle.load(); };
+    return static_cast<size_t>(std::count_if(m_Impl->m_Connections.begin(), m_Impl->m_Connections.end(), busy));
+}
+
 void HttpServer::StopAccepting()
 {
     if (m_Impl->m_Stopping.exchange(true) || !m_Impl->m_Acceptor)
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -329,7 +329,7 @@
         if (Now() - *since <= kDrainNotice)
             return false;
         r.m_Http->StopAccepting();
-        return r.m_Serve->InFlight() == 0;
+        return r.m_Http->Busy() == 0; // one whose body is still coming is not in flight yet, and has its grace all the same
     };
     hooks.m_Measure  = [&r] { Measure(r); };
     hooks.m_Reloaded = [&r] { r.m_Serve->SetSettings(r.m_Settings.m_Serve); };
