Failing test: a fetch of weights that begins anew is told of a piece that the one before asked for

What operators would see: nothing today, as agents read the origin over HTTP, where no answer is there at once (by reading, not by a run). In a Release build nothing ends: the count of reads under way goes below zero, so this fetch takes its slots for full and asks the origin for nothing more. The version is wanted on, so the same fetch stays, and the box gets only what neighbours have.

Cause: news of a neighbour makes a box look at what to fetch next, and OnHave() passes m_Job itself to Pump(), by reference. co_spawn() begins a fetch in place. Where the origin's answer is there at once and is the fourth spoilt piece, the list of digests is read again and m_Job is another job; the loop then spawns the rest of the old job's fetches under the new one, whose exchange never asked for them. A piece of a neighbour's that was spawned so fails later, when its answer comes.

The test plays it on one thread, with an origin that spoils every other piece and a neighbour whose news come without pause.

--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -61,6 +61,21 @@
     std::atomic<int>  m_Lists{0};
 };
 
+// Spoils every other of the first pieces that it is asked for, the very first one included. Answers at once, as its base does.
+class SpoilingOrigin : public FakeOrigin
+{
+public:
+    awaitable<Result<std::vector<uint8_t>>> ReadPiece(Endpoint, std::string, uint64_t version, uint32_t n, bool, TimePoint) override
+    {
+        constexpr int        kSpoiltUntil = 10; // reads: more spoilt pieces than make a list doubted, too few for the next list
+        const int            read         = m_Reads++;
+        std::vector<uint8_t> bytes        = PieceOf(version, n);
+        if (read % 2 == 0 && read < kSpoiltUntil)
+            bytes[5] ^= 1;
+        co_return bytes;
+    }
+};
+
 class FakeServer : public ModelServer
 {
 public:
@@ -266,6 +281,41 @@
     BOOST_TEST(boxes.StartedWhole());
 }
 
+// A neighbour's news made a box ask the origin for two pieces. The first one was answered at once, was the fourth spoilt one, and so the list
+// of digests was read again and the fetch began anew. The second one, which the fetch that was given up had asked for, was then read and
+// booked by the new fetch, as the loop went on with whatever fetch was under way: the new exchange was told of a chunk that it had never asked
+// for. Its counts went below zero, after which it takes every slot for full and asks the origin for nothing more.
+BOOST_AUTO_TEST_CASE(a_fetch_that_begins_anew_is_told_nothing_of_pieces_asked_for_before)
+{
+    asio::io_context ioc;
+    SpoilingOrigin   origin;
+    FakeServer       server;
+    const Endpoint   at = FreeEndpoint();
+    const Endpoint   by = FreeEndpoint();
+    PieceTransfer    box(ioc, origin, server, {at.ToString(), "dc-1"}, 0);
+    PieceLinks       neighbour(ioc, {by.ToString(), "dc-1"},
+                               {[](const std::string&) {}, [](const std::string&) {}, [](const std::string&, const LinkPtr&, const FrameBuf&) {}});
+    BOOST_REQUIRE(box.Listen(at).has_value());
+    BOOST_REQUIRE(neighbour.Listen(by).has_value());
+    neighbour.SetPeers({{at, "dc-1"}});
+    box.SetOrigin({at, 0, 0}); // the fake doesn't look at it
+    box.SetModel("m");
+    box.Want(1);
+    wire::HaveUpdateT news; // of nothing new: it only makes the box look at what to fetch next
+    news.digest         = VersionName("m", 1);
+    const TimePoint end = Now() + seconds(30); // only a hang reaches it
+    while (!box.Whole() && Now() < end)
+    {
+        neighbour.Broadcast(news);
+        ioc.run_for(milliseconds(1));
+    }
+    BOOST_REQUIRE(box.Whole());
+    BOOST_TEST(origin.m_Lists.load() == 2);
+    BOOST_TEST(origin.m_Reads.load() == 7 + 1 + static_cast<int>(kPieces)); // until the list was doubted; one more spoilt; each once
+    for (uint32_t n = 0; n < kPieces; n++)
+        BOOST_TEST((*box.Find(1)->m_Pieces[n] == PieceOf(1, n)));
+}
+
 BOOST_AUTO_TEST_CASE(a_dark_origin_is_waited_for)
 {
     Boxes boxes(2);
