Pieces asked for by a fetch that was given up are not counted for the next one

Operators: a box whose list of digests is doubted fetches the version again from a fresh list; its counts of what is under way hold, and no piece is read any more for the fetch that was given up. Boxes that read the origin over HTTP behave as before.

Pump() takes its job by value, so a fetch that ends in place and puts another job into m_Job no longer changes the job under the loop; and the loop ends when its job is over. Why it holds: each spawned fetch now carries the job whose exchange asked for it, and a fetch whose job is over tells nothing.

Other functions that are given a job: Begin() begins nothing in place, and the coroutines hold theirs by value. Not run: the rest of the suite, a whole Release build.

--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -99,7 +99,7 @@
     awaitable<void> TakeStaged(std::shared_ptr<Job> job);
     awaitable<void> AwaitPeers(std::shared_ptr<Job> job);
     void            Begin(const std::shared_ptr<Job>& job);
-    void            Pump(const std::shared_ptr<Job>& job);
+    void            Pump(std::shared_ptr<Job> job);
 
     // One piece (piece_transfer_fetch.cpp)
     awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
--- a/src/version/piece_transfer_job.cpp
+++ b/src/version/piece_transfer_job.cpp
@@ -175,7 +175,9 @@
     }
 }
 
-void PieceTransfer::Pump(const std::shared_ptr<Job>& job)
+// `job` is a copy: what is spawned here may end at once, and a piece that ends may put another job into m_Job, which a caller may have
+// passed. What was asked for by a job that is over is neither read nor counted for the next one.
+void PieceTransfer::Pump(std::shared_ptr<Job> job)
 {
     if (job->m_Over || !job->m_Exchange)
         return;
@@ -192,8 +194,12 @@
     const TimePoint now = Now();
     job->m_Exchange->HoldOrigin(!m_OriginAt || now < job->m_OriginFrom);
     for (const Fetch& f : job->m_Exchange->Next(now))
+    {
+        if (job->m_Over)
+            return;
         asio::co_spawn(
             m_Ioc, [this, job, f] { return FetchPiece(job, f); }, asio::detached);
+    }
 }
 
 } // namespace aldervale
