A server is drained for as long as a usual stream takes before its weights are changed

Callers saw begun streams cut by our own orders for new weights, up to a dozen at a server: the drain before an order was 0.6 s, a usual stream takes some 1.2 s. What was cut had to be read again elsewhere, and where its second server was ordered too, its attempts were used up and it was broken off. The drain is 1.4 s at most now; it still ends as soon as nothing runs. Why it holds: an order cuts only streams that are much longer than usual, and those are taken up elsewhere.

--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -15,9 +15,10 @@
 constexpr auto     kPieceMax    = milliseconds(800); // for putting or reading one piece
 constexpr auto     kOrderMax    = milliseconds(800); // for the answer to an order
 constexpr auto     kOrderDone   = seconds(6);        // an order that shows no effect for this long is given again
-constexpr auto     kDrainMax    = milliseconds(600); // between telling routers that nothing new is taken and the order, which cuts what still runs
-constexpr auto     kTellRouters = milliseconds(25);  // least of it: a datagram's way
-constexpr auto     kDrainPoll   = milliseconds(25);  //
+constexpr auto     kDrainMax =
+    milliseconds(1400); // from telling routers that nothing new is taken to the order, which cuts what still runs: a usual stream takes some 1.2 s
+constexpr auto kTellRouters = milliseconds(25); // least of it: a datagram's way
+constexpr auto kDrainPoll   = milliseconds(25); //
 
 } // namespace
 
