The soak holds what servers would have finished against what callers got

Routers broke streams off while their servers were still at work on them, and the soak kept silent: it checked what callers got only where it was whole, and none of its servers ever stood still. New promise LOST: a request that reached a server is answered whole, unless its servers broke off by a fault of ours, its time was over, or SIGKILL or SIGSTOP hit its router meanwhile. SIGTERM is no excuse before the SIGKILL after the grace. Each backend notes of its runs whether it finished, broke off and by which fault, or was cut by the router. New faults: one to three stream servers stand still for 0.5 to 3.5 s, before the head or any event, in some streams or in all at once.

Two faults of the soak itself are mended. After a spell in which answers were lost, a connection gave later bytes of the same stream, which TCP never does.

--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -8,10 +8,12 @@
 import random
 import socket
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from urllib.parse import unquote
 
 EVENTS = 6             # of a whole stream
+PAUSE_S = (0.5, 3.5)   # how long a stream server that pauses stands still
 STORE_SILENCE_S = 30   # how long a silent store keeps a caller waiting
 FEED_POLL_S = 0.02     # how often a standing read looks for changes
 
@@ -134,12 +136,18 @@
             writer.close()
 
 
+FINISHED = "finished"
+CUT_BY_ROUTER = "cut by router"
+
+
 @dataclass
 class Run:
     at: float
     server: str
     service: str
     resumed_after: int
+    event_at: float = 0.0  # when its last event, or its answer, was sent
+    end: str = ""          # "" while at work, FINISHED, CUT_BY_ROUTER, or the fault by which the server broke it off
 
 
 @dataclass
@@ -148,16 +156,46 @@
     runs: dict = field(default_factory=dict)      # id -> [Run]
     arrivals: dict = field(default_factory=dict)  # server -> [(time, id)]
 
+    def kept(self, ident):
+        """Runs that their servers didn't break off, and that no other run of the request went on in place of."""
+        runs = self.runs.get(ident, [])
+        return [r for r in runs if r.end in ("", FINISHED, CUT_BY_ROUTER) and not any(other.event_at > max(r.at, r.event_at) for other in runs)]
+
+    def ends(self):
+        return Counter(r.end or "at work" for runs in self.runs.values() for r in runs)
+
+
+async def end_of(reader):
+    """Comes back when the other side closes a connection on which it sends nothing meanwhile."""
+    try:
+        await reader.read(1)
+    except ConnectionError:
+        pass
+
+
+async def work(seconds, gone):
+    """Lasts so long, or ends by ConnectionResetError as soon as `gone` does."""
+    await asyncio.wait([gone], timeout=seconds)
+    if gone.done():
+        raise ConnectionResetError
+
+
+async def stop_watching(gone):
+    gone.cancel()
+    await asyncio.wait([gone])
+
 
 class Backend:
     """One lifetime of a backend server, behind its proxy. Faults by share of requests: `lose` (it runs, the answer is lost), `cut` (a stream
-    breaks within an event), `refuse` (it says that it did not run the request).
+    breaks within an event), `refuse` (it says that it did not run the request), `pause` (a stream stands still for a while, and goes on).
+    All its streams stand still until `still_until`.
     Modes of the proxy: "pass", "delay", "reset", "one-way" (answers are lost), "silent" (nothing passes either way)."""
 
     def __init__(self, ident, service, port, record, rng):
         self.id, self.service, self.port, self.record, self.rng = ident, service, port, record, rng
-        self.lose = self.cut = self.refuse = 0.0
+        self.lose = self.cut = self.refuse = self.pause = self.still_until = 0.0
         self.proxy = "pass"
+        self.crashed = False
         self.server = None
         self.writers = set()
 
@@ -165,6 +203,7 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
 
     def crash(self):
+        self.crashed = True
         self.server.close()
         for writer in list(self.writers):
             reset(writer)
@@ -177,56 +216,84 @@
         self.writers.add(writer)
         try:
             while True:
-                await self.handle(await read_request(reader), writer)
+                await self.handle(await read_request(reader), reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the caller left, or the run is over
         finally:
             self.writers.discard(writer)
             writer.close()
 
-    async def send(self, writer, data):
+    def break_off(self, run, writer, fault):
+        run.end = run.end or fault
+        reset(writer)
+        raise ConnectionResetError
+
+    async def send(self, run, writer, data):
         if self.proxy == "reset":
-            reset(writer)
-            raise ConnectionResetError
+            self.break_off(run, writer, "reset")
         if self.proxy == "delay":
             await asyncio.sleep(self.rng.uniform(0.05, 0.4))
-        if self.proxy not in ("one-way", "silent"):
+        if self.proxy in ("one-way", "silent"):
+            run.end = run.end or self.proxy
+        if not run.end:  # a connection that lost bytes gives no later ones
             writer.write(data)
             await writer.drain()
 
-    async def handle(self, req, writer):
+    async def handle(self, req, reader, writer):
         if self.proxy == "silent":
             return await asyncio.sleep(STORE_SILENCE_S)
         ident = req.fields["x-request-id"]
         echo = {"X_Request_Id": ident}
+        run = Run(time.monotonic(), self.id, self.service, int(req.fields.get("last-event-id") or 0))
         if req.fields.get("x-expect-instance") != self.id:
-            return await self.send(writer, answer(421, **echo))
-        self.record.arrivals.setdefault(self.id, []).append((time.monotonic(), ident))
+            return await self.send(run, writer, answer(421, **echo))
+        self.record.arrivals.setdefault(self.id, []).append((run.at, ident))
         if self.rng.random() < self.refuse:
-            return await self.send(writer, answer(503, X_Not_Executed="1", **echo))
-        after = int(req.fields.get("last-event-id") or 0)
-        self.record.runs.setdefault(ident, []).append(Run(time.monotonic(), self.id, self.service, after))
-        await asyncio.sleep(self.rng.uniform(0.001, 0.05))
+            return await self.send(run, writer, answer(503, X_Not_Executed="1", **echo))
+        self.record.runs.setdefault(ident, []).append(run)
+        gone = asyncio.ensure_future(end_of(reader))
+        try:
+            await self.execute(req, ident, run, writer, gone)
+            run.end = run.end or FINISHED
+        except ConnectionError:
+            run.end = run.end or ("crash" if self.crashed else CUT_BY_ROUTER)
+            raise
+        finally:
+            gone.cancel()
+
+    async def execute(self, req, ident, run, writer, gone):
+        await work(self.rng.uniform(0.001, 0.05), gone)
         if self.rng.random() < self.lose:
-            reset(writer)
-            raise ConnectionResetError
+            self.break_off(run, writer, "lose")
         if req.path.startswith("/stream/"):
-            return await self.stream(ident, after, writer)
+            return await self.stream(ident, run, writer, gone)
+        await stop_watching(gone)
         body = f"{ident} by {self.id}".encode()
-        await self.send(writer, answer(200, body, X_Response_Seal=f"seal-{self.id}-{ident}", **echo))
-
-    async def stream(self, ident, after, writer):
+        await self.send(run, writer, answer(200, body, X_Request_Id=ident, X_Response_Seal=f"seal-{self.id}-{ident}"))
+        run.event_at = time.monotonic()
+
+    async def stand_still(self, pauses, gone):
+        if pauses:
+            await work(self.rng.uniform(*PAUSE_S), gone)
+        if self.still_until > time.monotonic():
+            await work(self.still_until - time.monotonic(), gone)
+
+    async def stream(self, ident, run, writer, gone):
+        pause_before = self.rng.randint(0, EVENTS) if self.rng.random() < self.pause else -1  # 0: before the head
+        await self.stand_still(pause_before == 0, gone)
         head = f"HTTP/1.1 200 X\r\nX-Request-Id: {ident}\r\nContent-Type: text/event-stream\r\nX-Response-Seal: seal-{self.id}-{ident}\r\n"
-        await self.send(writer, (head + "Transfer-Encoding: chunked\r\n\r\n").encode())
-        for n in range(after + 1, EVENTS + 1):
+        await self.send(run, writer, (head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for n in range(run.resumed_after + 1, EVENTS + 1):
+            await self.stand_still(n == pause_before, gone)
             event = f"id: {n}\ndata: {ident} {n}\n\n".encode()
             if self.rng.random() < self.cut:
-                await self.send(writer, f"{len(event):x}\r\n".encode() + event[:7])
-                reset(writer)
-                raise ConnectionResetError
-            await self.send(writer, f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await asyncio.sleep(self.rng.uniform(0.001, 0.02))
-        await self.send(writer, b"0\r\n\r\n")
+                await self.send(run, writer, f"{len(event):x}\r\n".encode() + event[:7])
+                self.break_off(run, writer, "cut")
+            await self.send(run, writer, f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            run.event_at = time.monotonic()
+            await work(self.rng.uniform(0.001, 0.02), gone)
+        await stop_watching(gone)
+        await self.send(run, writer, b"0\r\n\r\n")
 
 
 class ModelServer:
@@ -267,17 +334,23 @@
                        route("stream", "streaming", "a", Resumable=True, gap_aim_ms=400)]}
 
 
+def is_free(port):
+    """On every address of this machine: routers of another soak beside this one have the same addresses."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as s:
+            try:
+                s.bind(("", port))
+            except OSError:
+                return False
+    return True
+
+
 def free_ports(count, rng):
-    """Ports that nobody listens on now, below the range from which the system takes its own."""
+    """Ports that nobody uses now, below the range from which the system takes its own."""
     out = []
     while len(out) < count:
         port = rng.randrange(12_000, 30_000)
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in out:
+        if port not in out and is_free(port):
             out.append(port)
     return out
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,18 +1,21 @@
 """Fault soak of the platform's router: real processes on loopback, faults from outside them, promises checked from both ends.
 
-  scripts/soak --seed N [--seconds S] [--routers R] [--servers K] [--clients C] [--bounds]
+  scripts/soak --seed N [--seconds S] [--routers R] [--servers K] [--clients C] [--bounds] [--half-close]
 
 Exit status 0: every promise held. Promises without a clock are always checked:
   TWICE     a request that may run once runs at most once
   REFUSED   a request that was refused as not run did not run
   MIXED     an answer is the whole answer of one server to this request, under its seal
   ORDER     a stream has every event once and in order, and ends only after the last
+  LOST      a request that reached a server is answered whole, unless its servers broke off, its time was over, or a signal of ours (SIGKILL,
+            SIGSTOP) hit its router meanwhile; SIGTERM is no excuse, nor is a server that pauses and goes on
   REVERT    a router that has used new declarations does not go back to older ones in the same life
   EXIT      no process ends by itself
   RECOVER   when the faults are over every router serves again
 With --bounds also those in seconds, which a loaded machine may break (not for CI):
   DRAIN     nothing new reaches a server later than the bound after it was named as draining, while router and store are undisturbed
   CONFIG    the same for older declarations
+With --half-close some callers shut down their sending side after the request; LOST holds for them, too.
 """
 import argparse
 import asyncio
@@ -36,6 +39,9 @@
 SLACK_S = 0.5          # for this machine's own delays, with --bounds
 GRACE_S = 8            # from SIGTERM to SIGKILL
 ANSWER_S = 10          # longest wait of a client for an answer
+TIME_S = 4.0           # a caller's time for a request, which is also its route's
+END_SLACK_S = 0.02     # by which a router ends an exchange earlier, so that its answer is in time (kEndSlack)
+HALF_CLOSED = 0.05     # share of requests, with --half-close
 RECOVER_S = 30         # for every router to serve again at the end
 REVERT_S = 0.25        # requests sent within this of each other may be handled by either version
 
@@ -60,6 +66,8 @@
     router: str
     life: int
     at: float
+    half_closed: bool = False
+    ended: float = 0.0
     status: int = 0  # 0: no whole answer
     body: bytes = b""
     seal: str = ""
@@ -86,6 +94,7 @@
     servers: dict = field(default_factory=dict)   # id -> Backend that lives
     drained: dict = field(default_factory=dict)   # id -> when it was named as draining
     configs: list = field(default_factory=list)   # (when, version)
+    hits: list = field(default_factory=list)      # (router, from, to): it was ended or stopped by a signal that leaves it no time
     sent: list = field(default_factory=list)
     broken: list = field(default_factory=list)    # (rule, text)
     store_disturbed: float = 0.0                  # when its last fault ended; inf: now
@@ -122,14 +131,18 @@
 
     async def end(self, r, sig):
         r.ending = True
+        hit = time.monotonic()
         r.process.send_signal(sig)
         for _ in range(int(GRACE_S / 0.05)):
             if r.process.poll() is not None:
                 break
             await asyncio.sleep(0.05)
         if r.process.poll() is None:
+            sig, hit = signal.SIGKILL, time.monotonic()
             r.process.kill()
             r.process.wait()
+        if sig == signal.SIGKILL:
+            self.hits.append((r.name, hit, time.monotonic()))
         self.launch(r)
 
     async def watch(self):
@@ -183,9 +196,16 @@
         s = Sent(f"c{number}-{self.counter}", kind, r.name, r.life, time.monotonic())
         self.sent.append(s)
         method, body = ("POST", b"work") if kind in ("once", "stream") else ("GET", b"")
-        writer.write((f"{method} /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {s.ident}\r\nX-Deadline-Remaining: 4000\r\n"
+        writer.write((f"{method} /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {s.ident}\r\nX-Deadline-Remaining: {TIME_S * 1000:.0f}\r\n"
                       f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
-        return await asyncio.wait_for(self.read_answer(reader, s), ANSWER_S)
+        if self.args.half_close and self.rng.random() < HALF_CLOSED:
+            s.half_closed = True
+            writer.write_eof()
+        try:
+            keep = await asyncio.wait_for(self.read_answer(reader, s), ANSWER_S)
+        finally:
+            s.ended = time.monotonic()
+        return keep and not s.half_closed
 
     async def read_answer(self, reader, s):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -217,10 +237,12 @@
         elif kind == "hup":
             r.process.send_signal(signal.SIGHUP)
         else:
+            stopped = time.monotonic()
             r.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.rng.uniform(0.2, 3))
             if r.process.poll() is None:
                 r.process.send_signal(signal.SIGCONT)
+            self.hits.append((r.name, stopped, time.monotonic()))
         r.disturbed = time.monotonic()
 
     async def fault_store(self):
@@ -248,6 +270,20 @@
         b.lose = b.cut = b.refuse = 0.0
         b.proxy = "pass"
 
+    async def fault_streams(self):
+        """Some servers stand still within their streams, some or all of these at once, and go on: that breaks nothing off."""
+        servers = [self.pick("a") for _ in range(self.rng.randint(1, 3))]
+        if self.rng.random() < 0.5:
+            until = time.monotonic() + self.rng.uniform(*standin.PAUSE_S)
+            for b in servers:
+                b.still_until = until
+            return
+        for b in servers:
+            b.pause = self.rng.uniform(0.1, 0.8)
+        await asyncio.sleep(self.rng.uniform(0.3, 3))
+        for b in servers:
+            b.pause = 0.0
+
     async def crash(self, b):
         b.crash()
         self.drained[b.id] = float("inf")
@@ -273,7 +309,8 @@
         running = set()
         while True:
             self.faults += 1
-            fault = self.rng.choice([self.fault_router, self.fault_router, self.fault_store, self.fault_server, self.fault_server, self.fault_config])
+            fault = self.rng.choice([self.fault_router, self.fault_router, self.fault_store, self.fault_server, self.fault_server,
+                                     self.fault_streams, self.fault_streams, self.fault_config])
             task = asyncio.create_task(fault())
             running.add(task)
             task.add_done_callback(running.discard)
@@ -298,6 +335,16 @@
         elif (s.body, s.seal) not in {(f"{s.ident} by {b}".encode(), f"seal-{b}-{s.ident}") for b in by}:
             self.breach("MIXED", f"{s.ident}: {s.body!r} under {s.seal!r}")
 
+    def check_lost(self, s):
+        kept = self.record.kept(s.ident)
+        answered = s.whole and s.status == 200
+        time_over = s.ended >= s.at + TIME_S - END_SLACK_S
+        hit = any(name == s.router and since <= s.ended and s.at <= until for name, since, until in self.hits)
+        if kept and not answered and not time_over and not hit:
+            runs = ", ".join(f"{r.server} {r.end or 'at work'}" for r in self.record.runs[s.ident])
+            self.breach("LOST", f"{s.ident} ({s.kind}{', half-closed' if s.half_closed else ''}) at {s.router} life {s.life}: status {s.status}, "
+                                f"{len(s.body)} bytes, {s.ended - s.at:.2f} s; runs: {runs}")
+
     def named_by(self, when):
         return [version for named_at, version in self.configs if named_at <= when]
 
@@ -400,6 +447,7 @@
         await asyncio.sleep(0.1)  # their connections end before the loop does
         for s in self.sent:
             self.check_answer(s)
+            self.check_lost(s)
         self.check_reverts()
         if a.bounds:
             self.check_bounds()
@@ -419,6 +467,7 @@
     p.add_argument("--servers", type=int, default=8)
     p.add_argument("--clients", type=int, default=24)
     p.add_argument("--bounds", action="store_true", help="also check bounds in seconds")
+    p.add_argument("--half-close", action="store_true", help="some callers shut down their sending side after the request")
     args = p.parse_args()
     folder = tempfile.mkdtemp(prefix="aldervale-soak-")
     soak = Soak(args, standin.seeded(args.seed), folder)
@@ -431,6 +480,7 @@
     refused = sum(1 for s in soak.sent if s.whole and s.status == 503)
     print(f"seed {args.seed}: {len(soak.sent)} requests, {done} answered, {refused} refused, {soak.faults} faults, {len(soak.configs)} declarations, "
           f"{len(soak.broken)} promises broken")
+    print("  runs at servers: " + ", ".join(f"{count} {end}" for end, count in soak.record.ends().most_common()))
     for rule, text in soak.broken[:20]:
         print(f"  {rule}: {text}")
     if soak.broken:
