--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -342,7 +342,7 @@
     def check_lost(self, s):
         kept = self.record.kept(s.ident)
         answered = s.whole and s.status == 200
-        time_over = s.ended >= s.at + TIME_S - (0 if s.body else END_SLACK_S)
+        time_over = s.ended >= s.at + TIME_S - (0 if s.body and not s.whole else END_SLACK_S)
         hit = any(name == s.router and since <= s.ended and s.at <= until for name, since, until in self.hits)
         if kept and not answered and not time_over and not hit:
             runs = ", ".join(f"{r.server} {r.end or 'at work'}" for r in self.record.runs[s.ident])
