Looks for a place of a begun stream come more and more slowly

Where many begun streams lose their servers at once and no other has room, each of them asked up to nine boxes ten times a second; pauses between looks double now, four looks in the time that a caller bears. Ruled out: one look for all of a router's streams, each of which needs a place of its own. Tests of the three programs of a router's requests pass.

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -12,7 +12,7 @@
 constexpr auto     kMinLeft        = milliseconds(40);   // time before the deadline below which no attempt is begun
 constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
 constexpr auto     kLookAgain      = milliseconds(500);  // between looks for another server while the ones that have the request pause
-constexpr auto     kLookLost       = milliseconds(100);  // and while none has it: its caller waits, and places become free all the time
+constexpr auto     kLookLost       = milliseconds(100);  // the first pause while none has it; doubles, as many may have lost one server
 constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
 constexpr unsigned kRoutersAssumed = 8;                  // sharing the retry budget, until reports say how many there are
 constexpr double   kBudgetGrown    = 1.5;                // times the routers that budgets were built for, from which on they are built anew
@@ -219,9 +219,9 @@
 awaitable<std::optional<ServerEntry>> DirectServe::Impl::LookOn(Call& call, AttemptEnd end)
 {
     std::optional<ServerEntry> server = co_await Another(call, end);
-    while (!server && !call.m_Abort.Aborted() && MayLookOn(call, Now()))
+    for (Duration pause = kLookLost; !server && !call.m_Abort.Aborted() && MayLookOn(call, Now()); pause *= 2) // each look asks up to nine boxes
     {
-        co_await SleepFor(kLookLost);
+        co_await SleepFor(pause);
         server = co_await Another(call, end);
     }
     co_return server;
