A request that was withdrawn from a paused server is not said not to have run

A caller would have had 503 "not run" for a request that had been sent: one withdrawn before its server's weights are too old, with no other server to take it. Ruled out: the other ways an attempt ends, which pass Conclude().

--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -187,7 +187,10 @@
         if (attempt->m_Pace.m_Begun || BeginBy(call, *attempt) > now + kLookTakes)
             kept.push_back(std::move(attempt));
         else
+        {
+            call.m_MayHaveRun = true; // it was sent
             m_Choice.OnEnd(attempt->m_Server, ServerOutcome_Cancelled, call.m_Caller.m_Prompt, now - attempt->m_Pace.m_SentAt, now);
+        }
     }
     call.m_Paused = std::move(kept);
 }
