--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -6,6 +6,11 @@
 //              with a time to come back, when none is in time
 //   Attempt    one exchange with one server, which only the chosen lifetime of the server may run
 //   Relay      whole answers only when they are whole; streams event by event; a resumable stream that breaks goes on at another server
+//   Follow     relays an attempt until it ends or its server pauses; one that pauses is set aside with its connection open
+//   Another    looks for a server after a failure or a pause; where none takes the request, GoOn() listens to those that pause. The first event from
+//   any
+//              server ends the attempts at all others
+//   LookOn     a begun stream that has lost its server is looked for a place as long as its caller waits
 //   Settle     one log line, counters, the answer if none was given yet
 //
 // "Not run" is said only when every server that the request reached said so itself, or was never reached. A caller who leaves ends the
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -86,7 +86,7 @@
     const Route*                  m_Route   = nullptr;           //
     const ClientAccount*          m_Account = nullptr;           // null: the route is public, or nobody needs a key
     const Service*                m_Service = nullptr;           //
-    HttpAbort                     m_Abort;                       // ends the exchange under way when the caller leaves
+    HttpAbort                     m_Abort;                       // ends all attempts when the caller leaves
     std::vector<ServerLife>       m_Tried;                       // servers that the request was sent to
     bool                          m_MayHaveRun = false;          // some server may have run it
     bool                          m_BrokenOff  = false;          // the answer was begun and ended before its end
