--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,127 @@
+"""Real routers and agents on loopback, each with an IP number of its own as on boxes, before stand-ins of the platform's store and servers."""
+import asyncio
+import logging
+import os
+import signal
+import subprocess
+import sys
+import time
+import unittest
+from dataclasses import dataclass
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+import platform_standin as standin
+
+LIMIT_S = 60   # only what never comes takes so long, sanitizers and a busy machine included
+LOOK_S = 0.05  # between two looks
+
+RNG = standin.seeded(os.getpid())  # of ports: runs beside each other must not meet
+PROGRAMS = sys.argv.pop(1) if len(sys.argv) > 1 else "build/release/bin"
+
+
+def log_folder(test_name):
+    folder = os.path.join(os.path.dirname(os.path.abspath(PROGRAMS)), "logs", test_name)
+    os.makedirs(folder, exist_ok=True)
+    return folder
+
+
+def main():
+    logging.getLogger("asyncio").setLevel(logging.ERROR)  # it warns of each step that a busy machine makes slow
+    unittest.main(module="__main__", verbosity=2, warnings="ignore")  # sockets that end with the process
+
+
+@dataclass
+class Process:
+    name: str
+    ip: str
+    command: list
+    log: str
+    popen: subprocess.Popen = None
+    paused: bool = False
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.popen = subprocess.Popen(self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    def kill(self):
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self):
+        self.popen.send_signal(signal.SIGSTOP)
+        self.paused = True
+
+    def go_on(self):
+        self.popen.send_signal(signal.SIGCONT)
+        self.paused = False
+
+
+class Fleet:
+    """One data centre. Each process calls the store at a port of its own, by which the store tells them apart."""
+
+    def __init__(self, folder, routers, agents, backends):
+        self.folder = folder                    # of settings and logs
+        self.counts = (routers, agents)
+        self.store = standin.Store()
+        self.routers = []
+        self.agents = []
+        ports = standin.free_ports(4 + backends + routers + agents, RNG)
+        self.http, self.ready, self.internal, self.model = ports[:4]
+        self.backend_ports, self.store_ports = ports[4:4 + backends], ports[4 + backends:]
+
+    async def start(self):
+        """After the store has its rows."""
+        routers, agents = self.counts
+        for n in range(1, agents + 1):
+            ip = f"127.0.2.{n}"
+            await asyncio.start_server(standin.ModelServer.serve, ip, self.model)
+            self.store.put("servers", f"model-{n}", standin.ModelServer.row(f"{ip}:{self.model}"))
+            own = f'server = "{ip}:{self.model}"\nservice = "model"\n'
+            self.agents.append(await self.launch("agent", n, ip, own))
+        for n in range(1, routers + 1):
+            ip = f"127.0.1.{n}"
+            own = f'http_listen = "{ip}:{self.http}"\nready_listen = "{ip}:{self.ready}"\n'
+            self.routers.append(await self.launch("router", n, ip, own))
+
+    async def launch(self, kind, number, ip, own_settings):
+        name = f"{kind}-{number}"
+        store = self.store_ports.pop()
+        await self.store.listen(store, name)
+        path = os.path.join(self.folder, name + ".toml")
+        with open(path, "w") as f:
+            f.write(f'name = "{name}"\ndata_centre = "dc-1"\nstore = "127.0.0.1:{store}"\nthreads = 1\n{own_settings}'
+                    f'[internal]\nip = "{ip}"\nport = {self.internal}\n')
+        log = os.path.join(self.folder, name + ".log")
+        if os.path.exists(log):
+            os.remove(log)  # of an earlier run
+        process = Process(name, ip, [os.path.join(PROGRAMS, "aldervale-platform-" + kind), "--settings", path], log)
+        process.start()
+        return process
+
+    async def exchange(self, router, method, path, ident, body=b""):
+        """Status of one request, its answer read to the end; 0: none."""
+        try:
+            reader, writer = await asyncio.open_connection(router.ip, self.http)
+            head = f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {ident}\r\nConnection: close\r\n"
+            writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            answer = await asyncio.wait_for(reader.read(), LIMIT_S)
+            writer.close()
+            return int(answer.split()[1])
+        except (OSError, IndexError, asyncio.TimeoutError):
+            return 0
+
+    async def all_answer(self, method, path, ident="first"):
+        """Whether each router comes to answer 200."""
+        end = time.monotonic() + LIMIT_S
+        while any(status != 200 for status in await asyncio.gather(*[self.exchange(r, method, path, ident) for r in self.routers])):
+            if time.monotonic() > end:
+                return False
+            await asyncio.sleep(LOOK_S)
+        return True
+
+    def ended(self):
+        return [p.name for p in self.routers + self.agents if p.popen.poll() is not None]
+
+    def stop(self):
+        for p in self.routers + self.agents:
+            p.kill()
--- a/tests/test_long_declarations.py
+++ b/tests/test_long_declarations.py
@@ -13,17 +13,12 @@
 """
 import asyncio
 import json
-import logging
-import os
-import signal
-import subprocess
-import sys
 import time
 import unittest
-from dataclasses import dataclass
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+import platform_fleet
 import platform_standin as standin
+from platform_fleet import LIMIT_S, LOOK_S, RNG
 
 ROUTERS = 12
 AGENTS = 3
@@ -32,28 +27,7 @@
 READERS_MAX = 4          # two leads, and two that may take over by mistake
 SERIES = 12              # changes in a row
 SERIES_PAUSE_S = 0.05    # between two of them
-LIMIT_S = 60             # only what never comes takes so long, sanitizers and a busy machine included
 QUIET_S = 3              # who hasn't read a change this long after the last read isn't going to
-LOOK_S = 0.05            # between two looks
-
-RNG = standin.seeded(os.getpid())  # of ports: runs beside each other must not meet
-PROGRAMS = sys.argv.pop(1) if len(sys.argv) > 1 else "build/release/bin"
-
-
-@dataclass
-class Process:
-    name: str
-    ip: str
-    popen: subprocess.Popen
-    paused: bool = False
-
-    def pause(self):
-        self.popen.send_signal(signal.SIGSTOP)
-        self.paused = True
-
-    def go_on(self):
-        self.popen.send_signal(signal.SIGCONT)
-        self.paused = False
 
 
 def declarations(version):
@@ -64,46 +38,18 @@
             "Routes": [standin.route(name, "safe", "web") for name in names]}
 
 
-class Fleet:
-    """One data centre. Each process calls the store at a port of its own, by which the store tells them apart."""
-
+class Fleet(platform_fleet.Fleet):
     def __init__(self, folder):
-        self.folder = folder                    # of settings and logs
-        self.store = standin.Store()
+        super().__init__(folder, ROUTERS, AGENTS, backends=1)
         self.version = 0                        # declared last
         self.row = 0                            # store version of the row that holds it
-        self.routers = []
-        self.agents = []
 
     async def start(self):
-        ports = standin.free_ports(5 + ROUTERS + AGENTS, RNG)
-        self.http, self.ready, self.internal, model, backend, *self.store_ports = ports
-        web = standin.Backend("web-1", "web", backend, standin.Record(), RNG)
+        web = standin.Backend("web-1", "web", self.backend_ports[0], standin.Record(), RNG)
         await web.listen()
         self.store.put("servers", web.id, web.row())
         self.declare()
-        for n in range(1, AGENTS + 1):
-            ip = f"127.0.2.{n}"
-            await asyncio.start_server(standin.ModelServer.serve, ip, model)
-            self.store.put("servers", f"model-{n}", standin.ModelServer.row(f"{ip}:{model}"))
-            own = f'server = "{ip}:{model}"\nservice = "model"\n'
-            self.agents.append(await self.launch("agent", n, ip, own))
-        for n in range(1, ROUTERS + 1):
-            ip = f"127.0.1.{n}"
-            own = f'http_listen = "{ip}:{self.http}"\nready_listen = "{ip}:{self.ready}"\n'
-            self.routers.append(await self.launch("router", n, ip, own))
-
-    async def launch(self, kind, number, ip, own_settings):
-        name = f"{kind}-{number}"
-        store = self.store_ports.pop()
-        await self.store.listen(store, name)
-        path = os.path.join(self.folder, name + ".toml")
-        with open(path, "w") as f:
-            f.write(f'name = "{name}"\ndata_centre = "dc-1"\nstore = "127.0.0.1:{store}"\nthreads = 1\n{own_settings}'
-                    f'[internal]\nip = "{ip}"\nport = {self.internal}\n')
-        with open(os.path.join(self.folder, name + ".log"), "wb") as log:
-            command = [os.path.join(PROGRAMS, "aldervale-platform-" + kind), "--settings", path]
-            return Process(name, ip, subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL))
+        await super().start()
 
     def declare(self):
         self.version += 1
@@ -142,20 +88,10 @@
             if len(self.store.sent) != count:
                 count, since = len(self.store.sent), time.monotonic()
 
-    def ended(self):
-        return [p.name for p in self.routers + self.agents if p.popen.poll() is not None]
-
-    def stop(self):
-        for p in self.routers + self.agents:
-            p.popen.kill()
-            p.popen.wait()
-
 
 class DeclarationsSpread(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        folder = os.path.join(os.path.dirname(os.path.abspath(PROGRAMS)), "logs", self._testMethodName)
-        os.makedirs(folder, exist_ok=True)
-        self.fleet = Fleet(folder)
+        self.fleet = Fleet(platform_fleet.log_folder(self._testMethodName))
         self.addCleanup(self.fleet.stop)
         await self.fleet.start()
         self.assertGreaterEqual(len(json.dumps(declarations(1))), ROW_BYTES_MIN)
@@ -224,5 +160,4 @@
 
 
 if __name__ == "__main__":
-    logging.getLogger("asyncio").setLevel(logging.ERROR)  # it warns of each step that a busy machine makes slow
-    unittest.main(verbosity=2, warnings="ignore")  # sockets that end with the process
+    platform_fleet.main()
