Distinguish server crashes from broken connections and log the requests involved

User impact: a request that crashes every server that starts it also terminates the other streams on those servers. The log could not identify such a request: its lines name attempts by their own ids, and a server exit, a connection reset and a stream cut off by an order were all logged as `closed`.

When a connection breaks during a request, the router now connects once to that server's address, 50 ms later, on behalf of all requests that lost the server. If the connection is refused, event 1508 ServerCrashed logs the server and, for each request, its id and content hash (account, method, host, path and body; the query is included only if there is no body). Adds the metric aldervale_server_crashes_total. No decision is changed. The cost is one connection for each server at which requests broke off.

--- /dev/null
+++ b/src/request/crash_detector.h
@@ -0,0 +1,51 @@
+// aldervale: detects backend servers that exited with requests in progress
+//
+// A connection that breaks during a request does not prove that the server crashed: an order to start weights, a drain or a network fault also resets
+// connections. A process that exited refuses new connections until it is restarted, which takes some seconds. The detector therefore connects to the
+// server's address shortly after the first connection breaks, once for all requests interrupted before the check completes. If the connection
+// attempt times out, the result is inconclusive and no crash is reported.
+//
+// Usage:
+//   CrashDetector d(ioc, [](const ServerCrash& crash) { ... }); // called only for crashed servers
+//   d.OnConnectionLost(life, address, {request_id, content_hash});
+
+#pragma once
+#include "common/server_life.h"
+#include "connection/link.h"
+#include <map>
+
+namespace aldervale
+{
+
+struct InterruptedRequest
+{
+    std::string m_Id;              // of this attempt of the caller
+    uint64_t    m_ContentHash = 0; // from HashRequest()
+};
+
+struct ServerCrash
+{
+    ServerLife                      m_Server;   //
+    std::vector<InterruptedRequest> m_Requests; // sent to this process and interrupted
+};
+
+class CrashDetector // used only on the io_context's single thread; must stay valid while the io_context runs
+{
+public:
+    using Handler = std::function<void(const ServerCrash& crash)>;
+
+    CrashDetector(asio::io_context& ioc, Handler handler) : m_Ioc(ioc), m_Handler(std::move(handler)) {}
+
+    void OnConnectionLost(const ServerLife& life, const Endpoint& address, InterruptedRequest request); // before the answer was complete
+
+private:
+    awaitable<void> CheckServer(ServerLife life, Endpoint address);
+
+    using ServerKey = std::pair<std::string, int64_t>; // id and start time
+
+    asio::io_context&                                    m_Ioc;     //
+    Handler                                              m_Handler; //
+    std::map<ServerKey, std::vector<InterruptedRequest>> m_Pending; // interrupted requests of servers whose check is pending
+};
+
+} // namespace aldervale
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -134,7 +134,7 @@
     const TimePoint       sent_at = Now();
     const HttpRequest     forward = m_Protocol.Forward(call.m_Request, FieldsFor(call, server, sent_at));
     const HttpCallOptions options = OptionsFor(call);
-    RequestAttemptPtr     attempt = std::make_unique<RequestAttempt>(server.Life());
+    RequestAttemptPtr     attempt = std::make_unique<RequestAttempt>(server.Life(), server.m_Address);
     attempt->m_Weights            = call.m_Choice.m_Weights;
     attempt->m_Predicted          = call.m_Choice.m_Predicted;
     attempt->m_Pace.m_SentAt      = sent_at;
@@ -227,6 +227,8 @@
         call.m_Cause = AttemptCause_CallerGone;
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerFault)
         call.m_MayHaveRun = true;
+    if (end == AttemptEnd_MayHaveRun && call.m_Cause == AttemptCause_Closed)
+        m_CrashDetector.OnConnectionLost(attempt.m_Server, attempt.m_Address, {call.m_Caller.m_Id, call.ContentHash()});
     call.m_LastServer   = attempt.m_Server.m_Id;
     const TimePoint now = Now();
     const bool too_late = now >= AttemptEnds(call.m_Deadline, false) && end == AttemptEnd_MayHaveRun; // the deadline ended it: no fault of the server
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -1,6 +1,7 @@
 // The way of a request through a router: identify, admit, attempts, settle. See direct_serve.h; one attempt is in direct_attempt.cpp.
 #include "process/declarations_lag.h"
 #include "request/direct_serve_internal.h"
+#include "request/request_hash.h"
 #include "version/start_plan.h"
 
 namespace aldervale
@@ -53,10 +54,30 @@
 }
 
 DirectServe::Impl::Impl(Daemon& daemon, const DirectServeSettings& s, RoutingWorld& world, const RequestProtocol& protocol)
-    : m_Daemon(daemon), m_Settings(s), m_World(world), m_Protocol(protocol), m_Choice(ServerChoiceConfig{}, RandomSeed())
+    : m_Daemon(daemon), m_Settings(s), m_World(world), m_Protocol(protocol), m_Choice(ServerChoiceConfig{}, RandomSeed()),
+      m_CrashDetector(daemon.Ioc(), [this](const ServerCrash& crash) { OnCrash(crash); })
 {
 }
 
+uint64_t Call::ContentHash()
+{
+    if (!m_ContentHash)
+        m_ContentHash = HashRequest({m_Account != nullptr ? std::string_view(m_Account->m_Name) : std::string_view(), m_Request.m_Method,
+                                     m_Caller.m_Host, m_Request.m_Target, m_Request.m_Body});
+    return *m_ContentHash;
+}
+
+// Logs the interrupted requests with their content hashes, so that attempts at the same request can be correlated.
+void DirectServe::Impl::OnCrash(const ServerCrash& crash)
+{
+    static Counter&    crashes = Metrics().GetCounter("aldervale_server_crashes_total");
+    boost::json::array requests;
+    for (const InterruptedRequest& r : crash.m_Requests)
+        requests.push_back(boost::json::object{{"id", r.m_Id}, {"hash", r.m_ContentHash}});
+    crashes.Add(1);
+    LogEvent(Event_ServerCrashed, {{"server", crash.m_Server.m_Id}, {"born_ms", crash.m_Server.m_BornMs}, {"requests", std::move(requests)}});
+}
+
 RetryBudget& DirectServe::Impl::Budget(const std::string& service)
 {
     // Boxes hear of routers one by one: a share that was built for the first few would be many times too large.
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -2,6 +2,7 @@
 #pragma once
 #include "common/log.h"
 #include "common/metrics.h"
+#include "request/crash_detector.h"
 #include "request/direct_serve.h"
 #include "request/event_splitter.h"
 #include "request/return_guess.h"
@@ -57,9 +58,10 @@
 
 struct RequestAttempt // at one server, from the sending of the request on
 {
-    explicit RequestAttempt(ServerLife server) : m_Server(std::move(server)) {}
+    RequestAttempt(ServerLife server, Endpoint address) : m_Server(std::move(server)), m_Address(address) {}
 
     ServerLife    m_Server;           //
+    Endpoint      m_Address;          // of m_Server
     uint64_t      m_Weights = 0;      // version that it is believed to hold; 0: no model server
     Duration      m_Predicted{};      // time to the first event, when it was chosen
     HttpStreamPtr m_Stream;           //
@@ -116,8 +118,10 @@
     unsigned                      m_Made = 0;                    // attempts, unreachable servers included
     std::string                   m_LastServer;                  // of the attempt that ended last
     unsigned                      m_Pauses = 0;                  // that made it look for another server
+    std::optional<uint64_t>       m_ContentHash;                 // computed on first use
 
     Duration Left(TimePoint now) const { return m_Deadline - now; }
+    uint64_t ContentHash();
     bool     IsStream() const { return m_Route->m_Kind == RouteKind_Stream; }
 };
 
@@ -129,6 +133,7 @@
     const RequestProtocol&                              m_Protocol;                //
     HttpClient                                          m_Client;                  //
     ServerChoice                                        m_Choice;                  //
+    CrashDetector                                       m_CrashDetector;           //
     ReturnGuess                                         m_Returns;                 // of callers of model services
     std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;                 // by service
     uint32_t                                            m_BudgetRouters = 0;       // routers that m_Budgets were built for; 0: assumed
@@ -144,6 +149,7 @@
     std::vector<WeightsDeadline> WeightsDeadlines(const Call& call) const;
     uint64_t                     ExpectedWeights(const Call& call, TimePoint now) const; // that the server must hold; 0: any
     bool                         Returned(const Call& call);                             // once for each call
+    void                         OnCrash(const ServerCrash& crash);
     RetryBudget&                 Budget(const std::string& service);
     awaitable<void>              Serve(Call& call);
 
--- /dev/null
+++ b/src/request/request_hash.cpp
@@ -0,0 +1,34 @@
+// Content hash of a request. See request_hash.h.
+#include "request/request_hash.h"
+#include "common/hash.h"
+#include <cstring>
+
+namespace aldervale
+{
+
+namespace
+{
+
+// Prefixes the field with its length, so that different lists of fields never concatenate to the same bytes.
+void AppendField(std::string& out, std::string_view field)
+{
+    out.append(std::to_string(field.size())).append(":").append(field);
+}
+
+} // namespace
+
+uint64_t HashRequest(const RequestContent& request)
+{
+    const std::string_view path   = request.m_Target.substr(0, request.m_Target.find('?'));
+    const std::string_view target = request.m_Body.empty() ? request.m_Target : path;
+    std::string            input;
+    for (const std::string_view field : {request.m_Account, request.m_Method, request.m_Host, target})
+        AppendField(input, field);
+    input.append(request.m_Body);
+    const Digest digest = Sha256(input);
+    uint64_t     hash   = 0;
+    std::memcpy(&hash, digest.data(), sizeof hash);
+    return hash;
+}
+
+} // namespace aldervale
--- /dev/null
+++ b/src/request/request_hash.h
@@ -0,0 +1,24 @@
+// aldervale: content hash of a request
+//
+// Each attempt of a caller has its own id, so repeated requests are identified by their content: account, method, host, path and body. The query is
+// included only if there is no body. The hash is taken from SHA-256, so that a caller can't craft a request with the hash of another caller's.
+
+#pragma once
+#include <cstdint>
+#include <string_view>
+
+namespace aldervale
+{
+
+struct RequestContent
+{
+    std::string_view m_Account; // name of the caller's account; empty: none
+    std::string_view m_Method;  //
+    std::string_view m_Host;    //
+    std::string_view m_Target;  // path and query
+    std::string_view m_Body;    //
+};
+
+uint64_t HashRequest(const RequestContent& request);
+
+} // namespace aldervale
