Block requests that crash servers at all routers after three crashes

Cause: a router kept what a request had done only for the duration of one attempt. The caller's next attempt has a different id and reaches a different router; nothing was stored or shared. Class: a system-wide limit was enforced by each router for each attempt. Why it holds: a request is identified by the hash of its content. Each crash that a router detects (connections refused after one broke) counts once for each server; a complete answer at any router clears the crashes. After three crashes the request is refused with 503 and Retry-After 60 s before it is sent to any server, so `not run` is true; an attempt that has already run gets 502. If one more crash would block a request that has just lost its server, the router waits for the crash check (50 ms and a connection attempt) before sending it again. Nothing is sent while no server has crashed; requests are hashed only when a connection breaks or a record exists. Limitation: if all routers are killed at the same moment, the records are lost and three more servers crash.

--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -250,6 +250,9 @@
         if (m_OnRouters)
             m_OnRouters(FromWire(*list, from.port()));
     }
+    const wire::CrashNews* crashes = frame.body_as_CrashNews();
+    if (crashes != nullptr && m_OnCrashes)
+        m_OnCrashes(*crashes, FromUdp(from));
     const wire::DeclarationsNews* news = frame.body_as_DeclarationsNews();
     if (news != nullptr && m_OnNews)
         m_OnNews(*news, FromUdp(from));
@@ -277,6 +280,14 @@
     SendServersAsk(m_Socket, router, held);
 }
 
+void LoadListener::TellCrashes(std::span<const Endpoint> routers, wire::CrashNewsT news)
+{
+    std::vector<udp::endpoint> to;
+    for (const Endpoint& router : routers)
+        to.push_back(ToUdp(router));
+    m_Paced.Send([news = std::move(news)] { return EncodeFrame(0, news); }, to);
+}
+
 void LoadListener::AskPlace(const Endpoint& box, uint64_t number)
 {
     wire::PlaceAskT ask;
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -94,6 +94,7 @@
     using NewsHandler    = std::function<void(const wire::DeclarationsNews& news, const Endpoint& from)>;
     using ServersHandler = std::function<void(const wire::ServersNews& news, Duration checked_age, const Endpoint& from)>;
     using AskedHandler   = std::function<void(uint64_t held, const Endpoint& from)>;
+    using CrashHandler   = std::function<void(const wire::CrashNews& news, const Endpoint& from)>;
     using PlaceHandler   = std::function<void(uint64_t number, const Endpoint& box, const LoadReport& state)>;
     using GrantHandler   = std::function<void(uint64_t number, const Endpoint& box, bool granted)>;
 
@@ -119,6 +120,8 @@
     void TellServers(std::span<const Endpoint> routers, const wire::ServersNewsT& news, TimePoint checked_at);
     void AnswerServers(const Endpoint& asker, const wire::ServersNewsT& news, TimePoint checked_at);
     void AskServers(const Endpoint& router, uint64_t held);
+    void SetOnCrashes(CrashHandler fn) { m_OnCrashes = std::move(fn); } // another router sent crash records
+    void TellCrashes(std::span<const Endpoint> routers, wire::CrashNewsT news);
 
 private:
     void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
@@ -135,6 +138,7 @@
     GrantHandler             m_OnGrant;         // may be empty
     ServersHandler           m_OnServers;       // may be empty
     AskedHandler             m_OnServersAsked;  // may be empty
+    CrashHandler             m_OnCrashes;       // may be empty
     std::string              m_Region;          //
     udp::socket              m_Socket;          // on a strand: what comes and what is asked for run one after the other
     PacedSender              m_Paced{m_Socket}; // for what goes to many
--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -265,6 +265,14 @@
     return out;
 }
 
+std::vector<Endpoint> DeclarationsSpread::AllPeers() const
+{
+    std::vector<Endpoint> out;
+    for (const auto& [address, peer] : m_Peers)
+        out.push_back(address);
+    return out;
+}
+
 // Who holds nothing needs the whole. When a region starts, its leads get that from afar, and the others from them.
 bool DeclarationsSpread::LeavesFar(TimePoint now) const
 {
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "connection/load_channel.h"
+#include "crash_share.h"
 #include "platform/request_headers.h"
 #include "platform_tables.h"
 #include "process/declarations_lag.h"
@@ -48,6 +49,7 @@
     std::unique_ptr<DeclarationsPeers> m_Peers;                //
     DeclarationsLag                    m_Lag;                  // behind what m_Peers has heard of
     std::unique_ptr<DirectServe>       m_Serve;                //
+    std::unique_ptr<CrashShare>        m_Crashes;              // exchanges crash records with other routers
     std::unique_ptr<HttpServer>        m_Http;                 //
     std::unique_ptr<HttpServer>        m_Ready;                //
 };
@@ -267,6 +269,7 @@
         r.m_World.m_Servers.Expire(now);
         LookAtLag(r, now);
         r.m_List->Look(now);
+        r.m_Crashes->Look(now);
     }
 }
 
@@ -360,9 +363,10 @@
     r.m_Peers = std::make_unique<DeclarationsPeers>(daemon.Ioc(), RouterName{daemon.Settings().m_Name, internal.value(), region}, *r.m_Loads,
                                                     [&r](const DeclaredRows& rows) { OnDeclaredRows(r, rows); });
     r.m_Peers->SetOnBelief([&r] { OnBelief(r); });
-    r.m_Http  = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
+    r.m_Crashes = std::make_unique<CrashShare>(*r.m_Loads, *r.m_Peers, r.m_Serve->GetCrashHistory());
+    r.m_Http    = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                             [&r](HttpRequest& req, HttpReply& reply) { return r.m_Serve->Handle(req, reply); });
-    r.m_Ready = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
+    r.m_Ready   = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                              [&daemon](HttpRequest&, HttpReply& reply) -> awaitable<void>
                                              {
                                                  const HttpResponse res{daemon.Ready() ? 200u : 503u, {}, {}};
--- a/src/request/crash_detector.cpp
+++ b/src/request/crash_detector.cpp
@@ -1,5 +1,6 @@
 // Distinguishes crashed servers from broken connections. See crash_detector.h.
 #include "request/crash_detector.h"
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 namespace aldervale
 {
@@ -10,8 +11,26 @@
 constexpr auto kCheckDelay = milliseconds(50);  // the other connections of an exiting process break within this time
 constexpr auto kConnectMax = milliseconds(300); // a refusal takes one round trip
 
+// Other failures to connect say nothing of the server: this process may be out of descriptors, or the network may be unreachable.
+awaitable<bool> Refuses(Endpoint address)
+{
+    using namespace asio::experimental::awaitable_operators;
+    const asio::any_io_executor ex = co_await asio::this_coro::executor;
+    tcp::socket                 socket(ex);
+    asio::steady_timer          limit(ex, kConnectMax);
+    const auto result = co_await (socket.async_connect(tcp::endpoint(address.m_Address, address.m_Port), asio::as_tuple(asio::use_awaitable)) ||
+                                  limit.async_wait(asio::as_tuple(asio::use_awaitable)));
+    co_return result.index() == 0 && std::get<0>(std::get<0>(result)) == asio::error::connection_refused;
+}
+
 } // namespace
 
+bool CrashDetector::CheckPending(std::string_view server) const
+{
+    const auto it = m_Pending.lower_bound({std::string(server), 0});
+    return it != m_Pending.end() && it->first.first == server;
+}
+
 void CrashDetector::OnConnectionLost(const ServerLife& life, const Endpoint& address, InterruptedRequest request)
 {
     const auto [it, inserted] = m_Pending.try_emplace({life.m_Id, life.m_BornMs});
@@ -24,10 +43,8 @@
 awaitable<void> CrashDetector::CheckServer(ServerLife life, Endpoint address)
 {
     co_await SleepFor(kCheckDelay);
-    const TimePoint started = Now();
-    const auto      socket  = co_await ConnectTcp(address, kConnectMax);
-    const bool      refused = !socket && Now() - started < kConnectMax;
-    const auto      pending = m_Pending.extract({life.m_Id, life.m_BornMs});
+    const bool refused = co_await Refuses(address);
+    const auto pending = m_Pending.extract({life.m_Id, life.m_BornMs});
     if (refused)
         m_Handler({life, pending.mapped()});
 }
--- a/src/request/crash_detector.h
+++ b/src/request/crash_detector.h
@@ -37,6 +37,7 @@
     CrashDetector(asio::io_context& ioc, Handler handler) : m_Ioc(ioc), m_Handler(std::move(handler)) {}
 
     void OnConnectionLost(const ServerLife& life, const Endpoint& address, InterruptedRequest request); // before the answer was complete
+    bool CheckPending(std::string_view server) const;                                                   // for a server with this id
 
 private:
     awaitable<void> CheckServer(ServerLife life, Endpoint address);
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto     kMinLeft        = milliseconds(40);   // time before the deadline below which no attempt is begun
 constexpr auto     kNotReadyRetry  = milliseconds(300);  // when to come back to a router that knows no declarations yet
+constexpr auto     kBlockedRetry   = seconds(60);        // Retry-After of requests blocked because they crash servers
+constexpr auto     kCrashCheckPoll = milliseconds(5);    // between polls for the end of a crash check
 constexpr auto     kLookAgain      = milliseconds(500);  // between looks for another server while the ones that have the request pause
 constexpr auto     kLookLost       = milliseconds(100);  // the first pause while none has it; doubles, as many may have lost one server
 constexpr auto     kWeightsCheck   = milliseconds(2500); // before a deadline of weights, from when on servers are asked to check theirs
@@ -21,7 +23,7 @@
 constexpr double   kBudgetReserve  = 0.25;               // of that, left for answers that have begun
 
 constexpr std::string_view kCauseNames[]   = {"none", "silence", "closed", "refused", "unreachable", "fault", "spoilt", "deadline", "caller-gone"};
-constexpr std::string_view kGivenUpNames[] = {"no", "no-server", "attempts", "budget", "no-time", "runs-once"};
+constexpr std::string_view kGivenUpNames[] = {"no", "no-server", "attempts", "budget", "no-time", "runs-once", "crashes"};
 
 Counter& OutcomeCounter(std::string_view outcome)
 {
@@ -72,8 +74,13 @@
 {
     static Counter&    crashes = Metrics().GetCounter("aldervale_server_crashes_total");
     boost::json::array requests;
+    const TimePoint    now  = Now();
+    const uint64_t     life = LifeHash(crash.m_Server);
     for (const InterruptedRequest& r : crash.m_Requests)
+    {
+        m_CrashHistory.OnCrash(r.m_ContentHash, life, now);
         requests.push_back(boost::json::object{{"id", r.m_Id}, {"hash", r.m_ContentHash}});
+    }
     crashes.Add(1);
     LogEvent(Event_ServerCrashed, {{"server", crash.m_Server.m_Id}, {"born_ms", crash.m_Server.m_BornMs}, {"requests", std::move(requests)}});
 }
@@ -100,6 +107,32 @@
     return *b;
 }
 
+bool DirectServe::Impl::CheckBlocked(Call& call, TimePoint now)
+{
+    static Counter& blocked = Metrics().GetCounter("aldervale_requests_blocked_total");
+    if (m_CrashHistory.Empty() || !m_CrashHistory.CheckBlocked(call.ContentHash(), now))
+        return false;
+    blocked.Add(1);
+    const CrashRecord& record = *m_CrashHistory.FindRecord(call.ContentHash());
+    LogEvent(Event_RequestBlocked, {{"id", call.m_Caller.m_Id},
+                                    {"hash", call.ContentHash()},
+                                    {"crashes", record.UnclearedCount()},
+                                    {"last_crash_age_ms", ToMs(now - record.m_Crashes.back().m_At)}});
+    return true;
+}
+
+// If one more crash would block the request, waits for the crash check of the server that it lost, so that no further server receives it meanwhile.
+awaitable<void> DirectServe::Impl::AwaitCrashCheck(Call& call) const
+{
+    if (call.m_Cause != AttemptCause_Closed || m_CrashHistory.Empty())
+        co_return;
+    const CrashRecord* record = m_CrashHistory.FindRecord(call.ContentHash());
+    if (record == nullptr || record->UnclearedCount() + 1 < kCrashesToBlock)
+        co_return;
+    while (m_CrashDetector.CheckPending(call.m_LastServer) && !call.m_Abort.Aborted())
+        co_await SleepFor(kCrashCheckPoll);
+}
+
 //-----------------------------------------------------------------------------
 // Identify
 //-----------------------------------------------------------------------------
@@ -142,6 +175,8 @@
     call.m_Service = call.m_Routes->FindService(PickTarget(*call.m_Route, call.m_Caller.m_Id).m_Service);
     if (call.m_Service == nullptr)
         return Refuse(call, 503, "route names a service that isn't declared", kNotReadyRetry);
+    if (CheckBlocked(call, call.m_StartedAt))
+        return Refuse(call, 503, "servers crash under this request", kBlockedRetry);
     const Duration limit = std::min(call.m_Route->m_Timeout, call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout));
     call.m_Deadline      = call.m_StartedAt + limit;
     return std::nullopt;
@@ -201,6 +236,8 @@
     if (end == AttemptEnd_Answered || end == AttemptEnd_CallerGone || call.m_Abort.Aborted())
         return false;
     call.m_GivenUp = WhyNotAgain(call, end, now);
+    if (call.m_GivenUp == GivenUp_No && CheckBlocked(call, now))
+        call.m_GivenUp = GivenUp_Crashes;
     if (call.m_GivenUp != GivenUp_No)
         return false;
     // A server that was never reached costs the service nothing; only what arrives somewhere counts against the budget.
@@ -266,6 +303,7 @@
         if (end == AttemptEnd_Answered || end == AttemptEnd_CallerGone)
             break;
         server.reset();
+        co_await AwaitCrashCheck(call);
         const bool look = end != AttemptEnd_Paused || Now() >= call.m_LookAt;
         if (look)
             server = co_await LookOn(call, end);
@@ -276,6 +314,8 @@
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_Answered)
     {
+        if (!m_CrashHistory.Empty())
+            m_CrashHistory.OnAnswered(call.ContentHash());
         call.m_Cause   = AttemptCause_None;
         call.m_GivenUp = GivenUp_No;
     }
@@ -471,6 +511,11 @@
         m_Impl->m_Budgets.clear();
 }
 
+CrashHistory& DirectServe::GetCrashHistory()
+{
+    return m_Impl->m_CrashHistory;
+}
+
 uint64_t DirectServe::InFlight() const
 {
     return m_Impl->m_InFlight;
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -27,6 +27,7 @@
 #pragma once
 #include "connection/place_channel.h"
 #include "process/daemon.h"
+#include "request/crash_history.h"
 #include "request/request_protocol.h"
 #include "request/retry.h"
 #include "request/routing_world.h"
@@ -68,6 +69,7 @@
     void            OnServersChanged();
     void            SetSettings(const DirectServeSettings& s); // on reload
     uint64_t        InFlight() const;
+    CrashHistory&   GetCrashHistory(); // synchronized with other routers
 
     struct Impl;
 
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "request/crash_detector.h"
+#include "request/crash_history.h"
 #include "request/direct_serve.h"
 #include "request/event_splitter.h"
 #include "request/return_guess.h"
@@ -42,6 +43,7 @@
     GivenUp_Budget,   // retries would be too many
     GivenUp_NoTime,   //
     GivenUp_RunsOnce, // it may have run, and must not run again
+    GivenUp_Crashes,  // blocked because it crashed servers
 };
 
 std::string_view CauseName(AttemptCause c);
@@ -134,6 +136,7 @@
     HttpClient                                          m_Client;                  //
     ServerChoice                                        m_Choice;                  //
     CrashDetector                                       m_CrashDetector;           //
+    CrashHistory                                        m_CrashHistory;            // merged with the records of other routers
     ReturnGuess                                         m_Returns;                 // of callers of model services
     std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;                 // by service
     uint32_t                                            m_BudgetRouters = 0;       // routers that m_Budgets were built for; 0: assumed
@@ -150,7 +153,9 @@
     uint64_t                     ExpectedWeights(const Call& call, TimePoint now) const; // that the server must hold; 0: any
     bool                         Returned(const Call& call);                             // once for each call
     void                         OnCrash(const ServerCrash& crash);
+    bool                         CheckBlocked(Call& call, TimePoint now); // logs the refusal; call once for each attempt
     RetryBudget&                 Budget(const std::string& service);
+    awaitable<void>              AwaitCrashCheck(Call& call) const;
     awaitable<void>              Serve(Call& call);
 
     // A server for a request (direct_place.cpp)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,4 +1,4 @@
-"""Real routers and agents on loopback, each with an IP number of its own as on boxes, before stand-ins of the platform's store and servers."""
+"""Real routers and agents on loopback, each with its own IP address, with stand-ins for the platform's store and servers."""
 import asyncio
 import logging
 import os
@@ -12,10 +12,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 import platform_standin as standin
 
-LIMIT_S = 60   # only what never comes takes so long, sanitizers and a busy machine included
-LOOK_S = 0.05  # between two looks
+LIMIT_S = 60   # timeout of a wait; allows for sanitizers and a loaded machine
+LOOK_S = 0.05  # polling interval
 
-RNG = standin.seeded(os.getpid())  # of ports: runs beside each other must not meet
+RNG = standin.seeded(os.getpid())  # for ports; seeded per process so that concurrent runs pick different ones
 PROGRAMS = sys.argv.pop(1) if len(sys.argv) > 1 else "build/release/bin"
 
 
@@ -26,8 +26,8 @@
 
 
 def main():
-    logging.getLogger("asyncio").setLevel(logging.ERROR)  # it warns of each step that a busy machine makes slow
-    unittest.main(module="__main__", verbosity=2, warnings="ignore")  # sockets that end with the process
+    logging.getLogger("asyncio").setLevel(logging.ERROR)  # suppresses warnings of slow steps on a loaded machine
+    unittest.main(module="__main__", verbosity=2, warnings="ignore")  # sockets are closed at process exit
 
 
 @dataclass
@@ -57,10 +57,10 @@
 
 
 class Fleet:
-    """One data centre. Each process calls the store at a port of its own, by which the store tells them apart."""
+    """One data centre. Each process connects to its own port of the store, which identifies it."""
 
     def __init__(self, folder, routers, agents, backends):
-        self.folder = folder                    # of settings and logs
+        self.folder = folder                    # settings and logs
         self.counts = (routers, agents)
         self.store = standin.Store()
         self.routers = []
@@ -70,7 +70,7 @@
         self.backend_ports, self.store_ports = ports[4:4 + backends], ports[4 + backends:]
 
     async def start(self):
-        """After the store has its rows."""
+        """Call after the rows are in the store."""
         routers, agents = self.counts
         for n in range(1, agents + 1):
             ip = f"127.0.2.{n}"
@@ -93,13 +93,13 @@
                     f'[internal]\nip = "{ip}"\nport = {self.internal}\n')
         log = os.path.join(self.folder, name + ".log")
         if os.path.exists(log):
-            os.remove(log)  # of an earlier run
+            os.remove(log)  # from an earlier run
         process = Process(name, ip, [os.path.join(PROGRAMS, "aldervale-platform-" + kind), "--settings", path], log)
         process.start()
         return process
 
-    async def exchange(self, router, method, path, ident, body=b""):
-        """Status of one request, its answer read to the end; 0: none."""
+    async def send_request(self, router, method, path, ident, body=b""):
+        """Returns the status of one request after reading the whole response, or 0 if there is none."""
         try:
             reader, writer = await asyncio.open_connection(router.ip, self.http)
             head = f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {ident}\r\nConnection: close\r\n"
@@ -110,10 +110,10 @@
         except (OSError, IndexError, asyncio.TimeoutError):
             return 0
 
-    async def all_answer(self, method, path, ident="first"):
-        """Whether each router comes to answer 200."""
+    async def wait_until_all_answer(self, method, path, ident="first"):
+        """Returns whether every router answers 200 within LIMIT_S."""
         end = time.monotonic() + LIMIT_S
-        while any(status != 200 for status in await asyncio.gather(*[self.exchange(r, method, path, ident) for r in self.routers])):
+        while any(status != 200 for status in await asyncio.gather(*[self.send_request(r, method, path, ident) for r in self.routers])):
             if time.monotonic() > end:
                 return False
             await asyncio.sleep(LOOK_S)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,6 +1,6 @@
-"""A request that ends every server that begins it must stop being sent to servers, whichever router it comes to.
+"""A request that crashes every server that runs it is blocked at all routers.
 
-Without that, such a request that is repeated by its caller ends all servers of a service, and nobody is served.
+Guards against an outage: retries of such a request would crash all servers of a service.
 
   tests/test_crashing_requests.py FOLDER_OF_PROGRAMS [NAME_OF_TEST ...]
 """
@@ -15,38 +15,38 @@
 ROUTERS = 4
 AGENTS = 2
 SERVERS = 8
-CRASHES = 3       # after which a request is known to crash servers
-SETTLE_S = 3      # until all routers in contact must know it
-BACK_S = 1.0      # from the end of a server until another one starts at its address
-RETRIES_MAX = 3   # arrivals at servers allowed after that
-REPEATS = 24      # of the request, after that
-CRASH = b"crash"  # a request with this in its body or path ends its server
+CRASHES_TO_BLOCK = 3     # crashes after which a request is blocked
+PROPAGATION_S = 3        # time for a block to reach all connected routers
+RESTART_DELAY_S = 1.0    # from the crash of a server until a new one starts at its address
+RETRIES_MAX = 3          # further crashes allowed
+ATTEMPTS = 24            # sent after the block
+CRASH_MARKER = b"crash"  # in the body or path of requests that crash servers
 
 
 class Server(standin.Backend):
-    """Ends as it begins a request that says so; another one starts at its address a little later."""
+    """Crashes when it receives a request with CRASH_MARKER; a new server starts at its address after RESTART_DELAY_S."""
 
     def __init__(self, fleet, number, port):
-        self.fleet, self.number, self.life = fleet, number, 0
+        self.fleet, self.number, self.generation = fleet, number, 0
         super().__init__(f"web-{number}-0", "web", port, standin.Record(), RNG)
 
     async def handle(self, req, reader, writer):
         self.fleet.arrivals += 1
-        if CRASH in req.body or CRASH in req.path.encode():
+        if CRASH_MARKER in req.body or CRASH_MARKER in req.path.encode():
             self.fleet.crashes += 1
-            asyncio.ensure_future(self.end())
-            return await asyncio.sleep(LIMIT_S)  # its connection is reset
+            asyncio.ensure_future(self.crash_and_restart())
+            return await asyncio.sleep(LIMIT_S)  # until the crash resets the connection
         await super().handle(req, reader, writer)
 
-    async def end(self):
+    async def crash_and_restart(self):
         if self.crashed:
             return
         await asyncio.sleep(0.02)
         self.crash()
-        await asyncio.sleep(BACK_S)
+        await asyncio.sleep(RESTART_DELAY_S)
         self.fleet.store.put("servers", self.id, None)
-        self.life += 1
-        self.id, self.crashed = f"web-{self.number}-{self.life}", False
+        self.generation += 1
+        self.id, self.crashed = f"web-{self.number}-{self.generation}", False
         await self.listen()
         self.fleet.store.put("servers", self.id, self.row())
 
@@ -74,54 +74,54 @@
         self.addCleanup(self.fleet.stop)
         await self.fleet.start()
         self.sent = 0
-        self.assertTrue(await self.fleet.all_answer("GET", "/safe/usual"), f"logs: {self.fleet.folder}")
+        self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/safe/usual"), f"logs: {self.fleet.folder}")
 
     async def asyncTearDown(self):
-        self.assertEqual(self.fleet.ended(), [], f"ended by themselves; logs: {self.fleet.folder}")
+        self.assertEqual(self.fleet.ended(), [], f"exited unexpectedly; logs: {self.fleet.folder}")
 
     async def send(self, router, method, path, body=b""):
         self.sent += 1
-        return await self.fleet.exchange(router, method, path, f"r-{self.sent}", body)
+        return await self.fleet.send_request(router, method, path, f"r-{self.sent}", body)
 
-    async def crash_three(self, method, path, body):
+    async def crash_until_blocked(self, method, path, body):
         end = time.monotonic() + LIMIT_S
-        while self.fleet.crashes < CRASHES:
-            self.assertLess(time.monotonic(), end, "too few servers ended")
+        while self.fleet.crashes < CRASHES_TO_BLOCK:
+            self.assertLess(time.monotonic(), end, "too few servers crashed")
             await self.send(self.fleet.routers[self.sent % ROUTERS], method, path, body)
 
-    async def check_refused(self, routers, method, path, body):
+    async def check_not_sent(self, routers, method, path, body):
         before = self.fleet.crashes
-        statuses = [await self.send(routers[n % len(routers)], method, path, body) for n in range(REPEATS)]
-        self.assertLessEqual(self.fleet.crashes - before, RETRIES_MAX, f"arrivals after {CRASHES} crashes; statuses {statuses}")
+        statuses = [await self.send(routers[n % len(routers)], method, path, body) for n in range(ATTEMPTS)]
+        self.assertLessEqual(self.fleet.crashes - before, RETRIES_MAX, f"arrivals after {CRASHES_TO_BLOCK} crashes; statuses {statuses}")
 
-    async def check_others_are_served(self):
+    async def check_other_requests_are_served(self):
         end = time.monotonic() + LIMIT_S
         while any(s.crashed for s in self.fleet.servers) and time.monotonic() < end:
             await asyncio.sleep(LOOK_S)
-        self.assertTrue(await self.fleet.all_answer("GET", "/safe/usual", "others"))
-        self.assertTrue(await self.fleet.all_answer("POST", "/stream/usual", "others"))
+        self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/safe/usual", "others"))
+        self.assertTrue(await self.fleet.wait_until_all_answer("POST", "/stream/usual", "others"))
 
     async def check(self, method, path, body=b""):
-        await self.crash_three(method, path, body)
-        await asyncio.sleep(SETTLE_S)
-        await self.check_refused(self.fleet.routers, method, path, body)
-        await self.check_others_are_served()
+        await self.crash_until_blocked(method, path, body)
+        await asyncio.sleep(PROPAGATION_S)
+        await self.check_not_sent(self.fleet.routers, method, path, body)
+        await self.check_other_requests_are_served()
 
-    async def test_a_stream_that_crashes_servers_stops_being_sent(self):
-        await self.check("POST", "/stream/x", CRASH)
+    async def test_stream_that_crashes_servers_is_blocked(self):
+        await self.check("POST", "/stream/x", CRASH_MARKER)
 
-    async def test_a_request_without_body_that_crashes_servers_stops_being_sent(self):
-        await self.check("GET", "/safe/" + CRASH.decode())
+    async def test_request_without_body_that_crashes_servers_is_blocked(self):
+        await self.check("GET", "/safe/" + CRASH_MARKER.decode())
 
-    async def test_a_router_that_starts_again_learns_what_crashes_servers(self):
-        await self.crash_three("POST", "/stream/x", CRASH)
-        await asyncio.sleep(SETTLE_S)
+    async def test_restarted_router_receives_crash_records(self):
+        await self.crash_until_blocked("POST", "/stream/x", CRASH_MARKER)
+        await asyncio.sleep(PROPAGATION_S)
         first = self.fleet.routers[0]
         first.kill()
         first.start()
-        self.assertTrue(await self.fleet.all_answer("GET", "/safe/usual"), f"logs: {self.fleet.folder}")
-        await asyncio.sleep(SETTLE_S)
-        await self.check_refused([first], "POST", "/stream/x", CRASH)
+        self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/safe/usual"), f"logs: {self.fleet.folder}")
+        await asyncio.sleep(PROPAGATION_S)
+        await self.check_not_sent([first], "POST", "/stream/x", CRASH_MARKER)
 
 
 if __name__ == "__main__":
