Server limits: forward only effective changes, queue them until peers are known, remove unlisted servers

Routers that have just started and do not list each other yet could forward one message in an endless loop, with an increasing number of copies. Limits are compared as they are encoded.

Changes made before any other router was known were lost; they are now queued, one for each server. A datagram holds up to 60 limits. A limit is removed when its server is no longer listed, so that aldervale_servers_limited counts existing servers.

Tests: a repeated remote change does not change the limit (the function returned nothing before); limits of unlisted servers are removed.

--- a/src/programs/limit_share.cpp
+++ b/src/programs/limit_share.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr float kNoLimit = -1; // encoded value of a limit that ended
+constexpr float  kNoLimit           = -1; // encoded value of a limit that ended
+constexpr size_t kLimitsPerDatagram = 60; // a limit is encoded in 16 bytes
 
 wire::LimitNewsT ToWire(std::span<const LimitChange> changes)
 {
@@ -36,9 +37,9 @@
 {
     static Gauge& limited = Metrics().GetGauge("aldervale_servers_limited");
     limited.Set(static_cast<double>(m_Limits.Count()));
-    const std::vector<LimitChange> changes = m_Limits.TakeChanges();
-    if (!changes.empty())
-        m_Loads.TellLimits(m_Peers.Spread().AllPeers(), ToWire(changes));
+    const std::vector<Endpoint> peers = m_Peers.Spread().AllPeers();
+    if (!peers.empty()) // changes stay queued while no other router is known
+        Send(m_Limits.TakeChanges(), peers);
     if (m_Limits.Empty())
         return;
     LimitRouters r;
@@ -51,6 +52,18 @@
     m_Limits.SetRouters(r, now);
 }
 
+void LimitShare::Send(std::span<const LimitChange> changes, std::span<const Endpoint> to)
+{
+    while (!changes.empty())
+    {
+        const size_t count = std::min(changes.size(), kLimitsPerDatagram);
+        m_Loads.TellLimits(to, ToWire(changes.first(count)));
+        changes = changes.subspan(count);
+    }
+}
+
+// Forwards only changes of the limits stored here. Otherwise routers that do not list each other yet could forward the same change in an endless
+// loop.
 void LimitShare::OnNews(const wire::LimitNews& news, const Endpoint& from)
 {
     if (news.limits() == nullptr)
@@ -59,12 +72,13 @@
     std::vector<LimitChange> changes;
     for (const wire::ServerLimit* l : *news.limits())
     {
-        changes.push_back(FromWire(*l));
-        m_Limits.OnRemoteChange(changes.back(), now);
+        const LimitChange change = FromWire(*l);
+        if (m_Limits.OnRemoteChange(change, now))
+            changes.push_back(change);
     }
     const std::vector<Endpoint> near = m_Peers.Spread().Near();
     if (std::find(near.begin(), near.end(), from) == near.end())
-        m_Loads.TellLimits(near, ToWire(changes));
+        Send(changes, near);
 }
 
 } // namespace aldervale
--- a/src/programs/limit_share.h
+++ b/src/programs/limit_share.h
@@ -24,6 +24,7 @@
 
 private:
     void OnNews(const wire::LimitNews& news, const Endpoint& from);
+    void Send(std::span<const LimitChange> changes, std::span<const Endpoint> to);
 
     LoadListener&      m_Loads;  //
     DeclarationsPeers& m_Peers;  //
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -500,6 +500,12 @@
     std::vector<const ServerEntry*> all;
     ForEachServer(m_Impl->m_World, [&](const Service&, const ServerEntry& e) { all.push_back(&e); });
     m_Impl->m_Choice.Forget(all);
+    if (m_Impl->m_Limits.Empty())
+        return;
+    std::vector<uint64_t> listed;
+    for (const ServerEntry* e : all)
+        listed.push_back(LifeHash(e->Life()));
+    m_Impl->m_Limits.RemoveUnlisted(listed);
 }
 
 void DirectServe::SetSettings(const DirectServeSettings& s)
--- a/src/request/server_limits.cpp
+++ b/src/request/server_limits.cpp
@@ -47,36 +47,42 @@
         if (!known || sent_at <= it->second.m_NamedAt) // the server may have sent this answer before it named the limit
             return false;
         m_Limits.erase(it);
+        std::erase_if(m_Changes, [&](const LimitChange& c) { return c.m_Life == hash; });
         m_Changes.push_back({hash, std::nullopt});
         return true;
     }
     Limit&     l       = known ? it->second : Add(hash, now);
-    const bool changed = !known || l.m_RequestsPerS != *requests_per_s;
+    const bool changed = !known || static_cast<float>(l.m_RequestsPerS) != static_cast<float>(*requests_per_s);
     l.m_RequestsPerS   = *requests_per_s;
     l.m_NamedAt        = now;
     l.m_ProbeAt        = now + ProbeInterval();
     if (!changed)
         return false;
     UpdateLocalRate(hash, l, now);
+    std::erase_if(m_Changes, [&](const LimitChange& c) { return c.m_Life == hash; });
     m_Changes.push_back({hash, requests_per_s});
     return true;
 }
 
-void ServerLimits::OnRemoteChange(const LimitChange& change, TimePoint now)
+bool ServerLimits::OnRemoteChange(const LimitChange& change, TimePoint now)
 {
     const auto it    = m_Limits.find(change.m_Life);
     const bool known = it != m_Limits.end();
     if (known && now - it->second.m_NamedAt < kAnswerPrecedence)
-        return;
+        return false;
     if (!change.m_RequestsPerS)
-    {
-        m_Limits.erase(change.m_Life);
-        return;
-    }
-    Limit& l         = known ? it->second : Add(change.m_Life, now);
-    l.m_RequestsPerS = *change.m_RequestsPerS;
-    l.m_ProbeAt      = now + ProbeInterval();
+        return m_Limits.erase(change.m_Life) > 0;
+    Limit&     l       = known ? it->second : Add(change.m_Life, now);
+    const bool changed = !known || static_cast<float>(l.m_RequestsPerS) != static_cast<float>(*change.m_RequestsPerS);
+    l.m_RequestsPerS   = *change.m_RequestsPerS;
+    l.m_ProbeAt        = now + ProbeInterval();
     UpdateLocalRate(change.m_Life, l, now);
+    return changed;
+}
+
+void ServerLimits::RemoveUnlisted(std::span<const uint64_t> listed)
+{
+    std::erase_if(m_Limits, [&](const auto& item) { return std::find(listed.begin(), listed.end(), item.first) == listed.end(); });
 }
 
 void ServerLimits::SetRouters(const LimitRouters& routers, TimePoint now)
--- a/src/request/server_limits.h
+++ b/src/request/server_limits.h
@@ -26,6 +26,7 @@
 #include "common/server_life.h"
 #include "version/token_bucket.h"
 #include <optional>
+#include <span>
 #include <unordered_map>
 
 namespace aldervale
@@ -60,7 +61,8 @@
     bool Allows(const ServerLife& life, TimePoint now);
     void OnSent(const ServerLife& life, TimePoint now);
     bool OnAnswer(const ServerLife& life, std::optional<double> requests_per_s, TimePoint sent_at, TimePoint now); // returns whether it changed
-    void OnRemoteChange(const LimitChange& change, TimePoint now);
+    bool OnRemoteChange(const LimitChange& change, TimePoint now); // returns whether the limit changed
+    void RemoveUnlisted(std::span<const uint64_t> listed);         // removes limits whose LifeHash() is not in `listed`
     void SetRouters(const LimitRouters& routers, TimePoint now);
 
     bool                     Empty() const { return m_Limits.empty(); }
--- a/tests/test_server_limit_shares.cpp
+++ b/tests/test_server_limit_shares.cpp
@@ -151,3 +151,28 @@
     BOOST_TEST(sent <= 11u);
     BOOST_TEST(sent >= 8u);
 }
+
+// Guards against forwarding loops: a router forwards a change only if OnRemoteChange() returns true.
+BOOST_AUTO_TEST_CASE(a_repeated_remote_change_does_not_change_the_limit)
+{
+    ServerLimits      l(1);
+    const LimitChange limit_set   = {LifeHash(kServer), 2.0};
+    const LimitChange limit_ended = {LifeHash(kServer), std::nullopt};
+    BOOST_TEST(l.OnRemoteChange(limit_set, kStart));
+    BOOST_TEST(!l.OnRemoteChange(limit_set, kStart));
+    BOOST_TEST(l.OnRemoteChange(limit_ended, kStart));
+    BOOST_TEST(!l.OnRemoteChange(limit_ended, kStart));
+}
+
+// Guards against keeping limits of servers that no longer exist.
+BOOST_AUTO_TEST_CASE(limits_of_unlisted_servers_are_removed)
+{
+    ServerLimits     l(1);
+    const ServerLife unlisted = {"i-2", 18};
+    l.OnAnswer(kServer, 1.0, kStart, kStart);
+    l.OnAnswer(unlisted, 1.0, kStart, kStart);
+    const uint64_t listed = LifeHash(kServer);
+    l.RemoveUnlisted(std::span(&listed, 1));
+    BOOST_TEST(l.Count() == 1u);
+    BOOST_TEST(!l.Allows(kServer, kStart));
+}
