--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -503,6 +503,7 @@
     if (m_Impl->m_Limits.Empty())
         return;
     std::vector<uint64_t> listed;
+    listed.reserve(all.size());
     for (const ServerEntry* e : all)
         listed.push_back(LifeHash(e->Life()));
     m_Impl->m_Limits.RemoveUnlisted(listed);
