Answer callers that end their sending side and read on

What callers saw: a caller that wrote its request, ended its sending side and read on got no answer; its connection was closed, and work at the server was cut. Any route, also those that run once.

Cause: CallerGone() took the end of the sending side for a caller that left. A close looks the same to a reader.

Fix: a caller whose sending side ended is sent a byte that its answer begins with anyway (of the status line, later a zero before the next chunk's size). A caller that closed resets the connection, which the watch sees within 50 ms; any other one gets its answer. Answers leave out what was sent. Interim answers (1xx) were not used: some clients mistake them for the answer.

The same fault elsewhere: the watch ended at the first byte of a further request, so a caller that left behind one kept its server at work to the deadline (198 ticks of 50 ms in the new test on the code before; at most 10 allowed). router_serve.cpp asks CallerGone(), and has the same watch.

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -85,7 +85,7 @@
     virtual awaitable<bool> Write(std::string_view bytes)                    = 0;
     virtual awaitable<bool> Finish(const HttpFields& trailers)               = 0;
     virtual void            Abort()                                          = 0; // close without the end mark: the caller sees a broken answer
-    virtual bool            CallerGone()                                     = 0; // the caller closed its side
+    virtual bool            CallerGone()                                     = 0; // not merely the end of its sending side
     virtual void            OnCallerGone(std::function<void()> callback)     = 0; // at most once, while the handler runs; on its strand
 };
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,9 +1,7 @@
 // HTTP server over Boost.Beast. See http.h.
 #include "common/log.h"
-#include "connection/http.h"
+#include "connection/http_reply_internal.h"
 #include <algorithm>
-#include <atomic>
-#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
 
@@ -17,8 +15,6 @@
 constexpr size_t kFirstRead   = 4096;             // bytes asked for while a connection is idle
 constexpr auto   kAcceptPause = milliseconds(20); // after a connection that could not be taken
 
-using ServerStream = beast::basic_stream<tcp, asio::any_io_executor>;
-
 struct HttpServer::Impl
 {
     struct Connection // one that is being served
@@ -50,141 +46,6 @@
 namespace
 {
 
-template <class MessageT> void CopyFields(const HttpFields& from, MessageT& to)
-{
-    for (const HttpField& f : from)
-        to.insert(f.m_Name, f.m_Value);
-}
-
-class BeastReply : public HttpReply
-{
-public:
-    BeastReply(ServerStream& stream, const HttpServerConfig& cfg, bool keep_alive, const std::atomic<bool>& closing)
-        : m_Stream(stream), m_Config(cfg), m_KeepAlive(keep_alive), m_Closing(closing)
-    {
-    }
-
-    ~BeastReply() override
-    {
-        m_Watch->m_Alive = false;
-        m_Watch->m_Stop.emit(asio::cancellation_type::all);
-    }
-
-    awaitable<bool> Send(const HttpResponse& res) override
-    {
-        http::response<http::string_body> msg(http::int_to_status(res.m_Status), 11);
-        msg.result(res.m_Status);
-        CopyFields(res.m_Fields, msg);
-        msg.body() = res.m_Body;
-        msg.keep_alive(KeepAlive());
-        msg.prepare_payload();
-        m_Sent = true;
-        http::response_serializer<http::string_body> rest(msg);
-        while (!rest.is_done()) // each write has its own time: a caller that reads on a narrow link is not one that doesn't read
-        {
-            m_Stream.expires_after(m_Config.m_SendTimeout);
-            const auto [ec, n] = co_await http::async_write_some(m_Stream, rest, kNoThrow);
-            if (ec)
-                co_return Outcome(ec);
-        }
-        co_return true;
-    }
-
-    awaitable<bool> Start(unsigned status, const HttpFields& fields) override
-    {
-        http::response<http::empty_body> msg(http::int_to_status(status), 11);
-        msg.result(status);
-        CopyFields(fields, msg);
-        msg.keep_alive(KeepAlive());
-        msg.chunked(true);
-        http::response_serializer<http::empty_body> ser(msg);
-        m_Stream.expires_after(m_Config.m_SendTimeout);
-        m_Sent       = true;
-        auto [ec, n] = co_await http::async_write_header(m_Stream, ser, kNoThrow);
-        co_return Outcome(ec);
-    }
-
-    awaitable<bool> Write(std::string_view bytes) override
-    {
-        if (m_Broken || bytes.empty())
-            co_return !m_Broken;
-        m_Stream.expires_after(m_Config.m_SendTimeout);
-        const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
-        auto [ec, n]     = co_await asio::async_write(m_Stream, chunk, kNoThrow);
-        co_return Outcome(ec);
-    }
-
-    awaitable<bool> Finish(const HttpFields& trailers) override
-    {
-        if (m_Broken)
-            co_return false;
-        http::fields last;
-        CopyFields(trailers, last);
-        m_Stream.expires_after(m_Config.m_SendTimeout);
-        auto [ec, n] = co_await asio::async_write(m_Stream, http::make_chunk_last(last), kNoThrow);
-        co_return Outcome(ec);
-    }
-
-    void Abort() override
-    {
-        m_Broken = true;
-        boost::system::error_code ec;
-        m_Stream.socket().shutdown(tcp::socket::shutdown_both, ec);
-    }
-
-    bool CallerGone() override
-    {
-        if (m_Broken)
-            return true;
-        char                      byte = 0;
-        boost::system::error_code ec;
-        m_Stream.socket().non_blocking(true, ec);
-        m_Stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-        return ec && ec != asio::error::would_block && ec != asio::error::try_again;
-    }
-
-    // Bytes that arrive are the next request, sent early: the caller is there, and the watch ends.
-    void OnCallerGone(std::function<void()> callback) override
-    {
-        auto on_readable = [this, watch = m_Watch, cb = std::move(callback)](const boost::system::error_code& ec)
-        {
-            if (!ec && watch->m_Alive && CallerGone())
-                cb();
-        };
-        m_Stream.socket().async_wait(tcp::socket::wait_read, asio::bind_cancellation_slot(m_Watch->m_Stop.slot(), std::move(on_readable)));
-    }
-
-    bool Broken() const { return m_Broken; }
-    bool Sent() const { return m_Sent; }
-    bool KeepAlive()
-    {
-        m_KeepAlive = m_KeepAlive && !m_Closing.load();
-        return m_KeepAlive;
-    }
-
-private:
-    struct Watch // for the caller's leaving; kept alive by its own handler, which may run after the reply is gone
-    {
-        bool                      m_Alive = true; // the reply is there
-        asio::cancellation_signal m_Stop;         //
-    };
-
-    bool Outcome(const boost::system::error_code& ec)
-    {
-        if (ec)
-            m_Broken = true;
-        return !ec;
-    }
-
-    ServerStream&            m_Stream;         //
-    const HttpServerConfig&  m_Config;         //
-    bool                     m_KeepAlive;      // as the answer's head said, once it was sent
-    const std::atomic<bool>& m_Closing;        // of the server
-    bool                     m_Broken = false; // a write failed or Abort() was called
-    bool                     m_Sent   = false; // an answer was begun
-    std::shared_ptr<Watch>   m_Watch  = std::make_shared<Watch>();
-};
-
 HttpRequest ToRequest(http::request<http::string_body>&& msg)
 {
     HttpRequest req;
