Let request bodies take longer than heads, within bounds of their own

What callers saw: a caller whose body took longer than HeaderTimeoutMs had its connection closed without an answer, however steadily its bytes came. A caller on a slow link could never send such a request.

Cause: ReadRequest() set one time limit for head and body.

Fix: the head keeps its bound. A body may pause for as long, the whole request may take as long as the longest route allows, and 64 requests at once may take longer than the head's bound; beyond that 408, which is true, as nothing was handed on. Waits for bytes no longer close the connection (timed_read.h, which the HTTP client had for itself), so the 408 can be sent; the connection is then read for up to a second, as closing it with unread bytes would reset it. That goes for 400, 413 and 431, too.

The same fault elsewhere: X-Deadline-Remaining counted from the end of the body, so a server was given time that the body had used. It counts from the first byte now, and a request that came too late for its time gets 408 instead of an attempt.

--- a/src/connection/caller_watch.cpp
+++ b/src/connection/caller_watch.cpp
@@ -59,18 +59,18 @@
 {
     explicit State(tcp::socket& socket) : m_Socket(socket), m_Timer(socket.get_executor()) {}
 
-    tcp::socket&              m_Socket;            // not touched once m_Alive is false
-    asio::steady_timer        m_Timer;             // until the next look
-    asio::cancellation_signal m_Stop;              // of the wait for bytes
-    std::function<void()>     m_OnGone;            //
-    EarlyBytes                m_Early;             //
-    TimePoint                 m_QuietSince{};      // last write, or when the sending side's end was seen
-    TimePoint                 m_EarlyAt{};         // no early byte is sent before
-    bool                      m_Alive     = true;  // the watch is there
-    bool                      m_Started   = false; //
-    bool                      m_Writing   = false; //
+    tcp::socket&              m_Socket;             // not touched once m_Alive is false
+    asio::steady_timer        m_Timer;              // until the next look
+    asio::cancellation_signal m_Stop;               // of the wait for bytes
+    std::function<void()>     m_OnGone;             //
+    EarlyBytes                m_Early;              //
+    TimePoint                 m_QuietSince{};       // last write, or when the sending side's end was seen
+    TimePoint                 m_EarlyAt{};          // no early byte is sent before
+    bool                      m_Alive      = true;  // the watch is there
+    bool                      m_Started    = false; //
+    bool                      m_Writing    = false; //
     bool                      m_HalfClosed = false; // the end of the sending side was seen
-    bool                      m_Gone      = false; // never goes back to false
+    bool                      m_Gone       = false; // never goes back to false
 
     // False: the caller is gone.
     bool SendEarly(TimePoint now)
--- a/src/connection/early_bytes.h
+++ b/src/connection/early_bytes.h
@@ -1,8 +1,8 @@
 // aldervale: bytes of an HTTP/1.1 answer that can be sent before its content is known
 //
 // The end of a caller's sending side looks the same whether the caller closed its connection or still reads. Only sent bytes tell the two apart: the
-// system of a caller that closed answers them with a reset. Two kinds of bytes commit an answer to nothing: the beginning of the status line, which is
-// the same for every final status, and zeros before the size of the next chunk.
+// system of a caller that closed answers them with a reset. Two kinds of bytes commit an answer to nothing: the beginning of the status line, which
+// is the same for every final status, and zeros before the size of the next chunk.
 //
 // Usage:
 //   EarlyBytes bytes;
@@ -23,8 +23,8 @@
 class EarlyBytes
 {
 public:
-    static constexpr std::string_view kStatusStart   = "HTTP/1.1 ";
-    static constexpr size_t           kSizeZerosMax  = 8; // before one chunk's size; parsers accept 16 digits in all
+    static constexpr std::string_view kStatusStart  = "HTTP/1.1 ";
+    static constexpr size_t           kSizeZerosMax = 8; // before one chunk's size; parsers accept 16 digits in all
 
     std::optional<char> Next() const; // none: no further byte can be sent now
     void                OnSent() { m_Sent++; }
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -48,6 +48,7 @@
     std::string m_Target = "/";   // path and query
     HttpFields  m_Fields;         //
     std::string m_Body;           //
+    TimePoint   m_BegunAt{};      // when its first byte came; default: it was not read from a connection
 
     std::string_view Path() const;                       // target without query
     std::string      Query(std::string_view name) const; // value of ?name=, percent-decoded; empty if absent
@@ -71,7 +72,9 @@
 {
     size_t   m_HeadMax     = 16 * 1024;       // bytes of request line and fields; more: 431
     size_t   m_BodyMax     = 4 * 1024 * 1024; // bytes; more: 413
-    Duration m_ReadTimeout = seconds(30);     // for a whole request head and body once its first byte arrived
+    Duration m_ReadTimeout = seconds(30);     // for a request's head from its first byte on, and for a pause in its body
+    Duration m_BodyTimeout = seconds(60);     // for a request from its first byte on; more: 408
+    size_t   m_SlowMax     = 64;              // requests at once that take longer than m_ReadTimeout; one more: 408
     Duration m_SendTimeout = seconds(30);     // for one write to a caller that doesn't read
     Duration m_IdleTimeout = seconds(30);     // from an answer to the first byte of the next request
 };
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,5 +1,6 @@
 // HTTP client over Boost.Beast with kept-alive connections per endpoint. See http.h.
 #include "connection/http.h"
+#include "connection/timed_read.h"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
@@ -18,7 +19,6 @@
 constexpr size_t kPieceSize       = 64 * 1024;          // bytes of body read at a time
 constexpr size_t kBufferSmall     = 16 * 1024;          // Beast reads no more at once than the buffer has room for, and starts at 512
 constexpr size_t kBufferLarge     = 256 * 1024;         // for long and chunked bodies
-constexpr size_t kReadLeast       = 512;                // bytes asked for at once when the buffer has no room left
 constexpr auto   kIdleMargin      = milliseconds(1000); // a kept connection is given up this long before its server says it closes it
 constexpr auto   kIdleUnknown     = seconds(10);        // how long a connection is kept whose server doesn't say
 constexpr auto   kLateHeadMax     = milliseconds(200);  // wait for an answer that was sent before the request was taken whole
@@ -166,7 +166,7 @@
                 ec = co_await ParseOn(quiet_until, end_at);
             }
         }
-        if (ec == kQuiet)
+        if (ec == kNothingCame)
             co_return false;
         if (ec)
             co_return AnswerError("no answer from " + m_Key + ": ", ec);
@@ -184,7 +184,7 @@
             co_return Done();
         GiveRoom();
         const boost::system::error_code ec = co_await ParseOn(quiet_until, deadline);
-        if (ec == kQuiet)
+        if (ec == kNothingCame)
             co_return Piece{{}, false, true};
         if (ec)
             co_return AnswerError("answer broken off: ", ec);
@@ -197,14 +197,6 @@
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
-    static constexpr auto kQuiet = asio::error::try_again; // nothing came until then; never given to callers
-
-    struct Wait // for bytes; kept alive by its timer's handler, which may run after the wait is over
-    {
-        bool m_Over = false; //
-        bool m_Late = false; // the time was up first
-    };
-
     void NextAnswer()
     {
         m_Parser.emplace();
@@ -218,48 +210,6 @@
         m_Parser->get().body().size = m_Piece.size();
     }
 
-    // Reading by Beast's own timers would end the connection with the wait. False: the time was up.
-    awaitable<bool> Readable(TimePoint until)
-    {
-        const auto   wait   = std::make_shared<Wait>();
-        tcp::socket& socket = Stream().socket();
-        m_Timer.expires_at(until);
-        m_Timer.async_wait(
-            [wait, &socket](const boost::system::error_code& ec)
-            {
-                if (ec || wait->m_Over)
-                    return;
-                wait->m_Late = true;
-                boost::system::error_code ignored;
-                socket.cancel(ignored);
-            });
-        const auto [ec] = co_await socket.async_wait(tcp::socket::wait_read, kNoThrow);
-        wait->m_Over    = true;
-        m_Timer.cancel();
-        co_return !ec || !wait->m_Late;
-    }
-
-    // Takes what has come into the buffer, or waits for it. Bytes that lie in the socket count before any time that is up: this process may have
-    // stood still.
-    awaitable<boost::system::error_code> Fill(TimePoint until)
-    {
-        tcp::socket&              socket = Stream().socket();
-        beast::flat_buffer&       buffer = m_Connection->m_Buffer;
-        boost::system::error_code ec;
-        socket.non_blocking(true, ec);
-        for (;;)
-        {
-            const size_t room = std::max(kReadLeast, buffer.capacity() - buffer.size());
-            const size_t got  = socket.receive(buffer.prepare(room), 0, ec);
-            buffer.commit(ec ? 0 : got);
-            if (ec != asio::error::would_block && ec != asio::error::try_again)
-                co_return ec;
-            const bool readable = co_await Readable(until);
-            if (!readable)
-                co_return kQuiet;
-        }
-    }
-
     // Until the parser has made a step.
     awaitable<boost::system::error_code> ParseOn(TimePoint quiet_until, TimePoint deadline)
     {
@@ -271,8 +221,8 @@
                 buffer.consume(m_Parser->put(buffer.data(), ec));
             if (ec != http::error::need_more)
                 co_return ec == http::error::need_buffer ? boost::system::error_code() : ec;
-            ec = co_await Fill(std::min(quiet_until, deadline));
-            if (ec == kQuiet && Now() >= deadline)
+            ec = co_await ReadSome(Stream().socket(), m_Timer, buffer, std::min(quiet_until, deadline));
+            if (ec == kNothingCame && Now() >= deadline)
                 co_return beast::error::timeout;
             if (ec == asio::error::eof)
                 co_return ParseEnd();
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,6 +1,7 @@
 // HTTP server over Boost.Beast. See http.h.
 #include "common/log.h"
 #include "connection/http_reply_internal.h"
+#include "connection/timed_read.h"
 #include <algorithm>
 #include <boost/beast/http.hpp>
 #include <set>
@@ -14,6 +15,7 @@
 constexpr auto   kNoThrow     = asio::as_tuple(asio::use_awaitable);
 constexpr size_t kFirstRead   = 4096;             // bytes asked for while a connection is idle
 constexpr auto   kAcceptPause = milliseconds(20); // after a connection that could not be taken
+constexpr auto   kLinger      = seconds(1);       // for a caller to read why its request was refused
 
 struct HttpServer::Impl
 {
@@ -33,6 +35,7 @@
     std::optional<tcp::acceptor>          m_Acceptor;        // none when not listening; set once, before the first connection
     std::atomic<bool>                     m_Stopping{false}; // never goes back to false
     std::atomic<bool>                     m_Closing{false};  // answers close their connections; never goes back to false
+    std::atomic<size_t>                   m_Slow{0};         // requests that have been coming for longer than m_ReadTimeout
 
     Impl(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler) : m_Ioc(ioc), m_Handler(std::move(handler)), m_Config(cfg) {}
 
@@ -58,25 +61,85 @@
     return req;
 }
 
-Error ReadError(const boost::system::error_code& ec)
+struct ReadRefusal // the answer to a request that isn't read to its end
+{
+    unsigned    m_Status = 0; // 0: none, the connection just ends
+    std::string m_Message;    //
+    std::string m_Field;      // part of the request that is at fault
+};
+
+ReadRefusal RefusalOf(const boost::system::error_code& ec)
 {
     if (ec == http::error::header_limit)
-        return MakeError(ErrorCode_Invalid, "request head over its bound", "head");
+        return {431, "request head over its bound", "head"};
     if (ec == http::error::body_limit)
-        return MakeError(ErrorCode_Invalid, "request body over its bound", "body");
-    return MakeError(ErrorCode_Invalid, "malformed HTTP: " + ec.message(), "head");
+        return {413, "request body over its bound", "body"};
+    return {400, "malformed HTTP: " + ec.message(), "head"};
 }
 
-unsigned ReadErrorStatus(const boost::system::error_code& ec)
+struct SlowRequest // holds one of HttpServerConfig::m_SlowMax places
 {
-    if (ec == http::error::header_limit)
-        return 431;
-    return ec == http::error::body_limit ? 413 : 400;
+    SlowRequest(std::atomic<size_t>& count, size_t max) : m_Count(count), m_Allowed(count.fetch_add(1) < max) {}
+    ~SlowRequest() { m_Count.fetch_sub(1); }
+    SlowRequest(const SlowRequest&)            = delete;
+    SlowRequest& operator=(const SlowRequest&) = delete;
+
+    std::atomic<size_t>& m_Count;   //
+    bool                 m_Allowed; //
+};
+
+using Parser = http::request_parser<http::string_body>;
+
+// Reads one request from `begun` on, when its first byte came. Its head has one bound; its body may take longer as long as it keeps coming.
+awaitable<ReadRefusal> ReadWhole(HttpServer::Impl& impl, const HttpServerConfig& cfg, tcp::socket& socket, beast::flat_buffer& buffer, Parser& parser,
+                                 TimePoint begun)
+{
+    const ReadRefusal          too_slow = {408, "request came too slowly", "body"};
+    const TimePoint            head_by  = begun + cfg.m_ReadTimeout;
+    const TimePoint            body_by  = std::max(head_by, begun + cfg.m_BodyTimeout);
+    asio::steady_timer         timer(socket.get_executor());
+    std::optional<SlowRequest> slow;
+    parser.eager(true);
+    for (;;)
+    {
+        boost::system::error_code ec = http::error::need_more;
+        if (buffer.size() > 0)
+            buffer.consume(parser.put(buffer.data(), ec));
+        if (ec && ec != http::error::need_more)
+            co_return RefusalOf(ec);
+        if (parser.is_done())
+            co_return ReadRefusal{};
+        const TimePoint now = Now();
+        if (parser.is_header_done() && now > head_by && !slow)
+            slow.emplace(impl.m_Slow, cfg.m_SlowMax);
+        if (slow && !slow->m_Allowed)
+            co_return too_slow;
+        const TimePoint until = parser.is_header_done() ? std::min(body_by, now + cfg.m_ReadTimeout) : head_by;
+        ec                    = co_await ReadSome(socket, timer, buffer, until);
+        if (ec == kNothingCame && parser.is_header_done())
+            co_return too_slow;
+        if (ec)
+            co_return ReadRefusal{};
+    }
+}
+
+// Drops what still comes: closing a connection with unread bytes resets it, and the caller might lose its answer.
+awaitable<void> Linger(tcp::socket& socket)
+{
+    boost::system::error_code ec;
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+    asio::steady_timer timer(socket.get_executor());
+    beast::flat_buffer dropped;
+    for (const TimePoint until = Now() + kLinger; !ec && Now() < until;)
+    {
+        ec = co_await ReadSome(socket, timer, dropped, until);
+        dropped.clear();
+    }
 }
 
 // False: the connection ended, or sent something that was answered and closes it.
 awaitable<bool> ReadRequest(HttpServer::Impl& impl, const HttpServerConfig& cfg, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
-                            http::request_parser<http::string_body>& parser)
+                            Parser& parser, TimePoint& begun)
 {
     ServerStream& stream = *connection.m_Stream;
     parser.header_limit(static_cast<uint32_t>(cfg.m_HeadMax));
@@ -91,17 +154,17 @@
         if (ec)
             co_return false;
     }
-    stream.expires_after(cfg.m_ReadTimeout);
-    auto [ec, n] = co_await http::async_read(stream, buffer, parser, kNoThrow);
-    if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::operation_aborted ||
-        ec == asio::error::connection_reset || ec == http::error::partial_message)
-        co_return false;
-    if (!ec)
-        co_return true;
+    begun = Now();
+    stream.expires_never();
+    const ReadRefusal refusal = co_await ReadWhole(impl, cfg, stream.socket(), buffer, parser, begun);
+    if (refusal.m_Status == 0)
+        co_return parser.is_done();
     BeastReply   bad(stream, cfg, false, impl.m_Closing);
-    HttpResponse res = ErrorResponse(ReadError(ec));
-    res.m_Status     = ReadErrorStatus(ec);
-    co_await bad.Send(res);
+    HttpResponse res = ErrorResponse(MakeError(ErrorCode_Invalid, refusal.m_Message, refusal.m_Field));
+    res.m_Status     = refusal.m_Status;
+    const bool sent  = co_await bad.Send(res);
+    if (sent)
+        co_await Linger(stream.socket());
     co_return false;
 }
 
@@ -139,15 +202,17 @@
     const Registration registration(*impl, stream);
     for (;;)
     {
-        http::request_parser<http::string_body> parser;
+        Parser    parser;
+        TimePoint begun;
         cfg             = impl->Config();
-        const bool read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, parser);
+        const bool read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, parser, begun);
         if (!read)
             break;
         http::request<http::string_body> msg        = parser.release();
         const bool                       keep_alive = msg.keep_alive() && !impl->m_Stopping.load();
         HttpRequest                      req        = ToRequest(std::move(msg));
-        BeastReply                       reply(stream, cfg, keep_alive, impl->m_Closing);
+        req.m_BegunAt                               = begun;
+        BeastReply reply(stream, cfg, keep_alive, impl->m_Closing);
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
         if (!reply.Sent() || reply.Broken() || !reply.KeepAlive())
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -125,13 +125,16 @@
     r.m_Loads->SetNamed(std::move(out));
 }
 
-void ApplyLimits(Router& r, const CallerLimits& limits)
+void ApplyLimits(Router& r, const RouteTableSpec& spec)
 {
     HttpServerConfig c;
-    c.m_HeadMax     = limits.m_HeadMax;
-    c.m_BodyMax     = limits.m_BodyMax;
-    c.m_ReadTimeout = limits.m_HeadTimeout;
-    c.m_IdleTimeout = limits.m_IdleTimeout;
+    c.m_HeadMax     = spec.m_Limits.m_HeadMax;
+    c.m_BodyMax     = spec.m_Limits.m_BodyMax;
+    c.m_ReadTimeout = spec.m_Limits.m_HeadTimeout;
+    c.m_IdleTimeout = spec.m_Limits.m_IdleTimeout;
+    c.m_BodyTimeout = c.m_ReadTimeout;
+    for (const Route& route : spec.m_Routes) // one that takes longer than any route allows can't be served
+        c.m_BodyTimeout = std::max(c.m_BodyTimeout, route.m_Timeout);
     r.m_Http->SetConfig(c);
 }
 
@@ -142,7 +145,7 @@
         return;
     r.m_World.m_Routes   = std::make_shared<const RouteTable>(spec);
     r.m_World.m_RoutesAt = Now();
-    ApplyLimits(r, spec.m_Limits);
+    ApplyLimits(r, spec);
     FollowBoxes(r);
     r.m_Loads->SetDeclared(spec.m_Version);
     TellBoxes(r);
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -177,8 +177,11 @@
         return Refuse(call, 503, "route names a service that isn't declared", kNotReadyRetry);
     if (CheckBlocked(call, call.m_StartedAt))
         return Refuse(call, 503, "servers crash under this request", kBlockedRetry);
-    const Duration limit = std::min(call.m_Route->m_Timeout, call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout));
-    call.m_Deadline      = call.m_StartedAt + limit;
+    const Duration  limit = std::min(call.m_Route->m_Timeout, call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout));
+    const TimePoint begun = call.m_Request.m_BegunAt != TimePoint{} ? call.m_Request.m_BegunAt : call.m_StartedAt;
+    call.m_Deadline       = begun + limit; // a body that came slowly has used some of it
+    if (limit > kMinLeft && call.Left(call.m_StartedAt) < kMinLeft)
+        return Refuse(call, 408, "request came too slowly for its time limit", {});
     return std::nullopt;
 }
 
