--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -329,7 +329,7 @@
     """Even versions send /flip/ to service b, odd ones to a."""
     flip = "b" if version % 2 == 0 else "a"
     return {"Version": version, "Tenants": [], "Services": [{"Name": "a", "HealthPath": "/health"}, {"Name": "b", "HealthPath": "/health"}, ModelServer.SERVICE],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 15000},
             "Routes": [route("once", "unsafe", "a"), route("safe", "safe", "a"), route("flip", "safe", flip),
                        route("stream", "streaming", "a", Resumable=True, gap_aim_ms=400)]}
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,6 +1,6 @@
 """Fault soak of the platform's router: real processes on loopback, faults from outside them, promises checked from both ends.
 
-  scripts/soak --seed N [--seconds S] [--routers R] [--servers K] [--clients C] [--bounds] [--half-close]
+  scripts/soak --seed N [--seconds S] [--routers R] [--servers K] [--clients C] [--bounds] [--half-close] [--slow-bodies]
 
 Exit status 0: every promise held. Promises without a clock are always checked:
   TWICE     a request that may run once runs at most once
@@ -16,6 +16,7 @@
   DRAIN     nothing new reaches a server later than the bound after it was named as draining, while router and store are undisturbed
   CONFIG    the same for older declarations
 With --half-close some callers shut down their sending side after the request; LOST holds for them, too.
+With --slow-bodies some bodies take longer than a head may; LOST holds also for those that reached no server.
 """
 import argparse
 import asyncio
@@ -43,6 +44,10 @@
 END_SLACK_S = 0.02     # by which a router ends an attempt earlier that has no answer yet, so that it can tell its caller in time
 HANDLERS_S = 1.0       # after which a process has set its handlers of signals; before that SIGHUP ends any program
 HALF_CLOSED = 0.05     # share of requests, with --half-close
+SLOW_BODIES = 0.1      # share of requests with a body, with --slow-bodies
+SLOW_PARTS = 6         # of such a body, which together take longer than the declared HeaderTimeoutMs
+SLOW_PAUSE_S = 0.25    # between parts
+CROSSED_S = 0.5        # a connection that ended earlier may have been closed before its request was read
 RECOVER_S = 30         # for every router to serve again at the end
 REVERT_S = 0.25        # requests sent within this of each other may be handled by either version
 
@@ -69,6 +74,7 @@
     life: int
     at: float
     half_closed: bool = False
+    slow: bool = False
     ended: float = 0.0
     status: int = 0  # 0: no whole answer
     body: bytes = b""
@@ -198,9 +204,16 @@
         self.counter += 1
         s = Sent(f"c{number}-{self.counter}", kind, r.name, r.life, time.monotonic())
         self.sent.append(s)
-        method, body = ("POST", b"work") if kind in ("once", "stream") else ("GET", b"")
+        method, body = ("POST", b"work" * SLOW_PARTS) if kind in ("once", "stream") else ("GET", b"")
+        s.slow = bool(body) and self.args.slow_bodies and self.rng.random() < SLOW_BODIES
         writer.write((f"{method} /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {s.ident}\r\nX-Deadline-Remaining: {TIME_S * 1000:.0f}\r\n"
-                      f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+                      f"Content-Length: {len(body)}\r\n\r\n").encode())
+        for part in range(SLOW_PARTS if s.slow else 0):
+            writer.write(body[4 * part:4 * part + 4])
+            await asyncio.sleep(SLOW_PAUSE_S)
+            if reader.at_eof() or reader.exception():
+                break
+        writer.write(b"" if s.slow else body)
         if self.args.half_close and self.rng.random() < HALF_CLOSED:
             s.half_closed = True
             writer.write_eof()
@@ -344,9 +357,10 @@
         answered = s.whole and s.status == 200
         time_over = s.ended >= s.at + TIME_S - (0 if s.body and not s.whole else END_SLACK_S)
         hit = any(name == s.router and since <= s.ended and s.at <= until for name, since, until in self.hits)
-        if kept and not answered and not time_over and not hit:
-            runs = ", ".join(f"{r.server} {r.end or 'at work'}" for r in self.record.runs[s.ident])
-            self.breach("LOST", f"{s.ident} ({s.kind}{', half-closed' if s.half_closed else ''}) at {s.router} life {s.life}: status {s.status}, "
+        unread = s.slow and not s.whole and s.ended >= s.at + CROSSED_S and not self.record.runs.get(s.ident)
+        if (kept and not answered or unread) and not time_over and not hit:
+            runs = ", ".join(f"{r.server} {r.end or 'at work'}" for r in self.record.runs.get(s.ident, []))
+            self.breach("LOST", f"{s.ident} ({s.kind}{', half-closed' if s.half_closed else ''}{', slow' if s.slow else ''}) at {s.router} life {s.life}: status {s.status}, "
                                 f"{len(s.body)} bytes, {s.ended - s.at:.2f} s; runs: {runs}")
 
     def named_by(self, when):
@@ -472,6 +486,7 @@
     p.add_argument("--clients", type=int, default=24)
     p.add_argument("--bounds", action="store_true", help="also check bounds in seconds")
     p.add_argument("--half-close", action="store_true", help="some callers shut down their sending side after the request")
+    p.add_argument("--slow-bodies", action="store_true", help="some bodies take longer than a head may")
     args = p.parse_args()
     folder = tempfile.mkdtemp(prefix="aldervale-soak-")
     soak = Soak(args, standin.seeded(args.seed), folder)
