--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -83,6 +83,16 @@
             own = f'http_listen = "{ip}:{self.http}"\nready_listen = "{ip}:{self.ready}"\n'
             self.routers.append(await self.launch("router", n, ip, own))
 
+    async def start_with(self, servers, routes):
+        """Lists the servers, declares the routes to their service, `web`, and starts."""
+        for server in servers:
+            await server.listen()
+            self.store.put("servers", server.id, server.row())
+        self.store.put("op", "config", {
+            "Version": 1, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}, standin.ModelServer.SERVICE],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}, "Routes": routes})
+        await self.start()
+
     async def launch(self, kind, number, ip, own_settings):
         name = f"{kind}-{number}"
         store = self.store_ports.pop()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -20,6 +20,7 @@
 RESTART_DELAY_S = 1.0    # from the crash of a server until a new one starts at its address
 RETRIES_MAX = 3          # further crashes allowed
 ATTEMPTS = 24            # sent after the block
+ROUTES = [standin.route("safe", "safe", "web"), standin.route("stream", "streaming", "web", Resumable=True, gap_aim_ms=400)]
 CRASH_MARKER = b"crash"  # in the body or path of requests that crash servers
 
 
@@ -57,22 +58,12 @@
         self.arrivals = self.crashes = 0
         self.servers = [Server(self, n, port) for n, port in enumerate(self.backend_ports)]
 
-    async def start(self):
-        for s in self.servers:
-            await s.listen()
-            self.store.put("servers", s.id, s.row())
-        self.store.put("op", "config", {
-            "Version": 1, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}, standin.ModelServer.SERVICE],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-            "Routes": [standin.route("safe", "safe", "web"), standin.route("stream", "streaming", "web", Resumable=True, gap_aim_ms=400)]})
-        await super().start()
-
 
 class CrashingRequests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = Fleet(platform_fleet.log_folder(self._testMethodName))
         self.addCleanup(self.fleet.stop)
-        await self.fleet.start()
+        await self.fleet.start_with(self.fleet.servers, ROUTES)
         self.sent = 0
         self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/safe/usual"), f"logs: {self.fleet.folder}")
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -52,22 +52,12 @@
         super().__init__(folder, ROUTERS, AGENTS, backends=SERVERS)
         self.servers = [Server(n, port, limits[n]) for n, port in enumerate(self.backend_ports)]
 
-    async def start(self):
-        for s in self.servers:
-            await s.listen()
-            self.store.put("servers", s.id, s.row())
-        self.store.put("op", "config", {
-            "Version": 1, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}, standin.ModelServer.SERVICE],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-            "Routes": [standin.route("safe", "safe", "web")]})
-        await super().start()
-
 
 class ServerLimits(unittest.IsolatedAsyncioTestCase):
     async def start(self, limits):
         self.fleet = Fleet(platform_fleet.log_folder(self._testMethodName), limits)
         self.addCleanup(self.fleet.stop)
-        await self.fleet.start()
+        await self.fleet.start_with(self.fleet.servers, [standin.route("safe", "safe", "web")])
         self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/safe/usual"), f"logs: {self.fleet.folder}")
 
     async def asyncTearDown(self):
