Check the recovery of all routers of a soak at once; names from the reading of the diff

It asks all at once now, within the same 30 s.

Renamed: DetectGone(), SlowRequestSlot, CloseLingering(); comments of CallerWatch::Start() and kStaleMax say what was unclear. No behaviour of the product changes.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -80,6 +80,7 @@
     body: bytes = b""
     seal: str = ""
     whole: bool = False
+    keep: bool = False  # its connection takes another request
 
 
 def oldest_unopposed(possible, named):
@@ -191,8 +192,8 @@
                 continue
             try:
                 while not self.over:  # the connection is used until it is gone
-                    keep = await self.call(r, reader, writer, self.rng.choice(kinds), number)
-                    if not keep:
+                    s = await self.call(r, reader, writer, self.rng.choice(kinds), number)
+                    if not s.keep:
                         break
                     await asyncio.sleep(self.rng.uniform(0, 0.04))
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
@@ -221,7 +222,8 @@
             keep = await asyncio.wait_for(self.read_answer(reader, s), ANSWER_S)
         finally:
             s.ended = time.monotonic()
-        return keep and not s.half_closed
+        s.keep = keep and not s.half_closed
+        return s
 
     async def read_answer(self, reader, s):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -418,19 +420,21 @@
     async def settle(self):
         """After the faults: every router serves again."""
         end = time.monotonic() + RECOVER_S
-        for r in self.routers:
-            good = 0
-            while good < 5:
-                if time.monotonic() > end:
-                    return self.breach("RECOVER", f"{r.name} does not serve")
-                try:
-                    reader, writer = await asyncio.open_connection("127.0.0.1", r.port)
-                    await self.call(r, reader, writer, "safe", 0)
-                    good += 1 if self.sent[-1].status == 200 else 0
-                    writer.close()
-                except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
-                    pass
-                await asyncio.sleep(0.05)
+        await asyncio.gather(*[self.check_recovered(r, end) for r in self.routers])
+
+    async def check_recovered(self, r, end):
+        good = 0
+        while good < 5:
+            if time.monotonic() > end:
+                return self.breach("RECOVER", f"{r.name} does not serve")
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", r.port)
+                s = await self.call(r, reader, writer, "safe", 0)
+                good += 1 if s.status == 200 else 0
+                writer.close()
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
+                pass
+            await asyncio.sleep(0.05)
 
     # ------------------------------------------------------------------ the run
     async def run(self):
--- a/src/connection/caller_watch.cpp
+++ b/src/connection/caller_watch.cpp
@@ -72,7 +72,7 @@
     bool                      m_HalfClosed = false; // the end of the sending side was seen
     bool                      m_Gone       = false; // never goes back to false
 
-    // False: the caller is gone.
+    // Sends an early byte if one is due. False: the caller is gone.
     bool SendEarly(TimePoint now)
     {
         const std::optional<char> byte = m_Early.Next();
@@ -87,7 +87,7 @@
         return !ec;
     }
 
-    bool IsGone(SendingSide side, TimePoint now)
+    bool DetectGone(SendingSide side, TimePoint now)
     {
         if (side == SendingSide_Reset || HasError(m_Socket))
             return true;
@@ -99,10 +99,11 @@
         return !SendEarly(now);
     }
 
+    // Updates m_Gone.
     SendingSide Check()
     {
         const SendingSide side = SendingSideOf(m_Socket);
-        if (m_Gone || !IsGone(side, Now()))
+        if (m_Gone || !DetectGone(side, Now()))
             return side;
         m_Gone = true;
         if (m_HalfClosed)
--- a/src/connection/caller_watch.h
+++ b/src/connection/caller_watch.h
@@ -26,8 +26,8 @@
     CallerWatch(const CallerWatch&)            = delete;
     CallerWatch& operator=(const CallerWatch&) = delete;
 
-    void        Start(std::function<void()> on_gone); // called at most once; not from within Start()
-    bool        Gone();                               // starts the watch if it isn't running
+    void        Start(std::function<void()> on_gone); // `on_gone` is called at most once, never from within Start()
+    bool        Gone();                               // without a callback; starts the watch if it isn't running
     void        OnAnswered();                         // the answer was written whole
     EarlyBytes& Early();
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -77,12 +77,12 @@
     return {400, "malformed HTTP: " + ec.message(), "head"};
 }
 
-struct SlowRequest // holds one of HttpServerConfig::m_SlowMax places
+struct SlowRequestSlot // one of HttpServerConfig::m_SlowMax
 {
-    SlowRequest(std::atomic<size_t>& count, size_t max) : m_Count(count), m_Allowed(count.fetch_add(1) < max) {}
-    ~SlowRequest() { m_Count.fetch_sub(1); }
-    SlowRequest(const SlowRequest&)            = delete;
-    SlowRequest& operator=(const SlowRequest&) = delete;
+    SlowRequestSlot(std::atomic<size_t>& count, size_t max) : m_Count(count), m_Allowed(count.fetch_add(1) < max) {}
+    ~SlowRequestSlot() { m_Count.fetch_sub(1); }
+    SlowRequestSlot(const SlowRequestSlot&)            = delete;
+    SlowRequestSlot& operator=(const SlowRequestSlot&) = delete;
 
     std::atomic<size_t>& m_Count;   //
     bool                 m_Allowed; //
@@ -94,11 +94,11 @@
 awaitable<ReadRefusal> ReadWhole(HttpServer::Impl& impl, const HttpServerConfig& cfg, tcp::socket& socket, beast::flat_buffer& buffer, Parser& parser,
                                  TimePoint begun)
 {
-    const ReadRefusal          too_slow = {408, "request came too slowly", "body"};
-    const TimePoint            head_by  = begun + cfg.m_ReadTimeout;
-    const TimePoint            body_by  = std::max(head_by, begun + cfg.m_BodyTimeout);
-    asio::steady_timer         timer(socket.get_executor());
-    std::optional<SlowRequest> slow;
+    const ReadRefusal              too_slow = {408, "request came too slowly", "body"};
+    const TimePoint                head_by  = begun + cfg.m_ReadTimeout;
+    const TimePoint                body_by  = std::max(head_by, begun + cfg.m_BodyTimeout);
+    asio::steady_timer             timer(socket.get_executor());
+    std::optional<SlowRequestSlot> slow;
     parser.eager(true);
     for (;;)
     {
@@ -123,8 +123,8 @@
     }
 }
 
-// Drops what still comes: closing a connection with unread bytes resets it, and the caller might lose its answer.
-awaitable<void> Linger(tcp::socket& socket)
+// Lingering close: closing a connection with unread bytes resets it, and the caller might lose its answer. Drops what still comes.
+awaitable<void> CloseLingering(tcp::socket& socket)
 {
     boost::system::error_code ec;
     socket.shutdown(tcp::socket::shutdown_send, ec);
@@ -164,7 +164,7 @@
     res.m_Status     = refusal.m_Status;
     const bool sent  = co_await bad.Send(res);
     if (sent)
-        co_await Linger(stream.socket());
+        co_await CloseLingering(stream.socket());
     co_return false;
 }
 
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -13,7 +13,7 @@
 constexpr auto     kWithdrawn      = milliseconds(150); // a reset is at the server this much before it must not begin; beyond the way there
 constexpr auto     kLookTakes = milliseconds(700); // for asking boxes and connecting elsewhere, at most; paused attempts aren't listened to meanwhile
 constexpr unsigned kPriorityResumed = 0;           // a stream that broke: its caller sees the pause until it goes on
-constexpr auto     kStaleMax        = milliseconds(250); // from sending until a server's end of a kept connection can have crossed the request
+constexpr auto     kStaleMax        = milliseconds(250); // after sending; a server that ends a kept connection later broke off its work
 constexpr size_t   kAnswerMax       = 64 * 1024 * 1024;  // bytes of an answer that is held until it is whole
 
 bool IsServerFault(unsigned status)
