--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -84,6 +84,8 @@
         self.fault = None
         self.refused = set()  # callers that get 503
         self.sent = []        # SentRow of table "op"
+        self.whole_reads = []  # (caller, table), of tables that were read from their first row
+        self.on_whole_read = None  # called with both before the answer; may change who is refused
 
     async def listen(self, port, caller=""):
         await asyncio.start_server(lambda reader, writer: self.serve(reader, writer, caller), "127.0.0.1", port)
@@ -108,6 +110,10 @@
     async def respond(self, req, caller):
         table, since = req.query["table"], int(req.query.get("SinceRev", 0))
         feed = req.path == "/rows-feed"
+        if not feed and "From" not in req.query:
+            self.whole_reads.append((caller, table))
+            if self.on_whole_read:
+                self.on_whole_read(caller, table)
         end = time.monotonic() + int(req.query.get("WaitMs", 0)) / 1000
         while feed and not self.changes(table, since) and time.monotonic() < end and not self.turns_away(caller):
             await asyncio.sleep(FEED_POLL_S)
--- a/src/common/events.h
+++ b/src/common/events.h
@@ -47,6 +47,7 @@
     X(1223, ListReadingStarted, Info, "this process reads the list of servers from the store itself")                                                \
     X(1224, ListReadingRested, Info, "this process leaves reading the list of servers to others")                                                    \
     X(1225, EvacuationsChanged, Info, "data centres whose servers get no new requests")                                                              \
+    X(1226, ListFetched, Info, "this process asked a router for the whole list of servers")                                                          \
     X(1301, LeaseTaken, Info, "controller lease taken")                                                                                              \
     X(1302, LeaseLost, Warn, "controller lease lost or given up")                                                                                    \
     X(1303, OrderSent, Info, "order sent")                                                                                                           \
--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -1,7 +1,8 @@
 // Load reports by datagrams. See load_channel.h.
 #include "connection/load_channel.h"
 #include "common/log.h"
-#include "connection/text_delta.h"
+#include "connection/packed_servers.h"
+#include <algorithm>
 #include <cmath>
 
 namespace aldervale
@@ -19,7 +20,6 @@
 constexpr float    kPaceMax      = 1000;          //
 constexpr double   kShareMin     = 0.001;         // of boxes that a router follows
 constexpr auto     kAgeMax       = seconds(3600); // that is told; says as much as any longer one
-constexpr size_t   kUnpackedMax  = 64 * 1024;     // bytes of a packed datagram when expanded
 constexpr size_t   kNamingBytes  = 144;           // of a naming besides the names in it, at most; with an IPv6 address and a port
 
 Status OpenUdp(udp::socket& socket, const Endpoint& at)
@@ -46,15 +46,9 @@
 }
 
 // checked_at: as of when the news are the newest; the receiver is told how long ago that was as it is sent.
-PacedSender::Message PackServers(const wire::ServersNewsT& news, TimePoint checked_at)
-{
-    const FrameBytes       frame = EncodeFrame(0, news);
-    const std::string_view text(reinterpret_cast<const char*>(frame->data()) + kFramePrefixLen, frame->size() - kFramePrefixLen);
-    const std::string      bytes = CompressText(text, {});
-    wire::ServersPackedT   out;
-    out.length = static_cast<uint32_t>(text.size());
-    out.bytes.assign(bytes.begin(), bytes.end());
-    return [out, checked_at]() mutable
+PacedSender::Message ServersMessage(const wire::ServersNewsT& news, TimePoint checked_at)
+{
+    return [out = PackServers(news), checked_at]() mutable
     {
         const Duration age = std::clamp<Duration>(Now() - checked_at, Duration::zero(), kAgeMax);
         out.checked_age_ms = static_cast<uint32_t>(ToMs(age));
@@ -65,20 +59,11 @@
 using ServersHandler = std::function<void(const wire::ServersNews& news, Duration checked_age, const Endpoint& from)>;
 
 // Bytes that aren't a whole frame of that kind are passed over, like any other datagram.
-void UnpackServers(const wire::ServersPacked& packed, const Endpoint& from, const ServersHandler& handler)
+void TakeServers(const wire::ServersPacked& packed, const Endpoint& from, const ServersHandler& handler)
 {
-    if (packed.bytes() == nullptr || packed.length() > kUnpackedMax || !handler)
-        return;
-    const std::string_view bytes(reinterpret_cast<const char*>(packed.bytes()->data()), packed.bytes()->size());
-    const auto             text = ExpandText(bytes, {}, packed.length());
-    if (!text)
-        return;
-    const std::vector<uint8_t> frame(text.value().begin(), text.value().end()); // aligned for its numbers
-    if (CheckFrame(frame) != FrameStatus_Ok)
-        return;
-    const wire::ServersNews* news = flatbuffers::GetRoot<wire::Frame>(frame.data())->body_as_ServersNews();
-    if (news != nullptr)
-        handler(*news, milliseconds(packed.checked_age_ms()), from);
+    const Duration age = milliseconds(packed.checked_age_ms());
+    if (handler)
+        UnpackServers(packed, kPackedDatagramMax, [&](const wire::ServersNews& news) { handler(news, age, from); });
 }
 
 using FrameHandler = std::function<void(const wire::Frame& frame, const udp::endpoint& from)>;
@@ -222,6 +207,7 @@
     const Status opened = OpenUdp(m_Socket, at);
     if (!opened)
         return opened;
+    m_At                        = at;
     const FrameHandler on_frame = [this](const wire::Frame& frame, const udp::endpoint& from) { OnFrame(frame, from); };
     asio::co_spawn(m_Socket.get_executor(), ReceiveFrames(m_Socket, on_frame), asio::detached);
     asio::co_spawn(
@@ -236,7 +222,7 @@
         m_Handler(from.address(), FromWire(*s));
     const wire::ServersPacked* servers = frame.body_as_ServersPacked();
     if (servers != nullptr)
-        UnpackServers(*servers, FromUdp(from), m_OnServers);
+        TakeServers(*servers, FromUdp(from), m_OnServers);
     const wire::ServersAsk* asked = frame.body_as_ServersAsk();
     if (asked != nullptr && m_OnServersAsked)
         m_OnServersAsked(asked->held(), FromUdp(from));
@@ -254,10 +240,14 @@
     const wire::RouterList* list = frame.body_as_RouterList();
     if (list != nullptr)
     {
-        m_ListedAt = Now();
+        if (!IsMeetingPoint(FromUdp(from)))
+            m_ListedAt = Now();
         if (m_OnRouters)
             m_OnRouters(FromWire(*list, from.port()));
     }
+    const wire::LoadSubscribe* met = frame.body_as_LoadSubscribe();
+    if (met != nullptr && met->list_routers())
+        OnMet(*met, from);
     const wire::CrashNews* crashes = frame.body_as_CrashNews();
     if (crashes != nullptr && m_OnCrashes)
         m_OnCrashes(*crashes, FromUdp(from));
@@ -275,13 +265,13 @@
     for (const FollowedBox& box : m_Boxes)
         if (box.m_Near)
             to.push_back(ToUdp(box.m_At));
-    m_Paced.Send(PackServers(news, checked_at), to);
+    m_Paced.Send(ServersMessage(news, checked_at), to);
 }
 
 void LoadListener::AnswerServers(const Endpoint& asker, const wire::ServersNewsT& news, TimePoint checked_at)
 {
     const udp::endpoint to = ToUdp(asker);
-    m_Paced.Send(PackServers(news, checked_at), std::span(&to, 1));
+    m_Paced.Send(ServersMessage(news, checked_at), std::span(&to, 1));
 }
 
 void LoadListener::AskServers(const Endpoint& router, uint64_t held)
@@ -360,6 +350,38 @@
     SendAsk(asked, true);
 }
 
+bool LoadListener::IsMeetingPoint(const Endpoint& at) const
+{
+    return std::find(m_MeetingPoints.begin(), m_MeetingPoints.end(), at) != m_MeetingPoints.end();
+}
+
+// Also one that no settings name answers: the settings of those that ask may be newer.
+void LoadListener::OnMet(const wire::LoadSubscribe& ask, const udp::endpoint& from)
+{
+    const TimePoint   now   = Now();
+    const KnownRouter asker = {from.address(), ask.region() != nullptr ? ask.region()->str() : std::string()};
+    m_Met.Note(asker, now);
+    m_Met.Note({m_At.m_Address, m_Region}, now);
+    SendDatagram(m_Socket, from, m_Met.List(asker, now));
+}
+
+void LoadListener::AskMeetingPoint()
+{
+    const Endpoint& point = m_MeetingPoints[m_NextMet++ % m_MeetingPoints.size()];
+    if (point != m_At)
+    {
+        const FollowedBox asked{point, false, 1};
+        SendAsk(std::span(&asked, 1), true);
+        return;
+    }
+    const wire::RouterListT list = m_Met.List({m_At.m_Address, m_Region}, Now());
+    std::vector<RouterPeer> peers;
+    for (const wire::RouterAddress& r : list.routers)
+        peers.push_back({Endpoint{asio::ip::make_address_v4(r.ip()), m_At.m_Port}, r.same_region()});
+    if (m_OnRouters)
+        m_OnRouters(peers);
+}
+
 void LoadListener::SendAsk(std::span<const FollowedBox> boxes, bool list_routers)
 {
     wire::LoadSubscribeT ask;
@@ -403,7 +425,12 @@
         Subscribe(near, far);
         if (now - m_ListedAt >= every)
             AskForRouters();
-        co_await SleepFor(m_Boxes.empty() ? kNearEvery : kListEarly);
+        if (!m_MeetingPoints.empty() && now - m_ListedAt >= kListStale && now - m_MetAt >= every)
+        {
+            m_MetAt = now;
+            AskMeetingPoint();
+        }
+        co_await SleepFor(m_Boxes.empty() && m_MeetingPoints.empty() ? kNearEvery : kListEarly);
     }
 }
 
@@ -435,7 +462,7 @@
         m_OnAsk({FromUdp(from), ask->number()});
     const wire::ServersPacked* servers = frame.body_as_ServersPacked();
     if (servers != nullptr)
-        UnpackServers(*servers, FromUdp(from), m_OnServers);
+        TakeServers(*servers, FromUdp(from), m_OnServers);
     const wire::PlaceClaim* claim = frame.body_as_PlaceClaim();
     if (claim != nullptr && m_OnClaim)
         m_OnClaim(
@@ -498,7 +525,8 @@
     for (const auto& [from, s] : m_Subscribers)
         if (Now() - s.m_AskedAt <= s.Keep())
             routers.push_back({from.address(), s.m_Region});
-    SendDatagram(m_Socket, asker, ListRouters(routers, {asker.address(), m_Subscribers[asker].m_Region}));
+    for (const wire::RouterListT& list : ListAllRouters(routers, {asker.address(), m_Subscribers[asker].m_Region}))
+        SendDatagram(m_Socket, asker, list);
 }
 
 void LoadPublisher::Grant(const PlaceQuestion& question, bool granted)
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -4,7 +4,8 @@
 // its own data centre than to others, whose bytes are dearer. A lost datagram costs one interval; nothing waits for an answer. Each datagram is
 // one wire::Frame without its length prefix. Questions for a place (place_channel.h) take the same way.
 //
-// A router also asks a few agents for the other routers that they know (router_list.h), and is told by those of their declarations.
+// A router also asks a few agents for the other routers that they know (router_list.h), and is told by those of their declarations. While no agent
+// lists routers to it, it asks meeting points.
 //
 // With its request a router tells what it knows of each model: the newest version named, at once when one is, and the origin of weights. Routers
 // follow the store closely, and the boxes needn't. After a loss of all power 74 processes behind one link read the declarations (400 KB) at once,
@@ -39,6 +40,7 @@
 constexpr auto   kListEvery        = milliseconds(2000); // of a router to some boxes, for the other routers that they know
 constexpr auto   kListEarly        = milliseconds(100);  // between questions for other routers until an answer comes, and
 constexpr auto   kListsFirst       = milliseconds(2000); // after the start: routers that start together don't know each other at first
+constexpr auto   kListStale        = milliseconds(6000); // since an agent listed routers, until meeting points are asked again
 constexpr size_t kListAsked        = 3;                  // boxes asked for other routers each time, others the next time: some may be silent
 constexpr size_t kDatagramMax      = 1200;               // bytes
 
@@ -111,9 +113,10 @@
     void   ReleasePlace(const Endpoint& box, uint64_t number);
     void   SetDeclared(uint64_t version) { m_Declared = version; }
     void   SetNamed(std::vector<ModelNaming> named); // told to all boxes, at once if it is news, and with every request for reports
-    void   SetRegion(std::string region) { m_Region = std::move(region); }  // of this router; before Listen()
-    void   SetOnRouters(RoutersHandler fn) { m_OnRouters = std::move(fn); } // an agent listed the routers that it knows
-    void   SetOnNews(NewsHandler fn) { m_OnNews = std::move(fn); }          // another router told of its declarations
+    void   SetRegion(std::string region) { m_Region = std::move(region); }                         // of this router; before Listen()
+    void   SetMeetingPoints(std::vector<Endpoint> points) { m_MeetingPoints = std::move(points); } // before Listen(); may include this router
+    void   SetOnRouters(RoutersHandler fn) { m_OnRouters = std::move(fn); }                        // an agent listed the routers that it knows
+    void   SetOnNews(NewsHandler fn) { m_OnNews = std::move(fn); }                                 // another router told of its declarations
     void   Tell(const Endpoint& router, const wire::DeclarationsNewsT& news);
     void   SetOnServers(ServersHandler fn) { m_OnServers = std::move(fn); }         // another router told of the list of servers
     void   SetOnServersAsked(AskedHandler fn) { m_OnServersAsked = std::move(fn); } // a router or box misses what changed since it held that
@@ -130,7 +133,10 @@
     void            OnFrame(const wire::Frame& frame, const udp::endpoint& from);
     awaitable<void> SubscribeLoop();
     void            Subscribe(bool near, bool far);
-    void            AskForRouters();                                                // some of the boxes, other ones than the last time
+    void            AskForRouters();                                                  // some of the boxes, other ones than the last time
+    void            AskMeetingPoint();                                                // another one than the last time
+    void            OnMet(const wire::LoadSubscribe& ask, const udp::endpoint& from); // this router is a meeting point of the asker
+    bool            IsMeetingPoint(const Endpoint& at) const;
     void            SendAsk(std::span<const FollowedBox> boxes, bool list_routers); // in several datagrams, if there are many models
 
     ProcessName              m_Self;            //
@@ -149,6 +155,11 @@
     std::vector<FollowedBox> m_Boxes;           //
     size_t                   m_NextAsked = 0;   // place in m_Boxes from which AskForRouters() goes on
     TimePoint                m_ListedAt{};      // when an agent last listed routers
+    Endpoint                 m_At;              // of this router
+    std::vector<Endpoint>    m_MeetingPoints;   //
+    size_t                   m_NextMet = 0;     // place in m_MeetingPoints of the one that is asked next
+    TimePoint                m_MetAt{};         // when one was last asked
+    RouterRegistry           m_Met;             // routers whose meeting point this one is
     uint64_t                 m_Declared = 0;    // version of the declarations in force here
     std::vector<ModelNaming> m_Named;           // newest versions of weights known here
 };
--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -163,11 +163,22 @@
         m_Datagrams.Tell(to, news);
 }
 
+void DeclarationsPeers::Register(TimePoint now)
+{
+    if (m_Spread.Tells(now) || now - m_RegisteredAt < kRegisterEvery)
+        return;
+    m_RegisteredAt                     = now;
+    const wire::DeclarationsNewsT news = News(now);
+    for (const Endpoint& to : m_Spread.RegisterAt())
+        m_Datagrams.Tell(to, news);
+}
+
 awaitable<void> DeclarationsPeers::TellLoop()
 {
     for (;;)
     {
         Tell();
+        Register(Now());
         co_await SleepFor(kNewsEvery);
     }
 }
@@ -303,6 +314,8 @@
     const wire::DeclarationsGet* get = frame.Get()->body_as_DeclarationsGet();
     if (get != nullptr)
         link->Send(DataFor(frame.Get()->exchange(), get->have()));
+    if (frame.Get()->body_as_ServersAsk() != nullptr && m_OnServersAsked)
+        link->Send(m_OnServersAsked(frame.Get()->exchange()));
 }
 
 FrameBytes DeclarationsPeers::DataFor(uint64_t exchange, uint64_t have)
--- a/src/process/declarations_peers.h
+++ b/src/process/declarations_peers.h
@@ -56,6 +56,10 @@
     void                    OnStoreBytes() { m_Spread.OnStoreBytes(Now()); }
     void                    OnStoreBack();
 
+    // Another process asks for the whole list of servers by the same kind of connection; the frame answers its exchange.
+    using ServersHandler = std::function<FrameBytes(uint64_t exchange)>;
+    void SetOnServersAsked(ServersHandler fn) { m_OnServersAsked = std::move(fn); }
+
     const Endpoint&           Self() const { return m_Self.m_Address; }
     const DeclarationsSpread& Spread() const { return m_Spread; }
     bool                      Reading() const { return m_Reading; } // what ReadsStore() last said
@@ -73,6 +77,7 @@
     void                    Hold(TimePoint learned, std::string from); // m_Rows holds a newer version than before
     wire::DeclarationsNewsT News(TimePoint now) const;                 // of this router
     void                    Tell();
+    void                    Register(TimePoint now); // if it is time
     awaitable<void>         TellLoop();
     awaitable<void>         AcceptLoop();
     awaitable<void>         FetchLoop();
@@ -87,11 +92,13 @@
     LoadListener&                   m_Datagrams;        //
     RowsHandler                     m_OnRows;           //
     BeliefHandler                   m_OnBelief;         // may be empty
+    ServersHandler                  m_OnServersAsked;   // may be empty
     DeclarationsSpread              m_Spread;           //
     OperatorRows                    m_Rows;             //
     std::deque<Text>                m_Texts;            // newest last; its last one is of m_Rows
     std::map<uint64_t, std::string> m_Compressed;       // by base, 0 alone: to the newest text
     TimePoint                       m_LearnedAt{};      // of the newest version
+    TimePoint                       m_RegisteredAt{};   // at routers of better ranks
     std::optional<tcp::acceptor>    m_Acceptor;         //
     asio::steady_timer              m_Wake;             // of FetchLoop(), when there may be something to fetch
     bool                            m_Reading  = false; // as last told
--- a/src/process/declarations_spread.cpp
+++ b/src/process/declarations_spread.cpp
@@ -76,12 +76,12 @@
     Peer& p                   = it->second;
     if (unlisted)
     {
-        p.m_Near     = news.m_Near;
-        p.m_Rank     = RouterRank(news.m_From.m_Address);
-        p.m_ListedAt = now;
+        p.m_Near = news.m_Near;
+        p.m_Rank = RouterRank(news.m_From.m_Address);
         SetRank();
     }
-    p.m_HeardAt = now;
+    p.m_ListedAt = now;
+    p.m_HeardAt  = now;
     if (news.m_Rests)
         p.m_RestedAt = now;
     p.m_News = news;
@@ -265,6 +265,20 @@
     return out;
 }
 
+std::vector<Endpoint> DeclarationsSpread::RegisterAt() const
+{
+    std::vector<std::pair<uint64_t, Endpoint>> ranked;
+    for (const auto& [address, peer] : m_Peers)
+        if (peer.m_Near)
+            ranked.emplace_back(peer.m_Rank, address);
+    const size_t count = std::min(kRegisteredAt, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+    std::vector<Endpoint> out;
+    for (size_t i = 0; i < count; i++)
+        out.push_back(ranked[i].second);
+    return out;
+}
+
 // Agents list only the kRoutersListedFar best-ranked routers of each other region.
 std::vector<Endpoint> DeclarationsSpread::KnownToAll() const
 {
--- a/src/process/declarations_spread.h
+++ b/src/process/declarations_spread.h
@@ -6,6 +6,9 @@
 // the leads fetch differences from there and don't read either. Then a version costs a region's link two differences, however many routers
 // it has; at worst two rows and a few more.
 //
+// A lead tells whom it knows. Lists of agents and meeting points may leave out routers of low ranks, so each router registers at the best ranks
+// that it knows of; they keep it as long as it does.
+//
 // No lease and no vote: who hears nothing fresh reads for itself, the better its rank the sooner. Too many readers cost bytes, never truth:
 // versions are the store's and only rise.
 //   - A router's rank is the hash of its address among those of its region that agents list; the first kLeads are the leads.
@@ -47,13 +50,15 @@
 constexpr size_t kStaggersFirst = 8;                  // places of routers that start
 
 // Who tells, who is asked
-constexpr auto   kNewsEvery  = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
-constexpr auto   kNewsRecent = milliseconds(600);  // who told within this is asked first: it isn't frozen
-constexpr auto   kRelayCost  = milliseconds(60);   // added to an age told on: more than a way takes, so that routers don't keep each other fresh
-constexpr auto   kPeerKept   = milliseconds(5000); // of a router that no agent lists any more: two lists may be lost
-constexpr size_t kPeersMax   = 256;                // that are known; more than any list holds
-constexpr auto   kFetchMax   = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
-constexpr auto   kAvoided    = milliseconds(1000); // a router whose fetch failed
+constexpr auto   kNewsEvery     = milliseconds(250);  // of who tells others; three may be lost before anything is passed by
+constexpr auto   kNewsRecent    = milliseconds(600);  // who told within this is asked first: it isn't frozen
+constexpr auto   kRelayCost     = milliseconds(60);   // added to an age told on: more than a way takes, so that routers don't keep each other fresh
+constexpr auto   kPeerKept      = milliseconds(5000); // of a router that no agent lists and that tells nothing any more: two lists may be lost
+constexpr auto   kRegisterEvery = milliseconds(1500); // of a router that leaves reading to others, to the best ranks: two may be lost
+constexpr size_t kRegisteredAt  = 4;                  // best ranks of the region that it registers at: both leads and who takes over from them
+constexpr size_t kPeersMax      = 8192;               // that are known: some 200 bytes each
+constexpr auto   kFetchMax      = milliseconds(500);  // of one fetch; a difference comes within some tens of ms
+constexpr auto   kAvoided       = milliseconds(1000); // a router whose fetch failed
 
 struct SpreadNews // what another router told
 {
@@ -85,6 +90,7 @@
     bool                    Tells(TimePoint now) const;     // tell others every kNewsEvery and at once of a new version
     std::vector<Endpoint>   Audience(TimePoint now) const;  // whom
     std::vector<Endpoint>   Near() const;                   // routers of the own region
+    std::vector<Endpoint>   RegisterAt() const;             // who has to know of this router, though it tells nothing new
     std::vector<Endpoint>   KnownToAll() const;             // routers known in all regions; may include this one
     std::vector<Endpoint>   AllPeers() const;               // all known routers: those of the own region and a few of each other region
     std::optional<Endpoint> FetchFrom(TimePoint now) const; // whom to ask for what is newer; nothing: nobody has it
--- a/src/process/server_directory.cpp
+++ b/src/process/server_directory.cpp
@@ -149,6 +149,21 @@
     return out;
 }
 
+// An entry that is kept for the grace of an outage is told as a row and its end.
+std::optional<RowRead> ServerDirectory::Whole() const
+{
+    if (!m_TellsFrom)
+        return std::nullopt;
+    RowRead out;
+    out.m_StoreVersion = m_StoreVersion;
+    for (const auto& [id, known] : m_Known)
+        out.m_Rows.push_back({id, known.m_Text, known.m_Entry.m_RowVersion, false, false});
+    for (const auto& [id, known] : m_Known)
+        if (known.Lapsed())
+            out.m_Rows.push_back({id, {}, known.m_LapsedAt, true, false});
+    return out;
+}
+
 void ServerDirectory::OnUpTo(uint64_t store_version)
 {
     m_StoreVersion = std::max(m_StoreVersion, store_version);
--- a/src/process/server_directory.h
+++ b/src/process/server_directory.h
@@ -78,10 +78,12 @@
     std::vector<const ServerEntry*> Everywhere() const;                     // of all services, draining ones too
     const ServerEntry*              Find(std::string_view id) const;        // null: gone
     uint64_t                        StoreVersion() const { return m_StoreVersion; }
-    std::optional<RowRead>          ChangesSince(uint64_t version) const; // newest row of each id that changed; nothing: too old to tell
-    Duration                        UnsettledFor(TimePoint now) const { return std::max(Duration::zero(), m_SettledAt - now); }
-    bool                            Lost() const { return m_Lost; }
-    uint64_t                        Changes() const { return m_Changes; } // grows with every change of what All() says
+    std::optional<uint64_t> HeldVersion() const { return m_StoreVersion > 0 ? std::optional(m_StoreVersion) : std::nullopt; } // nothing: no list
+    std::optional<RowRead>  ChangesSince(uint64_t version) const; // newest row of each id that changed; nothing: too old to tell
+    std::optional<RowRead>  Whole() const;                        // all rows for a process that holds none; nothing: the list wasn't read whole
+    Duration                UnsettledFor(TimePoint now) const { return std::max(Duration::zero(), m_SettledAt - now); }
+    bool                    Lost() const { return m_Lost; }
+    uint64_t                Changes() const { return m_Changes; } // grows with every change of what All() says
 
 private:
     struct Known
--- a/src/process/server_news.cpp
+++ b/src/process/server_news.cpp
@@ -75,6 +75,18 @@
     return true;
 }
 
+// What was told while the list came is a gap that is as old as the list.
+void ServerNewsListener::OnWholeList(TimePoint asked, TimePoint now)
+{
+    OnOwnRead(asked);
+    m_NewestAt = now;
+}
+
+bool ServerNewsListener::ReadsFirst(size_t place, TimePoint now) const
+{
+    return now - m_StartedAt > m_Patience.m_First + kServersFirstStagger * (1 << std::min(place, kServersFirstPlaces));
+}
+
 bool ServerNewsListener::Behind(uint64_t held, TimePoint now) const
 {
     return m_Newest > held && now - m_NewestAt > m_Patience.m_Behind;
--- a/src/process/server_news.h
+++ b/src/process/server_news.h
@@ -18,6 +18,9 @@
 //     region that were cut off from the store while the third router was not, and waited for them, had it send 7 requests to a server 2.1 to 2.6 s
 //     after that had said that it leaves.
 //
+//   - Who holds nothing asks who told it for the whole list, and reads it from the store only if nobody gives it: after m_First, and then in
+//     exponentially growing steps by its rank, or by chance while no rank is known.
+//
 // Usage (src/programs/platform_router.cpp, platform_agent.cpp):
 //   for (const ServersTold& t : SplitServerNews(since, changes)) ...                  // a reader, after each answer of the store
 //   if (listener.OnNews(told, directory.StoreVersion(), now)) use told.m_Rows;        // others
@@ -64,12 +67,16 @@
 
 struct ServerNewsPatience
 {
-    Duration m_Fresh  = kServersFresh;     // age of what is held
-    Duration m_Behind = milliseconds(600); // with a gap: the other reader of the region mostly fills it within that
+    Duration m_Fresh  = kServersFresh;      // age of what is held
+    Duration m_Behind = milliseconds(600);  // with a gap: the other reader of the region mostly fills it within that
+    Duration m_First  = milliseconds(1500); // since the start, for the whole list from another process
 };
 
 // Of an agent: it needs the other boxes when weights come, and 204 of them mustn't read because one router is away.
-constexpr ServerNewsPatience kAgentPatience = {seconds(6), milliseconds(600)};
+constexpr ServerNewsPatience kAgentPatience = {seconds(6), milliseconds(600), seconds(4)};
+
+constexpr auto   kServersFirstStagger = milliseconds(120); // beyond m_First, of the first place; doubles with each further one
+constexpr size_t kServersFirstPlaces  = 8;                 // places beyond that begin together, after 31 s
 
 // What changed since a store version, in datagrams that each follow on the one before; at least one. Rows in any order.
 std::vector<ServersTold> SplitServerNews(uint64_t since, RowRead changes);
@@ -88,12 +95,14 @@
 class ServerNewsListener // touched on one thread
 {
 public:
-    ServerNewsListener(TimePoint now, const ServerNewsPatience& patience) : m_Patience(patience), m_CheckedAt(now) {}
+    ServerNewsListener(TimePoint now, const ServerNewsPatience& patience) : m_Patience(patience), m_StartedAt(now), m_CheckedAt(now) {}
 
     bool OnNews(const ServersTold& told, uint64_t held, TimePoint now);                // true: its rows follow on what is held
     bool Asks(uint64_t held, TimePoint now);                                           // true: ask who told now; call after OnNews()
     void OnOwnRead(TimePoint asked) { m_CheckedAt = std::max(m_CheckedAt, asked); }    // the store answered this process; asked: when it was asked
     bool Reads(uint64_t held, size_t rank, TimePoint now) const;                       // this process needs the store's list itself
+    void OnWholeList(TimePoint asked, TimePoint now);                                  // another process gave it; asked: when the store was
+    bool ReadsFirst(size_t place, TimePoint now) const;                                // it holds nothing, and others may give it the list
     bool Behind(uint64_t held, TimePoint now) const;                                   // a gap, and nobody fills it
     bool Stale(TimePoint now) const { return now - m_CheckedAt > m_Patience.m_Fresh; } // nobody has confirmed lately what is held
 
@@ -104,6 +113,7 @@
     ServerNewsPatience m_Patience; //
 
     uint64_t  m_Newest = 0; // store version that some reader told of
+    TimePoint m_StartedAt;  // of the process
     TimePoint m_CheckedAt;  // all that the store held then is held here; at first the start of the process
     TimePoint m_NewestAt{}; // when m_Newest rose
     TimePoint m_AskedAt{};  // a teller, for what was missed
--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -27,6 +27,8 @@
 
 awaitable<void> TableFollower::Run()
 {
+    if (m_Config.m_Known && !Urgent())
+        co_await Rest(CalmPause()); // rows come from elsewhere
     for (;;)
     {
         const bool ok    = co_await ReadNext();
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -8,7 +8,7 @@
 // 27 Mbit/s took them 14 s after an outage; the newest alone takes 0.5 s.
 // A process that needs few rows of a table with long ones reads just those while it is calm (m_CalmKeys): standing requests bring all rows.
 // They are also what it asks for first after a failure: when a store comes back to all that tried, long rows go to those that still want them.
-// One that gets rows from elsewhere while it is calm goes on after those (m_Known) when it is urgent again.
+// One that gets rows from elsewhere while it is calm (m_Known) reads nothing at first, and goes on after those when it is urgent.
 // It runs on a strand of its own, and so do the handlers: with several I/O threads two followers may call theirs at once.
 //
 // Usage:
--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "platform/model_server_http.h"
 #include "platform_tables.h"
+#include "server_list_fetch.h"
 #include "server_news_wire.h"
 #include "version/model_knowledge.h"
 #include "version/weight_keeper.h"
@@ -27,16 +28,18 @@
 
 struct Agent // lives as long as the process
 {
-    AgentSettings                              m_Settings;                    //
-    ServerDirectory                            m_Servers;                     // the other boxes
-    ServerNewsListener                         m_News{Now(), kAgentPatience}; // of their list
-    std::unique_ptr<ModelKnowledge>            m_Known;                       // of the own service's model
-    std::unique_ptr<PlatformTables>            m_Tables;                      //
-    std::unique_ptr<platform::ModelServerHttp> m_Server;                      //
-    platform::PieceOriginHttp                  m_Origin;                      //
-    std::unique_ptr<LoadPublisher>             m_Publisher;                   //
-    std::unique_ptr<PieceTransfer>             m_Transfer;                    //
-    std::unique_ptr<WeightKeeper>              m_Keeper;                      //
+    AgentSettings                              m_Settings;                                         //
+    ServerDirectory                            m_Servers;                                          // the other boxes
+    ServerNewsListener                         m_News{Now(), kAgentPatience};                      // of their list
+    std::unique_ptr<ModelKnowledge>            m_Known;                                            // of the own service's model
+    size_t                                     m_RandomPlace = RandomSeed() % kServersFirstPlaces; // among agents that read the list themselves
+    std::unique_ptr<ServerListFetch>           m_Fetch;                                            // of the whole list, from routers
+    std::unique_ptr<PlatformTables>            m_Tables;                                           //
+    std::unique_ptr<platform::ModelServerHttp> m_Server;                                           //
+    platform::PieceOriginHttp                  m_Origin;                                           //
+    std::unique_ptr<LoadPublisher>             m_Publisher;                                        //
+    std::unique_ptr<PieceTransfer>             m_Transfer;                                         //
+    std::unique_ptr<WeightKeeper>              m_Keeper;                                           //
 };
 
 std::vector<SettingSpec> DescribeAgent(AgentSettings& s)
@@ -116,7 +119,18 @@
 bool ReadsList(const Agent& a)
 {
     const uint64_t held = a.m_Servers.StoreVersion();
-    return held == 0 || (!a.m_Transfer->IsFetching() && a.m_News.Reads(held, 0, Now()));
+    if (held == 0)
+        return a.m_News.ReadsFirst(a.m_RandomPlace, Now());
+    return !a.m_Transfer->IsFetching() && a.m_News.Reads(held, 0, Now());
+}
+
+void OnWholeList(Agent& a, const ServersTold& whole)
+{
+    if (a.m_Servers.StoreVersion() > 0 || whole.m_Rows.m_StoreVersion == 0)
+        return;
+    const TimePoint now = Now();
+    a.m_Tables->UseServerList(whole);
+    a.m_News.OnWholeList(now - whole.m_CheckedAge, now);
 }
 
 void OnServersNews(Agent& a, const wire::ServersNews& news, Duration checked_age, const Endpoint& from)
@@ -125,6 +139,8 @@
     const bool        fits = a.m_News.OnNews(told, a.m_Servers.StoreVersion(), Now());
     if (fits)
         a.m_Tables->UseServerNews(told);
+    else if (a.m_Servers.StoreVersion() == 0)
+        a.m_Fetch->OnTold(from);
     else if (a.m_News.Asks(a.m_Servers.StoreVersion(), Now()))
         a.m_Publisher->AskServers(from, a.m_Servers.StoreVersion());
 }
@@ -137,7 +153,7 @@
     TablePaces p;
     p.m_List.m_Urgent         = [&a] { return ReadsList(a); };
     p.m_List.m_Calm           = [] { return Duration(kListRest); };
-    p.m_List.m_Known          = [&a] { return std::optional(a.m_Servers.StoreVersion()); };
+    p.m_List.m_Known          = [&a] { return a.m_Servers.HeldVersion(); };
     p.m_Operator.m_Urgent     = [&a] { return a.m_Known->NeedsFullRead(Now()); };
     p.m_Operator.m_Calm       = [&a] { return a.m_Known->HasRecentRouterUpdate(Now()) ? Duration(kWeightsLookTold) : Duration(kWeightsLook); };
     p.m_Operator.m_CalmKeys   = platform::WeightsKeys(); // declarations are long: 76 agents reading 1,690 routes fill a link of 27 Mbit/s for 9 s
@@ -158,6 +174,7 @@
     h.m_OnOperatorRead  = [&a] { a.m_Known->OnVersionRowsRead(); };
     h.m_OnServers       = [&a](bool) { FollowPeers(a); };
     h.m_OnListRead      = [&a](uint64_t, TimePoint asked) { a.m_News.OnOwnRead(asked); };
+    a.m_Fetch           = std::make_unique<ServerListFetch>(daemon.Ioc(), [&a](const ServersTold& whole) { OnWholeList(a, whole); });
     a.m_Publisher->SetOnServers([&a](const wire::ServersNews& news, Duration age, const Endpoint& from) { OnServersNews(a, news, age, from); });
     a.m_Tables = std::make_unique<PlatformTables>(daemon.Ioc(), a.m_Settings.m_Platform, Paces(a), a.m_Servers, h);
 }
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -28,11 +28,12 @@
 
 struct RouterSettings
 {
-    std::string         m_HttpListen;  // callers [http_listen]
-    std::string         m_ReadyListen; // the balancer's readiness questions [ready_listen]
-    std::string         m_Regions;     // of the data centres, see ParseRegions() [regions]
-    PlatformSettings    m_Platform;    //
-    DirectServeSettings m_Serve;       //
+    std::string              m_HttpListen;  // callers [http_listen]
+    std::string              m_ReadyListen; // the balancer's readiness questions [ready_listen]
+    std::string              m_Regions;     // of the data centres, see ParseRegions() [regions]
+    std::vector<std::string> m_Seeds;       // addresses of a few routers, of which only the IP number counts [seeds]
+    PlatformSettings         m_Platform;    //
+    DirectServeSettings      m_Serve;       //
 };
 
 struct Router // lives as long as the process
@@ -62,6 +63,7 @@
     std::vector<SettingSpec> specs = {
         {"http_listen", SettingAddress{&s.m_HttpListen, true, true}, "address for callers"},
         {"ready_listen", SettingAddress{&s.m_ReadyListen, true, true}, "address for the balancer's readiness questions"},
+        {"seeds", SettingList{&s.m_Seeds}, "addresses of a few routers, at which routers that start learn of each other; they may be out of date"},
         {"regions", SettingText{&s.m_Regions, {}, false}, "regions of the data centres, as data-centre=region pairs separated by commas"},
     };
     for (const SettingSpec& spec : DescribePlatform(s.m_Platform))
@@ -311,7 +313,7 @@
     p.m_List.m_Quiet          = kServersQuiet;
     p.m_List.m_RetryMost      = [&r] { return r.m_Peers->ReadsStore() ? Duration(kListRetry) : Duration(kListRetryOthers); };
     p.m_List.m_Calm           = [] { return Duration(kListRest); };
-    p.m_List.m_Known          = [&r] { return std::optional(r.m_World.m_Servers.StoreVersion()); };
+    p.m_List.m_Known          = [&r] { return r.m_World.m_Servers.HeldVersion(); };
     p.m_Operator.m_WholeAfter = 2; // one change alone is followed by none, mostly
     p.m_Operator.m_Wait       = kLeadWait;
     p.m_Operator.m_Quiet      = kLeadQuiet;
@@ -336,9 +338,9 @@
     h.m_OnUnlisted      = [&r](const Row& row, bool kept) { LogUnlisted(r, row, kept); };
     h.m_OnServers       = [&r](bool changed) { OnServers(r, changed); };
     h.m_OnListRead      = [&r](uint64_t since, TimePoint asked) { r.m_List->OnListRead(since, asked); };
-    r.m_List            = std::make_unique<ServerListShare>(*r.m_Loads, *r.m_Peers, r.m_World.m_Servers);
+    r.m_List            = std::make_unique<ServerListShare>(daemon.Ioc(), *r.m_Loads, *r.m_Peers, r.m_World.m_Servers);
     r.m_Tables          = std::make_unique<PlatformTables>(daemon.Ioc(), r.m_Settings.m_Platform, Paces(r), r.m_World.m_Servers, h);
-    r.m_List->Start(*r.m_Tables);
+    r.m_List->Start(*r.m_Tables, !r.m_Settings.m_Seeds.empty());
     asio::co_spawn(
         daemon.Ioc(), [&r] { return LookLoop(r); }, asio::detached);
 }
@@ -369,6 +371,16 @@
     return hooks;
 }
 
+// Entries that are no addresses are passed over.
+std::vector<Endpoint> MeetingPoints(const Router& r)
+{
+    std::vector<Endpoint> out;
+    for (const std::string& seed : r.m_Settings.m_Seeds)
+        if (const auto at = ParseEndpoint(seed))
+            out.push_back({at.value().m_Address, static_cast<uint16_t>(r.m_Settings.m_Platform.m_Port)});
+    return out;
+}
+
 Status StartRouter(Daemon& daemon, Router& r)
 {
     const RouterSettings& s        = r.m_Settings;
@@ -398,6 +410,7 @@
                                                  co_await reply.Send(res);
                                              });
     daemon.SetHooks(MakeHooks(r));
+    r.m_Loads->SetMeetingPoints(MeetingPoints(r));
     const Status loads = r.m_Loads->Listen(internal.value());
     if (!loads)
         return loads;
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -152,7 +152,7 @@
 {
     std::vector<ListedServer> entries;
     for (const Row& row : read.m_Rows)
-        if (auto entry = TakeEntry(row))
+        if (auto entry = row.m_Gone ? std::nullopt : TakeEntry(row))
             entries.push_back({std::move(*entry), row.m_Value});
     if (m_Handlers.m_OnListed)
         for (const ListedServer& e : entries)
@@ -192,6 +192,14 @@
     m_Handlers.m_OnServers(m_Servers.Changes() != before);
 }
 
+void PlatformTables::UseServerList(const ServersTold& told)
+{
+    OnServerList(told.m_Rows);
+    for (const Row& row : told.m_Rows.m_Rows)
+        if (row.m_Gone)
+            OnServerGone(row, Now() + told.m_Unsettled);
+}
+
 void PlatformTables::UseServerNews(const ServersTold& told)
 {
     OnServerChanges(told.m_Rows, Now() + told.m_Unsettled);
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -51,6 +51,7 @@
     void                        UseOperatorRows(const RowRead& read);
     static EvacuatedDataCentres DecodeEvacuations(const RowRead& all);  // all rows of the operators' table
     void                        UseServerNews(const ServersTold& told); // of another process; its rows follow on what is held
+    void                        UseServerList(const ServersTold& told); // of another process: the whole list
     bool                        Reachable() const { return m_Operator->Reachable() && m_List->Reachable(); }
     bool                        ListReachable() const { return m_List->Reachable(); }
     uint64_t                    Calls() const { return m_Store.Calls(); } // of the store; each is priced
@@ -59,7 +60,7 @@
     void          OnConfigRow(const Row& row);
     void          OnWeightsRow(const Row& row);
     TableHandlers OperatorHandlers();
-    void          OnServerList(const RowRead& read);
+    void          OnServerList(const RowRead& read); // rows that went away are passed over
     void          OnServerGone(const Row& row, std::optional<TimePoint> doubted_until);
     void          OnServerChanges(const RowRead& read, std::optional<TimePoint> doubted_until = {}); // doubted_until: told by another process
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -14,6 +14,7 @@
 
 LIMIT_S = 60   # timeout of a wait; allows for sanitizers and a loaded machine
 LOOK_S = 0.05  # polling interval
+REGIONS = "dc-1=north,dc-2=south"
 
 RNG = standin.seeded(os.getpid())  # for ports; seeded per process so that concurrent runs pick different ones
 PROGRAMS = sys.argv.pop(1) if len(sys.argv) > 1 else "build/release/bin"
@@ -59,9 +60,10 @@
 class Fleet:
     """One data centre. Each process connects to its own port of the store, which identifies it."""
 
-    def __init__(self, folder, routers, agents, backends):
+    def __init__(self, folder, routers, agents, backends, seeds=0):
         self.folder = folder                    # settings and logs
         self.counts = (routers, agents)
+        self.seeds = seeds                      # routers whose addresses all routers have in their settings
         self.store = standin.Store()
         self.routers = []
         self.agents = []
@@ -80,7 +82,8 @@
             self.agents.append(await self.launch("agent", n, ip, own))
         for n in range(1, routers + 1):
             ip = f"127.0.1.{n}"
-            own = f'http_listen = "{ip}:{self.http}"\nready_listen = "{ip}:{self.ready}"\n'
+            seeds = ", ".join(f'"127.0.1.{seed}:1"' for seed in range(1, self.seeds + 1))  # ports of seeds don't count
+            own = f'http_listen = "{ip}:{self.http}"\nready_listen = "{ip}:{self.ready}"\nregions = "{REGIONS}"\nseeds = [{seeds}]\n'
             self.routers.append(await self.launch("router", n, ip, own))
 
     async def start_with(self, servers, routes):
--- a/tests/support_spread.h
+++ b/tests/support_spread.h
@@ -244,6 +244,7 @@
         std::vector<TimePoint>              m_AskedAt;        // agents of a region
         TimePoint                           m_ListedAt{};     //
         TimePoint                           m_SubscribedAt{}; //
+        TimePoint                           m_RegisteredAt{}; // at routers of better ranks
         TimePoint                           m_StartedAt{};
         std::unique_ptr<DeclarationsSpread> m_Spread;
         OperatorRows                        m_Rows;
@@ -639,6 +640,16 @@
             SendNews(i, m_ByAddress.at(to), news);
     }
 
+    void Register(size_t i)
+    {
+        Router& r = m_Routers[i];
+        if (r.m_Spread->Tells(m_Now) || m_Now - r.m_RegisteredAt < kRegisterEvery)
+            return;
+        r.m_RegisteredAt = m_Now;
+        for (const Endpoint& to : r.m_Spread->RegisterAt())
+            SendNews(i, m_ByAddress.at(to), r.m_Spread->News(m_Now));
+    }
+
     void SendNews(size_t from, size_t to, const SpreadNews& news)
     {
         const size_t from_region = m_Routers[from].m_Region;
@@ -676,6 +687,7 @@
     void TellNext(size_t i)
     {
         Tell(i);
+        Register(i);
         After(i, kNewsEvery, [this, i] { TellNext(i); });
     }
 
@@ -704,12 +716,14 @@
         for (const Router& other : m_Routers)
             if (other.m_AskedAt[r.m_Region] != TimePoint{} && m_Now - other.m_AskedAt[r.m_Region] <= kSimAskKept)
                 known.push_back({other.m_Address.m_Address, std::to_string(other.m_Region)});
-        const wire::RouterListT list = ListRouters(known, {r.m_Address.m_Address, std::to_string(r.m_Region)});
-        std::vector<RouterPeer> peers;
-        for (const wire::RouterAddress& a : list.routers)
-            peers.push_back({Endpoint{asio::ip::make_address_v4(a.ip()), 7700}, a.same_region()});
+        for (const wire::RouterListT& list : ListAllRouters(known, {r.m_Address.m_Address, std::to_string(r.m_Region)}))
+        {
+            std::vector<RouterPeer> peers;
+            for (const wire::RouterAddress& a : list.routers)
+                peers.push_back({Endpoint{asio::ip::make_address_v4(a.ip()), 7700}, a.same_region()});
+            r.m_Spread->SetPeers(peers, m_Now);
+        }
         r.m_ListedAt = m_Now;
-        r.m_Spread->SetPeers(peers, m_Now);
     }
 
     //-----------------------------------------------------------------------------
--- a/tests/test_declarations_spread.cpp
+++ b/tests/test_declarations_spread.cpp
@@ -584,6 +584,45 @@
     RunWorlds({"50 routers a region", [](uint64_t) { return LargeRows(50); }, 6, true});
 }
 
+// Agents listed the 100 best ranks of a region: leads never told those beyond of a version, and each of them came to read for itself.
+BOOST_AUTO_TEST_CASE(regions_with_more_routers_than_a_datagram_lists)
+{
+    const auto config = [](size_t routers)
+    {
+        return [routers](uint64_t)
+        {
+            SpreadWorldConfig cfg;
+            cfg.m_Regions  = {20, routers};
+            cfg.m_RowBytes = 200e3;
+            return cfg;
+        };
+    };
+    RunWorlds({"117 routers in a region", config(117), 3, true});
+    RunWorlds({"234 routers in a region", config(234), 1, true});
+}
+
+// Meeting points list only the best ranks, and agents may not be known yet: a lead knows the others because they register.
+BOOST_AUTO_TEST_CASE(a_router_registers_at_the_best_ranks_and_a_lead_keeps_it)
+{
+    const Ranked       r;
+    DeclarationsSpread low(r.m_Near[7], kSimStart);
+    low.SetPeers(r.List(), kSimStart);
+    BOOST_TEST((low.RegisterAt() == std::vector<Endpoint>(r.m_Near.begin(), r.m_Near.begin() + kRegisteredAt)));
+    DeclarationsSpread lead(r.m_Near[0], kSimStart);
+    lead.SetPeers({}, kSimStart);
+    BOOST_TEST(lead.Near().empty());
+    for (TimePoint now = kSimStart; now < kSimStart + 3 * kPeerKept; now += kRegisterEvery)
+    {
+        SpreadNews news = Told(r.m_Near[7], 0, {}, false);
+        news.m_Near     = true;
+        lead.OnNews(news, now);
+        lead.SetPeers({}, now);
+        BOOST_TEST((lead.Near() == std::vector<Endpoint>{r.m_Near[7]}));
+    }
+    lead.SetPeers({}, kSimStart + 5 * kPeerKept);
+    BOOST_TEST(lead.Near().empty());
+}
+
 //-----------------------------------------------------------------------------
 // Calm
 //-----------------------------------------------------------------------------
--- a/tests/test_load_channel.cpp
+++ b/tests/test_load_channel.cpp
@@ -427,3 +427,48 @@
     BOOST_TEST(RunUntil(ioc, [&] { return age > Duration::zero(); }));
     BOOST_TEST(ToMs(age) >= 600);
 }
+
+// At the start of a whole deployment no router knows a box, and the list of servers may be empty for a while.
+BOOST_AUTO_TEST_CASE(routers_that_know_no_box_learn_of_each_other_at_meeting_points)
+{
+    asio::io_context                         ioc;
+    const uint16_t                           port   = FreeEndpoint().m_Port;
+    const std::vector<Endpoint>              points = {On(4, 1, port), On(4, 2, port), On(4, 99, port)}; // the last one is down
+    std::vector<std::unique_ptr<TestRouter>> routers;
+    const auto                               add = [&](const Endpoint& at, const std::string& region)
+    {
+        routers.push_back(std::make_unique<TestRouter>(ioc, at, region));
+        routers.back()->m_Listener.SetMeetingPoints(points);
+    };
+    add(points[0], "west");
+    add(points[1], "east");
+    for (unsigned i = 3; i <= 6; i++)
+        add(On(4, i, port), "west");
+    const auto all_know = [&]
+    {
+        const auto near = [](const auto& r) { return r->Listed(true).size(); };
+        const auto far  = [](const auto& r) { return r->Listed(false).size(); };
+        return near(routers[0]) == 4 && far(routers[0]) == 1 && near(routers[1]) == 0 && far(routers[1]) == kRoutersListedFar &&
+               std::all_of(routers.begin() + 2, routers.end(), [&](const auto& r) { return near(r) == 4 && far(r) == 1; });
+    };
+    BOOST_TEST(RunUntil(ioc, all_know));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_asks_no_meeting_point_while_agents_list_routers)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    SilentBox        point(ioc, On(4, 1, port));
+    LoadPublisher    agent(ioc, "dc");
+    BOOST_REQUIRE(agent.Listen(On(1, 1, port)).has_value());
+    TestRouter a(ioc, On(4, 2, port), "west");
+    a.m_Listener.SetMeetingPoints({On(4, 1, port)});
+    size_t asked = 0;
+    BOOST_TEST(RunUntil(ioc, [&] { return (asked += point.Take().size()) > 0; }));
+    a.m_Listener.SetBoxes(Followed({On(1, 1, port)}));
+    BOOST_TEST(RunUntil(ioc, [&] { return a.m_Lists > 0; }));
+    point.Take();
+    const int lists = a.m_Lists;
+    BOOST_TEST(RunUntil(ioc, [&] { return a.m_Lists > lists; })); // seconds later
+    BOOST_TEST(point.Take().empty());
+}
--- a/tests/test_rendered_settings.py
+++ b/tests/test_rendered_settings.py
@@ -15,7 +15,7 @@
 
 FIELDS = {
     "NodeName": "box-1", "Zone": "dc-1", "Region": "north", "Zones": {"dc-1": "north", "dc-2": "south"}, "Ip": "127.0.0.1", "app": "127.0.0.1:9001", "Service": "model",
-    "Listen": {"Front": "127.0.0.1:9002", "Ready": "127.0.0.1:9003"}, "InternalPorts": [9004, 9005], "Platform": {"Address": "127.0.0.1:9006"},
+    "Listen": {"Front": "127.0.0.1:9002", "Ready": "127.0.0.1:9003"}, "InternalPorts": [9004, 9005], "Seeds": ["127.0.0.1:9007", "127.0.0.2:9007"], "Platform": {"Address": "127.0.0.1:9006"},
     "Limits": {"LinkMbps": "7.3"}, "Bounds": {"GraceS": "8", "RetryBudgetRatio": "0.2", "BudgetExtra": "654", "version_ms": "10000"},
 }
 
--- a/tests/test_router_list.cpp
+++ b/tests/test_router_list.cpp
@@ -151,3 +151,75 @@
         BOOST_TEST(before == std::min<long>(place, static_cast<long>(kRoutersListedNear)));
     }
 }
+
+//-----------------------------------------------------------------------------
+// More routers than a datagram lists, and meeting points
+//-----------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(all_routers_of_a_region_are_listed_in_as_many_datagrams_as_it_takes)
+{
+    for (const size_t count : {size_t{1}, size_t{100}, size_t{101}, size_t{117}, size_t{202}, size_t{600}})
+    {
+        std::vector<KnownRouter> routers = Routers(count, 1);
+        routers.push_back({Address(5000), "region-1"});
+        std::multiset<uint64_t> listed;
+        size_t                  far = 0;
+        for (const wire::RouterListT& list : ListAllRouters(routers, routers[0]))
+        {
+            BOOST_TEST(DatagramBytes(list) <= kDatagramMax);
+            for (const RouterPeer& p : Arrived(list))
+                if (p.m_SameRegion)
+                    listed.insert(RouterRank(p.m_Address.m_Address));
+                else
+                    far++;
+        }
+        const std::vector<uint64_t> ranks = RanksOf(routers, "region-0", routers[0]);
+        BOOST_TEST((listed == std::multiset<uint64_t>(ranks.begin(), ranks.end())));
+        BOOST_TEST(far == 1u);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_meeting_point_lists_the_best_ranks_of_those_that_ask)
+{
+    const TimePoint                start   = TimePoint{} + seconds(1000);
+    const std::vector<KnownRouter> routers = Routers(600, 5);
+    RouterRegistry                 registry;
+    for (const KnownRouter& r : routers)
+        registry.Note(r, start);
+    BOOST_TEST(registry.Size() == routers.size());
+    for (const KnownRouter& asker : routers)
+    {
+        const wire::RouterListT       list = registry.List(asker, start);
+        const std::vector<RouterPeer> got  = Arrived(list);
+        BOOST_TEST(DatagramBytes(list) <= kDatagramMax);
+        std::vector<uint64_t> near = RanksOf(routers, asker.m_Region, asker);
+        near.resize(kRoutersMetNear);
+        BOOST_TEST((ListedRanks(got, routers, asker.m_Region) == std::multiset<uint64_t>(near.begin(), near.end())));
+        BOOST_TEST(got.size() == kRoutersMetNear + 4 * kRoutersListedFar);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_meeting_point_forgets_who_asks_no_more)
+{
+    const TimePoint                start   = TimePoint{} + seconds(1000);
+    const std::vector<KnownRouter> routers = Routers(40, 1);
+    RouterRegistry                 registry;
+    for (const KnownRouter& r : routers)
+        registry.Note(r, start);
+    const TimePoint later = start + kRouterMetKept + milliseconds(1);
+    registry.Note(routers[7], later);
+    registry.Note(routers[8], later);
+    const std::vector<RouterPeer> got = Arrived(registry.List(routers[7], later));
+    BOOST_REQUIRE(got.size() == 1u);
+    BOOST_TEST(got[0].m_Address.m_Address == routers[8].m_Address);
+    BOOST_TEST(registry.Size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_meeting_point_is_bounded)
+{
+    const TimePoint start = TimePoint{} + seconds(1000);
+    RouterRegistry  registry;
+    for (const KnownRouter& r : Routers(kRoutersMetMax + 100, 3))
+        registry.Note(r, start);
+    BOOST_TEST(registry.Size() == kRoutersMetMax);
+}
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -320,3 +320,24 @@
     d.Expire(kStart + 3 * kLapseGrace);
     BOOST_TEST(d.Usable("plain").empty());
 }
+
+BOOST_AUTO_TEST_CASE(a_process_that_holds_nothing_is_told_the_whole_list)
+{
+    ServerDirectory d;
+    d.OnRow(Entry("too early", "plain", "dc-1", 1));
+    BOOST_TEST(!d.Whole().has_value()); // the list wasn't read whole
+    BOOST_TEST(!ServerDirectory().HeldVersion().has_value());
+    d.OnReadAll({{Entry("a", "plain", "dc-1", 4), "text a"}, {Entry("b", "plain", "dc-1", 6), "text b"}}, 9, kStart);
+    d.OnStoreLost();
+    d.OnRowGone("b", 10, kStart); // kept: it may have lapsed because the store is away
+    const auto whole = d.Whole();
+    BOOST_REQUIRE(whole.has_value());
+    BOOST_TEST(whole->m_StoreVersion == 10u);
+    BOOST_REQUIRE(whole->m_Rows.size() == 3u);
+    BOOST_TEST(whole->m_Rows[0].m_Value == "text a");
+    BOOST_TEST(whole->m_Rows[1].m_Value == "text b");
+    BOOST_TEST(whole->m_Rows[1].m_Version == 6u);
+    BOOST_TEST(whole->m_Rows[2].m_Key == "b");
+    BOOST_TEST(whole->m_Rows[2].m_Gone);
+    BOOST_TEST(whole->m_Rows[2].m_Version == 10u);
+}
--- a/tests/test_server_news.cpp
+++ b/tests/test_server_news.cpp
@@ -197,3 +197,35 @@
                                RC_ASSERT(held_rows == truth);
                        });
 }
+
+// 205 processes of a region read the list in the same second, and none of them got it.
+BOOST_AUTO_TEST_CASE(who_holds_nothing_reads_the_list_only_if_nobody_gives_it)
+{
+    const ServerNewsListener l(kStart, {});
+    const Duration           first = ServerNewsPatience{}.m_First;
+    BOOST_TEST(!l.ReadsFirst(0, kStart + first));
+    Duration before = first;
+    for (size_t place = 0; place <= kServersFirstPlaces; place++)
+    {
+        Duration at = before;
+        while (!l.ReadsFirst(place, kStart + at))
+            at += milliseconds(1);
+        BOOST_TEST((at - before >= kServersFirstStagger * (1 << place) / 2));
+        BOOST_TEST((at < seconds(40)));
+        before = at;
+    }
+    BOOST_TEST(l.ReadsFirst(kServersFirstPlaces + 100, kStart + seconds(40)));
+}
+
+BOOST_AUTO_TEST_CASE(what_was_told_while_the_whole_list_came_is_a_gap_as_old_as_the_list)
+{
+    ServerNewsListener l(kStart, {});
+    l.OnNews(Alive(50), 0, kStart);
+    const TimePoint got = kStart + seconds(2);
+    l.OnWholeList(got - milliseconds(100), got);
+    BOOST_TEST(!l.Behind(48, got));
+    BOOST_TEST(l.Asks(48, got)); // the difference is asked for
+    BOOST_TEST(!l.Reads(48, 0, got));
+    BOOST_TEST(l.Behind(48, got + ServerNewsPatience{}.m_Behind + milliseconds(1)));
+    BOOST_TEST((l.CheckedAt() == got - milliseconds(100)));
+}
