--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -89,6 +89,11 @@
     return std::isfinite(told_ms) ? std::clamp<double>(told_ms, 0, kReadingMaxMs) : 0;
 }
 
+double RateOf(float told_per_s)
+{
+    return std::isfinite(told_per_s) ? std::max<double>(told_per_s, 0) : 0;
+}
+
 LoadReport FromWire(const wire::LoadState& s)
 {
     LoadReport r;
@@ -310,6 +315,7 @@
     out.most       = claim.m_Most;
     out.wait_ms    = static_cast<uint32_t>(std::max<int64_t>(0, ToMs(claim.m_Wait)));
     out.reading_ms = static_cast<float>(claim.m_ReadingMs);
+    out.max_per_s  = static_cast<float>(claim.m_MaxPerSecond);
     SendDatagram(m_Socket, ToUdp(box), out);
 }
 
@@ -355,7 +361,7 @@
     return std::find(m_MeetingPoints.begin(), m_MeetingPoints.end(), at) != m_MeetingPoints.end();
 }
 
-// Also one that no settings name answers: the settings of those that ask may be newer.
+// Answers also if its own settings don't name it: those of the asker may be older or newer.
 void LoadListener::OnMet(const wire::LoadSubscribe& ask, const udp::endpoint& from)
 {
     const TimePoint   now   = Now();
@@ -465,8 +471,11 @@
         TakeServers(*servers, FromUdp(from), m_OnServers);
     const wire::PlaceClaim* claim = frame.body_as_PlaceClaim();
     if (claim != nullptr && m_OnClaim)
-        m_OnClaim(
-            {{FromUdp(from), claim->number()}, claim->most(), milliseconds(std::min(claim->wait_ms(), kClaimMaxMs)), ReadingOf(claim->reading_ms())});
+        m_OnClaim({{FromUdp(from), claim->number()},
+                   claim->most(),
+                   milliseconds(std::min(claim->wait_ms(), kClaimMaxMs)),
+                   ReadingOf(claim->reading_ms()),
+                   RateOf(claim->max_per_s())});
     const wire::PlaceRelease* release = frame.body_as_PlaceRelease();
     if (release != nullptr && m_OnRelease)
         m_OnRelease({FromUdp(from), release->number()});
--- a/src/connection/load_channel.h
+++ b/src/connection/load_channel.h
@@ -72,10 +72,11 @@
 
 struct ClaimMessage // of a router, as a box hears it
 {
-    PlaceQuestion m_Question;      //
-    uint32_t      m_Most = 0;      // a place is free while fewer requests are there
-    Duration      m_Wait{};        // in line
-    double        m_ReadingMs = 0; // engine time that its prompt takes to be read
+    PlaceQuestion m_Question;         //
+    uint32_t      m_Most = 0;         // a place is free while fewer requests are there
+    Duration      m_Wait{};           // in line
+    double        m_ReadingMs    = 0; // engine time that its prompt takes to be read
+    double        m_MaxPerSecond = 0; // places that the box may grant in a second; 0: no such limit
 };
 
 struct ProcessName
--- a/src/connection/place_channel.cpp
+++ b/src/connection/place_channel.cpp
@@ -64,7 +64,11 @@
     Claiming                c(m_Ioc, boxes.size());
     m_Claiming[number] = &c;
     for (const Endpoint& box : boxes)
-        m_Datagrams.ClaimPlace(box, {{{}, number}, wanted.m_Most, wanted.m_Wait, wanted.m_ReadingMs});
+    {
+        const auto limit = wanted.m_MaxPerSecond.find(box);
+        m_Datagrams.ClaimPlace(
+            box, {{{}, number}, wanted.m_Most, wanted.m_Wait, wanted.m_ReadingMs, limit == wanted.m_MaxPerSecond.end() ? 0 : limit->second});
+    }
     c.m_Timer.expires_after(wanted.m_Wait + kPlaceAnswerMax);
     if (c.m_Open > 0)
         co_await c.m_Timer.async_wait(kNoThrow);
--- a/src/connection/place_channel.h
+++ b/src/connection/place_channel.h
@@ -13,6 +13,7 @@
 
 #pragma once
 #include "connection/load_channel.h"
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -24,9 +25,10 @@
 
 struct PlaceWanted
 {
-    uint32_t m_Most = 1;      // a place is free while fewer requests are there
-    Duration m_Wait{};        // in line, at most
-    double   m_ReadingMs = 0; // as for Take()
+    uint32_t                   m_Most = 1;          // a place is free while fewer requests are there
+    Duration                   m_Wait{};            // in line, at most
+    double                     m_ReadingMs    = 0;  // as for Take()
+    std::map<Endpoint, double> m_MaxPerSecond = {}; // places that a box may grant in a second; a box that isn't in it has no such limit
 };
 
 struct ClaimOutcome
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -178,7 +178,8 @@
         return false;
     const bool just_sent = now - attempt.m_Timing.m_SentAt < kStaleConnectionMax;
     const bool in_time   = AttemptDeadline(call, attempt) - now > kMinTimeForAttempt;
-    if (!just_sent || !in_time || !IsUsable(call, attempt.m_Server, now) || m_CrashHistory.IsBlocked(call.ContentHash(), now))
+    if (!just_sent || !in_time || !IsUsable(call, attempt.m_Server, now) || !m_Limits.Allows(attempt.m_Server, now) ||
+        m_CrashHistory.IsBlocked(call.ContentHash(), now))
         return false;
     return Budget(call.m_Service->m_Name).TryTake(call.m_HeadSent);
 }
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -54,6 +54,7 @@
     need.m_WeightsDeadlines   = deadlines;
     need.m_ToleratedWait      = MaxCallerWait(call, now);
     need.m_Limits             = &m_Limits;
+    need.m_ClaimsAtCold       = ClaimsAtCold(call);
     need.m_DataCentre         = m_Daemon.Settings().m_DataCentre;
     need.m_Tried              = call.m_Tried;
     return need;
@@ -84,12 +85,17 @@
     return out;
 }
 
+bool DirectServe::Impl::ClaimsAtCold(const Call& call) const
+{
+    return m_PlaceChannel != nullptr && call.m_Service->m_Engine.has_value();
+}
+
 bool DirectServe::Impl::IsUsable(const Call& call, const ServerLife& server, TimePoint now)
 {
     const ServerEntry* listed = m_World.m_Servers.Find(server.m_Id);
-    if (listed == nullptr || listed->m_Draining || !listed->Life().Is(server) || !m_Limits.Allows(server, now))
+    if (listed == nullptr || listed->m_Draining || !listed->Life().Is(server) || !m_Limits.AllowsStated(server, now))
         return false;
-    return EligibilityOf(call).IsEligible(listed->m_DataCentre);
+    return (ClaimsAtCold(call) || m_Limits.Allows(server, now)) && EligibilityOf(call).IsEligible(listed->m_DataCentre);
 }
 
 std::vector<const ServerEntry*> DirectServe::Impl::UsableServers(const Call& call, const PlaceQuery& query)
@@ -119,13 +125,16 @@
     boxes.reserve(candidates.size());
     for (const Choice& c : candidates)
         boxes.push_back(PlaceEndpoint(*c.m_Server));
-    const EngineCosts& costs   = *need.m_Service->m_Engine;
-    const PlaceWanted  wanted  = {costs.m_Slots, m_Choice.ClaimQueueWait(candidates.front(), need), ReadingMs(costs, need.m_PromptTokens)};
+    const EngineCosts& costs  = *need.m_Service->m_Engine;
+    PlaceWanted        wanted = {costs.m_Slots, m_Choice.ClaimQueueWait(candidates.front(), need), ReadingMs(costs, need.m_PromptTokens)};
+    for (const Choice& c : candidates)
+        if (c.m_ColdPerSecond > 0)
+            wanted.m_MaxPerSecond[PlaceEndpoint(*c.m_Server)] = c.m_ColdPerSecond;
     const ClaimOutcome outcome = co_await m_PlaceChannel->Claim(boxes, wanted);
     const TimePoint    now     = Now();
     call.m_BoxesClaimed        = boxes.size();
     call.m_ClaimDuration       = now - began;
-    if (!outcome.m_Heard) // agents without support for claims, or lost datagrams: the earlier answers decide
+    if (!outcome.m_Heard && query.m_Best.m_ColdPerSecond == 0) // agents without support for claims, or lost datagrams: the earlier answers decide
         co_return m_Choice.Decide(query.m_Best, need, now);
     const std::vector<const ServerEntry*> usable = UsableServers(call, query); // a server may have been removed meanwhile
     for (const Choice& c : candidates)
@@ -195,7 +204,11 @@
     call.m_BoxesClaimed   = 0;
     const bool must_claim = !query.m_Answered.empty() && m_Choice.NeedsClaim(query.m_Best, need);
     if (query.m_Answered.empty())
-        call.m_Choice = m_Choice.Choose(EligibleServers(call), need, Now());
+    {
+        RequestNeed without_boxes    = need;
+        without_boxes.m_ClaimsAtCold = false;
+        call.m_Choice                = m_Choice.Choose(EligibleServers(call), without_boxes, Now());
+    }
     else if (must_claim)
         call.m_Choice = co_await ClaimPlace(call, need, query);
     else
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -173,6 +173,7 @@
     awaitable<void>                       AskOneRound(Call& call, const RequestNeed& need, PlaceQuery& query);
     ServerEligibility                     EligibilityOf(const Call& call) const; // by the declarations at its arrival and by the newest ones
     std::vector<const ServerEntry*>       EligibleServers(const Call& call) const;
+    bool                                  ClaimsAtCold(const Call& call) const; // places at cold servers are claimed at their boxes
     bool                            IsUsable(const Call& call, const ServerLife& server, TimePoint now); // still listed, eligible, accepts requests
     std::vector<const ServerEntry*> UsableServers(const Call& call, const PlaceQuery& query);
     Choice                          BestAnswered(const Call& call, const PlaceQuery& query, RequestNeed need, TimePoint now);
--- a/src/request/place_line.cpp
+++ b/src/request/place_line.cpp
@@ -5,10 +5,20 @@
 namespace aldervale
 {
 
+constexpr auto kRateWindow = std::chrono::seconds(1); // of PlaceClaim::m_MaxPerSecond
+
 bool PlaceQueue::IsFree(const PlaceClaim& claim, PlaceReservations& places, TimePoint now) const
 {
     const PlaceState s = places.State(now);
-    return s.m_Running + s.m_Waiting + s.m_Promised < claim.m_MaxRequests;
+    return s.m_Running + s.m_Waiting + s.m_Promised < claim.m_MaxRequests && WithinRate(claim, now);
+}
+
+bool PlaceQueue::WithinRate(const PlaceClaim& claim, TimePoint now) const
+{
+    if (claim.m_MaxPerSecond <= 0)
+        return true;
+    const auto recent = std::count_if(m_GrantedAt.begin(), m_GrantedAt.end(), [&](TimePoint at) { return now - at < kRateWindow; });
+    return static_cast<double>(recent + 1) <= std::max(1.0, claim.m_MaxPerSecond);
 }
 
 void PlaceQueue::Grant(const PlaceClaim& claim, PlaceReservations& places, TimePoint now)
@@ -17,6 +27,9 @@
     if (m_RecentGrants.size() >= m_Config.m_RememberedGrantsMax)
         m_RecentGrants.erase(m_RecentGrants.begin());
     m_RecentGrants.push_back({claim.m_Key, claim.m_ReadingMs, now});
+    while (!m_GrantedAt.empty() && now - m_GrantedAt.front() >= kRateWindow)
+        m_GrantedAt.pop_front();
+    m_GrantedAt.push_back(now);
 }
 
 ClaimAnswer PlaceQueue::Claim(const PlaceClaim& claim, PlaceReservations& places, TimePoint now)
@@ -67,7 +80,12 @@
     if (grant == m_RecentGrants.end())
         return;
     if (now - grant->m_GrantedAt <= m_Config.m_ReleaseWindow)
+    {
         places.GiveBack(grant->m_ReadingMs, grant->m_GrantedAt);
+        const auto counted = std::find(m_GrantedAt.begin(), m_GrantedAt.end(), grant->m_GrantedAt);
+        if (counted != m_GrantedAt.end())
+            m_GrantedAt.erase(counted);
+    }
     m_RecentGrants.erase(grant);
 }
 
--- a/src/request/place_line.h
+++ b/src/request/place_line.h
@@ -16,6 +16,7 @@
 //   - Otherwise the claim waits in the queue for as long as its router allows, and is granted when a place becomes free. The claim that expires
 //     first is granted first. A router has claims at a few boxes and releases the others when one is granted: a waiting request is bound to no
 //     server, and the servers' own queues stay empty.
+//   - A cold server bears few requests a second. The claim says how many, and the box, through which all of them go, counts its grants.
 //   - The queue is short: a server of 12 slots frees one about every 130 ms. A claim that can't be served in its time is denied at once.
 //
 // Usage (src/version/place_answers.cpp):
@@ -25,6 +26,7 @@
 
 #pragma once
 #include "request/place_promise.h"
+#include <deque>
 #include <string>
 
 namespace aldervale
@@ -39,10 +41,11 @@
 
 struct PlaceClaim
 {
-    std::string m_Key;             // unique among the claims of all routers
-    uint32_t    m_MaxRequests = 1; // a place is free while fewer requests than this are at the server or on their way
-    TimePoint   m_QueuedUntil{};   // denied if not granted by then
-    double      m_ReadingMs = 0;   // engine time that reading its prompt takes
+    std::string m_Key;              // unique among the claims of all routers
+    uint32_t    m_MaxRequests = 1;  // a place is free while fewer requests than this are at the server or on their way
+    TimePoint   m_QueuedUntil{};    // denied if not granted by then
+    double      m_ReadingMs    = 0; // engine time that reading its prompt takes
+    double      m_MaxPerSecond = 0; // not granted while so many were granted in the last second; 0: no such limit
 };
 
 enum ClaimAnswer
@@ -78,11 +81,13 @@
     };
 
     bool IsFree(const PlaceClaim& claim, PlaceReservations& places, TimePoint now) const;
+    bool WithinRate(const PlaceClaim& claim, TimePoint now) const;
     void Grant(const PlaceClaim& claim, PlaceReservations& places, TimePoint now);
 
     PlaceQueueConfig         m_Config;       //
     std::vector<PlaceClaim>  m_Queue;        // earliest expiry first; at most m_Config.m_QueueMax
     std::vector<RecentGrant> m_RecentGrants; // oldest first; at most m_Config.m_RememberedGrantsMax
+    std::deque<TimePoint>    m_GrantedAt;    // in the last second, oldest first, without those that were released
 };
 
 } // namespace aldervale
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -50,7 +50,9 @@
 {
     const ServerLife life  = entry.Life();
     const bool       tried = std::any_of(need.m_Tried.begin(), need.m_Tried.end(), [&](const ServerLife& t) { return t.Is(life); });
-    if (tried || (need.m_Limits != nullptr && !need.m_Limits->Allows(life, now)))
+    if (tried)
+        return true;
+    if (need.m_Limits != nullptr && !(need.m_ClaimsAtCold ? need.m_Limits->AllowsStated(life, now) : need.m_Limits->Allows(life, now)))
         return true;
     if (!need.m_Service->m_Engine)
         return false;
@@ -218,8 +220,11 @@
 bool ServerChoice::NeedsClaim(const Choice& best, const RequestNeed& need) const
 {
     const bool model = need.m_Service->m_Engine.has_value();
-    return model && best.m_Server != nullptr && !need.m_IsRetry &&
-           best.m_InFlight + m_Config.m_MinFreeWithoutClaim > need.m_Service->m_Engine->m_Slots;
+    if (!model || best.m_Server == nullptr)
+        return false;
+    if (need.m_ClaimsAtCold && best.m_ColdPerSecond > 0)
+        return true;
+    return !need.m_IsRetry && best.m_InFlight + m_Config.m_MinFreeWithoutClaim > need.m_Service->m_Engine->m_Slots;
 }
 
 std::vector<Choice> ServerChoice::ServersToClaim(Servers answered, RequestNeed need, TimePoint now)
@@ -290,6 +295,8 @@
     c.m_InFlight   = static_cast<uint32_t>(InFlight(o, now));
     c.m_Weights    = o.m_Weights;
     c.m_ReportAge  = HasFreshReport(*o.m_Server, now) ? now - o.m_Server->m_ReportAt : Duration::max();
+    if (need.m_Limits != nullptr)
+        c.m_ColdPerSecond = need.m_Limits->ColdRate(o.m_Entry->Life(), now);
     return c;
 }
 
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -125,19 +125,21 @@
     bool                             m_AssumeFreePlace  = false;    // predict as if a slot were free: it is sent only when a claim is granted
     std::span<const WeightsDeadline> m_WeightsDeadlines;            // of the target versions of this model, oldest first
     std::string_view                 m_DataCentre;                  // of this router
-    ServerLimits*                    m_Limits = nullptr;            // rate limits of all servers; null: unlimited
+    ServerLimits*                    m_Limits       = nullptr;      // rate limits of all servers; null: unlimited
+    bool                             m_ClaimsAtCold = false;        // places at cold servers are claimed: the box counts, and no share is needed
     std::span<const ServerLife>      m_Tried;                       // server incarnations that this request was already sent to
 };
 
 struct Choice
 {
-    const ServerEntry* m_Server = nullptr;             // null: the request is refused
-    Duration           m_Predicted{};                  // time to the first event, or whole answer, of the best server
-    Duration           m_RetryAfter{};                 // refusals only
-    Duration           m_ReportAge  = Duration::max(); // age of the report that the decision is based on; max: none
-    uint32_t           m_InFlight   = 0;               // estimated requests in flight at that server
-    uint64_t           m_Weights    = 0;               // version of its weights, as last reported; 0: no model server
-    size_t             m_Candidates = 0;               // servers considered
+    const ServerEntry* m_Server = nullptr;                // null: the request is refused
+    Duration           m_Predicted{};                     // time to the first event, or whole answer, of the best server
+    Duration           m_RetryAfter{};                    // refusals only
+    Duration           m_ReportAge     = Duration::max(); // age of the report that the decision is based on; max: none
+    uint32_t           m_InFlight      = 0;               // estimated requests in flight at that server
+    uint64_t           m_Weights       = 0;               // version of its weights, as last reported; 0: no model server
+    size_t             m_Candidates    = 0;               // servers considered
+    double             m_ColdPerSecond = 0;               // requests per second that the server bears, as it is cold; 0: it isn't
 };
 
 class ServerChoice
--- a/src/request/server_limits.cpp
+++ b/src/request/server_limits.cpp
@@ -15,17 +15,27 @@
 
 bool ServerLimits::Allows(const ServerLife& incarnation, TimePoint now)
 {
-    if (Empty())
+    return AllowsCold(LifeHash(incarnation), now) && AllowsStated(incarnation, now);
+}
+
+bool ServerLimits::AllowsStated(const ServerLife& incarnation, TimePoint now)
+{
+    if (m_Limits.empty())
         return true;
-    const uint64_t hash = LifeHash(incarnation);
-    if (!AllowsCold(hash, now))
-        return false;
-    const auto it = m_Limits.find(hash);
+    const auto it = m_Limits.find(LifeHash(incarnation));
     if (it == m_Limits.end() || now >= it->second.m_ProbeAt)
         return true;
     return it->second.m_LocalRate > 0 && it->second.m_Bucket.AvailableAt(1, now) <= now;
 }
 
+double ServerLimits::ColdRate(const ServerLife& incarnation, TimePoint now) const
+{
+    if (m_Cold.empty())
+        return 0;
+    const auto it = m_Cold.find(LifeHash(incarnation));
+    return it == m_Cold.end() || now >= it->second.m_Server.m_Until ? 0 : it->second.m_Server.m_RequestsPerS;
+}
+
 void ServerLimits::OnSent(const ServerLife& incarnation, TimePoint now)
 {
     if (Empty())
--- a/src/request/server_limits.h
+++ b/src/request/server_limits.h
@@ -74,13 +74,15 @@
 public:
     explicit ServerLimits(uint64_t seed) : m_Random(seed) {}
 
-    bool Allows(const ServerLife& incarnation, TimePoint now);
-    void OnSent(const ServerLife& incarnation, TimePoint now);
-    bool OnAnswer(const ServerLife& incarnation, std::optional<double> requests_per_s, TimePoint sent_at, TimePoint now); // whether it changed
-    bool OnRemoteChange(const LimitChange& change, TimePoint now);        // returns whether the limit changed
-    void RemoveUnlisted(std::span<const uint64_t> listed);                // removes limits whose LifeHash() is not in `listed`
-    void SetColdServers(std::span<const ColdServer> cold, TimePoint now); // all that are known to be cold
-    void SetRouters(const LimitRouters& routers, TimePoint now);
+    bool   Allows(const ServerLife& incarnation, TimePoint now);
+    bool   AllowsStated(const ServerLife& incarnation, TimePoint now);   // but for its being cold: of a place that its box grants
+    double ColdRate(const ServerLife& incarnation, TimePoint now) const; // requests per second that it bears now; 0: it isn't cold
+    void   OnSent(const ServerLife& incarnation, TimePoint now);
+    bool   OnAnswer(const ServerLife& incarnation, std::optional<double> requests_per_s, TimePoint sent_at, TimePoint now); // whether it changed
+    bool   OnRemoteChange(const LimitChange& change, TimePoint now);        // returns whether the limit changed
+    void   RemoveUnlisted(std::span<const uint64_t> listed);                // removes limits whose LifeHash() is not in `listed`
+    void   SetColdServers(std::span<const ColdServer> cold, TimePoint now); // all that are known to be cold
+    void   SetRouters(const LimitRouters& routers, TimePoint now);
 
     bool                     Empty() const { return m_Limits.empty() && m_Cold.empty(); }
     size_t                   Count() const { return m_Limits.size(); }
--- a/tests/test_place_line.cpp
+++ b/tests/test_place_line.cpp
@@ -132,3 +132,50 @@
                            }
                        });
 }
+
+// A data centre that comes back is cold as a whole, and hundreds of routers find its servers empty.
+BOOST_AUTO_TEST_CASE(a_cold_server_s_box_grants_no_more_than_it_bears_in_any_second)
+{
+    PlaceReservations    places;
+    PlaceQueue           queue;
+    std::deque<Duration> granted;
+    size_t               most = 0;
+    size_t               all  = 0;
+    for (Duration at{}; at < seconds(4); at += milliseconds(3))
+    {
+        const TimePoint now = kStart + at;
+        places.OnReport(0, 0, now, now);
+        PlaceClaim claim     = MakeClaim("r" + std::to_string(at.count()), Duration::zero());
+        claim.m_MaxPerSecond = 14;
+        if (queue.Claim(claim, places, now) != ClaimAnswer_Granted)
+            continue;
+        all++;
+        granted.push_back(at);
+        while (granted.front() <= at - seconds(1))
+            granted.pop_front();
+        most = std::max(most, granted.size());
+    }
+    BOOST_TEST(most == 14u);
+    BOOST_TEST(all == 4 * 14u);
+}
+
+// A router claims at a few boxes and takes the first grant: the others must not count.
+BOOST_AUTO_TEST_CASE(a_released_grant_does_not_count_towards_the_rate)
+{
+    PlaceReservations places = WithRunning(0);
+    PlaceQueue        queue;
+    for (int i = 0; i < 20; i++)
+    {
+        PlaceClaim claim     = MakeClaim("r" + std::to_string(i), Duration::zero());
+        claim.m_MaxPerSecond = 2;
+        BOOST_TEST(queue.Claim(claim, places, kStart + milliseconds(i)) == ClaimAnswer_Granted);
+        queue.Release(claim.m_Key, places, kStart + milliseconds(i));
+    }
+    PlaceClaim slow     = MakeClaim("slow", Duration::zero());
+    slow.m_MaxPerSecond = 0.5; // less than one a second is one
+    BOOST_TEST(queue.Claim(slow, places, kStart + milliseconds(30)) == ClaimAnswer_Granted);
+    slow.m_Key = "slow 2";
+    BOOST_TEST(queue.Claim(slow, places, kStart + milliseconds(31)) == ClaimAnswer_Denied);
+    slow.m_MaxPerSecond = 0; // it isn't cold any more
+    BOOST_TEST(queue.Claim(slow, places, kStart + milliseconds(32)) == ClaimAnswer_Granted);
+}
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -560,3 +560,26 @@
                            }
                        });
 }
+
+// Shares of a cold server's rate allow few routers to send: after a loss of everything all servers are cold, and most routers refused all callers.
+BOOST_AUTO_TEST_CASE(a_cold_model_server_is_claimed_at_its_box_by_any_router)
+{
+    ServerChoice choice({}, 1);
+    ServerLimits limits(1);
+    ServerEntry  entry = Entry("a", "model", "dc-1", 5);
+    entry.m_Weights    = 1;
+    limits.SetColdServers(std::vector<ColdServer>{{LifeHash(entry.Life()), 14, kStart + seconds(3)}}, kStart);
+    const Service model                           = ModelService();
+    RequestNeed   need                            = Need(model);
+    need.m_Limits                                 = &limits;
+    const std::vector<const ServerEntry*> servers = {&entry};
+    BOOST_TEST(choice.Choose(servers, need, kStart).m_Server == nullptr); // this router knows no other one, and has no share
+    need.m_ClaimsAtCold = true;
+    const Choice best   = choice.Best(servers, need, kStart);
+    BOOST_TEST(best.m_Server == &entry);
+    BOOST_TEST(best.m_ColdPerSecond == 14);
+    BOOST_TEST(choice.NeedsClaim(best, need));
+    need.m_IsRetry = true;
+    BOOST_TEST(choice.NeedsClaim(best, need));
+    BOOST_TEST(!choice.NeedsClaim(choice.Best(servers, need, kStart + seconds(3)), need)); // it is warm
+}
