--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -102,6 +102,7 @@
         self.whole_reads = []  # (caller, table), of tables that were read from their first row
         self.feeds = Counter()  # by table: standing requests that wait for changes
         self.feeds_begun = Counter()  # by caller and table
+        self.feeds_answered = {}  # by caller and table: when the last standing request that brought no row was answered
         self.on_whole_read = None  # called with both before the answer; may change who is refused
 
     async def listen(self, port, caller=""):
@@ -140,6 +141,8 @@
         if self.turns_away(caller):
             return answer(503)
         rows = self.changes(table, since) if feed else self.whole(table, req.query)
+        if feed and not rows:
+            self.feeds_answered[caller, table] = time.monotonic()
         if table == "op":
             self.sent += [SentRow(caller, row.key, row.version, len(row.value or "")) for row in rows]
         body = {"Rows": [row.encode() for row in rows], "more": False, "ver": self.version, "now_ms": int(time.monotonic() * 1000)}
--- a/tests/test_older_weights_after_deadline.py
+++ b/tests/test_older_weights_after_deadline.py
@@ -24,6 +24,8 @@
 DEADLINE_MS = 4000   # of the agents' servers
 STOP_EARLY_S = 1.0   # longest time before the deadline from which a server may refuse requests
 LATE_REQUESTS = 5    # that arrive at a server after it has stopped
+REPORT_DELAY_S = 2   # of a server's report: agents don't wait that long
+BOUND_ERROR_S = 0.15  # a router relates the store's clock to its own by exchanges that a loaded machine delays
 
 
 class OrderedServer:
@@ -34,6 +36,7 @@
     def __init__(self):
         self.layers = self.LAYERS  # that it holds, from the first one on
         self.orders = 0
+        self.report_delay_s = 0
 
     def report(self):
         held = {"From": 0, "TargetVersion": self.layers, "Version": 1} if self.layers else None
@@ -62,7 +65,10 @@
     async def serve(self, reader, writer):
         try:
             while True:
-                writer.write(self.respond(await standin.read_request(reader)))
+                req = await standin.read_request(reader)
+                if req.path == "/report":
+                    await asyncio.sleep(self.report_delay_s)
+                writer.write(self.respond(req))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the agent left, or the test is over
@@ -138,6 +144,18 @@
             self.assertGreaterEqual(declared, begun, f"{router.name} counts from before the store was last read; logs: {self.fleet.folder}")
             self.assertLessEqual(declared, acknowledged, f"{router.name} counts from {late_ms} ms after it; logs: {self.fleet.folder}")
 
+    async def test_deadline_counts_from_answers_of_the_store_not_from_requests(self):
+        await self.wait_until_read_again()
+        end = time.monotonic() + LIMIT_S
+        while self.fleet.store.feeds["op"] == 0:  # a reader waits for the change
+            self.assertLess(time.monotonic(), end, f"logs: {self.fleet.folder}")
+            await asyncio.sleep(0)
+        self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
+        answered = min(at for (_, table), at in self.fleet.store.feeds_answered.items() if table == "op")
+        for router in self.fleet.routers:
+            early_ms = round((answered - await self.declaration_time(router)) * 1000)
+            self.assertLess(early_ms, BOUND_ERROR_S * 1000, f"{router.name} counts from {early_ms} ms before the store last answered; logs: {self.fleet.folder}")
+
     async def stop_time(self, agent):
         """When the server beside the agent began to refuse requests."""
         end = time.monotonic() + LIMIT_S
@@ -156,6 +174,29 @@
             late = [await self.fleet.arrive(agent) for _ in range(LATE_REQUESTS)]
             self.assertNotIn(200, late, f"the server beside {agent.name} begins requests again; logs: {self.fleet.folder}")
 
+    async def test_server_whose_reports_time_out_begins_on_older_weights(self):
+        await self.wait_until_read_again()
+        self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
+        for router in self.fleet.routers:
+            await self.declaration_time(router)
+        for server in self.fleet.model_servers:
+            server.report_delay_s = REPORT_DELAY_S
+        for agent in self.fleet.agents:
+            await self.stop_time(agent)
+
+    async def test_restarted_agent_that_is_not_told_the_time_leaves_its_server_running(self):
+        await self.wait_until_read_again()
+        self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
+        for router in self.fleet.routers:
+            await self.declaration_time(router)
+        self.fleet.agents[0].kill()
+        for router in self.fleet.routers:
+            router.pause()
+        self.fleet.agents[0].start()
+        await self.stop_time(self.fleet.agents[0])
+        for router in self.fleet.routers:
+            router.go_on()
+
 
 if __name__ == "__main__":
     platform_fleet.main()
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -76,6 +76,15 @@
     }
 };
 
+class ListsOnlyOrigin : public FakeOrigin
+{
+public:
+    awaitable<Result<std::vector<uint8_t>>> ReadPiece(Endpoint, std::string, uint64_t, uint32_t, bool, TimePoint) override
+    {
+        co_return MakeError(ErrorCode_Unavailable, "no pieces");
+    }
+};
+
 class FakeServer : public ModelServer
 {
 public:
@@ -345,6 +354,49 @@
         BOOST_TEST((*box.Find(1)->m_Pieces[n] == PieceOf(1, n)));
 }
 
+// Guards against a queue on a narrow link that pieces of abandoned fetches cause: live requests waited 1.8 s in it.
+BOOST_AUTO_TEST_CASE(abandoned_fetches_do_not_pile_up_pieces_on_a_narrow_link)
+{
+    constexpr int           kRestarts = 8;
+    constexpr auto          kEach     = milliseconds(30);
+    asio::io_context        ioc;
+    ListsOnlyOrigin         origin;
+    FakeServer              server;
+    const Endpoint          at    = FreeEndpoint();
+    const Endpoint          by    = FreeEndpoint();
+    unsigned                asked = 0;
+    PieceTransfer           box(ioc, origin, server, {at.ToString(), "dc-1"}, 0);
+    const PieceLinkHandlers silent{[](const std::string&) {}, [](const std::string&) {},
+                                   [&](const std::string&, const LinkPtr&, const FrameBuf& f)
+                                   { asked += f.Get()->body_as_ChunkGet() != nullptr ? 1 : 0; }};
+    PieceLinks              neighbour(ioc, {by.ToString(), "dc-1"}, silent);
+    BOOST_REQUIRE(box.Listen(at).has_value());
+    BOOST_REQUIRE(neighbour.Listen(by).has_value());
+    box.SetPeers({{by, "dc-1"}});
+    neighbour.SetPeers({{at, "dc-1"}});
+    box.SetOrigin({at, 0, 0}); // not used by the fake origin
+    box.SetModel("m");
+    box.SetLoadedVersion(1);                                                                // fetches begin at once
+    for (const TimePoint end = Now() + seconds(30); neighbour.Up().empty() && Now() < end;) // only a hang reaches it
+        ioc.run_for(milliseconds(1));
+    for (int restart = 0; restart < kRestarts; restart++)
+    {
+        const uint64_t version = 2 + static_cast<uint64_t>(restart % 2);
+        box.StartFetch(version);
+        for (const TimePoint end = Now() + kEach; Now() < end;)
+        {
+            wire::HaveUpdateT update;
+            update.digest = VersionName("m", version);
+            for (uint32_t n = 0; n < kPieces; n++)
+                update.added.push_back(n);
+            neighbour.Broadcast(update);
+            ioc.run_for(milliseconds(5));
+        }
+    }
+    BOOST_TEST(asked >= 1u);
+    BOOST_TEST(asked <= kPieceSlotsMax);
+}
+
 BOOST_AUTO_TEST_CASE(an_unreachable_origin_is_retried)
 {
     Boxes boxes(2);
