Agents stop servers that don't report, and those whose version has no known time

What callers' operators saw: requests that began on older weights after the deadline of newer ones although an agent runs beside the server. Cause: an agent that doesn't know counted as one that has nothing to do. MustStop() asked for a server that answers requests for its report; a version whose time of declaration is unknown, as after a restart of the agent, had no stop time; a bound told before the version was learned was dropped; an order to stop that got no answer wasn't repeated while reports time out. Change: the order goes to a server whose reports time out, and is repeated after a second without a report. A version of unknown time stops the server 1.5 s after it was first heard of, unless a router tells the time before: routers send an update every second. Bounds are kept. The keeper looks at the stop time itself, not up to 100 ms after it. ServerStopped tells what the time was counted from and how late the order was.

--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -11,7 +11,7 @@
 
 }
 
-void StartPlan::OnTargetVersion(uint64_t version, TimePoint declared_at)
+void StartPlan::OnTargetVersion(uint64_t version, TimePoint declared_at, TimePoint now)
 {
     const auto known = m_DeclaredAt.find(version);
     if (known != m_DeclaredAt.end() && known->second == TimePoint{}) // read first, as after a restart, and told with its time now
@@ -19,14 +19,17 @@
     if (!m_DeclaredAt.empty() && version <= m_DeclaredAt.rbegin()->first)
         return;
     m_DeclaredAt[version] = declared_at;
-    if (m_DeclaredAt.size() > kDeclaredVersionsKept)
-        m_DeclaredAt.erase(m_DeclaredAt.begin());
+    m_HeardAt[version]    = now;
+    if (m_DeclaredAt.size() <= kDeclaredVersionsKept)
+        return;
+    m_DeclaredAt.erase(m_DeclaredAt.begin());
+    m_HeardAt.erase(m_HeardAt.begin());
 }
 
 void StartPlan::OnDeclaredNotBefore(uint64_t version, TimePoint bound)
 {
     const auto learned = m_DeclaredAt.lower_bound(version); // of the version itself or, if it was missed, of the next one
-    if (learned == m_DeclaredAt.end() || (learned->second != TimePoint{} && bound > learned->second))
+    if (learned != m_DeclaredAt.end() && learned->second != TimePoint{} && bound > learned->second)
         return;
     TimePoint& held = m_NotBefore[version];
     held            = std::max(held, bound);
@@ -94,21 +97,23 @@
     return due ? in.m_NewestComplete : 0;
 }
 
-TimePoint StartPlan::StopTime(uint64_t version) const
+StopTimeInfo StartPlan::Stop(uint64_t version) const
 {
     const auto newer   = m_DeclaredAt.upper_bound(version);
     const auto bounded = m_NotBefore.upper_bound(version);
     const auto stop    = [&](TimePoint declared) { return declared + m_Config.m_WeightsDeadline - m_Config.m_StopLead; };
     if (bounded != m_NotBefore.end() && (newer == m_DeclaredAt.end() || bounded->first <= newer->first))
-        return stop(bounded->second);
-    if (newer == m_DeclaredAt.end() || newer->second == TimePoint{})
-        return TimePoint::max();
-    return stop(newer->second - m_Config.m_LearnLagMax);
+        return {stop(bounded->second), StopBasis_Bound};
+    if (newer == m_DeclaredAt.end())
+        return {};
+    if (newer->second == TimePoint{})
+        return {m_HeardAt.at(newer->first) + m_Config.m_UnknownTimeGrace, StopBasis_Heard};
+    return {stop(newer->second - m_Config.m_LearnLagMax), StopBasis_Learned};
 }
 
 bool StartPlan::MustStop(const PlanInput& in, TimePoint now) const
 {
-    return in.m_Reachable && !in.m_Busy && in.m_LoadedVersion > 0 && now >= StopTime(in.m_LoadedVersion) && now >= m_NextStopAt;
+    return !in.m_Busy && in.m_LoadedVersion > 0 && now >= StopTime(in.m_LoadedVersion) && now >= m_NextStopAt;
 }
 
 } // namespace aldervale
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -30,11 +30,13 @@
 // ensure that: a request may be on its way to the server for any time, and so may the reset of one that the router gave up.
 //   - The deadline counts from a time that isn't after the declaration of the version: the latest such bound that routers told. Without one it is the
 //     time at which the declaration was learned, less m_LearnLagMax. A bound after the time of learning is ignored: the row was written again.
-//   - If neither a bound nor the time of learning is known, the server isn't stopped.
+//   - If neither is known, as after a restart of the agent, the deadline may be near or over. Routers tell the time within a second; a server
+//     whose agent isn't told is stopped m_UnknownTimeGrace after the version was first heard of.
+//   - A server that doesn't answer requests for its report is ordered to stop as well: it may still begin requests.
 //
 // Usage:
 //   StartPlan p(config);
-//   p.OnTargetVersion(7, now); p.OnDeclaredNotBefore(7, bound);
+//   p.OnTargetVersion(7, declared_at, now); p.OnDeclaredNotBefore(7, bound);
 //   uint64_t fetch = p.NextFetch(input, now);  uint64_t start = p.NextStart(input, now);      // 0: nothing to do
 
 #pragma once
@@ -61,6 +63,7 @@
     Duration m_StallTimeout     = milliseconds(900);  // without a piece: one takes 0.25 s on a full link and queues for about 0.12 s
     Duration m_StopLead         = kStopLead;          // before the weights deadline
     Duration m_LearnLagMax      = milliseconds(1500); // from a declaration until it is learned, if nothing bounds its time
+    Duration m_UnknownTimeGrace = milliseconds(1500); // for routers to tell when a version was declared; they send an update every second
     Duration m_StopRetryDelay   = milliseconds(75);   // after an order to stop that the server refused: its report may be that old
     Duration m_OrderRetryDelay  = milliseconds(300);  // after an order that the server refused or didn't answer
 };
@@ -79,28 +82,45 @@
     size_t   m_BoxCount       = 1;    // boxes in that order, this one included
 };
 
+enum StopBasis // what a stop time is counted from
+{
+    StopBasis_None,    // no newer version is known
+    StopBasis_Bound,   // a bound of the declaration's time, told by a router
+    StopBasis_Learned, // the time at which the declaration was learned
+    StopBasis_Heard,   // the declaration's time is unknown: when this process first heard of the version
+};
+
+struct StopTimeInfo
+{
+    TimePoint m_At    = TimePoint::max();
+    StopBasis m_Basis = StopBasis_None;
+};
+
 class StartPlan
 {
 public:
     explicit StartPlan(const StartPlanConfig& cfg) : m_Config(cfg) {}
 
-    void OnTargetVersion(uint64_t version, TimePoint declared_at); // ignored unless newer than all before, or the first known time of a version
-    void OnDeclaredNotBefore(uint64_t version, TimePoint bound);   // ignored if later than the time at which it was learned
-    void OnStopFailed(TimePoint now) { m_NextStopAt = now + m_Config.m_StopRetryDelay; }
-    void OnOrderFailed(TimePoint now) { m_NextOrderAt = now + m_Config.m_OrderRetryDelay; }
+    // Ignored unless newer than all before, or the first known time of a version. Default declared_at: unknown.
+    void                  OnTargetVersion(uint64_t version, TimePoint declared_at, TimePoint now);
+    void                  OnDeclaredNotBefore(uint64_t version, TimePoint bound); // ignored if later than the time at which it was learned
+    void                  OnStopFailed(TimePoint now) { m_NextStopAt = now + m_Config.m_StopRetryDelay; }
+    void                  OnOrderFailed(TimePoint now) { m_NextOrderAt = now + m_Config.m_OrderRetryDelay; }
     std::vector<NamedAge> DeclaredAges(uint64_t loaded_version, TimePoint now) const; // of the target and of each version newer than the loaded one
     uint64_t              Target() const { return m_DeclaredAt.empty() ? 1 : m_DeclaredAt.rbegin()->first; } // versions begin at 1
 
-    uint64_t  NextFetch(const PlanInput& in, TimePoint now);       // version to fetch; 0: none
-    uint64_t  NextStart(const PlanInput& in, TimePoint now) const; // version to order the server to start; 0: none
-    bool      MustStop(const PlanInput& in, TimePoint now) const;  // true: order the server to begin no more requests
-    TimePoint StopTime(uint64_t version) const;                    // of a server that holds `version`; max: none is known
-    TimePoint ScheduledStart(const PlanInput& in) const;           // earliest start of in.m_NewestComplete on a server that serves an older version
+    uint64_t     NextFetch(const PlanInput& in, TimePoint now);                  // version to fetch; 0: none
+    uint64_t     NextStart(const PlanInput& in, TimePoint now) const;            // version to order the server to start; 0: none
+    bool         MustStop(const PlanInput& in, TimePoint now) const;             // true: order the server to begin no more requests
+    TimePoint    StopTime(uint64_t version) const { return Stop(version).m_At; } // of a server that holds `version`; max: no newer one is known
+    StopTimeInfo Stop(uint64_t version) const;                                   // the same with its basis
+    TimePoint    ScheduledStart(const PlanInput& in) const; // earliest start of in.m_NewestComplete on a server that serves an older version
 
 private:
     StartPlanConfig               m_Config;              //
     std::map<uint64_t, TimePoint> m_NotBefore;           // not after the declaration, by version; also of versions that were missed
     std::map<uint64_t, TimePoint> m_DeclaredAt;          // time of declaration by version; default: unknown, before this process started
+    std::map<uint64_t, TimePoint> m_HeardAt;             // when this process first heard of a version; the same keys as m_DeclaredAt
     TimePoint                     m_NextOrderAt{};       // no order to start is given before this time
     TimePoint                     m_NextStopAt{};        // no order to stop is given before this time
     uint64_t                      m_FallbackVersion = 0; // older version that is fetched because the target stalled; 0: none
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -17,9 +17,17 @@
 constexpr auto     kOrderEffectTimeout = seconds(6);        // an order without a visible effect is repeated after this time
 constexpr auto     kDrainTimeout =
     milliseconds(1400); // from the notice to routers until the order, which cuts off running requests: a typical stream takes about 1.2 s
+constexpr auto kStopEffectTimeout = seconds(1); // an order to stop is repeated if no report has shown its effect by then
+constexpr auto kStopTickMin       = milliseconds(5);
 constexpr auto kRouterNotifyDelay = milliseconds(25); // shortest drain: the transit time of a datagram to routers
 constexpr auto kDrainPollInterval = milliseconds(25); // between looks whether the server is idle
 
+const char* TextOf(StopBasis basis)
+{
+    constexpr const char* kTexts[] = {"none", "bound", "learned", "heard"};
+    return kTexts[basis];
+}
+
 } // namespace
 
 WeightKeeper::WeightKeeper(Daemon& daemon, const StartPlanConfig& plan, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher)
@@ -45,7 +53,7 @@
 void WeightKeeper::OnTargetVersion(uint64_t version, TimePoint declared_at)
 {
     const bool newer = version > m_Plan.Target();
-    m_Plan.OnTargetVersion(version, declared_at);
+    m_Plan.OnTargetVersion(version, declared_at, Now());
     if (newer)
         LogEvent(Event_WeightsNamed, {{"model", m_Model}, {"version", version}, {"held", m_Report.m_Weights}});
 }
@@ -135,9 +143,10 @@
 {
     for (;;)
     {
-        co_await SleepFor(kPlanInterval);
+        co_await SleepFor(PlanPause());
         if (m_Model.empty())
             continue;
+        RepeatLostStop();
         const PlanInput in    = PlanInputNow();
         const uint64_t  fetch = m_Plan.NextFetch(in, Now());
         if (fetch > 0)
@@ -155,6 +164,23 @@
     }
 }
 
+// Shorter if the server has to be stopped before the next regular look.
+Duration WeightKeeper::PlanPause() const
+{
+    const TimePoint now  = Now();
+    const TimePoint stop = m_Report.m_Weights > 0 ? m_Plan.StopTime(m_Report.m_Weights) : TimePoint::max();
+    return stop > now && stop < now + kPlanInterval ? std::max<Duration>(stop - now, kStopTickMin) : Duration(kPlanInterval);
+}
+
+// An order to stop may have been lost, and while the server doesn't answer requests for its report nothing shows that.
+void WeightKeeper::RepeatLostStop()
+{
+    if (!m_Stopping || m_StopOrderedAt == TimePoint::max() || Now() - m_StopOrderedAt < kStopEffectTimeout || m_ReportAskedAt > m_StopOrderedAt)
+        return;
+    m_Stopping      = false;
+    m_Report.m_Busy = false;
+}
+
 PlanInput WeightKeeper::PlanInputNow() const
 {
     PlanInput in;
@@ -176,10 +202,18 @@
     m_StopOrderedAt = TimePoint::max(); // until then no report shows the order's effect
     Publish();                          // routers send nothing more
     const StopOrder    order{m_Model, m_Report.m_Weights, m_Report.m_Orders};
-    const StartOutcome outcome = co_await m_Server.Stop(order, Now() + kOrderTimeout);
+    const StopTimeInfo stop    = m_Plan.Stop(order.m_Version);
+    const TimePoint    ordered = Now();
+    const StartOutcome outcome = co_await m_Server.Stop(order, ordered + kOrderTimeout);
+    const bool         taken   = outcome == StartOutcome_Begun || outcome == StartOutcome_Holds;
     m_StopOrderedAt            = Now();
-    LogEvent(Event_ServerStopped, {{"model", m_Model}, {"version", order.m_Version}, {"answered", outcome == StartOutcome_Begun}});
-    if (outcome == StartOutcome_Begun || outcome == StartOutcome_Unknown)
+    if (taken || m_Reachable) // else a dead server would be logged at every try
+        LogEvent(Event_ServerStopped, {{"model", m_Model},
+                                       {"version", order.m_Version},
+                                       {"answered", taken},
+                                       {"counted_from", TextOf(stop.m_Basis)},
+                                       {"late_ms", ToMs(ordered - stop.m_At)}});
+    if (taken || outcome == StartOutcome_Unknown)
     {
         m_Report.m_Busy = true; // until the next report
         co_return;
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -37,6 +37,8 @@
     awaitable<void> PlanLoop();
     PlanInput       PlanInputNow() const;
     awaitable<void> StageAndStart(uint64_t version);
+    Duration        PlanPause() const;                // until the next look at what to fetch, to start or to stop
+    void            RepeatLostStop();                 //
     awaitable<void> StopServer();                     // the server begins no more requests
     awaitable<void> DrainServer();                    // routers send no new requests, and short requests end meanwhile
     awaitable<bool> CheckStaged(const PieceSet& set); // true: every piece is staged at the server with the right content
