Routers count on a stop only where the agent has reported the newer version

Cause: a fresh report was taken for the promise to stop. An agent that was never told of the newer version reports as well. Change: near a deadline a server whose agent hasn't reported that version gets requests only as long as one without fresh reports: until 2.6 s before the deadline. Result: a_server_whose_agent_has_not_reported_the_newer_version_drops_out_before_others; on the code before it chooses among both. Reports in three older cases now name the version, as agents' reports do; their checks are unchanged.

--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -64,13 +64,22 @@
     return s.m_Report.m_Starting || s.m_Report.m_Weights == 0;
 }
 
+// An agent that reports the version stops its server before the deadline, however long a request is on its way there.
+bool ServerChoice::AgentKnows(const Server& s, uint64_t version, TimePoint now) const
+{
+    const std::vector<NamedAge>& known = s.m_Report.m_Named;
+    return HasFreshReport(s, now) && std::any_of(known.begin(), known.end(), [&](const NamedAge& n) { return n.m_Version == version; });
+}
+
 bool ServerChoice::StartsAfterDeadline(const Option& o, const RequestNeed& need, TimePoint now) const
 {
-    const Duration  least  = HasFreshReport(*o.m_Server, now) ? m_Config.m_DeadlineMinWait : m_Config.m_DeadlineNoReportMinWait;
-    const Duration  wait   = std::max(least, FromMs(o.m_PredictedMs * m_Config.m_DeadlineWaitFactor));
-    const TimePoint begins = now + wait + m_Config.m_DeadlineMargin;
-    return std::any_of(need.m_WeightsDeadlines.begin(), need.m_WeightsDeadlines.end(),
-                       [&](const WeightsDeadline& d) { return o.m_Weights < d.m_Version && begins > d.m_At; });
+    const Duration predicted = FromMs(o.m_PredictedMs * m_Config.m_DeadlineWaitFactor);
+    const auto     late      = [&](const WeightsDeadline& d)
+    {
+        const Duration least = AgentKnows(*o.m_Server, d.m_Version, now) ? m_Config.m_DeadlineMinWait : m_Config.m_DeadlineNoReportMinWait;
+        return o.m_Weights < d.m_Version && now + std::max(least, predicted) + m_Config.m_DeadlineMargin > d.m_At;
+    };
+    return std::any_of(need.m_WeightsDeadlines.begin(), need.m_WeightsDeadlines.end(), late);
 }
 
 ServerChoice::Server* ServerChoice::Find(const ServerLife& life)
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -81,7 +81,7 @@
     Duration        m_OldWeightsWindow  = seconds(3);         // a longer one sends all requests to the first servers with newer weights
     Duration m_DeadlineMargin  = kStopLead + milliseconds(200); // before a weights deadline: servers stop then, and requests take some time to them
     Duration m_DeadlineMinWait = milliseconds(400); // least predicted wait assumed for the deadline: servers then drop out together, see above
-    Duration m_DeadlineNoReportMinWait  = milliseconds(2000); // the same without a fresh report: requests took up to 1.8 s to reach such a box
+    Duration m_DeadlineNoReportMinWait  = milliseconds(2000); // the same if its agent didn't report the newer version: requests took up to 1.8 s
     double   m_DeadlineWaitFactor       = 1.5;                // safety factor on predicted waits for the deadline
     double   m_MeanInFlightWeight       = 0.5;                // see above; raised the mean value under lasting overload from 0.54 to 0.56
     double   m_FailurePenaltyObjectives = 3.0;                // cost, in latency objectives, of a server whose recent outcomes all failed
@@ -238,6 +238,7 @@
     double              CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
     double              RandomPart();                                                                        // 0 to 1
     bool                Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
+    bool                AgentKnows(const Server& s, uint64_t version, TimePoint now) const; // it reported the target version just now
     bool                StartsAfterDeadline(const Option& o, const RequestNeed& need, TimePoint now) const;
     bool                NearWeightsDeadline(const Option& o, const RequestNeed& need, TimePoint now) const;
 
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -50,6 +50,14 @@
     return r;
 }
 
+// Of an agent that knows the target version 2.
+LoadReport LoadKnowing2(uint32_t running, uint32_t waiting, uint64_t weights = 1)
+{
+    LoadReport r = Load(running, waiting, weights);
+    r.m_Named    = {{2, 0}};
+    return r;
+}
+
 struct Fleet
 {
     std::vector<ServerEntry>        m_Entries;
@@ -195,9 +203,9 @@
     ServerChoice c({}, 1);
     for (TimePoint now = kStart + seconds(7); now < kStart + seconds(11); now += milliseconds(10))
     {
-        c.OnReport("idle", Load(0, 0), now);
-        c.OnReport("busier", Load(1, 0), now);
-        c.OnReport("busy", Load(3, 0), now);
+        c.OnReport("idle", LoadKnowing2(0, 0), now);
+        c.OnReport("busier", LoadKnowing2(1, 0), now);
+        c.OnReport("busy", LoadKnowing2(3, 0), now);
         const size_t left = c.Choose(fleet.Candidates(), need, now).m_Candidates;
         BOOST_TEST((left == 0 || left == 3));
     }
@@ -212,13 +220,31 @@
     need.m_WeightsDeadlines           = deadlines;
     ServerChoice    c({}, 1);
     const TimePoint now = kStart + milliseconds(7500);
-    c.OnReport("heard", Load(0, 0), now);
+    c.OnReport("heard", LoadKnowing2(0, 0), now);
     const Choice x = c.Choose(fleet.Candidates(), need, now);
     BOOST_REQUIRE(x.m_Server != nullptr);
     BOOST_TEST(x.m_Server->m_Id == "heard");
     BOOST_TEST(x.m_Candidates == 1u);
 }
 
+// Guards against requests sent until shortly before the deadline to a server that nobody stops then.
+BOOST_AUTO_TEST_CASE(a_server_whose_agent_has_not_reported_the_newer_version_drops_out_before_others)
+{
+    const Service         s = ModelService();
+    const Fleet           fleet{{Entry("untold", "model"), Entry("told", "model")}};
+    const WeightsDeadline deadlines[] = {{2, kStart + seconds(10)}};
+    RequestNeed           need        = Need(s);
+    need.m_WeightsDeadlines           = deadlines;
+    ServerChoice    c({}, 1);
+    const TimePoint now = kStart + milliseconds(7500);
+    c.OnReport("untold", Load(0, 0), now);
+    c.OnReport("told", LoadKnowing2(0, 0), now);
+    const Choice x = c.Choose(fleet.Candidates(), need, now);
+    BOOST_REQUIRE(x.m_Server != nullptr);
+    BOOST_TEST(x.m_Server->m_Id == "told");
+    BOOST_TEST(x.m_Candidates == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(near_a_deadline_servers_with_newer_weights_go_first_until_they_are_busier)
 {
     const Service         s           = ModelService();
@@ -229,8 +255,8 @@
     const auto  chosen = [&](uint32_t running_new, TimePoint now)
     {
         ServerChoice c({}, 1);
-        c.OnReport("old", Load(0, 0, 1), now);
-        c.OnReport("new", Load(running_new, 0, 2), now);
+        c.OnReport("old", LoadKnowing2(0, 0, 1), now);
+        c.OnReport("new", LoadKnowing2(running_new, 0, 2), now);
         return c.Choose(fleet.Candidates(), need, now).m_Server->m_Id;
     };
     BOOST_TEST(chosen(1, kStart + seconds(8)) == "new");
