Pieces in flight to a box are bounded for all its fetches together

What callers saw: requests to a server whose box has a narrow link took 1.7 to 1.8 s to reach it (three VERSION records), and began after the deadline of newer weights. Cause: the limit of pieces in flight belonged to one fetch. A fetch that was given up, or a piece that it no longer waited for, left its pieces on their way, and the next one asked for three more at once. Change: PiecesInFlight counts what neighbours were asked for until it arrives, its link closes, or 2.4 s have passed. A fetch gets the slots that are left. It begins with one piece and gets more as they prove quick. While the link is narrow nothing is asked of the origin beside a piece from a neighbour.

--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -32,8 +32,8 @@
     bool                             IsComplete() const { return m_List && m_Count == m_Pieces.size(); }
 };
 
-constexpr unsigned kPieceSlotsFirst = 3; // requests for pieces to neighbours at a time when a fetch begins: the link may be narrower than declared
-constexpr unsigned kPieceSlotsMax   = 5; // upper bound of such requests at a time
+constexpr unsigned kPieceSlotsFirst = 1; // pieces in flight from neighbours when a fetch begins: the link may be narrower than declared
+constexpr unsigned kPieceSlotsMax   = 5; // upper bound of pieces in flight from neighbours
 
 // Returns the number of pieces to request at a time, given how long the last one took. Traffic of live requests queues behind all pieces that are in
 // flight to this box, so a link that proves narrow gets half as many.
@@ -51,6 +51,27 @@
     TimePoint m_At{};     // when the last piece arrived; default: none yet
 };
 
+// Pieces that neighbours were asked for and that may still be on their way to this box. The link to the box is one queue for all of them and for live
+// requests, so the limit holds for the box: pieces of a fetch that was given up, and those that a fetch no longer waits for, count until they arrive
+// or can't arrive any more. Pure.
+class PiecesInFlight
+{
+public:
+    unsigned Slots() const { return m_Slots; } // limit; 1 to kPieceSlotsMax
+    void     OnFetchBegun() { m_Slots = std::min(m_Slots, kPieceSlotsFirst); }
+    void     OnPiece(Duration took) { m_Slots = NextPieceSlots(m_Slots, took); }
+
+    uint64_t OnAsked(TimePoint now);                // returns a number for OnGone()
+    void     OnGone(uint64_t asked);                // it arrived, or its link closed
+    unsigned Count(TimePoint now);                  // without those asked for longer than kPieceInFlightMax ago
+    unsigned SlotsFor(unsigned own, TimePoint now); // that a fetch may use which has `own` pieces in flight itself
+
+private:
+    unsigned                      m_Slots = kPieceSlotsFirst;
+    uint64_t                      m_Last  = 0; // number of the newest piece
+    std::map<uint64_t, TimePoint> m_AskedAt;   // by number
+};
+
 class PieceTransfer
 {
 public:
@@ -106,6 +127,7 @@
     // One piece (piece_transfer_fetch.cpp)
     awaitable<void>       FetchPiece(std::shared_ptr<Job> job, Fetch f);
     awaitable<PeerAnswer> FromPeer(std::shared_ptr<Job> job, Fetch f);
+    awaitable<void>       AwaitLatePiece(LinkPtr link, MailboxPtr box, uint64_t asked); // one that a fetch no longer waits for
     PeerAnswer            TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer);
     void UpdateFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer, Duration took); // for the estimates of the peer and the link
     awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
@@ -156,6 +178,7 @@
     TokenBucket                   m_UploadBucket;       // limits uploads, bytes
     const double                  m_LinkBytesPerSecond; // declared bandwidth of this box's link; 0: not known
     LinkSlowdown                  m_LinkSlowdown;       //
+    PiecesInFlight                m_InFlight;           // from neighbours
     std::function<void(uint64_t)> m_OnVersionSeen;      // may be empty
     uint64_t                      m_SuspectList = 0; // version whose list of digests must be read from the origin again, not from neighbours; 0: none
     uint64_t                      m_BytesOrigin = 0;
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -22,9 +22,16 @@
     if (f.m_Peer.empty())
         answer.m_Outcome = co_await FromOrigin(job, f.m_Chunk);
     else
+    {
+        job->m_FromPeers++;
         answer = co_await FromPeer(job, f);
+        job->m_FromPeers--;
+    }
     if (job->m_Finished)
+    {
+        Pump(m_Job); // the piece no longer counts as in flight
         co_return;
+    }
     if (!f.m_Peer.empty())
         UpdateFromAnswer(*job, f.m_Peer, answer, Now() - asked);
     job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, answer.m_Outcome, Now());
@@ -56,6 +63,31 @@
     return took < kQuick + kQuickEach * static_cast<int>(slots) ? std::min(kPieceSlotsMax, slots + 1) : slots;
 }
 
+uint64_t PiecesInFlight::OnAsked(TimePoint now)
+{
+    m_AskedAt[++m_Last] = now;
+    return m_Last;
+}
+
+void PiecesInFlight::OnGone(uint64_t asked)
+{
+    m_AskedAt.erase(asked);
+}
+
+unsigned PiecesInFlight::Count(TimePoint now)
+{
+    while (!m_AskedAt.empty() && now - m_AskedAt.begin()->second > kPieceInFlightMax)
+        m_AskedAt.erase(m_AskedAt.begin());
+    return static_cast<unsigned>(m_AskedAt.size());
+}
+
+unsigned PiecesInFlight::SlotsFor(unsigned own, TimePoint now)
+{
+    const unsigned count  = Count(now);
+    const unsigned others = count > own ? count - own : 0;
+    return m_Slots > others ? m_Slots - others : 0;
+}
+
 void LinkSlowdown::OnPiece(Duration took, Duration expected, TimePoint now)
 {
     constexpr double kStep = 0.3; // weight of the newest piece in the moving mean
@@ -75,9 +107,8 @@
 void PieceTransfer::AdaptSlots(Job& job, Duration took)
 {
     const double piece_s = m_LinkBytesPerSecond > 0 ? static_cast<double>(job.m_Manifest->m_ChunkSize) / m_LinkBytesPerSecond : 0;
-    m_LinkSlowdown.OnPiece(took, kPieceOverhead + FromSeconds(piece_s * job.m_Slots), Now());
-    job.m_Slots = NextPieceSlots(job.m_Slots, took);
-    job.m_Exchange->SetDownloadSlots(job.m_Slots);
+    m_LinkSlowdown.OnPiece(took, kPieceOverhead + FromSeconds(piece_s * m_InFlight.Slots()), Now());
+    m_InFlight.OnPiece(took);
 }
 
 ChunkOutcome PieceTransfer::StorePiece(Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from)
@@ -103,20 +134,38 @@
     if (!link)
         co_return PeerAnswer{};
     wire::ChunkGetT get;
-    get.digest                   = NameOf(job->m_Version);
-    get.index                    = f.m_Chunk;
-    const auto              ex   = co_await asio::this_coro::executor;
-    const MailboxPtr        box  = link->OpenExchange(ex);
-    const bool              sent = link->Send(EncodeFrame(box->Id(), get));
-    std::optional<FrameBuf> answer;
-    if (sent)
-        answer = co_await box->Pop(Now() + kPieceTimeout);
+    get.digest           = NameOf(job->m_Version);
+    get.index            = f.m_Chunk;
+    const auto       ex  = co_await asio::this_coro::executor;
+    const MailboxPtr box = link->OpenExchange(ex);
+    if (!link->Send(EncodeFrame(box->Id(), get)))
+    {
+        link->CloseExchange(box->Id());
+        co_return PeerAnswer{};
+    }
+    const uint64_t                asked  = m_InFlight.OnAsked(Now());
+    const std::optional<FrameBuf> answer = co_await box->Pop(Now() + kPieceTimeout);
+    if (!answer && !box->Closed())
+    {
+        asio::co_spawn(
+            m_Ioc, [this, link, box, asked] { return AwaitLatePiece(link, box, asked); }, asio::detached);
+        co_return PeerAnswer{};
+    }
+    m_InFlight.OnGone(asked);
     link->CloseExchange(box->Id());
     if (!answer || job->m_Finished)
         co_return PeerAnswer{};
     co_return TakeAnswer(*job, f, *answer);
 }
 
+awaitable<void> PieceTransfer::AwaitLatePiece(LinkPtr link, MailboxPtr box, uint64_t asked)
+{
+    co_await box->Pop(Now() + (kPieceInFlightMax - kPieceTimeout));
+    m_InFlight.OnGone(asked);
+    link->CloseExchange(box->Id());
+    Pump(m_Job);
+}
+
 PieceTransfer::PeerAnswer PieceTransfer::TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer)
 {
     if (const wire::ChunkRefused* refused = answer.Get()->body_as_ChunkRefused())
--- a/src/version/piece_transfer_internal.h
+++ b/src/version/piece_transfer_internal.h
@@ -19,6 +19,7 @@
 constexpr auto   kServerCallTimeout = milliseconds(500);  // for one call to the local server
 constexpr double kUploadShare       = 0.85;               // of the link's bandwidth: the rest is for answers to callers
 constexpr auto   kPieceTimeout      = milliseconds(1200); // for one piece from a neighbour
+constexpr auto   kPieceInFlightMax  = milliseconds(2400); // after which a piece that didn't come doesn't count as in flight: its sender stands still
 
 // Version names and lists of digests in messages between boxes (piece_wire.cpp)
 std::string              VersionName(std::string_view model, uint64_t version);
@@ -29,17 +30,17 @@
 
 struct PieceTransfer::Job
 {
-    uint64_t                  m_Version = 0;                      //
-    TimePoint                 m_StartedAt{};                      //
-    TimePoint                 m_LastPieceAt{};                    // when the last new piece arrived; initially m_StartedAt
-    std::unique_ptr<Exchange> m_Exchange;                         // null until the list of digests is known
-    ManifestPtr               m_Manifest;                         //
-    bool                      m_Finished      = false;            // complete or given up
-    unsigned                  m_Slots         = kPieceSlotsFirst; // requests for pieces to neighbours at a time
-    unsigned                  m_CorruptPieces = 0;                // pieces from the origin that didn't match their digest
-    std::vector<uint32_t>     m_Unannounced;                      // pieces that neighbours haven't been notified of
-    std::set<std::string>     m_ListHolders;                      // neighbours that have the list of digests
-    TimePoint                 m_OriginAllowedAt{};                // no piece is requested from the origin before this time
+    uint64_t                  m_Version = 0;           //
+    TimePoint                 m_StartedAt{};           //
+    TimePoint                 m_LastPieceAt{};         // when the last new piece arrived; initially m_StartedAt
+    std::unique_ptr<Exchange> m_Exchange;              // null until the list of digests is known
+    ManifestPtr               m_Manifest;              //
+    bool                      m_Finished      = false; // complete or given up
+    unsigned                  m_FromPeers     = 0;     // pieces that it waits for from neighbours
+    unsigned                  m_CorruptPieces = 0;     // pieces from the origin that didn't match their digest
+    std::vector<uint32_t>     m_Unannounced;           // pieces that neighbours haven't been notified of
+    std::set<std::string>     m_ListHolders;           // neighbours that have the list of digests
+    TimePoint                 m_OriginAllowedAt{};     // no piece is requested from the origin before this time
 };
 
 } // namespace aldervale
--- a/src/version/piece_transfer_job.cpp
+++ b/src/version/piece_transfer_job.cpp
@@ -33,7 +33,7 @@
 ExchangeConfig TransferConfig(const std::optional<WeightOrigin>& origin, uint32_t piece_bytes)
 {
     ExchangeConfig c;
-    c.m_DownloadSlots   = kPieceSlotsFirst;
+    c.m_DownloadSlots   = 0; // Pump() sets it
     c.m_OriginSlots     = 2; // with 1 the origin's link was half idle: a piece also queues on the reading box's link, behind those from neighbours
     c.m_RequestsPerPeer = 2;
     c.m_OriginFetchersPerChunk = 64; // no limit on copies: a piece that no box has must be read; boxes of each further rank only read it later
@@ -83,6 +83,7 @@
     m_Job->m_Version     = version;
     m_Job->m_StartedAt   = Now();
     m_Job->m_LastPieceAt = m_Job->m_StartedAt;
+    m_InFlight.OnFetchBegun();
     LogEvent(Event_VersionFetchStarted, {{"model", m_Model}, {"version", version}});
     wire::HaveUpdateT ask; // this also notifies neighbours of the version, and they answer with what they have
     ask.digest = NameOf(version);
@@ -191,8 +192,10 @@
                                          {"peer_bytes", job->m_Exchange->BytesFromPeers()}});
         return;
     }
-    const TimePoint now = Now();
-    job->m_Exchange->SuspendOrigin(!m_DeclaredOrigin || now < job->m_OriginAllowedAt);
+    const TimePoint now           = Now();
+    const bool      narrow_in_use = Slowdown() > 1 && m_InFlight.Count(now) > 0; // pieces from the origin come over the same link
+    job->m_Exchange->SetDownloadSlots(m_InFlight.SlotsFor(job->m_FromPeers, now));
+    job->m_Exchange->SuspendOrigin(!m_DeclaredOrigin || now < job->m_OriginAllowedAt || narrow_in_use);
     for (const Fetch& f : job->m_Exchange->Next(now))
     {
         if (job->m_Finished)
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -586,6 +586,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(pieces_that_a_fetch_no_longer_waits_for_take_slots_until_they_cannot_come_any_more)
+{
+    const TimePoint start = TimePoint{} + seconds(100);
+    PiecesInFlight  flight;
+    for (int i = 0; i < 12; i++)
+        flight.OnPiece(milliseconds(20));
+    BOOST_TEST(flight.Slots() == kPieceSlotsMax);
+    const uint64_t first = flight.OnAsked(start);
+    flight.OnAsked(start + seconds(1));
+    BOOST_TEST(flight.SlotsFor(2, start + seconds(1)) == kPieceSlotsMax); // both are the fetch's own
+    BOOST_TEST(flight.SlotsFor(0, start + seconds(1)) == kPieceSlotsMax - 2);
+    flight.OnGone(first);
+    BOOST_TEST(flight.SlotsFor(0, start + seconds(1)) == kPieceSlotsMax - 1);
+    BOOST_TEST(flight.SlotsFor(0, start + seconds(1) + kPieceInFlightMax + milliseconds(1)) == kPieceSlotsMax);
+    flight.OnFetchBegun();
+    BOOST_TEST(flight.Slots() == kPieceSlotsFirst);
+    for (unsigned i = 0; i < kPieceSlotsMax; i++)
+        flight.OnAsked(start + seconds(10));
+    BOOST_TEST(flight.SlotsFor(0, start + seconds(10)) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(a_link_counts_as_slow_while_pieces_take_long_on_it)
 {
     const TimePoint start = TimePoint{} + seconds(100);
