Declaration times are bounded by answers of the store, told by its clock

What callers saw: the whole pool refused for 1 to 1.5 s before each weights deadline that no newer weights met. Cause: a version's time was bounded by when the read before was asked for. Routers learned of version 2 after 15 ms and took it for 1,250 ms old (992 and 964 for the next ones). Change: StoreTimes relates answers to the store's own clock (now_ms) and versions. Each answer to any process, about either table, is a bound for rows with higher versions. Routers tell the newest one with their news, by the store's clock, so that the way of a datagram doesn't falsify it. A row's bound goes with the row to those that fetch it, and is refined for a second, as later news of earlier answers come. An answer that took long, contradicting ones and ones from the future count for nothing. A row that was written again keeps its bound.

--- a/src/external/row_source.h
+++ b/src/external/row_source.h
@@ -25,6 +25,8 @@
     uint64_t         m_Since        = 0; // changes only: store version that they follow on
     TimePoint        m_NotBefore{};      // rows that are new in it were written since, as the read before held all until then; default: unknown
     TimePoint        m_AskedAt{};        // when the store was asked: whatever it acknowledged before is in it; default: not told
+    Duration         m_Wait{};           // for so long the store was asked to wait for changes
+    int64_t          m_StoreMs = -1;     // time of the store's clock at which m_StoreVersion was its newest version; negative: not told
 };
 
 enum TableRead
--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -21,6 +21,8 @@
 constexpr size_t kServingMax   = 64;                 // askers at once: all routers of a region of 300 boxes
 constexpr auto   kConfirmedMax = milliseconds(1600); // age of what an answer confirms when it comes: a standing request, the answer's time limit
 constexpr size_t kDataMax      = kFrameMax - 4096;   // bytes of compressed rows in one frame; longer ones are left to the store
+constexpr size_t kBoundsKept   = 32;                 // rows whose bounds are kept
+constexpr auto   kRefineMax    = milliseconds(1000); // after a row was learned: until then all that was answered before is told
 
 uint32_t AgeMs(TimePoint now, TimePoint at)
 {
@@ -38,8 +40,9 @@
 
 } // namespace
 
-DeclarationsPeers::DeclarationsPeers(asio::io_context& ioc, RouterName self, LoadListener& datagrams, RowsHandler on_rows)
-    : m_Ioc(ioc), m_Self(std::move(self)), m_Datagrams(datagrams), m_OnRows(std::move(on_rows)), m_Spread(m_Self.m_Address, Now()), m_Wake(ioc)
+DeclarationsPeers::DeclarationsPeers(asio::io_context& ioc, RouterName self, LoadListener& datagrams, StoreTimes& times, RowsHandler on_rows)
+    : m_Ioc(ioc), m_Self(std::move(self)), m_Datagrams(datagrams), m_OnRows(std::move(on_rows)), m_Times(times), m_Spread(m_Self.m_Address, Now()),
+      m_Wake(ioc)
 {
     m_Datagrams.SetRegion(m_Self.m_Region);
     m_Datagrams.SetOnRouters([this](std::span<const RouterPeer> listed) { m_Spread.SetPeers(listed, Now()); });
@@ -105,7 +108,9 @@
 {
     const uint64_t  held      = m_Rows.Version();
     const TimePoint confirmed = m_Spread.CheckedAt() == TimePoint{} ? TimePoint{} : m_Spread.CheckedAt() - kConfirmedMax; // by any router
-    const bool      newer     = kind == TableRead_Whole ? m_Rows.TakeAll(read) : m_Rows.TakeChanges(read);
+    RecordBounds(read, kind, confirmed);
+    RefineBounds(Now());
+    const bool newer = kind == TableRead_Whole ? m_Rows.TakeAll(read) : m_Rows.TakeChanges(read);
     if (read.m_StoreVersion >= m_Rows.Version()) // else it lags behind what others gave, and confirms nothing
         m_Spread.OnStoreAnswer(m_Rows.Version(), Now(), BytesOf(read));
     OnBelief();
@@ -115,6 +120,61 @@
         Tell(); // others count how long ago the store confirmed: by the next round of news it would be a quarter of a second more
 }
 
+// A row that was written again with the same value keeps its bound: what it declares was declared then. Of changes each version of a row is read, so
+// the first one is the declaration; of a whole table only the newest is, and the value may be as old as the last complete read.
+void DeclarationsPeers::RecordBounds(const RowRead& read, TableRead kind, TimePoint confirmed)
+{
+    const TimePoint                        now  = Now();
+    const TimePoint                        base = std::max(read.m_NotBefore, confirmed);
+    std::map<std::string_view, const Row*> before; // the row that each one of the read replaces
+    for (const Row& row : read.m_Rows)
+    {
+        if (row.m_Gone || row.m_Version <= m_Rows.Version())
+            continue;
+        const auto [earlier, first] = before.emplace(row.m_Key, m_Rows.Find(row.m_Key));
+        const Row* old              = earlier->second;
+        earlier->second             = &row;
+        if (old != nullptr && old->m_Value == row.m_Value)
+        {
+            if (const auto known = m_Bounds.find(old->m_Version); known != m_Bounds.end())
+                RecordBound(row.m_Version, {known->second.m_NotBefore, {}});
+            continue;
+        }
+        if (kind == TableRead_Changes)
+            RecordBound(row.m_Version, {std::max(base, m_Times.NotBefore(row.m_Version, now)), now + kRefineMax});
+        else
+            RecordBound(row.m_Version, {base, {}});
+    }
+}
+
+void DeclarationsPeers::RecordBound(uint64_t row_version, const RowBound& bound)
+{
+    if (bound.m_NotBefore == TimePoint{})
+        return;
+    m_Bounds.emplace(row_version, bound);
+    if (m_Bounds.size() > kBoundsKept)
+        m_Bounds.erase(m_Bounds.begin());
+}
+
+void DeclarationsPeers::RefineBounds(TimePoint now)
+{
+    for (auto& [row_version, bound] : m_Bounds)
+    {
+        const TimePoint later = now < bound.m_RefinedUntil ? m_Times.NotBefore(row_version, now) : TimePoint{};
+        if (later <= bound.m_NotBefore)
+            continue;
+        bound.m_NotBefore = later;
+        if (m_OnBound)
+            m_OnBound(row_version, later);
+    }
+}
+
+TimePoint DeclarationsPeers::WrittenSince(uint64_t row_version) const
+{
+    const auto it = m_Bounds.find(row_version);
+    return it == m_Bounds.end() ? TimePoint{} : it->second.m_NotBefore;
+}
+
 void DeclarationsPeers::OnStoreBack()
 {
     m_Spread.OnStoreBack(Now());
@@ -154,6 +214,8 @@
     news.flow_age_ms    = AgeMs(now, now - own.m_FlowAge);
     news.reads          = own.m_Reads;
     news.rests          = own.m_Rests;
+    news.store_version  = m_Times.Newest().m_Version;
+    news.store_ms       = m_Times.Newest().m_StoreMs;
     return news;
 }
 
@@ -199,6 +261,8 @@
     told.m_Rests        = news.rests();
     const TimePoint now = Now();
     m_Spread.OnNews(told, now);
+    m_Times.OnTold({news.store_version(), news.store_ms()});
+    RefineBounds(now);
     OnBelief();
     if (told.m_Version == 0 && m_Spread.Held() > 0) // it has just started
         m_Datagrams.Tell(from, News(now));
@@ -279,7 +343,11 @@
     m_Spread.OnFetched(data.version(), now - milliseconds(data.checked_age_ms()), now);
     OnBelief();
     // A bound: what the answer took counts against it, and so does what the age was rounded down by.
-    const TimePoint not_before = data.not_before_age_ms() < 0 ? TimePoint{} : asked - milliseconds(data.not_before_age_ms() + 1);
+    const auto      bound      = [&](int32_t age_ms) { return age_ms < 0 ? TimePoint{} : asked - milliseconds(age_ms + 1); };
+    const TimePoint not_before = bound(data.not_before_age_ms());
+    if (data.row_bounds() != nullptr)
+        for (const wire::RowBound* b : *data.row_bounds())
+            RecordBound(b->version(), {bound(b->not_before_age_ms()), {}});
     Hold({{}, now - milliseconds(data.learned_age_ms()), not_before, held, from.ToString()});
 }
 
@@ -338,6 +406,13 @@
     const TimePoint not_before = NotBeforeAfter(have);
     if (not_before != TimePoint{})
         data.not_before_age_ms = static_cast<int32_t>(AgeMs(now, not_before));
+    for (auto it = m_Bounds.upper_bound(have); it != m_Bounds.end(); ++it)
+    {
+        wire::RowBoundT b;
+        b.version           = it->first;
+        b.not_before_age_ms = static_cast<int32_t>(AgeMs(now, it->second.m_NotBefore));
+        data.row_bounds.push_back(std::make_unique<wire::RowBoundT>(std::move(b)));
+    }
     data.version       = m_Texts.back().m_Version;
     data.base          = base == nullptr ? 0 : have;
     data.length        = static_cast<uint32_t>(m_Texts.back().m_Text.size());
--- a/src/process/declarations_peers.h
+++ b/src/process/declarations_peers.h
@@ -1,11 +1,14 @@
 // aldervale: the declarations of a router, from the store or from other routers, and handed on to those
 //
+// With its news a router tells when the store was at which version (store_times.h), as it heard of it: whoever learns of a new row has bounds from
+// all processes that read the store. A row's bound goes with the row.
+//
 // The shell around DeclarationsSpread: news by datagrams, fetches by links. A fetch is one connection and one exchange: the asker says what
 // it holds, and gets the difference to it, or the whole compressed where the other has forgotten that version. 1.2 MB of rows become 173
 // bytes where one route of 4,200 changed (test text_delta). Touched on one thread.
 //
 // Usage (src/programs/platform_router.cpp):
-//   DeclarationsPeers peers(ioc, {"router-1", "10.1.0.7:7700", "north"}, datagrams, [](const DeclaredRows& rows) { ... });
+//   DeclarationsPeers peers(ioc, {"router-1", "10.1.0.7:7700", "north"}, datagrams, store_times, [](const DeclaredRows& rows) { ... });
 //   peers.Listen();
 //   peers.OnStoreRead(read, TableRead_Whole);          // from the follower of the store
 //   follower_config.m_Urgent = [&] { return peers.ReadsStore(); };
@@ -14,6 +17,7 @@
 #include "connection/load_channel.h"
 #include "process/declarations_spread.h"
 #include "process/operator_rows.h"
+#include "process/store_times.h"
 #include <deque>
 
 namespace aldervale
@@ -46,7 +50,9 @@
     using RowsHandler   = std::function<void(const DeclaredRows& rows)>;
     using BeliefHandler = std::function<void()>; // Held(), Heard() or CheckedAt() of Spread() may have changed; before such rows are used
 
-    DeclarationsPeers(asio::io_context& ioc, RouterName self, LoadListener& datagrams, RowsHandler on_rows);
+    using BoundHandler = std::function<void(uint64_t row_version, TimePoint not_before)>; // a later bound than WrittenSince() gave before
+
+    DeclarationsPeers(asio::io_context& ioc, RouterName self, LoadListener& datagrams, StoreTimes& times, RowsHandler on_rows);
 
     Status Listen(); // for other routers' fetches
     void   SetOnBelief(BeliefHandler on_belief) { m_OnBelief = std::move(on_belief); }
@@ -62,11 +68,19 @@
     using ServersHandler = std::function<FrameBytes(uint64_t exchange)>;
     void SetOnServersAsked(ServersHandler fn) { m_OnServersAsked = std::move(fn); }
 
+    TimePoint WrittenSince(uint64_t row_version) const; // the row's value wasn't written before; default: unknown
+    void      SetOnBound(BoundHandler fn) { m_OnBound = std::move(fn); }
+
     const Endpoint&           Self() const { return m_Self.m_Address; }
     const DeclarationsSpread& Spread() const { return m_Spread; }
     bool                      Reading() const { return m_Reading; } // what ReadsStore() last said
 
 private:
+    struct RowBound
+    {
+        TimePoint m_NotBefore{};    //
+        TimePoint m_RefinedUntil{}; // further answers of the store may give a later bound; default: it is final
+    };
     struct Text // rows as text
     {
         uint64_t    m_Version = 0; //
@@ -74,6 +88,9 @@
         TimePoint   m_NotBefore{}; // rows newer than those of the text before were written since; default: unknown
     };
 
+    void                    RecordBounds(const RowRead& read, TableRead kind, TimePoint confirmed); // before the rows are taken
+    void                    RecordBound(uint64_t row_version, const RowBound& bound);
+    void                    RefineBounds(TimePoint now);
     void                    LogReading(TimePoint now) const;
     void                    OnBelief() const;
     void                    OnNews(const wire::DeclarationsNews& news, const Endpoint& from);
@@ -97,6 +114,9 @@
     RowsHandler                     m_OnRows;           //
     BeliefHandler                   m_OnBelief;         // may be empty
     ServersHandler                  m_OnServersAsked;   // may be empty
+    BoundHandler                    m_OnBound;          // may be empty
+    StoreTimes&                     m_Times;            //
+    std::map<uint64_t, RowBound>    m_Bounds;           // of rows' values, by row version; the newest kBoundsKept
     DeclarationsSpread              m_Spread;           //
     OperatorRows                    m_Rows;             //
     std::deque<Text>                m_Texts;            // newest last; its last one is of m_Rows
--- a/src/process/operator_rows.cpp
+++ b/src/process/operator_rows.cpp
@@ -104,6 +104,12 @@
     return true;
 }
 
+const Row* OperatorRows::Find(std::string_view key) const
+{
+    const auto it = m_Rows.find(key);
+    return it == m_Rows.end() ? nullptr : &it->second;
+}
+
 RowRead OperatorRows::Read() const
 {
     RowRead out;
--- a/src/process/operator_rows.h
+++ b/src/process/operator_rows.h
@@ -25,6 +25,7 @@
     bool        TakeCopy(const OperatorRows& copy);   // of another process; taken whole if its version is higher
     uint64_t    Version() const { return m_Version; } // never falls; 0: nothing is held
     RowRead     Read() const;                         // all rows, by key, as of Version()
+    const Row*  Find(std::string_view key) const;     // null: there is no such row
     std::string Encode() const;                       // the same text for the same rows
 
     static Result<OperatorRows> Decode(std::string_view text);
--- a/src/process/table_follower.cpp
+++ b/src/process/table_follower.cpp
@@ -86,13 +86,15 @@
 
 awaitable<bool> TableFollower::ReadFew(KeyRange keys)
 {
-    const auto read = co_await m_Source.ReadAll(m_Table, keys, Now() + Patience(m_Config.m_ReadMax));
+    const TimePoint asked = Now();
+    auto            read  = co_await m_Source.ReadAll(m_Table, keys, asked + Patience(m_Config.m_ReadMax));
     if (!read)
     {
         OnFailure(read.error());
         co_return false;
     }
     OnAnswer();
+    OnAnswered(read.value(), asked, Duration::zero());
     if (m_Handlers.m_OnFew)
         m_Handlers.m_OnFew(read.value());
     co_return true;
@@ -117,6 +119,7 @@
         co_return false;
     }
     OnAnswer();
+    const TimePoint made = OnAnswered(read.value(), asked, Duration::zero());
     if (read.value().m_StoreVersion < m_Since)
     {
         LogEvent(Event_StoreReadStale, {{"table", m_Table}, {"version", read.value().m_StoreVersion}, {"known", m_Since}});
@@ -127,7 +130,7 @@
     m_Since   = read.value().m_StoreVersion;
     m_Synced  = true;
 
-    OnUsed(read.value(), asked);
+    OnUsed(read.value(), made);
     m_Handlers.m_OnAll(read.value());
     co_return true;
 }
@@ -155,10 +158,11 @@
         co_return co_await ReadAll();
     }
     OnAnswer();
+    const TimePoint made = OnAnswered(read.value(), asked, wait);
     if (read.value().m_StoreVersion < m_Since)
         co_return true;
     read.value().m_Since = m_Since;
-    OnUsed(read.value(), asked);
+    OnUsed(read.value(), made);
 
     m_Since   = read.value().m_StoreVersion;
     m_Changed = !read.value().m_Rows.empty();
@@ -168,11 +172,17 @@
 }
 
 // The store has what it acknowledged before it was asked; what it acknowledges while an answer is on its way may be missing.
-void TableFollower::OnUsed(RowRead& read, TimePoint asked)
+TimePoint TableFollower::OnAnswered(RowRead& read, TimePoint asked, Duration wait)
+{
+    read.m_AskedAt = asked;
+    read.m_Wait    = wait;
+    return m_Handlers.m_OnAnswered ? m_Handlers.m_OnAnswered(read) : asked;
+}
+
+void TableFollower::OnUsed(RowRead& read, TimePoint made)
 {
     read.m_NotBefore = m_CompleteAt;
-    read.m_AskedAt   = asked;
-    m_CompleteAt     = asked;
+    m_CompleteAt     = made;
 }
 
 // Where answers are long and the way is narrow, one that is given up has used the way for nothing; if all did so at the same timeout
--- a/src/process/table_follower.h
+++ b/src/process/table_follower.h
@@ -40,11 +40,12 @@
 
 struct TableHandlers // what becomes of the rows
 {
-    std::function<void(const RowRead&)> m_OnAll;     // the whole table
-    std::function<void(const RowRead&)> m_OnChanges; // rows that changed or went away; none: the answer came without
-    std::function<void(const RowRead&)> m_OnFew;     // the rows of m_CalmKeys; the others may have changed meanwhile
-    std::function<void()>               m_OnLost;    // the store can't be reached; once until m_OnReached; may be empty
-    std::function<void()>               m_OnReached; // it answered again; before the rows of that answer; may be empty
+    std::function<void(const RowRead&)>      m_OnAll;      // the whole table
+    std::function<void(const RowRead&)>      m_OnChanges;  // rows that changed or went away; none: the answer came without
+    std::function<void(const RowRead&)>      m_OnFew;      // the rows of m_CalmKeys; the others may have changed meanwhile
+    std::function<TimePoint(const RowRead&)> m_OnAnswered; // any answer, before its rows; returns a time not after it was made; may be empty
+    std::function<void()>                    m_OnLost;     // the store can't be reached; once until m_OnReached; may be empty
+    std::function<void()>                    m_OnReached;  // it answered again; before the rows of that answer; may be empty
 };
 
 class TableFollower : public std::enable_shared_from_this<TableFollower>
@@ -70,7 +71,8 @@
     bool            HasNews(const RowRead& whole) const; // a row newer than what was known
     void            OnFailure(const Error& e);
     void            OnAnswer();
-    void            OnUsed(RowRead& read, TimePoint asked); // before a read of the table or of its changes is told
+    TimePoint       OnAnswered(RowRead& read, TimePoint asked, Duration wait); // returns a time not after the answer was made
+    void            OnUsed(RowRead& read, TimePoint made);                     // before a read of the table or of its changes is told
 
     asio::io_context&   m_Ioc;              //
     RowSource&          m_Source;           //
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -44,6 +44,7 @@
     std::unique_ptr<PlatformTables>    m_Tables;               //
     bool                               m_OperatorRead = false; // the operators' table was read once, here or by who gave it
     TimePoint                          m_LearnedAt{};          // when the rows being used were read from the store, here or by who gave them
+    StoreTimes                         m_StoreTimes;           //
     TimePoint                          m_RowsNotBefore{};      // rows newer than m_RowsHeld were written since; default: unknown
     uint64_t                           m_RowsHeld = 0;         // version of the rows held before those being used
     std::string                        m_Name;                 // of this process
@@ -179,12 +180,21 @@
     DeclarationTime naming   = AssumeDeclarationTime(now, deadline);
     // Before the first read is over, what it tells may have been named at any time. A row that was held before tells nothing new.
     if (r.m_OperatorRead && named.m_RowVersion > r.m_RowsHeld)
-        naming = EstimateDeclarationTime(r.m_RowsNotBefore, r.m_LearnedAt, now, deadline);
+    {
+        naming = EstimateDeclarationTime(std::max(r.m_RowsNotBefore, r.m_Peers->WrittenSince(named.m_RowVersion)), r.m_LearnedAt, now, deadline);
+        naming.m_RowVersion = named.m_RowVersion;
+    }
     const bool news = RecordTargetVersion(r.m_World, named.m_Model, named.m_Version, naming, now);
     if (news)
         TellBoxes(r);
 }
 
+void OnBound(Router& r, uint64_t row_version, TimePoint not_before)
+{
+    if (RefineDeclarationTime(r.m_World, row_version, not_before))
+        TellBoxes(r);
+}
+
 void OnEvacuations(Router& r, EvacuatedDataCentres evacuated)
 {
     static Gauge& gauge = Metrics().GetGauge("aldervale_data_centres_evacuated");
@@ -357,6 +367,9 @@
     PlatformHandlers h;
     h.m_OnOperatorTable = [&r](const RowRead& read, TableRead kind) { r.m_Peers->OnStoreRead(read, kind); };
     h.m_OnOperatorFew   = [&r](const RowRead& read) { OnFewRows(r, read); };
+    h.m_OnAnswered      = [&r](const RowRead& read) {
+        return r.m_StoreTimes.OnAnswer({read.m_StoreVersion, read.m_StoreMs}, read.m_AskedAt, read.m_Wait, Now());
+    };
     h.m_OnOperatorBytes = [&r] { r.m_Peers->OnStoreBytes(); };
     h.m_OnOperatorBack  = [&r] { r.m_Peers->OnStoreBack(); };
     h.m_OnConfig        = [&r](const RouteTableSpec& spec, uint64_t row_version) { OnConfig(r, spec, row_version); };
@@ -425,7 +438,8 @@
     r.m_Serve->UsePlaceChannel(*r.m_Places, internal.value().m_Port);
     const std::string region = s.m_Platform.m_Region.empty() ? daemon.Settings().m_DataCentre : s.m_Platform.m_Region;
     r.m_Peers = std::make_unique<DeclarationsPeers>(daemon.Ioc(), RouterName{daemon.Settings().m_Name, internal.value(), region}, *r.m_Loads,
-                                                    [&r](const DeclaredRows& rows) { OnDeclaredRows(r, rows); });
+                                                    r.m_StoreTimes, [&r](const DeclaredRows& rows) { OnDeclaredRows(r, rows); });
+    r.m_Peers->SetOnBound([&r](uint64_t row_version, TimePoint not_before) { OnBound(r, row_version, not_before); });
     r.m_Peers->SetOnBelief([&r] { OnBelief(r); });
     r.m_Limits  = std::make_unique<LimitShare>(*r.m_Loads, *r.m_Peers, r.m_Serve->GetServerLimits());
     r.m_Crashes = std::make_unique<CrashShare>(*r.m_Loads, *r.m_Peers, r.m_Serve->GetCrashHistory());
--- a/src/programs/platform_tables.cpp
+++ b/src/programs/platform_tables.cpp
@@ -34,10 +34,11 @@
         if (m_Handlers.m_OnListRead)
             m_Handlers.m_OnListRead(read.m_Since, read.m_AskedAt); // not what the directory held: others may lack what another reader told it
     };
-    list.m_OnLost    = [this] { m_Servers.OnStoreLost(); };
-    list.m_OnReached = [this] { m_Servers.OnStoreReached(Now()); };
-    m_Operator       = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kOperatorTable), paces.m_Operator, operators);
-    m_List           = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kServerTable), paces.m_List, list);
+    list.m_OnAnswered = m_Handlers.m_OnAnswered;
+    list.m_OnLost     = [this] { m_Servers.OnStoreLost(); };
+    list.m_OnReached  = [this] { m_Servers.OnStoreReached(Now()); };
+    m_Operator        = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kOperatorTable), paces.m_Operator, operators);
+    m_List            = std::make_shared<TableFollower>(ioc, m_Store, std::string(platform::kServerTable), paces.m_List, list);
     m_Operator->Start();
     m_List->Start();
 }
@@ -64,7 +65,8 @@
     h.m_OnFew     = m_Handlers.m_OnOperatorFew;
     if (!h.m_OnFew)
         h.m_OnFew = [this](const RowRead& read) { UseOperatorRows(read); };
-    h.m_OnReached = m_Handlers.m_OnOperatorBack;
+    h.m_OnAnswered = m_Handlers.m_OnAnswered;
+    h.m_OnReached  = m_Handlers.m_OnOperatorBack;
     if (m_Handlers.m_OnOperatorBytes)
         m_Store.SetOnBytes(
             [this](std::string_view table)
--- a/src/programs/platform_tables.h
+++ b/src/programs/platform_tables.h
@@ -29,10 +29,11 @@
     std::function<void()>                                    m_OnOperatorBack;        // it answers again after a failure; may be empty
     std::function<void(const RouteTableSpec& spec, uint64_t row_version)> m_OnConfig; // declarations, perhaps ones known already
     std::function<void(const platform::NamedWeights& named)>              m_OnNamed;  // a version of weights, perhaps a known one
-    std::function<void()>                                                 m_OnOperatorRead; // after what one read of the operators' table told
-    std::function<void(const ServerEntry& entry)>                         m_OnListed;       // before it goes into the directory; may be empty
-    std::function<void(const Row& row, bool kept)> m_OnUnlisted; // its row went away; kept: its entry stays a while, it may live; may be empty
-    std::function<void(bool changed)>              m_OnServers;  // the directory took a read; the first one changes it
+    std::function<TimePoint(const RowRead& read)>  m_OnAnswered; // any answer about either table; returns a time not after it was made; may be empty
+    std::function<void()>                          m_OnOperatorRead; // after what one read of the operators' table told
+    std::function<void(const ServerEntry& entry)>  m_OnListed;       // before it goes into the directory; may be empty
+    std::function<void(const Row& row, bool kept)> m_OnUnlisted;     // its row went away; kept: its entry stays a while, it may live; may be empty
+    std::function<void(bool changed)>              m_OnServers;      // the directory took a read; the first one changes it
     std::function<void(uint64_t since, TimePoint asked)>
         m_OnListRead; // the directory took an answer of the store about what follows on `since`; may be empty
 };
--- a/src/request/routing_world.cpp
+++ b/src/request/routing_world.cpp
@@ -63,6 +63,19 @@
     return version > newest;
 }
 
+bool RefineDeclarationTime(RoutingState& state, uint64_t row_version, TimePoint not_before)
+{
+    bool changed = false;
+    for (auto& [model, versions] : state.m_TargetVersions)
+        for (auto& [version, time] : versions)
+        {
+            const bool later = time.m_IsBound && time.m_RowVersion == row_version && time.m_At < not_before && not_before <= time.m_LearnedAt;
+            time.m_At        = later ? not_before : time.m_At;
+            changed          = changed || later;
+        }
+    return changed;
+}
+
 void RecordReportedVersions(RoutingState& state, const std::string& model, std::span<const NamedAge> reported, Duration deadline, TimePoint now)
 {
     for (const NamedAge& n : reported)
--- a/src/request/routing_world.h
+++ b/src/request/routing_world.h
@@ -30,6 +30,7 @@
     bool      m_Observed = false; // false: m_At is assumed
     bool      m_IsBound  = false; // m_At isn't after the true time; only if m_Observed
     TimePoint m_LearnedAt{};      // only if m_IsBound: when the first process learned of the version
+    uint64_t  m_RowVersion = 0;   // only if m_IsBound: of the row in the store that declared it; 0: unknown
 };
 
 // Returns the time to assume for a version that was declared at an unknown time, so that older versions may be used only for a short time from now.
@@ -70,6 +71,9 @@
 // Returns whether the version is new and the newest.
 bool RecordTargetVersion(RoutingState& state, const std::string& model, uint64_t version, DeclarationTime declared, TimePoint now);
 
+// Records a later bound of the time at which the row was written. Returns whether a version's time changed.
+bool RefineDeclarationTime(RoutingState& state, uint64_t row_version, TimePoint not_before);
+
 // Records the versions that a model server's agent reports. The agent may reach the store when this process can't, and may have observed declarations
 // made before this process started.
 void RecordReportedVersions(RoutingState& state, const std::string& model, std::span<const NamedAge> reported, Duration deadline, TimePoint now);
