--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -402,7 +402,8 @@
 class ModelServer:
     """What an agent asks of the model server on its box: it serves version 1 and is idle."""
 
-    SERVICE = {"Name": "model", "Engine": {"Models": [{"Name": "m", "WarmS": 1}], "Slots": 8, "chunks": 1, "chunk_bytes": 1024}}
+    SERVICE = {"Name": "model", "Engine": {"Models": [{"Name": "m", "WarmS": 1}], "Slots": 8, "chunks": 1, "chunk_bytes": 1024, "read_per_s": 20_000,
+                                           "usual": {"prompt": 100, "answer": 20}}}
     REPORT = {"Running": 0, "Queued": 0, "pace": 1, "CallSeq": 0, "Models": [{"Name": "m", "Version": 1}]}
 
     @staticmethod
@@ -423,6 +424,70 @@
         return {"Service": "model", "Address": address, "Zone": "dc-1", "Slots": 8, "State": "ready", "Models": [{"Name": "m", "Version": 1}]}
 
 
+class OrderedServer:
+    """A model server that holds one version of the weights and no pieces of others. It takes orders to start, and begins requests on what it holds."""
+
+    LAYERS = 16
+
+    def __init__(self):
+        self.version = 1
+        self.layers = self.LAYERS  # that it holds, from the first one on
+        self.orders = 0
+        self.report_delay_s = 0
+        self.way_s = None          # returns the time that a request takes to it; None: none
+        self.begun = []            # (time, version, request id)
+        self.stopped = []          # times of orders that left it without layers
+
+    def hold(self, version):
+        self.version, self.layers = version, self.LAYERS
+
+    def report(self):
+        held = {"From": 0, "TargetVersion": self.layers, "Version": self.version} if self.layers else None
+        models = [{"Name": "m", "Version": self.version}] if self.layers else []
+        return {"Running": 0, "Queued": 0, "pace": 1, "CallSeq": self.orders, "Models": models, "layers": held}
+
+    def order(self, wanted):
+        if wanted.get("ExpectRev", self.orders) != self.orders or wanted["Version"] != self.version:
+            return 409
+        layers = wanted.get("TargetVersion", self.LAYERS) - wanted.get("From", 0)
+        if layers == self.layers:
+            return 200
+        self.layers = layers
+        self.orders += 1
+        if layers == 0:
+            self.stopped.append(time.monotonic())
+        return 202
+
+    def begin(self, req):
+        if self.layers != self.LAYERS:
+            return answer(503, X_Not_Executed="1")
+        ident = req.fields.get("x-request-id", "")
+        self.begun.append((time.monotonic(), self.version, ident))
+        return answer(200, X_Request_Id=ident, X_Response_Seal="1")
+
+    async def respond(self, req):
+        if req.path == "/report":
+            await asyncio.sleep(self.report_delay_s)
+            return answer(200, json.dumps(self.report()).encode())
+        if req.path == "/order":
+            return answer(self.order(json.loads(req.body)))
+        if req.path.startswith("/stage-get/"):
+            return answer(200, b'{"held": []}')
+        if self.way_s:
+            await asyncio.sleep(self.way_s())
+        return self.begin(req)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                writer.write(await self.respond(await read_request(reader)))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # the caller left, or the test is over
+        finally:
+            writer.close()
+
+
 def route(name, kind, service, **more):
     return {"Name": name, "Host": "soak.example", "PathPrefix": f"/{name}/", "Kind": kind, "Service": service, "TimeoutMs": 4000, "GoalMs": 500,
             "Priority": 1, "MaxAttempts": 1 if kind == "unsafe" else 2, "Public": True, **more}
--- a/src/process/store_times.cpp
+++ b/src/process/store_times.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr size_t  kMomentsKept    = 64; // newest ones: more than come between a row's writing and its being learned
-constexpr int64_t kMomentsOverlap = 20; // ms by which a higher version may seem to be older: the clock is read after the rows
+constexpr size_t  kMomentsKept    = 64;              // newest ones: more than come between a row's writing and its being learned
+constexpr int64_t kMomentsOverlap = 20;              // ms by which a higher version may seem to be older: the clock is read after the rows
 constexpr auto    kClockStep      = milliseconds(1); // the store's clock is told in whole ms, rounded down
 
 TimePoint FromMsSinceEpoch(int64_t ms)
--- a/src/process/store_times.h
+++ b/src/process/store_times.h
@@ -4,8 +4,8 @@
 // own steady clock. A row with a higher version was written after that answer was made. So every answer to any process, about any table, is a bound
 // for the rows after it. Bounds of other processes are told by the store's clock: a time on the way doesn't falsify them, as it would an age.
 //
-// The store's clock is related to this process's clock by own exchanges: an answer is made after it was asked for, so the difference of the clocks is at
-// most that between the answer's time and the time of asking; the shortest exchange gives the closest limit.
+// The store's clock is related to this process's clock by own exchanges: an answer is made after it was asked for, so the difference of the clocks is
+// at most that between the answer's time and the time of asking; the shortest exchange gives the closest limit.
 //
 // Rules, so that a bound is never after the true time:
 //   - The clocks may run at slightly different speeds: the limit of the difference is widened by kDriftShare of its age.
@@ -42,10 +42,10 @@
 public:
     // An answer to this process. `wait` is the longest time that the store was asked to wait for changes. Returns a time not after the answer was
     // made, and not before `asked`.
-    TimePoint OnAnswer(const StoreMoment& answered, TimePoint asked, Duration wait, TimePoint received);
-    void      OnTold(const StoreMoment& told);                         // an answer to another process
-    TimePoint NotBefore(uint64_t row_version, TimePoint now) const;    // the row wasn't written before; default: unknown
-    StoreMoment Newest() const;                                        // of the known moments, for other processes
+    TimePoint   OnAnswer(const StoreMoment& answered, TimePoint asked, Duration wait, TimePoint received);
+    void        OnTold(const StoreMoment& told);                      // an answer to another process
+    TimePoint   NotBefore(uint64_t row_version, TimePoint now) const; // the row wasn't written before; default: unknown
+    StoreMoment Newest() const;                                       // of the known moments, for other processes
 
 private:
     struct ClockDifference // store's clock less own clock; an upper limit
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -71,6 +71,7 @@
         self.http, self.ready, self.ops, self.internal, self.model = ports[:5]
         self.backend_ports, self.store_ports = ports[5:5 + backends], ports[5 + backends:]
         self.agent_settings = ""                # further settings of all agents, TOML
+        self.router_settings = ""               # and of all routers
 
     def model_server(self, number):
         """The model server beside an agent."""
@@ -88,7 +89,7 @@
         for n in range(1, routers + 1):
             ip = f"127.0.1.{n}"
             seeds = ", ".join(f'"127.0.1.{seed}:1"' for seed in range(1, self.seeds + 1))  # ports of seeds don't count
-            own = f'http_listen = "{ip}:{self.http}"\nready_listen = "{ip}:{self.ready}"\nops_listen = "{ip}:{self.ops}"\nregions = "{REGIONS}"\nseeds = [{seeds}]\n'
+            own = f'http_listen = "{ip}:{self.http}"\nready_listen = "{ip}:{self.ready}"\nops_listen = "{ip}:{self.ops}"\nregions = "{REGIONS}"\nseeds = [{seeds}]\n{self.router_settings}'
             self.routers.append(await self.launch("router", n, ip, own))
 
     async def start_with(self, servers, routes):
--- a/tests/test_older_weights_after_deadline.py
+++ b/tests/test_older_weights_after_deadline.py
@@ -6,7 +6,6 @@
   tests/test_older_weights_after_deadline.py FOLDER_OF_PROGRAMS [NAME_OF_TEST ...]
 """
 import asyncio
-import json
 import time
 import unittest
 from collections import Counter
@@ -28,59 +27,11 @@
 BOUND_ERROR_S = 0.15  # a router relates the store's clock to its own by exchanges that a loaded machine delays
 
 
-class OrderedServer:
-    """A model server that holds version 1 and none of the pieces of a newer one. It takes orders to start, and begins requests on what it holds."""
-
-    LAYERS = 16
-
-    def __init__(self):
-        self.layers = self.LAYERS  # that it holds, from the first one on
-        self.orders = 0
-        self.report_delay_s = 0
-
-    def report(self):
-        held = {"From": 0, "TargetVersion": self.layers, "Version": 1} if self.layers else None
-        models = [{"Name": "m", "Version": 1}] if self.layers else []
-        return {"Running": 0, "Queued": 0, "pace": 1, "CallSeq": self.orders, "Models": models, "layers": held}
-
-    def order(self, wanted):
-        if wanted.get("ExpectRev", self.orders) != self.orders or wanted["Version"] != 1:
-            return 409
-        layers = wanted.get("TargetVersion", self.LAYERS) - wanted.get("From", 0)
-        if layers == self.layers:
-            return 200
-        self.layers = layers
-        self.orders += 1
-        return 202
-
-    def respond(self, req):
-        if req.path == "/report":
-            return standin.answer(200, json.dumps(self.report()).encode())
-        if req.path == "/order":
-            return standin.answer(self.order(json.loads(req.body)))
-        if req.path.startswith("/stage-get/"):
-            return standin.answer(200, b'{"held": []}')
-        return standin.answer(200) if self.layers == self.LAYERS else standin.answer(503, X_Not_Executed="1")
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                req = await standin.read_request(reader)
-                if req.path == "/report":
-                    await asyncio.sleep(self.report_delay_s)
-                writer.write(self.respond(req))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass  # the agent left, or the test is over
-        finally:
-            writer.close()
-
-
 class Fleet(platform_fleet.Fleet):
     def __init__(self, folder):
         super().__init__(folder, ROUTERS, AGENTS, backends=1, seeds=SEEDS)
         self.servers = [standin.Backend("web-1", "web", self.backend_ports[0], standin.Record(), RNG)]
-        self.model_servers = [OrderedServer() for _ in range(AGENTS)]
+        self.model_servers = [standin.OrderedServer() for _ in range(AGENTS)]
         self.agent_settings = f"[weights]\ndeadline_ms = {DEADLINE_MS}\n"
 
     def model_server(self, number):
--- a/tests/test_store_times.cpp
+++ b/tests/test_store_times.cpp
@@ -103,37 +103,37 @@
 BOOST_AUTO_TEST_CASE(a_bound_is_never_after_the_write_and_close_to_it)
 {
     ALDERVALE_PROPERTY("bounds of random histories of several readers hold",
-            []
-            {
-                constexpr int    kReaders = 6;
-                constexpr auto   kPeriod  = milliseconds(950); // between two answers to a reader
-                const auto       ahead    = milliseconds(*rc::gen::inRange(-100'000, 100'000));
-                const auto       way_max  = *rc::gen::inRange(1, 40);
-                FakeStore        store{ahead};
-                Reader           own;
-                std::vector<int> phases;
-                for (int i = 0; i < kReaders; i++)
-                    phases.push_back(*rc::gen::inRange(0, 950));
-                const TimePoint written = kStart + seconds(3) + milliseconds(*rc::gen::inRange(0, 950));
-                TimePoint       last{}; // answer to any reader before the write
-                own.Read(store, kStart, milliseconds(1));
-                for (int round = 0; round < 4; round++)
-                    for (int i = 0; i < kReaders; i++)
-                    {
-                        const TimePoint made = kStart + kPeriod * round + milliseconds(phases[static_cast<size_t>(i)]);
-                        const auto      way  = milliseconds(*rc::gen::inRange(1, way_max + 1));
-                        if (made >= written)
-                            continue;
-                        last = std::max(last, made);
-                        if (i == 0)
-                            own.Read(store, made, way, milliseconds(*rc::gen::inRange(0, 350)));
-                        else
-                            own.m_Times.OnTold(store.At(made));
-                    }
-                store.m_Version++;
-                const TimePoint bound = own.m_Times.NotBefore(store.m_Version, written + seconds(1));
-                RC_ASSERT(bound <= written);
-                RC_ASSERT(bound <= last);
-                RC_ASSERT(last - bound < milliseconds(50));
-            });
+                       []
+                       {
+                           constexpr int    kReaders = 6;
+                           constexpr auto   kPeriod  = milliseconds(950); // between two answers to a reader
+                           const auto       ahead    = milliseconds(*rc::gen::inRange(-100'000, 100'000));
+                           const auto       way_max  = *rc::gen::inRange(1, 40);
+                           FakeStore        store{ahead};
+                           Reader           own;
+                           std::vector<int> phases;
+                           for (int i = 0; i < kReaders; i++)
+                               phases.push_back(*rc::gen::inRange(0, 950));
+                           const TimePoint written = kStart + seconds(3) + milliseconds(*rc::gen::inRange(0, 950));
+                           TimePoint       last{}; // answer to any reader before the write
+                           own.Read(store, kStart, milliseconds(1));
+                           for (int round = 0; round < 4; round++)
+                               for (int i = 0; i < kReaders; i++)
+                               {
+                                   const TimePoint made = kStart + kPeriod * round + milliseconds(phases[static_cast<size_t>(i)]);
+                                   const auto      way  = milliseconds(*rc::gen::inRange(1, way_max + 1));
+                                   if (made >= written)
+                                       continue;
+                                   last = std::max(last, made);
+                                   if (i == 0)
+                                       own.Read(store, made, way, milliseconds(*rc::gen::inRange(0, 350)));
+                                   else
+                                       own.m_Times.OnTold(store.At(made));
+                               }
+                           store.m_Version++;
+                           const TimePoint bound = own.m_Times.NotBefore(store.m_Version, written + seconds(1));
+                           RC_ASSERT(bound <= written);
+                           RC_ASSERT(bound <= last);
+                           RC_ASSERT(last - bound < milliseconds(50));
+                       });
 }
