A slow sender's pieces don't narrow the box that fetches them

Cause: a piece that comes late from a sender with a narrow link was taken for slowness of the own link: the box halved its slots, kept them so over later fetches, and left slots to pieces that weren't in its queue. Asking nothing of the origin while a piece was in flight made that worse. Change: once a piece that was asked for later has come within 0.4 s, earlier ones aren't in this box's queue: they free their slots, and the time that they took doesn't count for the link. While all slots are taken by such pieces one more is asked for every 0.6 s. Slots are kept between fetches that follow each other; after 2 s without pieces a fetch begins with two. The origin is asked as before.

--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -32,7 +32,7 @@
     bool                             IsComplete() const { return m_List && m_Count == m_Pieces.size(); }
 };
 
-constexpr unsigned kPieceSlotsFirst = 1; // pieces in flight from neighbours when a fetch begins: the link may be narrower than declared
+constexpr unsigned kPieceSlotsFirst = 2; // pieces in flight from neighbours when a fetch begins: the link may be narrower than declared
 constexpr unsigned kPieceSlotsMax   = 5; // upper bound of pieces in flight from neighbours
 
 // Returns the number of pieces to request at a time, given how long the last one took. Traffic of live requests queues behind all pieces that are in
@@ -53,23 +53,26 @@
 
 // Pieces that neighbours were asked for and that may still be on their way to this box. The link to the box is one queue for all of them and for live
 // requests, so the limit holds for the box: pieces of a fetch that was given up, and those that a fetch no longer waits for, count until they arrive
-// or can't arrive any more. Pure.
+// or can't be in that queue any more. They aren't in it once a piece that was asked for later has come quickly: their sender is slow, or stands
+// still. Pure.
 class PiecesInFlight
 {
 public:
-    unsigned Slots() const { return m_Slots; } // limit; 1 to kPieceSlotsMax
-    void     OnFetchBegun() { m_Slots = std::min(m_Slots, kPieceSlotsFirst); }
-    void     OnPiece(Duration took) { m_Slots = NextPieceSlots(m_Slots, took); }
-
+    unsigned Slots() const { return m_Slots; }      // limit; 1 to kPieceSlotsMax
+    void     OnFetchBegun(TimePoint now);           // after a while without pieces the link may have become narrow
+    void     OnPiece(Duration took, TimePoint now); // `took` without the wait in the sender's upload queue
     uint64_t OnAsked(TimePoint now);                // returns a number for OnGone()
-    void     OnGone(uint64_t asked);                // it arrived, or its link closed
+    bool     OnGone(uint64_t asked, bool quickly);  // it arrived, or its link closed; false: the time that it took says nothing of this box's link
+    bool     Counts(uint64_t asked) const { return m_AskedAt.contains(asked); }
     unsigned Count(TimePoint now);                  // without those asked for longer than kPieceInFlightMax ago
     unsigned SlotsFor(unsigned own, TimePoint now); // that a fetch may use which has `own` pieces in flight itself
 
 private:
-    unsigned                      m_Slots = kPieceSlotsFirst;
-    uint64_t                      m_Last  = 0; // number of the newest piece
-    std::map<uint64_t, TimePoint> m_AskedAt;   // by number
+    unsigned                      m_Slots = kPieceSlotsFirst; //
+    uint64_t                      m_Last  = 0;                // number of the newest piece
+    TimePoint                     m_LastAskedAt{};            // when it was asked for
+    TimePoint                     m_LastPieceAt{};            // when OnPiece() was last called
+    std::map<uint64_t, TimePoint> m_AskedAt;                  // by number
 };
 
 class PieceTransfer
@@ -111,6 +114,7 @@
     struct PeerAnswer // a neighbour's answer to one request for a piece
     {
         ChunkOutcome m_Outcome = ChunkOutcome_Failed; //
+        bool         m_ByLink  = true;                // the time that it took may be due to this box's link
         Duration     m_Waited{};                      // time that the piece waited in the neighbour's upload queue
     };
 
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -12,6 +12,9 @@
 constexpr auto     kPieceOverhead    = milliseconds(60);   // of a piece beside its time on the link: work of the other box and the round trip
 constexpr unsigned kCorruptPiecesMax = 4;                  // corrupt pieces from the origin after which its list of digests is read again
 constexpr auto     kSlowdownMaxAge   = seconds(2);         // after the last piece: traffic that queued on the link has been sent by then
+constexpr auto     kSlotsMaxAge      = seconds(2);         // after the last piece: until then a fetch begins with as many slots as the one before had
+constexpr auto     kPieceQuick       = milliseconds(400);  // of a piece that didn't queue on this box's link
+constexpr auto     kPieceProbeEvery  = milliseconds(600);  // while all slots are taken by pieces that may never come
 
 } // namespace
 
@@ -45,7 +48,7 @@
     const bool good      = answer.m_Outcome == ChunkOutcome_Good;
     const bool failed    = answer.m_Outcome == ChunkOutcome_Failed;
     const bool timed_out = failed && took >= kPieceTimeout; // a link that closed at once gives no information about this box's link
-    if (good || timed_out)
+    if ((good || timed_out) && answer.m_ByLink)
         AdaptSlots(job, took - std::min(took, answer.m_Waited)); // the wait in the neighbour's queue is not time on this box's link
     if (good)
         job.m_Exchange->OnUploadQueueWait(peer, answer.m_Waited, Now());
@@ -63,15 +66,30 @@
     return took < kQuick + kQuickEach * static_cast<int>(slots) ? std::min(kPieceSlotsMax, slots + 1) : slots;
 }
 
+void PiecesInFlight::OnFetchBegun(TimePoint now)
+{
+    if (now - m_LastPieceAt > kSlotsMaxAge)
+        m_Slots = std::min(m_Slots, kPieceSlotsFirst);
+}
+
+void PiecesInFlight::OnPiece(Duration took, TimePoint now)
+{
+    m_Slots       = NextPieceSlots(m_Slots, took);
+    m_LastPieceAt = now;
+}
+
 uint64_t PiecesInFlight::OnAsked(TimePoint now)
 {
+    m_LastAskedAt       = now;
     m_AskedAt[++m_Last] = now;
     return m_Last;
 }
 
-void PiecesInFlight::OnGone(uint64_t asked)
+bool PiecesInFlight::OnGone(uint64_t asked, bool quickly)
 {
-    m_AskedAt.erase(asked);
+    if (quickly)
+        m_AskedAt.erase(m_AskedAt.begin(), m_AskedAt.lower_bound(asked));
+    return m_AskedAt.erase(asked) > 0;
 }
 
 unsigned PiecesInFlight::Count(TimePoint now)
@@ -85,7 +103,9 @@
 {
     const unsigned count  = Count(now);
     const unsigned others = count > own ? count - own : 0;
-    return m_Slots > others ? m_Slots - others : 0;
+    if (m_Slots > others)
+        return m_Slots - others;
+    return own == 0 && now - m_LastAskedAt >= kPieceProbeEvery ? 1 : 0; // shows whether they are in this box's queue
 }
 
 void LinkSlowdown::OnPiece(Duration took, Duration expected, TimePoint now)
@@ -108,7 +128,7 @@
 {
     const double piece_s = m_LinkBytesPerSecond > 0 ? static_cast<double>(job.m_Manifest->m_ChunkSize) / m_LinkBytesPerSecond : 0;
     m_LinkSlowdown.OnPiece(took, kPieceOverhead + FromSeconds(piece_s * m_InFlight.Slots()), Now());
-    m_InFlight.OnPiece(took);
+    m_InFlight.OnPiece(took, Now());
 }
 
 ChunkOutcome PieceTransfer::StorePiece(Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from)
@@ -143,25 +163,29 @@
         link->CloseExchange(box->Id());
         co_return PeerAnswer{};
     }
-    const uint64_t                asked  = m_InFlight.OnAsked(Now());
-    const std::optional<FrameBuf> answer = co_await box->Pop(Now() + kPieceTimeout);
+    const TimePoint               asked_at = Now();
+    const uint64_t                asked    = m_InFlight.OnAsked(asked_at);
+    const std::optional<FrameBuf> answer   = co_await box->Pop(asked_at + kPieceTimeout);
     if (!answer && !box->Closed())
     {
         asio::co_spawn(
             m_Ioc, [this, link, box, asked] { return AwaitLatePiece(link, box, asked); }, asio::detached);
-        co_return PeerAnswer{};
+        co_return PeerAnswer{ChunkOutcome_Failed, m_InFlight.Counts(asked), {}};
     }
-    m_InFlight.OnGone(asked);
+    const bool has_piece = answer && answer->Get()->body_as_ChunkData() != nullptr;
+    const bool by_link   = m_InFlight.OnGone(asked, has_piece && Now() - asked_at < kPieceQuick);
     link->CloseExchange(box->Id());
     if (!answer || job->m_Finished)
         co_return PeerAnswer{};
-    co_return TakeAnswer(*job, f, *answer);
+    PeerAnswer out = TakeAnswer(*job, f, *answer);
+    out.m_ByLink   = by_link;
+    co_return out;
 }
 
 awaitable<void> PieceTransfer::AwaitLatePiece(LinkPtr link, MailboxPtr box, uint64_t asked)
 {
     co_await box->Pop(Now() + (kPieceInFlightMax - kPieceTimeout));
-    m_InFlight.OnGone(asked);
+    m_InFlight.OnGone(asked, false);
     link->CloseExchange(box->Id());
     Pump(m_Job);
 }
@@ -169,14 +193,14 @@
 PieceTransfer::PeerAnswer PieceTransfer::TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer)
 {
     if (const wire::ChunkRefused* refused = answer.Get()->body_as_ChunkRefused())
-        return {refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing, {}};
+        return {refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing, true, {}};
     const wire::ChunkData* data = answer.Get()->body_as_ChunkData();
     if (data == nullptr || data->bytes() == nullptr || data->index() != f.m_Chunk)
-        return {ChunkOutcome_Corrupt, {}};
+        return {ChunkOutcome_Corrupt, true, {}};
     m_BytesPeers += data->bytes()->size();
     std::vector<uint8_t> bytes(data->bytes()->begin(), data->bytes()->end());
     const ChunkOutcome   outcome = StorePiece(job, f.m_Chunk, std::move(bytes), f.m_Peer);
-    return {outcome, milliseconds(data->waited_ms())};
+    return {outcome, true, milliseconds(data->waited_ms())};
 }
 
 awaitable<ChunkOutcome> PieceTransfer::FromOrigin(std::shared_ptr<Job> job, uint32_t n)
--- a/src/version/piece_transfer_job.cpp
+++ b/src/version/piece_transfer_job.cpp
@@ -83,7 +83,7 @@
     m_Job->m_Version     = version;
     m_Job->m_StartedAt   = Now();
     m_Job->m_LastPieceAt = m_Job->m_StartedAt;
-    m_InFlight.OnFetchBegun();
+    m_InFlight.OnFetchBegun(Now());
     LogEvent(Event_VersionFetchStarted, {{"model", m_Model}, {"version", version}});
     wire::HaveUpdateT ask; // this also notifies neighbours of the version, and they answer with what they have
     ask.digest = NameOf(version);
@@ -192,10 +192,9 @@
                                          {"peer_bytes", job->m_Exchange->BytesFromPeers()}});
         return;
     }
-    const TimePoint now           = Now();
-    const bool      narrow_in_use = Slowdown() > 1 && m_InFlight.Count(now) > 0; // pieces from the origin come over the same link
+    const TimePoint now = Now();
     job->m_Exchange->SetDownloadSlots(m_InFlight.SlotsFor(job->m_FromPeers, now));
-    job->m_Exchange->SuspendOrigin(!m_DeclaredOrigin || now < job->m_OriginAllowedAt || narrow_in_use);
+    job->m_Exchange->SuspendOrigin(!m_DeclaredOrigin || now < job->m_OriginAllowedAt);
     for (const Fetch& f : job->m_Exchange->Next(now))
     {
         if (job->m_Finished)
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -586,27 +586,53 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(pieces_that_a_fetch_no_longer_waits_for_take_slots_until_they_cannot_come_any_more)
+BOOST_AUTO_TEST_CASE(pieces_that_a_fetch_no_longer_waits_for_take_slots_until_they_cannot_be_on_the_link)
 {
     const TimePoint start = TimePoint{} + seconds(100);
     PiecesInFlight  flight;
     for (int i = 0; i < 12; i++)
-        flight.OnPiece(milliseconds(20));
+        flight.OnPiece(milliseconds(20), start);
     BOOST_TEST(flight.Slots() == kPieceSlotsMax);
     const uint64_t first = flight.OnAsked(start);
     flight.OnAsked(start + seconds(1));
     BOOST_TEST(flight.SlotsFor(2, start + seconds(1)) == kPieceSlotsMax); // both are the fetch's own
     BOOST_TEST(flight.SlotsFor(0, start + seconds(1)) == kPieceSlotsMax - 2);
-    flight.OnGone(first);
+    flight.OnGone(first, false);
     BOOST_TEST(flight.SlotsFor(0, start + seconds(1)) == kPieceSlotsMax - 1);
     BOOST_TEST(flight.SlotsFor(0, start + seconds(1) + kPieceInFlightMax + milliseconds(1)) == kPieceSlotsMax);
-    flight.OnFetchBegun();
-    BOOST_TEST(flight.Slots() == kPieceSlotsFirst);
     for (unsigned i = 0; i < kPieceSlotsMax; i++)
         flight.OnAsked(start + seconds(10));
     BOOST_TEST(flight.SlotsFor(0, start + seconds(10)) == 0u);
 }
 
+// Guards against a box with a good link that waits for pieces which a sender with a narrow link holds up.
+BOOST_AUTO_TEST_CASE(pieces_of_a_slow_sender_leave_their_slots_to_those_of_quick_ones)
+{
+    const TimePoint start = TimePoint{} + seconds(100);
+    PiecesInFlight  flight;
+    const uint64_t  slow = flight.OnAsked(start);
+    flight.OnAsked(start);
+    BOOST_TEST(flight.SlotsFor(0, start) == 0u);
+    BOOST_TEST(flight.SlotsFor(0, start + seconds(1)) == 1u); // one piece is tried
+    const uint64_t tried = flight.OnAsked(start + seconds(1));
+    BOOST_TEST(flight.SlotsFor(0, start + seconds(1)) == 0u);
+    BOOST_TEST(flight.OnGone(tried, true));
+    BOOST_TEST(flight.Count(start + seconds(1)) == 0u);
+    BOOST_TEST(!flight.OnGone(slow, false)); // says nothing of this box's link
+}
+
+BOOST_AUTO_TEST_CASE(a_fetch_after_a_pause_begins_with_one_piece)
+{
+    const TimePoint start = TimePoint{} + seconds(100);
+    PiecesInFlight  flight;
+    for (int i = 0; i < 12; i++)
+        flight.OnPiece(milliseconds(20), start);
+    flight.OnFetchBegun(start + seconds(1));
+    BOOST_TEST(flight.Slots() == kPieceSlotsMax); // the link was as wide just now
+    flight.OnFetchBegun(start + seconds(4));
+    BOOST_TEST(flight.Slots() == kPieceSlotsFirst);
+}
+
 BOOST_AUTO_TEST_CASE(a_link_counts_as_slow_while_pieces_take_long_on_it)
 {
     const TimePoint start = TimePoint{} + seconds(100);
