--- a/tests/test_older_weights_after_deadline.py
+++ b/tests/test_older_weights_after_deadline.py
@@ -6,7 +6,6 @@
   tests/test_older_weights_after_deadline.py FOLDER_OF_PROGRAMS [NAME_OF_TEST ...]
 """
 import asyncio
-import json
 import time
 import unittest
 from collections import Counter
@@ -24,57 +23,15 @@
 DEADLINE_MS = 4000   # of the agents' servers
 STOP_EARLY_S = 1.0   # longest time before the deadline from which a server may refuse requests
 LATE_REQUESTS = 5    # that arrive at a server after it has stopped
-
-
-class OrderedServer:
-    """A model server that holds version 1 and none of the pieces of a newer one. It takes orders to start, and begins requests on what it holds."""
-
-    LAYERS = 16
-
-    def __init__(self):
-        self.layers = self.LAYERS  # that it holds, from the first one on
-        self.orders = 0
-
-    def report(self):
-        held = {"From": 0, "TargetVersion": self.layers, "Version": 1} if self.layers else None
-        models = [{"Name": "m", "Version": 1}] if self.layers else []
-        return {"Running": 0, "Queued": 0, "pace": 1, "CallSeq": self.orders, "Models": models, "layers": held}
-
-    def order(self, wanted):
-        if wanted.get("ExpectRev", self.orders) != self.orders or wanted["Version"] != 1:
-            return 409
-        layers = wanted.get("TargetVersion", self.LAYERS) - wanted.get("From", 0)
-        if layers == self.layers:
-            return 200
-        self.layers = layers
-        self.orders += 1
-        return 202
-
-    def respond(self, req):
-        if req.path == "/report":
-            return standin.answer(200, json.dumps(self.report()).encode())
-        if req.path == "/order":
-            return standin.answer(self.order(json.loads(req.body)))
-        if req.path.startswith("/stage-get/"):
-            return standin.answer(200, b'{"held": []}')
-        return standin.answer(200) if self.layers == self.LAYERS else standin.answer(503, X_Not_Executed="1")
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                writer.write(self.respond(await standin.read_request(reader)))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass  # the agent left, or the test is over
-        finally:
-            writer.close()
+REPORT_DELAY_S = 2   # of a server's report: agents don't wait that long
+BOUND_ERROR_S = 0.15  # a router relates the store's clock to its own by exchanges that a loaded machine delays
 
 
 class Fleet(platform_fleet.Fleet):
     def __init__(self, folder):
         super().__init__(folder, ROUTERS, AGENTS, backends=1, seeds=SEEDS)
         self.servers = [standin.Backend("web-1", "web", self.backend_ports[0], standin.Record(), RNG)]
-        self.model_servers = [OrderedServer() for _ in range(AGENTS)]
+        self.model_servers = [standin.OrderedServer() for _ in range(AGENTS)]
         self.agent_settings = f"[weights]\ndeadline_ms = {DEADLINE_MS}\n"
 
     def model_server(self, number):
@@ -138,6 +95,18 @@
             self.assertGreaterEqual(declared, begun, f"{router.name} counts from before the store was last read; logs: {self.fleet.folder}")
             self.assertLessEqual(declared, acknowledged, f"{router.name} counts from {late_ms} ms after it; logs: {self.fleet.folder}")
 
+    async def test_deadline_counts_from_answers_of_the_store_not_from_requests(self):
+        await self.wait_until_read_again()
+        end = time.monotonic() + LIMIT_S
+        while self.fleet.store.feeds["op"] == 0:  # a reader waits for the change
+            self.assertLess(time.monotonic(), end, f"logs: {self.fleet.folder}")
+            await asyncio.sleep(0)
+        self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
+        answered = min(at for (_, table), at in self.fleet.store.feeds_answered.items() if table == "op")
+        for router in self.fleet.routers:
+            early_ms = round((answered - await self.declaration_time(router)) * 1000)
+            self.assertLess(early_ms, BOUND_ERROR_S * 1000, f"{router.name} counts from {early_ms} ms before the store last answered; logs: {self.fleet.folder}")
+
     async def stop_time(self, agent):
         """When the server beside the agent began to refuse requests."""
         end = time.monotonic() + LIMIT_S
@@ -156,6 +125,29 @@
             late = [await self.fleet.arrive(agent) for _ in range(LATE_REQUESTS)]
             self.assertNotIn(200, late, f"the server beside {agent.name} begins requests again; logs: {self.fleet.folder}")
 
+    async def test_server_whose_reports_time_out_begins_on_older_weights(self):
+        await self.wait_until_read_again()
+        self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
+        for router in self.fleet.routers:
+            await self.declaration_time(router)
+        for server in self.fleet.model_servers:
+            server.report_delay_s = REPORT_DELAY_S
+        for agent in self.fleet.agents:
+            await self.stop_time(agent)
+
+    async def test_restarted_agent_that_is_not_told_the_time_leaves_its_server_running(self):
+        await self.wait_until_read_again()
+        self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
+        for router in self.fleet.routers:
+            await self.declaration_time(router)
+        self.fleet.agents[0].kill()
+        for router in self.fleet.routers:
+            router.pause()
+        self.fleet.agents[0].start()
+        await self.stop_time(self.fleet.agents[0])
+        for router in self.fleet.routers:
+            router.go_on()
+
 
 if __name__ == "__main__":
     platform_fleet.main()
