Bounds of declaration times don't count times of receipt, and a rewritten row never takes a later one

Found by review, by reading; no failure was seen. - A bound also counted from when any router had the store's confirmation in hand, less 1.6 s. An answer may take longer than that (patience grows to 2.4 s, a long one flows on for seconds), a datagram queues, and a router that stood still takes what waited as said just now. Only answers' own times count now; StoreTimes has those of all readers. - A row written again with the same value got the bound of the read if the former one was unknown. It now records that nothing is known, and that replaces the read's bound; fetchers are told so. - Rows of one transaction have one version: the earliest of their bounds holds for all. - Whether an answer was prompt is measured by this process's clock, which doesn't depend on the clocks' difference; the drift allowance covers clocks that are being adjusted. - Boxes aren't told of a bound again for less than 10 ms.

--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -19,9 +19,9 @@
 constexpr auto   kGoOnMax      = milliseconds(1000); // since versions were confirmed, for reading to go on after them: few are missed in that time
 constexpr size_t kLinkQueueMax = kFrameMax;          // bytes queued to an asker that doesn't read: one answer
 constexpr size_t kServingMax   = 64;                 // askers at once: all routers of a region of 300 boxes
-constexpr auto   kConfirmedMax = milliseconds(1600); // age of what an answer confirms when it comes: a standing request, the answer's time limit
 constexpr size_t kDataMax      = kFrameMax - 4096;   // bytes of compressed rows in one frame; longer ones are left to the store
 constexpr size_t kBoundsKept   = 32;                 // rows whose bounds are kept
+constexpr auto   kRefineStep   = milliseconds(10);   // a smaller gain isn't worth telling all boxes
 constexpr auto   kRefineMax    = milliseconds(1000); // after a row was learned: until then all that was answered before is told
 
 uint32_t AgeMs(TimePoint now, TimePoint at)
@@ -106,26 +106,24 @@
 
 void DeclarationsPeers::OnStoreRead(const RowRead& read, TableRead kind)
 {
-    const uint64_t  held      = m_Rows.Version();
-    const TimePoint confirmed = m_Spread.CheckedAt() == TimePoint{} ? TimePoint{} : m_Spread.CheckedAt() - kConfirmedMax; // by any router
-    RecordBounds(read, kind, confirmed);
+    const uint64_t held = m_Rows.Version();
+    RecordBounds(read, kind);
     RefineBounds(Now());
     const bool newer = kind == TableRead_Whole ? m_Rows.TakeAll(read) : m_Rows.TakeChanges(read);
     if (read.m_StoreVersion >= m_Rows.Version()) // else it lags behind what others gave, and confirms nothing
         m_Spread.OnStoreAnswer(m_Rows.Version(), Now(), BytesOf(read));
     OnBelief();
     if (newer)
-        Hold({{}, Now(), std::max(read.m_NotBefore, confirmed), held, std::string(kFromStore)});
+        Hold({{}, Now(), read.m_NotBefore, held, std::string(kFromStore)});
     else
         Tell(); // others count how long ago the store confirmed: by the next round of news it would be a quarter of a second more
 }
 
-// A row that was written again with the same value keeps its bound: what it declares was declared then. Of changes each version of a row is read, so
-// the first one is the declaration; of a whole table only the newest is, and the value may be as old as the last complete read.
-void DeclarationsPeers::RecordBounds(const RowRead& read, TableRead kind, TimePoint confirmed)
+// A row that was written again with the same value keeps its bound, also an unknown one: what it declares was declared then. Of changes each version
+// of a row is read, so the first one is the declaration; of a whole table only the newest is, and the value may be as old as the last complete read.
+void DeclarationsPeers::RecordBounds(const RowRead& read, TableRead kind)
 {
-    const TimePoint                        now  = Now();
-    const TimePoint                        base = std::max(read.m_NotBefore, confirmed);
+    const TimePoint                        now = Now();
     std::map<std::string_view, const Row*> before; // the row that each one of the read replaces
     for (const Row& row : read.m_Rows)
     {
@@ -136,22 +134,22 @@
         earlier->second             = &row;
         if (old != nullptr && old->m_Value == row.m_Value)
         {
-            if (const auto known = m_Bounds.find(old->m_Version); known != m_Bounds.end())
-                RecordBound(row.m_Version, {known->second.m_NotBefore, {}});
+            RecordBound(row.m_Version, {WrittenSince(old->m_Version).value_or(TimePoint{}), {}});
             continue;
         }
         if (kind == TableRead_Changes)
-            RecordBound(row.m_Version, {std::max(base, m_Times.NotBefore(row.m_Version, now)), now + kRefineMax});
+            RecordBound(row.m_Version, {std::max(read.m_NotBefore, m_Times.NotBefore(row.m_Version, now)), now + kRefineMax});
         else
-            RecordBound(row.m_Version, {base, {}});
+            RecordBound(row.m_Version, {read.m_NotBefore, {}});
     }
 }
 
+// Rows of one transaction have the same version: the earliest of their bounds holds for all.
 void DeclarationsPeers::RecordBound(uint64_t row_version, const RowBound& bound)
 {
-    if (bound.m_NotBefore == TimePoint{})
-        return;
-    m_Bounds.emplace(row_version, bound);
+    const auto [known, added] = m_Bounds.emplace(row_version, bound);
+    if (!added)
+        known->second = {std::min(known->second.m_NotBefore, bound.m_NotBefore), {}};
     if (m_Bounds.size() > kBoundsKept)
         m_Bounds.erase(m_Bounds.begin());
 }
@@ -161,7 +159,7 @@
     for (auto& [row_version, bound] : m_Bounds)
     {
         const TimePoint later = now < bound.m_RefinedUntil ? m_Times.NotBefore(row_version, now) : TimePoint{};
-        if (later <= bound.m_NotBefore)
+        if (later < bound.m_NotBefore + kRefineStep)
             continue;
         bound.m_NotBefore = later;
         if (m_OnBound)
@@ -169,10 +167,10 @@
     }
 }
 
-TimePoint DeclarationsPeers::WrittenSince(uint64_t row_version) const
+std::optional<TimePoint> DeclarationsPeers::WrittenSince(uint64_t row_version) const
 {
     const auto it = m_Bounds.find(row_version);
-    return it == m_Bounds.end() ? TimePoint{} : it->second.m_NotBefore;
+    return it == m_Bounds.end() ? std::nullopt : std::optional(it->second.m_NotBefore);
 }
 
 void DeclarationsPeers::OnStoreBack()
@@ -410,7 +408,7 @@
     {
         wire::RowBoundT b;
         b.version           = it->first;
-        b.not_before_age_ms = static_cast<int32_t>(AgeMs(now, it->second.m_NotBefore));
+        b.not_before_age_ms = it->second.m_NotBefore == TimePoint{} ? -1 : static_cast<int32_t>(AgeMs(now, it->second.m_NotBefore));
         data.row_bounds.push_back(std::make_unique<wire::RowBoundT>(std::move(b)));
     }
     data.version       = m_Texts.back().m_Version;
--- a/src/process/declarations_peers.h
+++ b/src/process/declarations_peers.h
@@ -68,8 +68,9 @@
     using ServersHandler = std::function<FrameBytes(uint64_t exchange)>;
     void SetOnServersAsked(ServersHandler fn) { m_OnServersAsked = std::move(fn); }
 
-    TimePoint WrittenSince(uint64_t row_version) const; // the row's value wasn't written before; default: unknown
-    void      SetOnBound(BoundHandler fn) { m_OnBound = std::move(fn); }
+    // The row's value wasn't written before; default: unknown. nullopt: nothing was recorded of that row.
+    std::optional<TimePoint> WrittenSince(uint64_t row_version) const;
+    void                     SetOnBound(BoundHandler fn) { m_OnBound = std::move(fn); }
 
     const Endpoint&           Self() const { return m_Self.m_Address; }
     const DeclarationsSpread& Spread() const { return m_Spread; }
@@ -78,7 +79,7 @@
 private:
     struct RowBound
     {
-        TimePoint m_NotBefore{};    //
+        TimePoint m_NotBefore{};    // default: unknown
         TimePoint m_RefinedUntil{}; // further answers of the store may give a later bound; default: it is final
     };
     struct Text // rows as text
@@ -88,7 +89,7 @@
         TimePoint   m_NotBefore{}; // rows newer than those of the text before were written since; default: unknown
     };
 
-    void                    RecordBounds(const RowRead& read, TableRead kind, TimePoint confirmed); // before the rows are taken
+    void                    RecordBounds(const RowRead& read, TableRead kind); // before the rows are taken
     void                    RecordBound(uint64_t row_version, const RowBound& bound);
     void                    RefineBounds(TimePoint now);
     void                    LogReading(TimePoint now) const;
--- a/src/process/store_times.cpp
+++ b/src/process/store_times.cpp
@@ -55,7 +55,7 @@
     if (!m_Difference || measured.m_Most <= m_Difference->MostAt(received))
         m_Difference = measured;
     const TimePoint made = ToOwnClock(answered.m_StoreMs, received) - kAnswerMade;
-    if (made > asked + wait + kPromptMax)
+    if (received - asked > wait + kPromptMax)
         return asked;
     if (!Add(answered))
     {
--- a/src/process/store_times.h
+++ b/src/process/store_times.h
@@ -29,7 +29,7 @@
 
 constexpr auto   kPromptMax  = milliseconds(150); // for an answer beyond the wait that was asked for
 constexpr auto   kAnswerMade = milliseconds(20);  // from looking at rows until the clock is read, at most, in a prompt answer
-constexpr double kDriftShare = 2e-4;              // of the age of a clock difference: quartz clocks differ by less
+constexpr double kDriftShare = 6e-4;              // of the age of a clock difference: clocks that are being adjusted differ by less
 
 struct StoreMoment
 {
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -181,8 +181,9 @@
     // Before the first read is over, what it tells may have been named at any time. A row that was held before tells nothing new.
     if (r.m_OperatorRead && named.m_RowVersion > r.m_RowsHeld)
     {
-        naming = EstimateDeclarationTime(std::max(r.m_RowsNotBefore, r.m_Peers->WrittenSince(named.m_RowVersion)), r.m_LearnedAt, now, deadline);
-        naming.m_RowVersion = named.m_RowVersion;
+        const TimePoint not_before = r.m_Peers->WrittenSince(named.m_RowVersion).value_or(r.m_RowsNotBefore);
+        naming                     = EstimateDeclarationTime(not_before, r.m_LearnedAt, now, deadline);
+        naming.m_RowVersion        = named.m_RowVersion;
     }
     const bool news = RecordTargetVersion(r.m_World, named.m_Model, named.m_Version, naming, now);
     if (news)
