An agent's own time of hearing of a version no longer stands for its declaration

A version that an agent read itself or heard of from a neighbour counted as declared then, up to 40 s late, and routers took its report for the promise to stop in time. Change: only a time that a router told counts; until one does, the server is stopped 1.5 s after the version was heard of. A time that is told later drops bounds after it. A server whose order was last reported under way over a second ago, and that doesn't report since, is stopped as well. An order to stop is looked at again right before it is given, and a dead server is asked once a second.

--- a/src/programs/platform_agent.cpp
+++ b/src/programs/platform_agent.cpp
@@ -64,7 +64,7 @@
     a.m_Keeper->SetModel(a.m_Known->Model());
     const DeclaredVersion newest = a.m_Known->Newest();
     if (newest.m_Version > 0)
-        a.m_Keeper->OnTargetVersion(newest.m_Version, newest.m_At);
+        a.m_Keeper->OnTargetVersion(newest.m_Version, newest.m_At, newest.m_Told);
 }
 
 void OnRouterUpdate(Agent& a, const ModelNaming& named)
--- a/src/version/model_knowledge.cpp
+++ b/src/version/model_knowledge.cpp
@@ -61,11 +61,14 @@
     m_RouterUpdateAt    = now;
     const bool changed  = ApplyDeclarations(naming.m_Declared, naming.m_Model, OriginOf(naming));
     const bool has_time = naming.m_At != TimePoint{};
-    RecordVersion(naming.m_Model, {naming.m_Version, has_time ? naming.m_At : ReceiveTime(now)});
-    // The same version may be there from the first read, with an unknown time.
+    RecordVersion(naming.m_Model, {naming.m_Version, has_time ? naming.m_At : ReceiveTime(now), has_time});
+    // The same version may be there from a read or from a neighbour, with an unknown time or that of its receipt.
     DeclaredVersion& newest = m_NewestByModel[naming.m_Model];
-    if (has_time && naming.m_Version == newest.m_Version && newest.m_At == TimePoint{})
-        newest.m_At = naming.m_At;
+    if (has_time && naming.m_Version == newest.m_Version && !newest.m_Told)
+    {
+        newest.m_At   = newest.m_At == TimePoint{} ? naming.m_At : std::min(newest.m_At, naming.m_At);
+        newest.m_Told = true;
+    }
     return changed;
 }
 
@@ -88,13 +91,13 @@
 
 void ModelKnowledge::OnRow(std::string_view model, uint64_t version, TimePoint now)
 {
-    RecordVersion(model, {version, ReceiveTime(now)});
+    RecordVersion(model, {version, ReceiveTime(now), false});
 }
 
 void ModelKnowledge::OnNeighbourVersion(uint64_t version, TimePoint now)
 {
     if (!m_Model.empty())
-        RecordVersion(m_Model, {version, ReceiveTime(now)});
+        RecordVersion(m_Model, {version, ReceiveTime(now), false});
 }
 
 // Only a newer version replaces the recorded one: later reads repeat it, and the first time of receipt is the most accurate.
--- a/src/version/model_knowledge.h
+++ b/src/version/model_knowledge.h
@@ -36,8 +36,9 @@
 
 struct DeclaredVersion
 {
-    uint64_t  m_Version = 0; // 0: none
-    TimePoint m_At{};        // time of declaration; default: unknown
+    uint64_t  m_Version = 0;  // 0: none
+    TimePoint m_At{};         // time of declaration; default: unknown
+    bool      m_Told = false; // by a router; else m_At is when this process heard of it, which may be long after
 };
 
 class ModelKnowledge // used on one thread only
--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -11,17 +11,24 @@
 
 }
 
-void StartPlan::OnTargetVersion(uint64_t version, TimePoint declared_at, TimePoint now)
+void StartPlan::OnTargetVersion(uint64_t version, TimePoint declared_at, bool told, TimePoint now)
 {
     const auto known = m_DeclaredAt.find(version);
-    if (known != m_DeclaredAt.end() && known->second == TimePoint{}) // read first, as after a restart, and told with its time now
-        known->second = declared_at;
-    if (!m_DeclaredAt.empty() && version <= m_DeclaredAt.rbegin()->first)
+    const bool newer = m_DeclaredAt.empty() || version > m_DeclaredAt.rbegin()->first;
+    if (known == m_DeclaredAt.end() && !newer)
         return;
-    m_DeclaredAt[version] = declared_at;
-    m_HeardAt[version]    = now;
+    if (newer)
+    {
+        m_DeclaredAt[version] = declared_at;
+        m_HeardAt[version]    = now;
+    }
+    else if (known->second == TimePoint{} || (told && !m_Told.contains(version)))
+        known->second = declared_at;
+    if (told && m_Told.insert(version).second) // bounds after it are of rows that were written again
+        std::erase_if(m_NotBefore, [&](const auto& bound) { return bound.first <= version && bound.second > declared_at; });
     if (m_DeclaredAt.size() <= kDeclaredVersionsKept)
         return;
+    m_Told.erase(m_DeclaredAt.begin()->first);
     m_DeclaredAt.erase(m_DeclaredAt.begin());
     m_HeardAt.erase(m_HeardAt.begin());
 }
@@ -106,7 +113,7 @@
         return {stop(bounded->second), StopBasis_Bound};
     if (newer == m_DeclaredAt.end())
         return {};
-    if (newer->second == TimePoint{})
+    if (!m_Told.contains(newer->first))
         return {m_HeardAt.at(newer->first) + m_Config.m_UnknownTimeGrace, StopBasis_Heard};
     return {stop(newer->second - m_Config.m_LearnLagMax), StopBasis_Learned};
 }
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -29,14 +29,15 @@
 // Rules for stopping: shortly before the weights deadline of a newer version (m_StopLead) the server has to stop beginning requests. A router can't
 // ensure that: a request may be on its way to the server for any time, and so may the reset of one that the router gave up.
 //   - The deadline counts from a time that isn't after the declaration of the version: the latest such bound that routers told. Without one it is the
-//     time at which the declaration was learned, less m_LearnLagMax. A bound after the time of learning is ignored: the row was written again.
-//   - If neither is known, as after a restart of the agent, the deadline may be near or over. Routers tell the time within a second; a server
-//     whose agent isn't told is stopped m_UnknownTimeGrace after the version was first heard of.
+//     time at which the first router learned of the declaration, less m_LearnLagMax. A bound after the time of learning is ignored: the row was
+//     written again.
+//   - If no router told the time, the deadline may be near or over, however the version was heard of. Routers tell it within a second; a server whose
+//     agent isn't told is stopped m_UnknownTimeGrace after the version was first heard of.
 //   - A server that doesn't answer requests for its report is ordered to stop as well: it may still begin requests.
 //
 // Usage:
 //   StartPlan p(config);
-//   p.OnTargetVersion(7, declared_at, now); p.OnDeclaredNotBefore(7, bound);
+//   p.OnTargetVersion(7, declared_at, true, now); p.OnDeclaredNotBefore(7, bound);
 //   uint64_t fetch = p.NextFetch(input, now);  uint64_t start = p.NextStart(input, now);      // 0: nothing to do
 
 #pragma once
@@ -44,6 +45,7 @@
 #include "common/load_report.h"
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace aldervale
 {
@@ -86,8 +88,8 @@
 {
     StopBasis_None,    // no newer version is known
     StopBasis_Bound,   // a bound of the declaration's time, told by a router
-    StopBasis_Learned, // the time at which the declaration was learned
-    StopBasis_Heard,   // the declaration's time is unknown: when this process first heard of the version
+    StopBasis_Learned, // when the first router learned of the declaration
+    StopBasis_Heard,   // no router told the time: when this process first heard of the version
 };
 
 struct StopTimeInfo
@@ -101,8 +103,8 @@
 public:
     explicit StartPlan(const StartPlanConfig& cfg) : m_Config(cfg) {}
 
-    // Ignored unless newer than all before, or the first known time of a version. Default declared_at: unknown.
-    void                  OnTargetVersion(uint64_t version, TimePoint declared_at, TimePoint now);
+    // Ignored unless newer than all before, or the first known time of a version. Default declared_at: unknown. `told`: by a router.
+    void                  OnTargetVersion(uint64_t version, TimePoint declared_at, bool told, TimePoint now);
     void                  OnDeclaredNotBefore(uint64_t version, TimePoint bound); // ignored if later than the time at which it was learned
     void                  OnStopFailed(TimePoint now) { m_NextStopAt = now + m_Config.m_StopRetryDelay; }
     void                  OnOrderFailed(TimePoint now) { m_NextOrderAt = now + m_Config.m_OrderRetryDelay; }
@@ -120,6 +122,7 @@
     StartPlanConfig               m_Config;              //
     std::map<uint64_t, TimePoint> m_NotBefore;           // not after the declaration, by version; also of versions that were missed
     std::map<uint64_t, TimePoint> m_DeclaredAt;          // time of declaration by version; default: unknown, before this process started
+    std::set<uint64_t>            m_Told;                // versions whose time a router told; among the keys of m_DeclaredAt
     std::map<uint64_t, TimePoint> m_HeardAt;             // when this process first heard of a version; the same keys as m_DeclaredAt
     TimePoint                     m_NextOrderAt{};       // no order to start is given before this time
     TimePoint                     m_NextStopAt{};        // no order to stop is given before this time
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -50,10 +50,10 @@
         m_Daemon.Ioc(), [this] { return PlanLoop(); }, asio::detached);
 }
 
-void WeightKeeper::OnTargetVersion(uint64_t version, TimePoint declared_at)
+void WeightKeeper::OnTargetVersion(uint64_t version, TimePoint declared_at, bool told)
 {
     const bool newer = version > m_Plan.Target();
-    m_Plan.OnTargetVersion(version, declared_at, Now());
+    m_Plan.OnTargetVersion(version, declared_at, told, Now());
     if (newer)
         LogEvent(Event_WeightsNamed, {{"model", m_Model}, {"version", version}, {"held", m_Report.m_Weights}});
 }
@@ -185,7 +185,7 @@
 {
     PlanInput in;
     in.m_Reachable      = m_Reachable;
-    in.m_Busy           = m_Report.m_Busy;
+    in.m_Busy           = m_Report.m_Busy && (m_Reachable || Now() - m_ReportAskedAt < kStopEffectTimeout); // what was reported long ago may be over
     in.m_LoadedVersion  = m_Report.m_Weights;
     in.m_FetchVersion   = m_Transfer.Version();
     in.m_FetchComplete  = m_Transfer.IsComplete();
@@ -199,6 +199,11 @@
 
 awaitable<void> WeightKeeper::StopServer()
 {
+    if (!m_Plan.MustStop(PlanInputNow(), Now())) // a report may have come since
+    {
+        m_Stopping = false;
+        co_return;
+    }
     m_StopOrderedAt = TimePoint::max(); // until then no report shows the order's effect
     Publish();                          // routers send nothing more
     const StopOrder    order{m_Model, m_Report.m_Weights, m_Report.m_Orders};
@@ -218,7 +223,7 @@
         m_Report.m_Busy = true; // until the next report
         co_return;
     }
-    m_Plan.OnStopFailed(Now());
+    m_Plan.OnStopFailed(m_Reachable ? Now() : Now() + kStopEffectTimeout); // a dead server isn't asked ten times a second
     m_Stopping = false;
 }
 
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -7,7 +7,7 @@
 //
 // Usage (src/programs/platform_agent.cpp):
 //   WeightKeeper k(daemon, plan, server, transfer, publisher);
-//   k.SetModel("model"); k.OnTargetVersion(version, Now()); k.Start();
+//   k.SetModel("model"); k.OnTargetVersion(version, declared_at, true); k.Start();
 
 #pragma once
 #include "common/server_life.h"
@@ -24,9 +24,10 @@
 public:
     WeightKeeper(Daemon& daemon, const StartPlanConfig& plan, ModelServer& server, PieceTransfer& transfer, LoadPublisher& publisher);
 
-    void         Start();
-    void         SetModel(const std::string& model);                               // empty: not known yet, nothing is fetched or started
-    void         OnTargetVersion(uint64_t version, TimePoint declared_at);         // default time: unknown, long ago; its scheduled start has passed
+    void Start();
+    void SetModel(const std::string& model); // empty: not known yet, nothing is fetched or started
+    // Default declared_at: unknown, long ago; its scheduled start has passed. told: a router told the time.
+    void         OnTargetVersion(uint64_t version, TimePoint declared_at, bool told);
     void         OnDeclaredNotBefore(uint64_t version, TimePoint bound);           // `version` was not declared before `bound`
     bool         Serving() const { return m_Reachable && m_Report.m_Weights > 0; } // the server is reachable and has weights loaded
     json::object Describe() const;
--- a/tests/test_start_plan.cpp
+++ b/tests/test_start_plan.cpp
@@ -37,7 +37,7 @@
 BOOST_AUTO_TEST_CASE(a_server_that_serves_waits_for_its_scheduled_start)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     PlanInput in        = Reachable(1);
     in.m_FetchVersion   = 2;
     in.m_FetchComplete  = true;
@@ -51,20 +51,20 @@
 BOOST_AUTO_TEST_CASE(a_newer_version_ends_a_fetch_that_began_shortly_before_it)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     PlanInput in      = Reachable(1);
     in.m_FetchVersion = 2;
-    p.OnTargetVersion(3, kStart + seconds(1), kStart + seconds(1));
+    p.OnTargetVersion(3, kStart + seconds(1), true, kStart + seconds(1));
     BOOST_TEST(p.NextFetch(in, kStart + seconds(1)) == 3u);
 }
 
 BOOST_AUTO_TEST_CASE(a_nearly_complete_fetch_is_finished_before_the_newer_version_is_fetched)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     PlanInput in      = Reachable(1);
     in.m_FetchVersion = 2;
-    p.OnTargetVersion(3, kStart + seconds(4), kStart + seconds(4));
+    p.OnTargetVersion(3, kStart + seconds(4), true, kStart + seconds(4));
     BOOST_TEST(p.NextFetch(in, kStart + seconds(4)) == 2u);
     in.m_FetchComplete  = true;
     in.m_NewestComplete = 2;
@@ -76,8 +76,8 @@
 {
     const StartPlanConfig cfg;
     StartPlan             p(cfg);
-    p.OnTargetVersion(2, kStart, kStart);
-    p.OnTargetVersion(3, kStart + seconds(3), kStart + seconds(3));
+    p.OnTargetVersion(2, kStart, true, kStart);
+    p.OnTargetVersion(3, kStart + seconds(3), true, kStart + seconds(3));
     PlanInput in      = Reachable(1);
     in.m_FetchVersion = 2;
     BOOST_TEST(p.NextFetch(in, kStart + seconds(4)) == 2u);
@@ -89,8 +89,8 @@
 BOOST_AUTO_TEST_CASE(while_the_target_stalls_an_older_version_is_fetched_and_serves)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
-    p.OnTargetVersion(3, kStart + seconds(2), kStart + seconds(2));
+    p.OnTargetVersion(2, kStart, true, kStart);
+    p.OnTargetVersion(3, kStart + seconds(2), true, kStart + seconds(2));
     PlanInput in       = Reachable(1);
     in.m_FetchVersion  = 2;
     in.m_NewestPartial = 2;
@@ -122,8 +122,8 @@
 {
     const StartPlanConfig cfg;
     StartPlan             p(cfg);
-    p.OnTargetVersion(2, kStart, kStart);
-    p.OnTargetVersion(3, kStart + seconds(1), kStart + seconds(1));
+    p.OnTargetVersion(2, kStart, true, kStart);
+    p.OnTargetVersion(3, kStart + seconds(1), true, kStart + seconds(1));
     PlanInput in        = Reachable(1);
     in.m_FetchVersion   = 3;
     in.m_NewestPartial  = 2;
@@ -136,8 +136,8 @@
 BOOST_AUTO_TEST_CASE(versions_never_go_back)
 {
     StartPlan p({});
-    p.OnTargetVersion(5, kStart, kStart);
-    p.OnTargetVersion(4, kStart, kStart);
+    p.OnTargetVersion(5, kStart, true, kStart);
+    p.OnTargetVersion(4, kStart, true, kStart);
     BOOST_TEST(p.Target() == 5u);
     PlanInput in        = Reachable(5);
     in.m_NewestComplete = 4;
@@ -163,7 +163,7 @@
                        {
                            const StartPlanConfig cfg;
                            StartPlan             p(cfg);
-                           p.OnTargetVersion(2, kStart, kStart);
+                           p.OnTargetVersion(2, kStart, true, kStart);
                            PlanInput in        = Reachable(1);
                            in.m_NewestComplete = 2;
                            in.m_BoxCount       = *rc::gen::inRange<size_t>(1, 60);
@@ -183,8 +183,8 @@
 {
     StartPlan p({});
     BOOST_TEST(p.DeclaredAges(1, kStart).empty());
-    p.OnTargetVersion(2, TimePoint{}, kStart); // declared before this process started
-    p.OnTargetVersion(3, kStart, kStart);
+    p.OnTargetVersion(2, TimePoint{}, false, kStart); // declared before this process started
+    p.OnTargetVersion(3, kStart, true, kStart);
     const std::vector<NamedAge> want = {{2, -1}, {3, 500}};
     BOOST_TEST((p.DeclaredAges(1, kStart + milliseconds(500)) == want));
     const std::vector<NamedAge> newest = {{3, 500}}; // reported even when it is loaded already
@@ -200,7 +200,7 @@
     const StartPlanConfig cfg;
     StartPlan             p(cfg);
     const TimePoint       bound = kStart - milliseconds(350);
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     p.OnDeclaredNotBefore(2, bound);
     PlanInput       in   = Reachable(1);
     const TimePoint stop = bound + cfg.m_WeightsDeadline - cfg.m_StopLead;
@@ -219,7 +219,7 @@
 {
     const StartPlanConfig cfg;
     StartPlan             p(cfg);
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     BOOST_TEST((p.StopTime(1) == kStart - cfg.m_LearnLagMax + cfg.m_WeightsDeadline - cfg.m_StopLead));
     p.OnDeclaredNotBefore(2, kStart + milliseconds(1)); // of a row that was written again
     BOOST_TEST((p.StopTime(1) == kStart - cfg.m_LearnLagMax + cfg.m_WeightsDeadline - cfg.m_StopLead));
@@ -228,7 +228,7 @@
 BOOST_AUTO_TEST_CASE(a_later_bound_replaces_an_earlier_one)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     p.OnDeclaredNotBefore(2, kStart - seconds(2));
     const TimePoint before = p.StopTime(1);
     p.OnDeclaredNotBefore(2, kStart - seconds(1));
@@ -240,13 +240,13 @@
 BOOST_AUTO_TEST_CASE(a_newer_version_and_a_missed_one_do_not_put_off_the_stop)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     const TimePoint stop = p.StopTime(1);
-    p.OnTargetVersion(3, kStart + seconds(2), kStart + seconds(2));
+    p.OnTargetVersion(3, kStart + seconds(2), true, kStart + seconds(2));
     BOOST_TEST((p.StopTime(1) == stop));
     BOOST_TEST((p.StopTime(2) == stop + seconds(2)));
     StartPlan missed({});
-    missed.OnTargetVersion(3, kStart + seconds(2), kStart + seconds(2));
+    missed.OnTargetVersion(3, kStart + seconds(2), true, kStart + seconds(2));
     missed.OnDeclaredNotBefore(3, kStart + seconds(1));
     missed.OnDeclaredNotBefore(2, kStart - seconds(1));
     BOOST_TEST((missed.StopTime(2) == missed.StopTime(1) + seconds(2)));
@@ -257,7 +257,7 @@
 {
     const StartPlanConfig cfg;
     StartPlan             p(cfg);
-    p.OnTargetVersion(2, TimePoint{}, kStart);
+    p.OnTargetVersion(2, TimePoint{}, false, kStart);
     const TimePoint stop = kStart + cfg.m_UnknownTimeGrace;
     BOOST_TEST(!p.MustStop(Reachable(1), stop - milliseconds(1)));
     BOOST_TEST(p.MustStop(Reachable(1), stop));
@@ -265,10 +265,31 @@
     BOOST_TEST(!p.MustStop(Reachable(2), stop));
 }
 
+// Guards against a version that a neighbour or a read tells seconds after its declaration, and that counts as declared just then.
+BOOST_AUTO_TEST_CASE(a_time_of_receipt_does_not_put_off_the_stop)
+{
+    const StartPlanConfig cfg;
+    StartPlan             p(cfg);
+    const TimePoint       heard = kStart + seconds(5);
+    p.OnTargetVersion(2, heard, false, heard);
+    BOOST_TEST((p.StopTime(1) == heard + cfg.m_UnknownTimeGrace));
+    p.OnTargetVersion(2, kStart, true, heard + milliseconds(500));
+    BOOST_TEST((p.StopTime(1) == kStart - cfg.m_LearnLagMax + cfg.m_WeightsDeadline - cfg.m_StopLead));
+}
+
+BOOST_AUTO_TEST_CASE(a_bound_after_the_time_that_is_told_later_is_dropped)
+{
+    const StartPlanConfig cfg;
+    StartPlan             p(cfg);
+    p.OnDeclaredNotBefore(2, kStart + seconds(3)); // of a row that was written again
+    p.OnTargetVersion(2, kStart, true, kStart + seconds(4));
+    BOOST_TEST((p.StopTime(1) == kStart - cfg.m_LearnLagMax + cfg.m_WeightsDeadline - cfg.m_StopLead));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_does_not_report_is_stopped_too)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     PlanInput in   = Reachable(1);
     in.m_Reachable = false;
     BOOST_TEST(p.MustStop(in, p.StopTime(1)));
@@ -286,7 +307,7 @@
 BOOST_AUTO_TEST_CASE(a_restarted_server_does_not_start_weights_that_are_past_their_deadline)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     PlanInput in        = Reachable(0);
     in.m_NewestComplete = 1;
     BOOST_TEST(p.NextStart(in, p.StopTime(1) - milliseconds(1)) == 1u);
@@ -299,7 +320,7 @@
 {
     const StartPlanConfig cfg;
     StartPlan             p(cfg);
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     p.OnStopFailed(p.StopTime(1));
     BOOST_TEST(!p.MustStop(Reachable(1), p.StopTime(1)));
     BOOST_TEST(p.MustStop(Reachable(1), p.StopTime(1) + cfg.m_StopRetryDelay));
@@ -308,7 +329,7 @@
 BOOST_AUTO_TEST_CASE(a_refused_start_does_not_put_off_the_stop)
 {
     StartPlan p({});
-    p.OnTargetVersion(2, kStart, kStart);
+    p.OnTargetVersion(2, kStart, true, kStart);
     p.OnOrderFailed(p.StopTime(1));
     BOOST_TEST(p.MustStop(Reachable(1), p.StopTime(1)));
 }
@@ -318,12 +339,12 @@
 {
     const StartPlanConfig cfg;
     StartPlan             p(cfg);
-    p.OnTargetVersion(2, TimePoint{}, kStart);
+    p.OnTargetVersion(2, TimePoint{}, false, kStart);
     BOOST_TEST((p.StopTime(1) == kStart + cfg.m_UnknownTimeGrace));
-    p.OnTargetVersion(2, kStart, kStart + milliseconds(500));
+    p.OnTargetVersion(2, kStart, true, kStart + milliseconds(500));
     BOOST_TEST((p.StopTime(1) == kStart - cfg.m_LearnLagMax + cfg.m_WeightsDeadline - cfg.m_StopLead));
     StartPlan bounded(cfg);
-    bounded.OnTargetVersion(2, TimePoint{}, kStart);
+    bounded.OnTargetVersion(2, TimePoint{}, false, kStart);
     bounded.OnDeclaredNotBefore(2, kStart);
     BOOST_TEST((bounded.StopTime(1) == kStart + cfg.m_WeightsDeadline - cfg.m_StopLead));
 }
