Pieces from the origin are bounded over fetches, too, and one piece at a time is tried while slots are taken

Found by review. Change: reads from the origin are counted for the box; a tried piece has to come, or to count no longer, before another one is tried; measurements are taken as a piece comes, whatever became of its fetch.

--- a/src/version/exchange.h
+++ b/src/version/exchange.h
@@ -116,6 +116,7 @@
     // each chunk; the next one in order does so m_ImportRankDelay later if no box of this data centre has the chunk by then.
     void SetImporters(std::vector<std::string> members);
     void SetDownloadSlots(unsigned n) { m_Config.m_DownloadSlots = n; }
+    void SetOriginSlots(unsigned n) { m_Config.m_OriginSlots = n; }
     void SuspendOrigin(bool suspended) { m_OriginSuspended = suspended; } // while true, nothing is fetched from the origin
 
     // Fetching
--- a/src/version/piece_transfer.h
+++ b/src/version/piece_transfer.h
@@ -63,6 +63,7 @@
     void     OnPiece(Duration took, TimePoint now); // `took` without the wait in the sender's upload queue
     uint64_t OnAsked(TimePoint now);                // returns a number for OnGone()
     bool     OnGone(uint64_t asked, bool quickly);  // it arrived, or its link closed; false: the time that it took says nothing of this box's link
+    void     OnRefused(uint64_t asked);             // another one may be tried at once
     bool     Counts(uint64_t asked) const { return m_AskedAt.contains(asked); }
     unsigned Count(TimePoint now);                  // without those asked for longer than kPieceInFlightMax ago
     unsigned SlotsFor(unsigned own, TimePoint now); // that a fetch may use which has `own` pieces in flight itself
@@ -70,7 +71,9 @@
 private:
     unsigned                      m_Slots = kPieceSlotsFirst; //
     uint64_t                      m_Last  = 0;                // number of the newest piece
-    TimePoint                     m_LastAskedAt{};            // when it was asked for
+    TimePoint                     m_LastAskedAt{};            // when it was asked for; default: it was refused
+    uint64_t                      m_Probe        = 0;         // number of the last piece asked for while all slots were taken
+    bool                          m_ProbeAllowed = false;     // the next piece asked for is such a one
     TimePoint                     m_LastPieceAt{};            // when OnPiece() was last called
     std::map<uint64_t, TimePoint> m_AskedAt;                  // by number
 };
@@ -114,7 +117,6 @@
     struct PeerAnswer // a neighbour's answer to one request for a piece
     {
         ChunkOutcome m_Outcome = ChunkOutcome_Failed; //
-        bool         m_ByLink  = true;                // the time that it took may be due to this box's link
         Duration     m_Waited{};                      // time that the piece waited in the neighbour's upload queue
     };
 
@@ -129,14 +131,14 @@
     void            Pump(std::shared_ptr<Job> job);
 
     // One piece (piece_transfer_fetch.cpp)
-    awaitable<void>       FetchPiece(std::shared_ptr<Job> job, Fetch f);
-    awaitable<PeerAnswer> FromPeer(std::shared_ptr<Job> job, Fetch f);
-    awaitable<void>       AwaitLatePiece(LinkPtr link, MailboxPtr box, uint64_t asked); // one that a fetch no longer waits for
-    PeerAnswer            TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer);
-    void UpdateFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer, Duration took); // for the estimates of the peer and the link
+    awaitable<void>         FetchPiece(std::shared_ptr<Job> job, Fetch f);
+    awaitable<PeerAnswer>   FromPeer(std::shared_ptr<Job> job, Fetch f);
+    awaitable<void>         AwaitLatePiece(LinkPtr link, MailboxPtr box, uint64_t asked); // one that a fetch no longer waits for
+    PeerAnswer              TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer);
+    void                    UpdateFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer); // for the estimates of the peer
     awaitable<ChunkOutcome> FromOrigin(std::shared_ptr<Job> job, uint32_t n);
     ChunkOutcome            StorePiece(Job& job, uint32_t n, std::vector<uint8_t> bytes, std::string_view from);
-    void                    AdaptSlots(Job& job, Duration took);
+    void                    AdaptSlots(const Job& job, Duration took); // took: on the link of this box, as far as is known
 
     // The list of digests (piece_transfer_list.cpp)
     awaitable<bool> ObtainList(std::shared_ptr<Job> job); // true: the list is here
@@ -183,6 +185,7 @@
     const double                  m_LinkBytesPerSecond; // declared bandwidth of this box's link; 0: not known
     LinkSlowdown                  m_LinkSlowdown;       //
     PiecesInFlight                m_InFlight;           // from neighbours
+    unsigned                      m_OriginReads = 0;    // pieces that are being read from the origin, also by fetches that were given up
     std::function<void(uint64_t)> m_OnVersionSeen;      // may be empty
     uint64_t                      m_SuspectList = 0; // version whose list of digests must be read from the origin again, not from neighbours; 0: none
     uint64_t                      m_BytesOrigin = 0;
--- a/src/version/piece_transfer_fetch.cpp
+++ b/src/version/piece_transfer_fetch.cpp
@@ -14,16 +14,21 @@
 constexpr auto     kSlowdownMaxAge   = seconds(2);         // after the last piece: traffic that queued on the link has been sent by then
 constexpr auto     kSlotsMaxAge      = seconds(2);         // after the last piece: until then a fetch begins with as many slots as the one before had
 constexpr auto     kPieceQuick       = milliseconds(400);  // of a piece that didn't queue on this box's link
-constexpr auto     kPieceProbeEvery  = milliseconds(600);  // while all slots are taken by pieces that may never come
+constexpr auto     kPieceProbeDelay  = milliseconds(600);  // until one is asked for while all slots are taken by pieces that may never come
 
 } // namespace
 
 awaitable<void> PieceTransfer::FetchPiece(std::shared_ptr<Job> job, Fetch f)
 {
-    PeerAnswer      answer;
-    const TimePoint asked = Now();
+    PeerAnswer answer;
     if (f.m_Peer.empty())
+    {
+        m_OriginReads++;
+        job->m_FromOrigin++;
         answer.m_Outcome = co_await FromOrigin(job, f.m_Chunk);
+        job->m_FromOrigin--;
+        m_OriginReads--;
+    }
     else
     {
         job->m_FromPeers++;
@@ -36,23 +41,18 @@
         co_return;
     }
     if (!f.m_Peer.empty())
-        UpdateFromAnswer(*job, f.m_Peer, answer, Now() - asked);
+        UpdateFromAnswer(*job, f.m_Peer, answer);
     job->m_Exchange->OnChunk(f.m_Chunk, f.m_Peer, answer.m_Outcome, Now());
     if (answer.m_Outcome == ChunkOutcome_Good)
         job->m_Unannounced.push_back(f.m_Chunk);
     Pump(job);
 }
 
-void PieceTransfer::UpdateFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer, Duration took)
+void PieceTransfer::UpdateFromAnswer(Job& job, const std::string& peer, const PeerAnswer& answer)
 {
-    const bool good      = answer.m_Outcome == ChunkOutcome_Good;
-    const bool failed    = answer.m_Outcome == ChunkOutcome_Failed;
-    const bool timed_out = failed && took >= kPieceTimeout; // a link that closed at once gives no information about this box's link
-    if ((good || timed_out) && answer.m_ByLink)
-        AdaptSlots(job, took - std::min(took, answer.m_Waited)); // the wait in the neighbour's queue is not time on this box's link
-    if (good)
+    if (answer.m_Outcome == ChunkOutcome_Good)
         job.m_Exchange->OnUploadQueueWait(peer, answer.m_Waited, Now());
-    if (failed)
+    if (answer.m_Outcome == ChunkOutcome_Failed)
         RequestInventory(job.m_Version, peer);
 }
 
@@ -82,6 +82,8 @@
 {
     m_LastAskedAt       = now;
     m_AskedAt[++m_Last] = now;
+    m_Probe             = m_ProbeAllowed ? m_Last : m_Probe;
+    m_ProbeAllowed      = false;
     return m_Last;
 }
 
@@ -89,7 +91,13 @@
 {
     if (quickly)
         m_AskedAt.erase(m_AskedAt.begin(), m_AskedAt.lower_bound(asked));
-    return m_AskedAt.erase(asked) > 0;
+    return m_AskedAt.erase(asked) > 0 || quickly;
+}
+
+void PiecesInFlight::OnRefused(uint64_t asked)
+{
+    m_AskedAt.erase(asked);
+    m_LastAskedAt = {};
 }
 
 unsigned PiecesInFlight::Count(TimePoint now)
@@ -105,7 +113,8 @@
     const unsigned others = count > own ? count - own : 0;
     if (m_Slots > others)
         return m_Slots - others;
-    return own == 0 && now - m_LastAskedAt >= kPieceProbeEvery ? 1 : 0; // shows whether they are in this box's queue
+    m_ProbeAllowed = own == 0 && now - m_LastAskedAt >= kPieceProbeDelay && !m_AskedAt.contains(m_Probe);
+    return m_ProbeAllowed ? 1 : 0; // it shows whether they are in this box's queue
 }
 
 void LinkSlowdown::OnPiece(Duration took, Duration expected, TimePoint now)
@@ -124,7 +133,7 @@
     return seen && m_Mean > kClear ? m_Mean : 1;
 }
 
-void PieceTransfer::AdaptSlots(Job& job, Duration took)
+void PieceTransfer::AdaptSlots(const Job& job, Duration took)
 {
     const double piece_s = m_LinkBytesPerSecond > 0 ? static_cast<double>(job.m_Manifest->m_ChunkSize) / m_LinkBytesPerSecond : 0;
     m_LinkSlowdown.OnPiece(took, kPieceOverhead + FromSeconds(piece_s * m_InFlight.Slots()), Now());
@@ -168,18 +177,26 @@
     const std::optional<FrameBuf> answer   = co_await box->Pop(asked_at + kPieceTimeout);
     if (!answer && !box->Closed())
     {
+        if (m_InFlight.Counts(asked))
+            AdaptSlots(*job, kPieceTimeout);
         asio::co_spawn(
             m_Ioc, [this, link, box, asked] { return AwaitLatePiece(link, box, asked); }, asio::detached);
-        co_return PeerAnswer{ChunkOutcome_Failed, m_InFlight.Counts(asked), {}};
+        co_return PeerAnswer{};
     }
-    const bool has_piece = answer && answer->Get()->body_as_ChunkData() != nullptr;
-    const bool by_link   = m_InFlight.OnGone(asked, has_piece && Now() - asked_at < kPieceQuick);
     link->CloseExchange(box->Id());
+    const wire::ChunkData* data = answer ? answer->Get()->body_as_ChunkData() : nullptr;
+    if (data != nullptr)
+    {
+        const Duration took    = Now() - asked_at;
+        const Duration on_link = took - std::min<Duration>(took, milliseconds(data->waited_ms())); // without the wait in the sender's queue
+        if (m_InFlight.OnGone(asked, on_link < kPieceQuick))
+            AdaptSlots(*job, on_link);
+    }
+    else
+        m_InFlight.OnRefused(asked);
     if (!answer || job->m_Finished)
         co_return PeerAnswer{};
-    PeerAnswer out = TakeAnswer(*job, f, *answer);
-    out.m_ByLink   = by_link;
-    co_return out;
+    co_return TakeAnswer(*job, f, *answer);
 }
 
 awaitable<void> PieceTransfer::AwaitLatePiece(LinkPtr link, MailboxPtr box, uint64_t asked)
@@ -193,14 +210,14 @@
 PieceTransfer::PeerAnswer PieceTransfer::TakeAnswer(Job& job, const Fetch& f, const FrameBuf& answer)
 {
     if (const wire::ChunkRefused* refused = answer.Get()->body_as_ChunkRefused())
-        return {refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing, true, {}};
+        return {refused->busy() ? ChunkOutcome_Busy : ChunkOutcome_Missing, {}};
     const wire::ChunkData* data = answer.Get()->body_as_ChunkData();
     if (data == nullptr || data->bytes() == nullptr || data->index() != f.m_Chunk)
-        return {ChunkOutcome_Corrupt, true, {}};
+        return {ChunkOutcome_Corrupt, {}};
     m_BytesPeers += data->bytes()->size();
     std::vector<uint8_t> bytes(data->bytes()->begin(), data->bytes()->end());
     const ChunkOutcome   outcome = StorePiece(job, f.m_Chunk, std::move(bytes), f.m_Peer);
-    return {outcome, true, milliseconds(data->waited_ms())};
+    return {outcome, milliseconds(data->waited_ms())};
 }
 
 awaitable<ChunkOutcome> PieceTransfer::FromOrigin(std::shared_ptr<Job> job, uint32_t n)
--- a/src/version/piece_transfer_internal.h
+++ b/src/version/piece_transfer_internal.h
@@ -37,6 +37,7 @@
     ManifestPtr               m_Manifest;              //
     bool                      m_Finished      = false; // complete or given up
     unsigned                  m_FromPeers     = 0;     // pieces that it waits for from neighbours
+    unsigned                  m_FromOrigin    = 0;     // pieces that it reads from the origin
     unsigned                  m_CorruptPieces = 0;     // pieces from the origin that didn't match their digest
     std::vector<uint32_t>     m_Unannounced;           // pieces that neighbours haven't been notified of
     std::set<std::string>     m_ListHolders;           // neighbours that have the list of digests
--- a/src/version/piece_transfer_job.cpp
+++ b/src/version/piece_transfer_job.cpp
@@ -8,15 +8,16 @@
 namespace
 {
 
-constexpr size_t kVersionsKept       = 2;                 // in memory: the version in use and the one being fetched
-constexpr auto   kPeersSettleTime    = milliseconds(900); // a box without weights starts its fetch when the set of boxes hasn't changed for this long
-constexpr auto   kPeersSettleTimeout = milliseconds(2500); // upper bound of that wait, from the start of the fetch
-constexpr auto   kLinksSettleTime    = milliseconds(250);  // for links to be established before pieces are requested from the origin
-constexpr auto   kPumpInterval       = milliseconds(200);  // between looks at what to fetch next without an event
-constexpr double kOriginShare        = 0.75;               // largest share of the origin's connections that is used for its pieces
-constexpr auto   kOriginQueueTime    = milliseconds(320);  // longest wait of a piece on the origin's link behind others: well under kOriginTimeout
-constexpr size_t kOriginSharersMin   = 4;                  // fewest boxes that read pieces from the origin at a time
-constexpr double kBytesPerMbit       = 1e6 / 8;            //
+constexpr size_t   kVersionsKept    = 2;                 // in memory: the version in use and the one being fetched
+constexpr auto     kPeersSettleTime = milliseconds(900); // a box without weights starts its fetch when the set of boxes hasn't changed for this long
+constexpr auto     kPeersSettleTimeout = milliseconds(2500); // upper bound of that wait, from the start of the fetch
+constexpr auto     kLinksSettleTime    = milliseconds(250);  // for links to be established before pieces are requested from the origin
+constexpr auto     kPumpInterval       = milliseconds(200);  // between looks at what to fetch next without an event
+constexpr unsigned kOriginSlots        = 2;                  // pieces read from the origin at a time, by all fetches of this box
+constexpr double   kOriginShare        = 0.75;               // largest share of the origin's connections that is used for its pieces
+constexpr auto     kOriginQueueTime    = milliseconds(320);  // longest wait of a piece on the origin's link behind others: well under kOriginTimeout
+constexpr size_t   kOriginSharersMin   = 4;                  // fewest boxes that read pieces from the origin at a time
+constexpr double   kBytesPerMbit       = 1e6 / 8;            //
 
 // Returns how many boxes divide the origin's pieces among themselves, with one request each: enough to fill its link, but few enough that a piece
 // waits there for at most kOriginQueueTime and that some of the connections that it accepts stay free for other uses.
@@ -33,9 +34,10 @@
 ExchangeConfig TransferConfig(const std::optional<WeightOrigin>& origin, uint32_t piece_bytes)
 {
     ExchangeConfig c;
-    c.m_DownloadSlots   = 0; // Pump() sets it
-    c.m_OriginSlots     = 2; // with 1 the origin's link was half idle: a piece also queues on the reading box's link, behind those from neighbours
-    c.m_RequestsPerPeer = 2;
+    c.m_DownloadSlots = 0; // Pump() sets it
+    c.m_OriginSlots =
+        kOriginSlots; // with 1 the origin's link was half idle: a piece also queues on the reading box's link, behind those from neighbours
+    c.m_RequestsPerPeer        = 2;
     c.m_OriginFetchersPerChunk = 64; // no limit on copies: a piece that no box has must be read; boxes of each further rank only read it later
     c.m_TakeOverDelay          = milliseconds(900);
     c.m_BusyPause              = milliseconds(30);
@@ -194,6 +196,8 @@
     }
     const TimePoint now = Now();
     job->m_Exchange->SetDownloadSlots(m_InFlight.SlotsFor(job->m_FromPeers, now));
+    const unsigned others = m_OriginReads - job->m_FromOrigin; // of fetches that were given up
+    job->m_Exchange->SetOriginSlots(kOriginSlots - std::min(kOriginSlots, others));
     job->m_Exchange->SuspendOrigin(!m_DeclaredOrigin || now < job->m_OriginAllowedAt);
     for (const Fetch& f : job->m_Exchange->Next(now))
     {
