--- a/scripts/soak_weights.py
+++ b/scripts/soak_weights.py
@@ -7,7 +7,6 @@
 
 Exit status 0: every promise held.
   STOPPED   the server beside an agent that is back after the round's faults is ordered to stop
-  AFTER     nothing begins at a server that was ordered to stop until it holds newer weights
   EXIT      no process ends by itself
   RECOVER   after a round every router serves again
 With --bounds also, which a loaded machine may break (not for CI):
@@ -16,6 +15,7 @@
 import argparse
 import asyncio
 import os
+import shutil
 import signal
 import sys
 import tempfile
@@ -57,7 +57,7 @@
         self.args = args
         self.rng = rng
         self.fleet = Fleet(folder, args, rng)
-        self.disturbed = {}   # by name of a process: when its last disturbance ended
+        self.disturbed = {}   # by name of a process: begin and end of each disturbance
         self.ending = set()   # names of processes that a signal of ours ends
         self.routed = {}      # by request id: name of the router
         self.answers = {}     # by status
@@ -102,10 +102,14 @@
         process.go_on()
 
     async def restart(self, process, how):
+        if process.popen.poll() is not None:
+            self.breach("EXIT", f"{process.name} ended by itself with {process.popen.returncode}")
         process.popen.send_signal(how)
         end = time.monotonic() + DRAIN_MAX_S
         while process.popen.poll() is None and time.monotonic() < end:
             await asyncio.sleep(LOOK_S)
+        if how == signal.SIGTERM and process.popen.poll() != 0:
+            self.breach("EXIT", f"{process.name} ends with {process.popen.poll()} after SIGTERM")
         process.kill()
         await asyncio.sleep(self.rng.uniform(0, 0.5))
         process.start()
@@ -114,13 +118,14 @@
         if process.name in self.ending:
             return
         self.ending.add(process.name)
-        self.disturbed[process.name] = float("inf")
         self.faults += 1
+        spans = self.disturbed.setdefault(process.name, [])
+        spans.append((time.monotonic(), float("inf")))
         if self.rng.random() < 0.5:
             await self.pause(process)
         else:
             await self.restart(process, self.rng.choice([signal.SIGKILL, signal.SIGTERM]))
-        self.disturbed[process.name] = time.monotonic()
+        spans[-1] = (spans[-1][0], time.monotonic())
         self.ending.discard(process.name)
 
     async def delay_reports(self, server):
@@ -172,21 +177,21 @@
         for number, server in enumerate(servers):
             await self.wait_for("STOPPED", f"round {version}: server {number + 1} isn't ordered to stop", lambda s=server, n=number: len(s.stopped) > orders[n])
         for number, server in enumerate(servers):
-            self.check_round(version, server, begun[number], orders[number], deadline)
+            self.check_round(version, server, begun[number], deadline)
             server.hold(version + 1)
         answered = self.answers.get(200, 0)
         await self.wait_for("RECOVER", f"round {version}: nothing is answered afterwards", lambda: self.answers.get(200, 0) > answered)
         if not await self.fleet.wait_until_all_answer("GET", "/model/x", "recover"):
             self.breach("RECOVER", f"round {version}: a router doesn't serve again")
 
-    def check_round(self, version, server, begun, orders, deadline):
-        stopped = server.stopped[orders] if len(server.stopped) > orders else float("inf")
+    def disturbed_before(self, name, at):
+        return any(begin <= at and at - end < TOUCH_S for begin, end in self.disturbed.get(name, []))
+
+    def check_round(self, version, server, begun, deadline):
         for at, held, ident in server.begun[begun:]:
-            if held == version and at > stopped:
-                self.breach("AFTER", f"round {version}: {ident} begins {at - stopped:.3f} s after its server was ordered to stop")
             router = self.routed.get(ident, "")
             late = at - deadline
-            if self.args.bounds and held == version and late > 0 and at - self.disturbed.get(router, 0) > TOUCH_S:
+            if self.args.bounds and held == version and late > 0 and not self.disturbed_before(router, at):
                 self.breach("VERSION", f"round {version}: {ident} from {router} begins {late:.3f} s after the deadline")
 
     async def run(self):
@@ -217,6 +222,7 @@
     args = p.parse_args()
     folder = tempfile.mkdtemp(prefix="aldervale-soak-")
     soak = Soak(args, standin.seeded(args.seed), folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended then, too
     try:
         asyncio.run(soak.run())
     finally:
@@ -227,7 +233,9 @@
         print(f"  {rule}: {text}")
     if soak.broken:
         print(f"  logs: {folder}")
-    return 1 if soak.broken else 0
+        return 1
+    shutil.rmtree(folder)
+    return 0
 
 
 if __name__ == "__main__":
