Reports tell only times that routers told, so a time of receipt no longer counts as a promise to stop

What callers' operators would see: requests that begin on older weights after the deadline of newer ones, where an agent learned of the version by itself. Cause: an agent that read a version from the store, or heard of it from a neighbour, stops its server some time after that, as it doesn't know the deadline. Its reports told the time of receipt as the age of the version all the same. Routers took it for an observed time of declaration (up to 40 s late) and for the promise to stop in time, and told it to other boxes as a fact. Reports also told when a version was learned where the agent has a bound: a restarted router counted the deadline from there, later than the agents do. Change: reports tell a bound, else a time that a router told, else that the time is unknown; routers count on the stop only where it is known. Result: a_time_of_receipt_is_not_reported_as_the_time_of_declaration, a_bound_is_reported_in_place_of_the_time_of_learning and a_server_whose_agent_does_not_know_the_time_of_the_newer_version_drops_out_before_others fail on the code before (4 checks) and pass.

--- a/src/common/load_report.h
+++ b/src/common/load_report.h
@@ -8,8 +8,8 @@
 
 struct NamedAge // a version of weights that should replace older ones
 {
-    uint64_t m_Version                         = 0;
-    int64_t  m_AgeMs                           = -1; // since it was named, as the agent learned; negative: it was named before the agent started
+    uint64_t m_Version = 0;
+    int64_t  m_AgeMs   = -1; // since it was declared, by a bound or else by the time of learning, both told by routers; negative: unknown
     bool     operator==(const NamedAge&) const = default;
 };
 
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -64,11 +64,11 @@
     return s.m_Report.m_Starting || s.m_Report.m_Weights == 0;
 }
 
-// An agent that reports the version stops its server before the deadline, however long a request is on its way there.
-bool ServerChoice::AgentKnows(const Server& s, uint64_t version, TimePoint now) const
+// An agent that knows when the version was declared stops its server before the deadline, however long a request is on its way there.
+bool ServerChoice::AgentKnowsDeadline(const Server& s, uint64_t version, TimePoint now) const
 {
-    const std::vector<NamedAge>& known = s.m_Report.m_Named;
-    return HasFreshReport(s, now) && std::any_of(known.begin(), known.end(), [&](const NamedAge& n) { return n.m_Version == version; });
+    const auto knows = [&](const NamedAge& n) { return n.m_Version == version && n.m_AgeMs >= 0; };
+    return HasFreshReport(s, now) && std::any_of(s.m_Report.m_Named.begin(), s.m_Report.m_Named.end(), knows);
 }
 
 bool ServerChoice::StartsAfterDeadline(const Option& o, const RequestNeed& need, TimePoint now) const
@@ -76,7 +76,7 @@
     const Duration predicted = FromMs(o.m_PredictedMs * m_Config.m_DeadlineWaitFactor);
     const auto     late      = [&](const WeightsDeadline& d)
     {
-        const Duration least = AgentKnows(*o.m_Server, d.m_Version, now) ? m_Config.m_DeadlineMinWait : m_Config.m_DeadlineNoReportMinWait;
+        const Duration least = AgentKnowsDeadline(*o.m_Server, d.m_Version, now) ? m_Config.m_DeadlineMinWait : m_Config.m_DeadlineNoReportMinWait;
         return o.m_Weights < d.m_Version && now + std::max(least, predicted) + m_Config.m_DeadlineMargin > d.m_At;
     };
     return std::any_of(need.m_WeightsDeadlines.begin(), need.m_WeightsDeadlines.end(), late);
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -238,7 +238,7 @@
     double              CostOf(const Option& o, const RequestNeed& need, bool others_report, TimePoint now); // ms; lower is better
     double              RandomPart();                                                                        // 0 to 1
     bool                Excluded(const ServerEntry& entry, const Server& s, const RequestNeed& need, TimePoint now) const;
-    bool                AgentKnows(const Server& s, uint64_t version, TimePoint now) const; // it reported the target version just now
+    bool                AgentKnowsDeadline(const Server& s, uint64_t version, TimePoint now) const; // by a fresh report; `version`: the newer one
     bool                StartsAfterDeadline(const Option& o, const RequestNeed& need, TimePoint now) const;
     bool                NearWeightsDeadline(const Option& o, const RequestNeed& need, TimePoint now) const;
 
--- a/src/version/start_plan.cpp
+++ b/src/version/start_plan.cpp
@@ -46,10 +46,16 @@
 
 std::vector<NamedAge> StartPlan::DeclaredAges(uint64_t loaded_version, TimePoint now) const
 {
-    std::vector<NamedAge> out;
+    std::map<uint64_t, TimePoint> declared; // default: unknown
     for (const auto& [version, declared_at] : m_DeclaredAt)
+        declared[version] = m_Told.contains(version) ? declared_at : TimePoint{};
+    for (const auto& [version, bound] : m_NotBefore)
+        if (version <= Target())
+            declared[version] = bound;
+    std::vector<NamedAge> out;
+    for (const auto& [version, at] : declared)
         if (version > loaded_version || version == Target())
-            out.push_back({version, declared_at == TimePoint{} ? -1 : ToMs(now - declared_at)});
+            out.push_back({version, at == TimePoint{} ? -1 : ToMs(now - at)});
     return out;
 }
 
--- a/src/version/start_plan.h
+++ b/src/version/start_plan.h
@@ -104,11 +104,13 @@
     explicit StartPlan(const StartPlanConfig& cfg) : m_Config(cfg) {}
 
     // Ignored unless newer than all before, or the first known time of a version. Default declared_at: unknown. `told`: by a router.
-    void                  OnTargetVersion(uint64_t version, TimePoint declared_at, bool told, TimePoint now);
-    void                  OnDeclaredNotBefore(uint64_t version, TimePoint bound); // ignored if later than the time at which it was learned
-    void                  OnStopFailed(TimePoint now) { m_NextStopAt = now + m_Config.m_StopRetryDelay; }
-    void                  OnOrderFailed(TimePoint now) { m_NextOrderAt = now + m_Config.m_OrderRetryDelay; }
-    std::vector<NamedAge> DeclaredAges(uint64_t loaded_version, TimePoint now) const; // of the target and of each version newer than the loaded one
+    void OnTargetVersion(uint64_t version, TimePoint declared_at, bool told, TimePoint now);
+    void OnDeclaredNotBefore(uint64_t version, TimePoint bound); // ignored if later than the time at which it was learned
+    void OnStopFailed(TimePoint now) { m_NextStopAt = now + m_Config.m_StopRetryDelay; }
+    void OnOrderFailed(TimePoint now) { m_NextOrderAt = now + m_Config.m_OrderRetryDelay; }
+    // Of the target and of each version newer than the loaded one. Only times that routers told, bounds before others: routers that lack a version's
+    // time take it from here, and count on the stop where it is known.
+    std::vector<NamedAge> DeclaredAges(uint64_t loaded_version, TimePoint now) const;
     uint64_t              Target() const { return m_DeclaredAt.empty() ? 1 : m_DeclaredAt.rbegin()->first; } // versions begin at 1
 
     uint64_t     NextFetch(const PlanInput& in, TimePoint now);                  // version to fetch; 0: none
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -245,6 +245,26 @@
     BOOST_TEST(x.m_Candidates == 1u);
 }
 
+// Guards against counting on an agent that knows the version and not its deadline: it stops the server some time after it heard of the version.
+BOOST_AUTO_TEST_CASE(a_server_whose_agent_does_not_know_the_time_of_the_newer_version_drops_out_before_others)
+{
+    const Service         s = ModelService();
+    const Fleet           fleet{{Entry("heard", "model"), Entry("told", "model")}};
+    const WeightsDeadline deadlines[] = {{2, kStart + seconds(10)}};
+    RequestNeed           need        = Need(s);
+    need.m_WeightsDeadlines           = deadlines;
+    ServerChoice    c({}, 1);
+    const TimePoint now   = kStart + milliseconds(7500);
+    LoadReport      heard = Load(0, 0);
+    heard.m_Named         = {{2, -1}};
+    c.OnReport("heard", heard, now);
+    c.OnReport("told", LoadKnowing2(0, 0), now);
+    const Choice x = c.Choose(fleet.Candidates(), need, now);
+    BOOST_REQUIRE(x.m_Server != nullptr);
+    BOOST_TEST(x.m_Server->m_Id == "told");
+    BOOST_TEST(x.m_Candidates == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(near_a_deadline_servers_with_newer_weights_go_first_until_they_are_busier)
 {
     const Service         s           = ModelService();
--- a/tests/test_start_plan.cpp
+++ b/tests/test_start_plan.cpp
@@ -191,6 +191,29 @@
     BOOST_TEST((p.DeclaredAges(3, kStart + milliseconds(500)) == newest));
 }
 
+// Guards against a version that an agent reads seconds after its declaration, and that routers take from its report as declared just then.
+BOOST_AUTO_TEST_CASE(a_time_of_receipt_is_not_reported_as_the_time_of_declaration)
+{
+    StartPlan p({});
+    p.OnTargetVersion(2, kStart + seconds(5), false, kStart + seconds(5));
+    const std::vector<NamedAge> unknown = {{2, -1}};
+    BOOST_TEST((p.DeclaredAges(1, kStart + seconds(6)) == unknown));
+    p.OnTargetVersion(2, kStart, true, kStart + seconds(6));
+    const std::vector<NamedAge> told = {{2, 6000}};
+    BOOST_TEST((p.DeclaredAges(1, kStart + seconds(6)) == told));
+}
+
+// Guards against a restarted router that counts a deadline from when the declaration was learned: its server stops by the bound.
+BOOST_AUTO_TEST_CASE(a_bound_is_reported_in_place_of_the_time_of_learning)
+{
+    StartPlan p({});
+    p.OnTargetVersion(3, kStart, true, kStart);
+    p.OnDeclaredNotBefore(3, kStart - milliseconds(400));
+    p.OnDeclaredNotBefore(2, kStart - seconds(2)); // a version that was missed
+    const std::vector<NamedAge> want = {{2, 3000}, {3, 1400}};
+    BOOST_TEST((p.DeclaredAges(1, kStart + seconds(1)) == want));
+}
+
 //-----------------------------------------------------------------------------
 // Stopping
 //-----------------------------------------------------------------------------
