Orders to stop that get no answer are repeated before the weights deadline

What callers' operators would see: requests that begin on older weights about half a second after the deadline of newer ones, where the server leaves one order without an answer. Cause: an agent waited 800 ms for the answer to an order to stop that it gives 400 ms before the deadline; while it waits nothing repeats the order. Change: the answer is waited for 120 ms, three times; a static_assert holds that against the lead. A refusal after a try without an answer counts as unknown, as that try may have been taken.

--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -434,6 +434,8 @@
         self.layers = self.LAYERS  # that it holds, from the first one on
         self.orders = 0
         self.report_delay_s = 0
+        self.lost_orders = 0       # that are still to be left without an answer and without effect
+        self.order_requests = []   # when each order came
         self.way_s = None          # returns the time that a request takes to it; None: none
         self.begun = []            # (time, version, request id)
         self.stopped = []          # times of orders that left it without layers
@@ -470,6 +472,10 @@
             await asyncio.sleep(self.report_delay_s)
             return answer(200, json.dumps(self.report()).encode())
         if req.path == "/order":
+            self.order_requests.append(time.monotonic())
+            if self.lost_orders > 0:
+                self.lost_orders -= 1
+                await asyncio.Event().wait()  # until the connection ends
             return answer(self.order(json.loads(req.body)))
         if req.path.startswith("/stage-get/"):
             return answer(200, b'{"held": []}')
--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -17,8 +17,11 @@
 constexpr auto     kOrderEffectTimeout = seconds(6);        // an order without a visible effect is repeated after this time
 constexpr auto     kDrainTimeout =
     milliseconds(1400); // from the notice to routers until the order, which cuts off running requests: a typical stream takes about 1.2 s
-constexpr auto kStopEffectTimeout = seconds(1); // an order to stop is repeated if no report has shown its effect by then
+constexpr auto kStopEffectTimeout = seconds(1);        // an order to stop is repeated if no report has shown its effect by then
+constexpr auto kStopOrderTimeout  = milliseconds(120); // for the answer to it: three tries fit into the time between stop and deadline
+constexpr int  kStopOrderTries    = 3;
 constexpr auto kStopTickMin       = milliseconds(5);
+static_assert(kStopOrderTimeout * kStopOrderTries < kStopLead);
 constexpr auto kRouterNotifyDelay = milliseconds(25); // shortest drain: the transit time of a datagram to routers
 constexpr auto kDrainPollInterval = milliseconds(25); // between looks whether the server is idle
 
@@ -209,9 +212,15 @@
     const StopOrder    order{m_Model, m_Report.m_Weights, m_Report.m_Orders};
     const StopTimeInfo stop    = m_Plan.Stop(order.m_Version);
     const TimePoint    ordered = Now();
-    const StartOutcome outcome = co_await m_Server.Stop(order, ordered + kOrderTimeout);
-    const bool         taken   = outcome == StartOutcome_Begun || outcome == StartOutcome_Holds;
-    m_StopOrderedAt            = Now();
+    StartOutcome       outcome = co_await m_Server.Stop(order, ordered + kStopOrderTimeout);
+    for (int tries = 1; outcome == StartOutcome_Unknown && tries < kStopOrderTries; tries++)
+    {
+        outcome = co_await m_Server.Stop(order, Now() + kStopOrderTimeout);
+        if (outcome == StartOutcome_Refused)
+            outcome = StartOutcome_Unknown; // a try before it may have been taken
+    }
+    const bool taken = outcome == StartOutcome_Begun || outcome == StartOutcome_Holds;
+    m_StopOrderedAt  = Now();
     if (taken || m_Reachable) // else a dead server would be logged at every try
         LogEvent(Event_ServerStopped, {{"model", m_Model},
                                        {"version", order.m_Version},
--- a/tests/test_older_weights_after_deadline.py
+++ b/tests/test_older_weights_after_deadline.py
@@ -137,6 +137,17 @@
         for agent in self.fleet.agents:
             await self.stop_time(agent)
 
+    async def test_stop_order_that_gets_no_answer_is_not_repeated_before_the_deadline(self):
+        await self.wait_until_read_again()
+        for server in self.fleet.model_servers:
+            server.lost_orders = 1
+        self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
+        acknowledged = time.monotonic()
+        for agent, server in zip(self.fleet.agents, self.fleet.model_servers):
+            await self.stop_time(agent)
+            repeated_s = server.order_requests[1] - acknowledged
+            self.assertLess(repeated_s, DEADLINE_MS / 1000, f"{agent.name} repeats its order after the deadline; logs: {self.fleet.folder}")
+
     async def test_restarted_agent_that_is_not_told_the_time_leaves_its_server_running(self):
         await self.wait_until_read_again()
         self.fleet.store.put("op", "version/m", {"Model": "m", "Version": 2})
