Weights aren't started once their own stop time has come while they were staged

Cause, found by review, by reading: the stop time of the weights to be started is looked at before staging and draining, which may take seconds; the server then got weights past their deadline, and kept them until it was stopped again. Requests already on their way could begin. Change: the stop time is looked at again right before the order. Result: test_pieces passes; no test shows the fault.

--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -281,7 +281,7 @@
     if (staged)
         co_await DrainServer();
     staged = staged && !ServerLife::Earlier(born, m_Report.m_BornMs); // a restarted server has to be staged again
-    if (!staged)
+    if (!staged || Now() >= m_Plan.StopTime(version))                 // staging and draining may have taken until the weights' own stop time
     {
         m_Plan.OnOrderFailed(Now());
         m_StartInProgress = false;
