Ages and echoes of one request for reports are taken at one moment

Cause, found by review, by reading: the ages of bounds were taken once a datagram, the time for which the echo was held anew for each box. A bound came out later by what passed between the two, at the last of many boxes or in a router that was paused there, and the latest bound wins at a box. Change: one reading of the clock for both. Result: test_load_channel passes; no test shows the fault.

--- a/src/connection/load_channel.cpp
+++ b/src/connection/load_channel.cpp
@@ -433,16 +433,17 @@
     {
         size_t bytes = kAskBytes + ask.name.size() + ask.data_centre.size() + ask.region.size();
         ask.named.clear();
+        const TimePoint now = Now(); // of all ages: a bound would come out later by what passes between two of them
         for (; next < m_Named.size() && (ask.named.empty() || bytes + BytesOf(m_Named[next]) <= kDatagramMax); next++)
         {
             bytes += BytesOf(m_Named[next]);
-            ask.named.push_back(ToWire(m_Named[next], Now()));
+            ask.named.push_back(ToWire(m_Named[next], now));
         }
         for (const FollowedBox& box : boxes)
         {
             const auto echo  = m_Echoes.find(box.m_At.m_Address);
             ask.echo_sent_ms = echo != m_Echoes.end() ? echo->second.m_SentMs : 0;
-            ask.echo_held_ms = echo != m_Echoes.end() ? static_cast<uint64_t>(ToMs(Now() - echo->second.m_HeardAt)) : 0;
+            ask.echo_held_ms = echo != m_Echoes.end() ? static_cast<uint64_t>(ToMs(now - echo->second.m_HeardAt)) : 0;
             ask.share        = static_cast<float>(box.m_Share);
             SendDatagram(m_Socket, ToUdp(box.m_At), ask);
         }
