Boxes are told when a better time of a known version is learned

Cause, found by review, by reading: a router that had assumed a version's time and then learned a bound corrected its own, and went on telling boxes that the time is unknown. Agents that no other router tells stop their servers 1.5 s after they heard of the version, seconds before newer weights can be there. Change: a better time of a known version is news for the boxes. Result: a_better_time_of_a_known_version_is_news fails on the code before, and passes.

--- a/src/request/routing_world.cpp
+++ b/src/request/routing_world.cpp
@@ -50,9 +50,9 @@
     const auto        known    = versions.find(version);
     if (known != versions.end())
     {
-        if (IsBetterEstimate(declared, known->second))
-            known->second = declared;
-        return false;
+        const bool better = IsBetterEstimate(declared, known->second);
+        known->second     = better ? declared : known->second;
+        return better;
     }
     const bool uninformative = version < newest && !declared.m_Observed; // an assumed time of an older version gives no information
     if (version <= kFirstVersion || uninformative || !EvictOldestFor(versions, version))
--- a/tests/test_routing_world.cpp
+++ b/tests/test_routing_world.cpp
@@ -28,6 +28,18 @@
     BOOST_TEST((DeclaredAt(state, 2) == kStart - milliseconds(1500)));
 }
 
+// Guards against boxes that go on being told an unknown time, and stop their servers for it.
+BOOST_AUTO_TEST_CASE(a_better_time_of_a_known_version_is_news)
+{
+    RoutingState          state;
+    const DeclarationTime assumed = AssumeDeclarationTime(kStart, kDeadline);
+    const DeclarationTime bound   = {kStart - seconds(1), true, true, kStart};
+    BOOST_TEST(RecordTargetVersion(state, kModel, 2, assumed, kStart));
+    BOOST_TEST(!RecordTargetVersion(state, kModel, 2, assumed, kStart));
+    BOOST_TEST(RecordTargetVersion(state, kModel, 2, bound, kStart));
+    BOOST_TEST(!RecordTargetVersion(state, kModel, 2, bound, kStart));
+}
+
 BOOST_AUTO_TEST_CASE(the_earliest_observed_time_counts)
 {
     RoutingState   state;
