Test of server limits: servers name their limits once all routers serve

Two routers had their declarations at 0.9 s and were served, so the five servers had named their limits of 1 request per second before the others were ready; from then on five requests per second were served (308 in 60 s), and never six at once. Right by the limit, so the setup of the test was wrong. Change: servers have no limit until all routers serve, then those of the test. Every check and bound is unchanged.

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -48,17 +48,19 @@
 
 
 class Fleet(platform_fleet.Fleet):
-    def __init__(self, folder, limits):
+    def __init__(self, folder):
         super().__init__(folder, ROUTERS, AGENTS, backends=SERVERS)
-        self.servers = [Server(n, port, limits[n]) for n, port in enumerate(self.backend_ports)]
+        self.servers = [Server(n, port, None) for n, port in enumerate(self.backend_ports)]
 
 
 class ServerLimits(unittest.IsolatedAsyncioTestCase):
     async def start(self, limits):
-        self.fleet = Fleet(platform_fleet.log_folder(self._testMethodName), limits)
+        self.fleet = Fleet(platform_fleet.log_folder(self._testMethodName))
         self.addCleanup(self.fleet.stop)
         await self.fleet.start_with(self.fleet.servers, [standin.route("safe", "safe", "web")])
         self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/safe/usual"), f"logs: {self.fleet.folder}")
+        for server, limit in zip(self.fleet.servers, limits, strict=True):  # before, one router that starts late would wait for all six to be served at once
+            server.limit = limit
 
     async def asyncTearDown(self):
         self.assertEqual(self.fleet.ended(), [], f"exited unexpectedly; logs: {self.fleet.folder}")
