--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -81,7 +81,7 @@
     Duration        m_OldWeightsWindow  = seconds(3);         // a longer one sends all requests to the first servers with newer weights
     Duration m_DeadlineMargin  = kStopLead + milliseconds(200); // before a weights deadline: servers stop then, and requests take some time to them
     Duration m_DeadlineMinWait = milliseconds(400); // least predicted wait assumed for the deadline: servers then drop out together, see above
-    Duration m_DeadlineNoReportMinWait  = milliseconds(2000); // the same if its agent didn't report the newer version: requests took up to 1.8 s
+    Duration m_DeadlineNoReportMinWait  = milliseconds(2000); // the same if its agent doesn't know the deadline: requests took up to 1.8 s
     double   m_DeadlineWaitFactor       = 1.5;                // safety factor on predicted waits for the deadline
     double   m_MeanInFlightWeight       = 0.5;                // see above; raised the mean value under lasting overload from 0.54 to 0.56
     double   m_FailurePenaltyObjectives = 3.0;                // cost, in latency objectives, of a server whose recent outcomes all failed
