--- a/review/standins/common.py
+++ b/review/standins/common.py
@@ -4,12 +4,11 @@
 platform/router.toml.tmpl and platform/agent.toml.tmpl.
 """
 import asyncio
-import json
 import os
 import re
 import resource
+import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -194,6 +193,8 @@
         record.say(f"could not run: {e!r}")
     finally:
         site.end()
+    if code != COULD_NOT_RUN and not os.environ.get("KEEP"):  # KEEP=1: the programs' logs stay
+        shutil.rmtree(site.folder, ignore_errors=True)
     record.say(f"exit {code}: " + {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "the case could not run"}[code])
     sys.stdout.flush()
     os._exit(code)
