--- a/review/standins/common.py
+++ b/review/standins/common.py
@@ -20,6 +20,7 @@
 import platform_standin  # the project's stand-in of the store
 
 Store = platform_standin.Store
+Request = platform_standin.Request
 read_request = platform_standin.read_request
 answer = platform_standin.answer
 
--- a/review/standins/plain_server.py
+++ b/review/standins/plain_server.py
@@ -1,15 +1,38 @@
 """Stand-in of the replicas of a plain service, as PROTOCOL.md describes them: slots, a short queue, X-Expect-Instance, a MAC in each answer."""
 import asyncio
+import socket
 
-from common import answer, read_request
+from common import Request, answer, read_request
+
+READ_BUFFER = 64 * 1024  # of a slow reader
+SHORT_BODY = 64 * 1024   # which a slow reader takes at once
+
+
+async def read_slowly(reader, read_s):
+    """Like read_request(), but a long body is taken over `read_s`."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    method, path, _ = head[0].split(" ", 2)
+    fields = {name.lower(): value for name, _, value in (line.partition(": ") for line in head[1:] if line)}
+    length = int(fields.get("content-length", 0))
+    left = length
+    while left > 0:
+        got = await reader.read(min(left, READ_BUFFER))
+        if not got:
+            raise asyncio.IncompleteReadError(got, left)
+        left -= len(got)
+        if length > SHORT_BODY:
+            await asyncio.sleep(read_s * len(got) / length)
+    return Request(method, path, {}, fields, b"")
 
 
 class PlainServer:
     """One address at which one lifetime of a replica after another runs."""
 
-    def __init__(self, service, ip, port, work_s, record, slots=6, queue=24):
+    def __init__(self, service, ip, port, work_s, record, slots=6, queue=24, read_s=0, on_arrival=None):
         self.service, self.ip, self.port, self.work_s, self.record = service, ip, port, work_s, record
         self.slots, self.queue = slots, queue
+        self.read_s = read_s          # for a long body; 0: as it comes
+        self.on_arrival = on_arrival  # is told the id of each request that has been read; None: nobody is
         self.id = None            # of the present lifetime
         self.server = None
         self.channels = set()
@@ -22,7 +45,12 @@
 
     async def start(self, ident):
         self.id, self.waiting, self.gate = ident, 0, asyncio.Semaphore(self.slots)
-        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.read_s:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BUFFER)
+        listener.bind((self.ip, self.port))
+        self.server = await asyncio.start_server(self.serve, sock=listener)
         self.record(f"replica {ident} of {self.service} starts at {self.ip}:{self.port}")
 
     def crash(self):
@@ -39,7 +67,7 @@
         lifetime = self.id
         try:
             while True:
-                req = await read_request(reader)
+                req = await (read_slowly(reader, self.read_s) if self.read_s else read_request(reader))
                 if self.id != lifetime:
                     raise ConnectionResetError
                 writer.write(await self.respond(req, lifetime))
@@ -59,6 +87,8 @@
         if self.waiting >= self.slots + self.queue:
             return answer(503, X_Not_Executed="1", X_Request_Id=ident)
         self.waiting += 1
+        if self.on_arrival:
+            self.on_arrival(ident)
         try:
             async with self.gate:
                 self.runs += 1
