Checks of staged pieces expire: an agent that stood still reads them again, and drains its server again, before it orders a start

Cause: the age of a check was never looked at; a comment took it for short, which holds only while the process runs.

Before the order stale pieces are read again. The server is drained again as well: routers hear nothing of the drain from an agent that stands still, and requests that they had sent meanwhile were cut off by the order.

--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -13,7 +13,6 @@
 constexpr unsigned kMissedReportsMax   = 2;                 // missed reports in a row after which the server counts as unreachable
 constexpr auto     kPlanInterval       = milliseconds(100); // between looks at what to fetch and to start
 constexpr auto     kPieceTimeout       = milliseconds(800); // for staging or reading one piece
-constexpr auto     kOrderTimeout       = milliseconds(800); // for the answer to an order
 constexpr auto     kOrderEffectTimeout = seconds(6);        // an order without a visible effect is repeated after this time
 constexpr auto     kDrainTimeout =
     milliseconds(1400); // from the notice to routers until the order, which cuts off running requests: a typical stream takes about 1.2 s
@@ -22,6 +21,7 @@
 constexpr int  kStopOrderTries    = 3;
 constexpr auto kStopTickMin       = milliseconds(5);
 static_assert(kStopOrderTimeout * kStopOrderTries < kStopLead);
+constexpr int  kDrainTries        = 3;                // drains of the server in one start, if the checks of its pieces grow stale meanwhile
 constexpr auto kRouterNotifyDelay = milliseconds(25); // shortest drain: the transit time of a datagram to routers
 constexpr auto kDrainPollInterval = milliseconds(25); // between looks whether the server is idle
 
@@ -237,19 +237,24 @@
     m_Stopping = false;
 }
 
-awaitable<bool> WeightKeeper::CheckStaged(const PieceSet& set)
+awaitable<bool> WeightKeeper::CheckStaged(const PieceSet& set, StagedCheck& check)
 {
     for (uint32_t n = 0; n < set.m_Pieces.size(); n++)
     {
+        const TimePoint asked = Now();
+        if (!check.IsStale(n, asked))
+            continue;
         const PieceBytes want   = set.m_Pieces[n];
-        const auto       staged = co_await m_Server.GetPiece(m_Model, n, Now() + kPieceTimeout);
+        const auto       staged = co_await m_Server.GetPiece(m_Model, n, asked + kPieceTimeout);
         if (!staged && staged.error().m_Code != ErrorCode_NotFound)
             co_return false;
-        if (staged && staged.value() == *want)
-            continue;
-        const Status put = co_await m_Server.PutPiece(m_Model, n, *want, Now() + kPieceTimeout);
-        if (!put)
-            co_return false;
+        if (!staged || staged.value() != *want)
+        {
+            const Status put = co_await m_Server.PutPiece(m_Model, n, *want, Now() + kPieceTimeout);
+            if (!put)
+                co_return false;
+        }
+        check.OnChecked(n, asked);
     }
     co_return true;
 }
@@ -267,6 +272,26 @@
         co_await SleepFor(kDrainPollInterval);
 }
 
+// Waiting for running requests may outlast the checks, and so may any step in which this process stands still. Routers send requests again after
+// that, so the server is drained again.
+awaitable<bool> WeightKeeper::DrainAndRecheck(const PieceSet& set, StagedCheck& check)
+{
+    for (int tries = 1;; tries++)
+    {
+        co_await DrainServer();
+        const TimePoint now = Now();
+        if (check.AllowsOrder(now))
+            co_return true;
+        LogEvent(Event_StagedCheckStale,
+                 {{"model", m_Model}, {"version", set.m_List->m_Version}, {"age_ms", ToMs(check.Age(now))}, {"tries", tries}});
+        if (tries == kDrainTries)
+            co_return false;
+        const bool staged = co_await CheckStaged(set, check);
+        if (!staged)
+            co_return false;
+    }
+}
+
 awaitable<void> WeightKeeper::StageAndStart(uint64_t version)
 {
     const PieceSet* found = m_Transfer.Find(version);
@@ -278,11 +303,12 @@
     m_OrderedAt        = {};
     m_Draining         = false;
     const int64_t born = m_Report.m_BornMs;
-    bool staged = co_await CheckStaged(set); // while the server still serves; the time in which a piece could become corrupt afterwards is short
-    if (staged)
-        co_await DrainServer();
-    staged = staged && !ServerLife::Earlier(born, m_Report.m_BornMs); // a restarted server has to be staged again
-    if (!staged || Now() >= m_Plan.StopTime(version))                 // staging and draining may have taken until the weights' own stop time
+    StagedCheck   check(set.m_Pieces.size());
+    bool          ready = co_await CheckStaged(set, check); // while the server still serves
+    if (ready)
+        ready = co_await DrainAndRecheck(set, check);
+    ready = ready && !ServerLife::Earlier(born, m_Report.m_BornMs); // a restarted server has to be staged again
+    if (!ready || Now() >= m_Plan.StopTime(version))                // staging and draining may have taken until the weights' own stop time
     {
         m_Plan.OnOrderFailed(Now());
         m_StartInProgress = false;
@@ -290,7 +316,7 @@
     }
     LogEvent(Event_WeightsStaged, {{"model", m_Model}, {"version", version}});
     const StartOrder   order{m_Model, version, true, m_Report.m_Orders};
-    const StartOutcome outcome = co_await m_Server.Start(order, Now() + kOrderTimeout);
+    const StartOutcome outcome = co_await m_Server.Start(order, Now() + kStartOrderTimeout);
     if (outcome == StartOutcome_Begun || outcome == StartOutcome_Unknown)
     {
         LogEvent(Event_StartOrdered, {{"model", m_Model}, {"version", version}, {"answered", outcome == StartOutcome_Begun}});
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -5,6 +5,8 @@
 // version that the plan chooses, checks every staged piece while the server still serves, has routers send no new requests for a short while, and
 // orders the server to start the version. A server whose weights are about to pass their deadline is ordered to stop.
 //
+// A check of a piece holds for a limited time (staged_check.h). Stale ones are repeated before the order.
+//
 // Usage (src/programs/platform_agent.cpp):
 //   WeightKeeper k(daemon, plan, server, transfer, publisher);
 //   k.SetModel("model"); k.OnTargetVersion(version, declared_at, true); k.Start();
@@ -14,6 +16,7 @@
 #include "process/daemon.h"
 #include "version/piece_transfer.h"
 #include "version/place_answers.h"
+#include "version/staged_check.h"
 #include "version/start_plan.h"
 
 namespace aldervale
@@ -40,11 +43,12 @@
     awaitable<void> PlanLoop();
     PlanInput       PlanInputNow() const;
     awaitable<void> StageAndStart(uint64_t version);
-    Duration        PlanPause() const;                // until the next look at what to fetch, to start or to stop
-    void            RepeatLostStop();                 //
-    awaitable<void> StopServer();                     // the server begins no more requests
-    awaitable<void> DrainServer();                    // routers send no new requests, and short requests end meanwhile
-    awaitable<bool> CheckStaged(const PieceSet& set); // true: every piece is staged at the server with the right content
+    awaitable<bool> DrainAndRecheck(const PieceSet& set, StagedCheck& check); // false: the checks are stale again at the last try
+    Duration        PlanPause() const;                                        // until the next look at what to fetch, to start or to stop
+    void            RepeatLostStop();                                         //
+    awaitable<void> StopServer();                                             // the server begins no more requests
+    awaitable<void> DrainServer();                                            // routers send no new requests, and short requests end meanwhile
+    awaitable<bool> CheckStaged(const PieceSet& set, StagedCheck& check);     // replaces wrong pieces; false: the server doesn't answer
     LoadReport      Load() const;
     void            Publish();
 
--- /dev/null
+++ b/tests/test_stalled_agents.cpp
@@ -0,0 +1,109 @@
+// Tests of agents that stand still while they have their server started: between two steps the staged pieces may turn corrupt, requests may arrive
+// and the server may restart. Guard against starts that rely on what was checked before.
+#include "support_boxes.h"
+
+using namespace aldervale;
+
+namespace
+{
+
+constexpr auto     kStall     = milliseconds(3500); // longer than a piece may be corrupt unnoticed
+constexpr auto     kRequest   = milliseconds(300);  // that the server drains, or that arrives during a stall
+constexpr uint32_t kCorrupted = 5;                  // piece
+
+// One box whose server holds version 1 and is to start version 2. `disturb` is called once, on the agent's thread, before the `nth` time of
+// `step` in that start.
+struct Start
+{
+    using Step = FakeServer::Step;
+
+    Start(Step step, std::function<void(FakeServer&)> disturb, int nth = 1) : m_Step(step), m_Disturb(std::move(disturb)), m_Left(nth)
+    {
+        m_Server.Stage(1);
+        m_Server.m_Held             = 1;
+        m_Server.m_LastRequestTakes = kRequest;
+        m_Server.m_Before           = [this](Step s, uint32_t n) { Before(s, n); };
+        m_Boxes.Start();
+        m_Boxes.m_Boxes[0]->Declare(2);
+    }
+
+    bool IsStaged(uint32_t piece)
+    {
+        std::lock_guard lock(m_Server.m_Mutex);
+        return m_Server.m_Staged[piece] == PieceOf(2, piece);
+    }
+
+    void Before(Step step, uint32_t n)
+    {
+        NoteServing();
+        // Within the check: before its last piece. Otherwise: after it.
+        const bool due = step == m_Step && (step == FakeServer::Step_GetPiece ? n == kPieces - 1 && IsStaged(0) : IsStaged(kPieces - 1));
+        if (!due || --m_Left != 0)
+            return;
+        m_Disturb(m_Server);
+        m_Disturbed = true;
+    }
+
+    void NoteServing()
+    {
+        const WeightKeeper& keeper = *m_Boxes.m_Boxes[0]->m_Keeper;
+        if (!keeper.Serving() || keeper.Describe().at("held") != 2)
+            return;
+        std::lock_guard lock(m_Server.m_Mutex);
+        m_ServesNew = true;
+    }
+
+    bool Finishes()
+    {
+        return Eventually([&] { return m_Disturbed && m_ServesNew; });
+    }
+
+    const Step                             m_Step;
+    const std::function<void(FakeServer&)> m_Disturb;
+    int                                    m_Left; // times of m_Step until then
+    std::atomic<bool>                      m_Disturbed{false};
+    std::atomic<bool>                      m_ServesNew{false}; // the agent says that the server serves version 2
+    Boxes                                  m_Boxes{1};         // its thread uses the members above
+    FakeServer&                            m_Server = m_Boxes.m_Boxes[0]->m_Server;
+};
+
+void CorruptAndStall(FakeServer& server)
+{
+    server.CorruptStaged(kCorrupted);
+    std::this_thread::sleep_for(kStall);
+}
+
+} // namespace
+
+// Guards against an order that relies on checks from before a stall: a server loaded a piece that had been corrupt for 3.9 s and served it until the
+// next version.
+BOOST_AUTO_TEST_CASE(a_piece_that_turned_corrupt_during_a_stall_after_the_check_is_replaced_before_the_start)
+{
+    Start start(FakeServer::Step_Report, CorruptAndStall);
+    BOOST_TEST(start.Finishes());
+    BOOST_TEST(start.m_Server.m_StartedWhole);
+}
+
+// The same for a stall in the middle of the check: the first pieces were read before it.
+BOOST_AUTO_TEST_CASE(a_piece_that_turned_corrupt_during_a_stall_within_the_check_is_replaced_before_the_start)
+{
+    Start start(FakeServer::Step_GetPiece, CorruptAndStall);
+    BOOST_TEST(start.Finishes());
+    BOOST_TEST(start.m_Server.m_StartedWhole);
+}
+
+// Guards against an order that cuts off requests which routers sent while the agent stood still: they had no news that the server is being drained.
+BOOST_AUTO_TEST_CASE(requests_that_arrived_during_a_stall_are_not_cut_off)
+{
+    Start start(
+        FakeServer::Step_Report,
+        [](FakeServer& server)
+        {
+            std::this_thread::sleep_for(kStall);
+            std::lock_guard lock(server.m_Mutex);
+            server.m_RunsUntil = Now() + kRequest;
+        },
+        2); // while the server is being drained
+    BOOST_TEST(start.Finishes());
+    BOOST_TEST(start.m_Server.m_CancelledRequests == 0);
+}
