Answers without end at a router: bounds for all that is held, for an event and for the rest of a refusal

A router held an answer that isn't a stream up to 64 MiB, and several of them without a bound for their sum; it kept an event that didn't end until the request's deadline, searching all of it again with each read; and it read on the rest of a refusal for connect_ms, as fast as it came.

All held answers together may take 64 MiB; beyond that only answers under 256 KiB grow (HeldAnswers), so servers in trouble don't take the room of the others. An event may take 1 MiB, and its end is searched for once. Of a refusal 256 KiB are read to keep its connection.

--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -19,7 +19,8 @@
 constexpr unsigned kPriorityResumed      = 0;                 // of a stream that broke: its caller sees a pause until it resumes
 constexpr auto     kStaleConnectionMax   = milliseconds(250); // after sending; a kept connection that closes later wasn't stale: the work was aborted
 constexpr auto     kAnswerBegunAfter     = milliseconds(200); // first event: a server that crashes on a request does so as it begins to answer
-constexpr size_t   kWholeAnswerMaxBytes  = 64 * 1024 * 1024;  // of an answer that is held until it is complete
+constexpr size_t   kDiscardMax           = 256 * 1024;        // bytes of a refusal that are read to keep its connection
+constexpr size_t   kEventMax             = 1024 * 1024;       // bytes of an event that isn't complete
 
 bool IsServerError(unsigned status)
 {
@@ -69,14 +70,15 @@
     return IsSlow(call, attempt) ? ServerOutcome_Slow : ServerOutcome_Good;
 }
 
-// Discards the rest of an answer, so that its connection can be reused.
+// Discards the rest of an answer, so that its connection can be reused. The rest of a long one isn't worth its bytes.
 awaitable<void> ReadToEnd(HttpStream& stream, TimePoint deadline)
 {
-    for (;;)
+    for (size_t got = 0; got < kDiscardMax;)
     {
         const auto piece = co_await stream.Read(deadline);
         if (!piece || piece.value().m_Done)
             co_return;
+        got += piece.value().m_Bytes.size();
     }
 }
 
@@ -160,7 +162,7 @@
     const TimePoint       sent_at  = Now();
     const HttpRequest     forward  = m_Protocol.Forward(call.m_Request, ForwardFieldsFor(call, server.m_Id, sent_at));
     const HttpCallOptions options  = CallOptionsFor(call);
-    RequestAttemptPtr     attempt  = std::make_unique<RequestAttempt>(server.Life(), server.m_Address);
+    RequestAttemptPtr     attempt  = std::make_unique<RequestAttempt>(server.Life(), server.m_Address, m_HeldAnswers);
     attempt->m_WeightsVersion      = call.m_Choice.m_Weights;
     attempt->m_PredictedFirstEvent = call.m_Choice.m_Predicted;
     attempt->m_InFlight            = call.m_Choice.m_InFlight;
@@ -421,14 +423,13 @@
             co_return AttemptEnd_Stalled;
         if (piece.value().m_Done)
             break;
-        attempt.m_Body.append(piece.value().m_Bytes);
-        if (attempt.m_Body.size() > kWholeAnswerMaxBytes)
+        if (!attempt.m_Body.Append(piece.value().m_Bytes))
         {
             RecordFailure(call, FailureCause_InvalidAnswer, "answer exceeds the size limit");
             co_return AttemptEnd_MayHaveRun;
         }
     }
-    HttpResponse res = {stream.Head().m_Status, m_Protocol.CallerFields(stream.Head()), std::move(attempt.m_Body)};
+    HttpResponse res = {stream.Head().m_Status, m_Protocol.CallerFields(stream.Head()), attempt.m_Body.Take()};
     if (call.m_HeadSent) // a resumed stream can't continue with an answer of another kind
     {
         RecordFailure(call, FailureCause_ServerError, "server answered " + std::to_string(res.m_Status) + " to a resumed stream");
@@ -497,6 +498,11 @@
         attempt.m_Splitter.Feed(piece.value().m_Bytes);
         const unsigned    sent_before = call.m_EventsSent;
         const std::string out         = TakeEvents(call, attempt.m_Splitter);
+        if (attempt.m_Splitter.PendingBytes() > kEventMax)
+        {
+            RecordFailure(call, FailureCause_InvalidAnswer, "event exceeds the size limit");
+            co_return AttemptEnd_MayHaveRun;
+        }
         if (out.empty())
             continue;
         timing.m_Events += call.m_EventsSent - sent_before;
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -7,6 +7,7 @@
 #include "request/crash_history.h"
 #include "request/direct_serve.h"
 #include "request/event_splitter.h"
+#include "request/held_answers.h"
 #include "request/return_guess.h"
 #include "request/urgency.h"
 #include <deque>
@@ -65,7 +66,7 @@
 
 struct RequestAttempt // one exchange with one server, from the sending of the request on
 {
-    RequestAttempt(ServerLife server, Endpoint address) : m_Server(std::move(server)), m_Address(address) {}
+    RequestAttempt(ServerLife server, Endpoint address, HeldAnswers& held) : m_Server(std::move(server)), m_Address(address), m_Body(held) {}
 
     ServerLife    m_Server;                 // the incarnation that the request was sent to
     Endpoint      m_Address;                // address of m_Server
@@ -81,7 +82,7 @@
     bool          m_StallCounted = false;   // the current stall was counted
     bool          m_Resent       = false;   // the kept connection was stale and the request was sent once more
     TimePoint     m_ReadTurnEnd{};          // until when this attempt is read while others are stalled, too; see kStalledReadTurn
-    std::string   m_Body;                   // body received so far of an answer that is forwarded when complete
+    HeldAnswer    m_Body;                   // body received so far of an answer that is forwarded when complete
 };
 using RequestAttemptPtr = std::unique_ptr<RequestAttempt>;
 
@@ -153,6 +154,7 @@
 {
     Daemon&                        m_Daemon;               //
     DirectServeSettings            m_Settings;             //
+    HeldAnswers                    m_HeldAnswers;          // of all attempts
     RoutingState&                  m_World;                //
     const RequestProtocol&         m_Protocol;             //
     HttpClient                     m_Client;               //
--- a/src/request/event_splitter.cpp
+++ b/src/request/event_splitter.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-constexpr size_t kCompactAt = 16 * 1024; // returned bytes at the front of the buffer after which it is compacted
+constexpr size_t kEndMarkMax = 3;         // bytes of the longest mark that ends an event
+constexpr size_t kCompactAt  = 16 * 1024; // returned bytes at the front of the buffer after which it is compacted
 
 // Value of the first field of that name; empty: none.
 std::string_view FieldValue(std::string_view event, std::string_view name)
@@ -30,14 +31,18 @@
     return {};
 }
 
-// Position after the empty line that ends the first event; npos: the event is incomplete.
-size_t EventEnd(std::string_view text)
+// Position after the empty line that ends the first event; npos: the event is incomplete. No such line begins before `from`.
+size_t EventEnd(std::string_view text, size_t from)
 {
-    const size_t plain = text.find("\n\n");
-    const size_t crlf  = text.find("\n\r\n");
-    if (plain == std::string_view::npos && crlf == std::string_view::npos)
-        return std::string_view::npos;
-    return plain < crlf ? plain + 2 : crlf + 3;
+    for (size_t line = text.find('\n', from); line != std::string_view::npos; line = text.find('\n', line + 1))
+    {
+        const std::string_view next = text.substr(line + 1);
+        if (next.starts_with('\n'))
+            return line + 2;
+        if (next.starts_with("\r\n"))
+            return line + 3;
+    }
+    return std::string_view::npos;
 }
 
 } // namespace
@@ -45,9 +50,10 @@
 std::optional<StreamEvent> EventSplitter::Next()
 {
     const std::string_view rest = std::string_view(m_Buf).substr(m_Head);
-    const size_t           end  = EventEnd(rest);
+    const size_t           end  = EventEnd(rest, m_Searched);
     if (end == std::string_view::npos)
     {
+        m_Searched = rest.size() - std::min(rest.size(), kEndMarkMax - 1);
         if (m_Head > kCompactAt || m_Head == m_Buf.size())
         {
             m_Buf.erase(0, m_Head);
@@ -59,6 +65,7 @@
     e.m_Bytes = std::string(rest.substr(0, end));
     e.m_Id    = std::string(FieldValue(e.m_Bytes, "id"));
     m_Head += end;
+    m_Searched = 0;
     return e;
 }
 
--- a/src/request/event_splitter.h
+++ b/src/request/event_splitter.h
@@ -1,7 +1,7 @@
 // aldervale: splits a server-sent event stream into whole events
 //
 // Pure: no I/O. Events end with an empty line. The bytes of an incomplete event are buffered until the rest arrives; if the stream breaks before,
-// they are never returned.
+// they are never returned. Bytes that were searched for the end of an event aren't searched again.
 //
 // Usage:
 //   EventSplitter s;
@@ -30,8 +30,9 @@
     size_t                     PendingBytes() const { return m_Buf.size() - m_Head; } // buffered bytes of an incomplete event
 
 private:
-    std::string m_Buf;      // bytes not yet returned, from m_Head on
-    size_t      m_Head = 0; // invariant: m_Head <= m_Buf.size()
+    std::string m_Buf;          // bytes not yet returned, from m_Head on
+    size_t      m_Head     = 0; // invariant: m_Head <= m_Buf.size()
+    size_t      m_Searched = 0; // no event ends within so many bytes from m_Head on
 };
 
 } // namespace aldervale
