Routers told others the time of what lay behind a block of memory: the version after another one is found by its number

NotBeforeAfter() stepped a pointer to an element of a std::deque to the next element. At the end of a block of the deque it read outside of it, and told another router what lay there as the time before which the rows weren't written: too early, and servers stop at once; too late, and they begin requests on older weights after the deadline. The review's soaks with the address sanitizer's programs ended routers there.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -192,7 +192,7 @@
             f.write(f'name = "{name}"\ndata_centre = "dc-1"\nstore = "127.0.0.1:{self.store_port}"\nthreads = 1\n{own_settings}'
                     f'[internal]\nip = "{ip}"\nport = {self.internal}\n[weights]\ndeadline_ms = 8000\n')
         with open(os.path.join(self.folder, name + ".log"), "ab") as log:
-            command = [os.path.join(PROGRAMS, program), "--settings", path]
+            command = [os.path.join(self.args.programs, program), "--settings", path]
             return subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
 
     def launch(self, r):
@@ -753,6 +753,7 @@
 
 def main():
     p = argparse.ArgumentParser(description="Fault soak of the platform's router")
+    p.add_argument("--programs", default=PROGRAMS, help="folder; that of a build with a sanitizer has it report")
     p.add_argument("--seed", type=int, default=1)
     p.add_argument("--seconds", type=float, default=20, help="of faults")
     p.add_argument("--routers", type=int, default=3)
--- a/src/process/declarations_peers.cpp
+++ b/src/process/declarations_peers.cpp
@@ -446,8 +446,8 @@
 
 TimePoint DeclarationsPeers::NotBeforeAfter(uint64_t version) const
 {
-    const Text* text = FindText(version);
-    return text == nullptr || text == &m_Texts.back() ? TimePoint{} : std::next(text)->m_NotBefore;
+    const auto newer = std::find_if(m_Texts.begin(), m_Texts.end(), [&](const Text& t) { return t.m_Version > version; });
+    return FindText(version) == nullptr || newer == m_Texts.end() ? TimePoint{} : newer->m_NotBefore;
 }
 
 const DeclarationsPeers::Text* DeclarationsPeers::FindText(uint64_t version) const
--- a/tests/test_declaration_bounds.cpp
+++ b/tests/test_declaration_bounds.cpp
@@ -1,6 +1,6 @@
 // Tests of the bounds of rows' declaration times: a bound that is later than the declaration lets servers start requests on older weights too late.
 #include "process/declarations_peers.h"
-#include "support.h"
+#include "support_io.h"
 
 using namespace aldervale;
 
@@ -115,3 +115,45 @@
     BOOST_TEST((r.Bound(5) != TimePoint{}));
     BOOST_TEST((r.Bound(9) == r.Bound(5)));
 }
+
+// Guards against a read outside of the texts of earlier versions: they lie in blocks, and what lay behind a block was told to other routers as a
+// time.
+BOOST_AUTO_TEST_CASE(who_lacks_one_version_is_told_the_bound_of_that_version)
+{
+    constexpr uint64_t kVersions = 40; // more than a block of the texts holds
+    asio::io_context   ioc;
+    LoadListener       datagrams(ioc, {"r", "dc"}, [](const asio::ip::address&, const LoadReport&) {});
+    StoreTimes         times;
+    const Endpoint     at = FreeEndpoint();
+    DeclarationsPeers  peers(ioc, {"r", at, "region"}, datagrams, times, [](const DeclaredRows&) {});
+    const TimePoint    begun = Now() - seconds(1000);
+    BOOST_REQUIRE(peers.Listen().has_value());
+    peers.OnStoreRead(Reader::Read(0, 1, {Reader::MakeRow(1, "1")}), TableRead_Whole);
+    for (uint64_t version = 2; version <= kVersions; version++)
+    {
+        RowRead read     = Reader::Read(version - 1, version, {Reader::MakeRow(version, std::to_string(version))});
+        read.m_NotBefore = begun + version * seconds(10);
+        peers.OnStoreRead(read, TableRead_Changes);
+        std::optional<int32_t> age_ms;
+        const auto             ask = [&]() -> awaitable<void>
+        {
+            auto                   socket = co_await ConnectTcp(at, seconds(30));
+            const auto             link   = std::make_shared<Link>(std::move(socket.value()), LinkSide_Dialled, LinkConfig{}, LinkHandlers{});
+            const MailboxPtr       answer = link->OpenExchange(ioc.get_executor());
+            wire::DeclarationsGetT get;
+            get.have = version - 1;
+            link->Start();
+            link->Send(EncodeFrame(answer->Id(), get));
+            const TimePoint               until = Now() + seconds(30);
+            const std::optional<FrameBuf> frame = co_await answer->Pop(until);
+            age_ms                              = frame ? frame->Get()->body_as_DeclarationsData()->not_before_age_ms() : -1;
+            link->Close();
+        };
+        asio::co_spawn(ioc, ask, asio::detached);
+        for (int i = 0; i < 6000 && !age_ms; i++)
+            ioc.run_for(milliseconds(5));
+        BOOST_REQUIRE(age_ms.has_value());
+        const Duration off = Now() - milliseconds(*age_ms) - read.m_NotBefore;
+        BOOST_TEST(std::abs(ToMs(off)) < 5000, "version " << version << " is told " << ToMs(off) << " ms off its bound");
+    }
+}
