A server whose pieces take longer to read than a check holds is started all the same, and confirmed afterwards

With the mend of stale checks such a server would have been drained again and again and never started: after the third drain the checks were stale once more, and the start was planned anew. The order is given then, and the pieces are read again before routers hear of the version, as after any order that was taken late.

--- a/src/version/weight_keeper.cpp
+++ b/src/version/weight_keeper.cpp
@@ -291,8 +291,8 @@
             co_return true;
         LogEvent(Event_StagedCheckStale,
                  {{"model", m_Model}, {"version", set.m_List->m_Version}, {"age_ms", ToMs(check.Age(now))}, {"tries", tries}});
-        if (tries == kDrainTries)
-            co_return false;
+        if (tries == kDrainTries) // reading all pieces takes longer than a check holds: the start is confirmed afterwards
+            co_return true;
         const bool staged = co_await CheckStaged(set, check);
         if (!staged)
             co_return false;
--- a/src/version/weight_keeper.h
+++ b/src/version/weight_keeper.h
@@ -5,9 +5,9 @@
 // version that the plan chooses, checks every staged piece while the server still serves, has routers send no new requests for a short while, and
 // orders the server to start the version. A server whose weights are about to pass their deadline is ordered to stop.
 //
-// A check of a piece holds for a limited time (staged_check.h). Stale ones are repeated before the order. When the server took the pieces is known
-// only from its answer: until that shows that every check held, routers aren't told of the version; the pieces are read again, and a server that
-// took corrupt ones is ordered to stop.
+// A check of a piece holds for a limited time (staged_check.h). Stale ones are repeated before the order, a few times. When the server took the
+// pieces is known only from its answer: until that shows that every check held, routers aren't told of the version; the pieces are read again, and a
+// server that took corrupt ones is ordered to stop.
 //
 // Usage (src/programs/platform_agent.cpp):
 //   WeightKeeper k(daemon, plan, server, transfer, publisher);
@@ -63,7 +63,7 @@
     awaitable<void> PlanLoop();
     PlanInput       PlanInputNow() const;
     awaitable<void> StageAndStart(uint64_t version);
-    awaitable<bool> DrainAndRecheck(const PieceSet& set, StagedCheck& check); // false: the checks are stale again at the last try
+    awaitable<bool> DrainAndRecheck(const PieceSet& set, StagedCheck& check); // false: the server doesn't answer
     Duration        PlanPause() const;                                        // until the next look at what to fetch, to start or to stop
     void            RepeatLostStop();                                         //
     awaitable<void> StopServer();                                             // the server begins no more requests
--- a/tests/support_boxes.h
+++ b/tests/support_boxes.h
@@ -119,6 +119,7 @@
     awaitable<Result<std::vector<uint8_t>>> GetPiece(std::string, uint32_t n, TimePoint) override
     {
         m_Before(Step_GetPiece, n);
+        co_await SleepFor(m_ReadTakes);
         std::lock_guard lock(m_Mutex);
         if (!m_Staged.contains(n))
             co_return MakeError(ErrorCode_NotFound, "none");
@@ -184,6 +185,7 @@
     // Called on the agent's thread before each step, with the number of a piece: while it sleeps, the whole agent stands still.
     std::function<void(Step, uint32_t)> m_Before = [](Step, uint32_t) {};
 
+    Duration   m_ReadTakes{};           // of a staged piece; set before the start
     Duration   m_ReportTakes{};         // delay between the report's content and its arrival; set before the start
     Duration   m_LastRequestTakes{};    // duration of a request that arrives with the last staged piece; set before the start
     std::mutex m_Mutex;                 // guards the members below
--- a/tests/test_stalled_agents.cpp
+++ b/tests/test_stalled_agents.cpp
@@ -133,3 +133,16 @@
     BOOST_TEST(start.Finishes());
     BOOST_TEST(!start.m_ServedCorrupt);
 }
+
+// Guards against a server that is drained again and again and never started.
+BOOST_AUTO_TEST_CASE(a_server_whose_pieces_take_longer_to_read_than_a_check_holds_is_started)
+{
+    std::atomic<bool> confirmed{false};
+    Boxes             boxes(1); // its thread uses `confirmed`
+    Box&              box    = *boxes.m_Boxes[0];
+    box.m_Server.m_ReadTakes = kStagedCheckMax / kPieces;
+    box.m_Server.m_Before    = [&](FakeServer::Step, uint32_t) { confirmed = confirmed || box.m_Keeper->Serving(); };
+    boxes.Start();
+    BOOST_TEST(Eventually([&] { return confirmed.load(); }));
+    BOOST_TEST(boxes.StartedWhole());
+}
