--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -525,12 +525,16 @@
     return True
 
 
+_given_ports = set()
+
+
 def free_ports(count, rng):
-    """Ports that nobody uses now, below the range from which the system takes its own."""
+    """Ports that nobody uses now, below the range from which the system takes its own. None is given twice: its user may be down just now."""
     out = []
     while len(out) < count:
         port = rng.randrange(12_000, 30_000)
-        if port not in out and is_free(port):
+        if port not in _given_ports and is_free(port):
+            _given_ports.add(port)
             out.append(port)
     return out
 
