A router that ends says which requests it cuts off

New event RequestCutOff (1513): since when it was read whole, how long its upload took, where it was sent, since when its server is silent. DaemonHooks::m_CutOff is called once the longest drain is over. No other behaviour changes.

--- a/src/common/events.h
+++ b/src/common/events.h
@@ -92,6 +92,7 @@
     X(1510, ServerLimitChanged, Info, "backend server changed or removed its rate limit")                                                            \
     X(1511, ServerPaused, Info, "backend server asked for a pause")                                                                                  \
     X(1512, ServerLeaving, Info, "backend server said in an answer that it leaves")                                                                  \
+    X(1513, RequestCutOff, Warn, "process ends; request in progress is cut off")                                                                     \
     X(1601, AccountingFlushed, Debug, "accounting window flushed")                                                                                   \
     X(1602, AccountingDelayed, Warn, "accounting window kept: table service can't be reached")
 
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -216,7 +216,10 @@
     const TimePoint end = Now() + milliseconds(m_Settings.m_DrainMaxMs);
     while (m_Hooks.m_Drained && !m_Hooks.m_Drained() && Now() < end)
         co_await SleepFor(kDrainPoll);
-    LogEvent(Event_ProcessStopped, {{"drained", !m_Hooks.m_Drained || m_Hooks.m_Drained()}});
+    const bool drained = !m_Hooks.m_Drained || m_Hooks.m_Drained();
+    if (!drained && m_Hooks.m_CutOff)
+        m_Hooks.m_CutOff();
+    LogEvent(Event_ProcessStopped, {{"drained", drained}});
     m_Ioc.stop();
 }
 
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -188,6 +188,7 @@
         co_return FinishAttempt(call, *attempt, reached ? AttemptEnd_MayHaveRun : AttemptEnd_NotRun, reached);
     }
     call.m_Tried.push_back(attempt->m_Server);
+    call.m_LastSentAt = sent_at;
     NoteWeights(call, *attempt);
     attempt->m_Stream = std::move(sent.value());
     co_return co_await RelayUntilStall(call, std::move(attempt));
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -544,7 +544,7 @@
     const std::shared_ptr<Impl> impl = m_Impl;
     Call                        call(req, reply);
     call.m_StartedAt = Now();
-    impl->m_InFlight++;
+    impl->m_InFlight.insert(&call);
     std::optional<HttpResponse> answer = impl->Identify(call);
     if (answer)
         co_await impl->SendAnswer(call, std::move(*answer));
@@ -553,7 +553,7 @@
         reply.OnCallerGone([&call] { call.m_Abort.Abort(); });
         co_await impl->Serve(call);
     }
-    impl->m_InFlight--;
+    impl->m_InFlight.erase(&call);
     const TimePoint now = Now();
     CountCall(call, now);
     LogCall(call, impl->m_World, now);
@@ -629,7 +629,24 @@
 
 uint64_t DirectServe::InFlight() const
 {
-    return m_Impl->m_InFlight;
+    return m_Impl->m_InFlight.size();
+}
+
+void DirectServe::LogCutOff() const
+{
+    const TimePoint now   = Now();
+    const auto      since = [now](TimePoint at) { return at == TimePoint{} ? -1 : ToMs(now - at); };
+    for (const Call* call : m_Impl->m_InFlight)
+        LogEvent(Event_RequestCutOff,
+                 {{"id", call->m_Caller.m_Id},
+                  {"route", call->m_Route != nullptr ? call->m_Route->m_Name : std::string()},
+                  {"ms", since(call->m_StartedAt)},
+                  {"upload_ms", call->m_Request.m_BegunAt == TimePoint{} ? -1 : ToMs(call->m_StartedAt - call->m_Request.m_BegunAt)},
+                  {"left_ms", ToMs(call->TimeLeft(now))},
+                  {"servers", TriedIds(*call)},
+                  {"attempt_ms", since(call->m_LastSentAt)},
+                  {"quiet_ms", since(std::max(call->m_LastSentAt, call->m_LastEventAt))},
+                  {"events", call->m_EventsSent}});
 }
 
 } // namespace aldervale
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -74,6 +74,7 @@
     void            OnServersChanged();                                               // call also when the declarations changed
     void            SetSettings(const DirectServeSettings& s);                        // on a reload of the settings file
     uint64_t        InFlight() const;
+    void            LogCutOff() const;   // the process ends: one line for each request in flight
     ServerLimits&   GetServerLimits();   // merged with the limits of other routers
     uint32_t        RoutersHint() const; // number of routers that share the servers, as last reported; 0: unknown
     CrashHistory&   GetCrashHistory();   // merged with the crash records of other routers
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -11,6 +11,7 @@
 #include "request/return_guess.h"
 #include "request/urgency.h"
 #include <deque>
+#include <set>
 
 namespace aldervale
 {
@@ -127,6 +128,7 @@
     std::string                   m_FailureText;                        // last failure or refusal, sent to the caller and logged
     FailureCause                  m_Cause         = FailureCause_None;  // why the last attempt failed
     NoRetryReason                 m_NoRetryReason = NoRetryReason_None; // why no other server was tried
+    TimePoint                     m_LastSentAt{};                       // when the last attempt was sent; default: none was
     TimePoint                     m_AttemptSentAt{};                    // when the attempt that ended last was sent; default: none ended
     TimePoint                     m_AttemptEndedAt{};                   // when it ended
     Duration                      m_SilenceAtEnd{};                     // from the last receipt (or the sending) to the end of the last attempt
@@ -169,7 +171,7 @@
     PlaceChannel*                                       m_PlaceChannel      = nullptr; // null: boxes aren't asked for places
     uint16_t                                            m_PlacePort         = 0;       // port at which the boxes answer m_PlaceChannel
     RefusalChannel*                                     m_Refusals          = nullptr; // null: retries aren't recognized by records
-    uint64_t                                            m_InFlight          = 0;       // requests between their head and their last byte
+    std::set<const Call*>                               m_InFlight;                    // requests that were read whole and aren't settled
 
     Impl(Daemon& daemon, const DirectServeSettings& s, RoutingState& world, const RequestProtocol& protocol);
 
