Requests cut off with a draining router: what it can't answer any more before its end is refused as not run

No request was judged by the time that is left. One that was read whole late, as its body came slowly or it had waited, was passed on although its answer would take longer. Class: work is accepted under a time limit of the caller's, while the acceptor has a shorter one of its own.

A request that isn't expected to be whole by then is refused with 503 and a short Retry-After, as other routers can take it at once. It is judged when it is whole, before each server that it would be passed on to while none may have run it, and while its body is still coming, so that its caller needn't send the rest. Requests that a server may have run, and streams that have begun, go on as before. Without SIGTERM nothing changes.

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -92,7 +92,8 @@
     virtual void            OnCallerGone(std::function<void()> callback)     = 0; // at most once, while the handler runs; on its strand
 };
 
-using HttpHandler = std::function<awaitable<void>(HttpRequest&, HttpReply&)>;
+using HttpHandler   = std::function<awaitable<void>(HttpRequest&, HttpReply&)>;
+using HttpHeadCheck = std::function<std::optional<HttpResponse>(const HttpRequest& head)>; // a response: the request is refused with it
 
 class HttpServer
 {
@@ -100,6 +101,7 @@
     HttpServer(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler);
     ~HttpServer();
 
+    void   SetHeadCheck(HttpHeadCheck check); // before Listen(); asked from CloseAfterAnswer() on, again and again while a request's body is coming
     Status Listen(const Endpoint& at);
     void   SetConfig(const HttpServerConfig& cfg); // bounds of requests read from now on; any thread
     void   CloseAfterAnswer();                     // idle connections close; every answer from now on says that its connection closes
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -13,9 +13,10 @@
 namespace http  = boost::beast::http;
 
 constexpr auto   kNoThrow     = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kFirstRead   = 4096;             // bytes asked for while a connection is idle
-constexpr auto   kAcceptPause = milliseconds(20); // after a connection that could not be taken
-constexpr auto   kLinger      = seconds(1);       // for a caller to read why its request was refused
+constexpr size_t kFirstRead   = 4096;              // bytes asked for while a connection is idle
+constexpr auto   kAcceptPause = milliseconds(20);  // after a connection that could not be taken
+constexpr auto   kLinger      = seconds(1);        // for a caller to read why its request was refused
+constexpr auto   kBodyLook    = milliseconds(250); // between looks whether a request whose body is coming is refused
 
 struct HttpServer::Impl
 {
@@ -29,6 +30,7 @@
 
     asio::io_context&                     m_Ioc;             //
     HttpHandler                           m_Handler;         //
+    HttpHeadCheck                         m_HeadCheck;       // may be empty; set before the first connection
     std::mutex                            m_Mutex;           // guards m_Config and m_Connections
     HttpServerConfig                      m_Config;          //
     std::set<std::shared_ptr<Connection>> m_Connections;     // an entry is there as long as its stream
@@ -49,7 +51,7 @@
 namespace
 {
 
-HttpRequest ToRequest(http::request<http::string_body>&& msg)
+HttpRequest ToHead(const http::request<http::string_body>& msg, TimePoint begun)
 {
     HttpRequest req;
     req.m_Method = std::string(msg.method_string());
@@ -57,15 +59,23 @@
     req.m_Fields.reserve(8);
     for (const auto& f : msg)
         req.m_Fields.push_back({std::string(f.name_string()), std::string(f.value())});
-    req.m_Body = std::move(msg.body());
+    req.m_BegunAt = begun;
+    return req;
+}
+
+HttpRequest ToRequest(http::request<http::string_body>&& msg, TimePoint begun)
+{
+    HttpRequest req = ToHead(msg, begun);
+    req.m_Body      = std::move(msg.body());
     return req;
 }
 
 struct ReadRefusal // the answer to a request that isn't read to its end
 {
-    unsigned    m_Status = 0; // 0: none, the connection just ends
-    std::string m_Message;    //
-    std::string m_Field;      // part of the request that is at fault
+    unsigned                    m_Status = 0; // 0: none, the connection just ends
+    std::string                 m_Message;    //
+    std::string                 m_Field;      // part of the request that is at fault
+    std::optional<HttpResponse> m_Response{}; // sent in place of one made of the others
 };
 
 ReadRefusal RefusalOf(const boost::system::error_code& ec)
@@ -90,6 +100,23 @@
 
 using Parser = http::request_parser<http::string_body>;
 
+// Waits for more of a request until `until`. While the server closes, a request whose body is still coming may be refused meanwhile.
+awaitable<boost::system::error_code> ReadMore(HttpServer::Impl& impl, tcp::socket& socket, asio::steady_timer& timer, beast::flat_buffer& buffer,
+                                              const Parser& parser, TimePoint begun, TimePoint until, std::optional<HttpResponse>& refused)
+{
+    const bool in_body = parser.is_header_done() && impl.m_HeadCheck;
+    for (;;)
+    {
+        if (in_body && impl.m_Closing.load())
+            refused = impl.m_HeadCheck(ToHead(parser.get(), begun));
+        if (refused)
+            co_return boost::system::error_code{};
+        const boost::system::error_code ec = co_await ReadSome(socket, timer, buffer, in_body ? std::min(until, Now() + kBodyLook) : until);
+        if (ec != kNothingCame || Now() >= until)
+            co_return ec;
+    }
+}
+
 // Reads one request from `begun` on, when its first byte came. Its head has one bound; its body may take longer as long as it keeps coming.
 awaitable<ReadRefusal> ReadWhole(HttpServer::Impl& impl, const HttpServerConfig& cfg, tcp::socket& socket, beast::flat_buffer& buffer, Parser& parser,
                                  TimePoint begun)
@@ -114,8 +141,11 @@
             slow.emplace(impl.m_Slow, cfg.m_SlowMax);
         if (slow && !slow->m_Allowed)
             co_return too_slow;
-        const TimePoint until = parser.is_header_done() ? std::min(body_by, now + cfg.m_ReadTimeout) : head_by;
-        ec                    = co_await ReadSome(socket, timer, buffer, until);
+        const TimePoint             until = parser.is_header_done() ? std::min(body_by, now + cfg.m_ReadTimeout) : head_by;
+        std::optional<HttpResponse> refused;
+        ec = co_await ReadMore(impl, socket, timer, buffer, parser, begun, until, refused);
+        if (refused)
+            co_return ReadRefusal{refused->m_Status, {}, {}, std::move(refused)};
         if (ec == kNothingCame && parser.is_header_done())
             co_return too_slow;
         if (ec)
@@ -160,7 +190,7 @@
     if (refusal.m_Status == 0)
         co_return parser.is_done();
     BeastReply   bad(stream, cfg, false, impl.m_Closing);
-    HttpResponse res = ErrorResponse(MakeError(ErrorCode_Invalid, refusal.m_Message, refusal.m_Field));
+    HttpResponse res = refusal.m_Response ? *refusal.m_Response : ErrorResponse(MakeError(ErrorCode_Invalid, refusal.m_Message, refusal.m_Field));
     res.m_Status     = refusal.m_Status;
     const bool sent  = co_await bad.Send(res);
     if (sent)
@@ -210,9 +240,8 @@
             break;
         http::request<http::string_body> msg        = parser.release();
         const bool                       keep_alive = msg.keep_alive() && !impl->m_Stopping.load();
-        HttpRequest                      req        = ToRequest(std::move(msg));
-        req.m_BegunAt                               = begun;
-        BeastReply reply(stream, cfg, keep_alive, impl->m_Closing);
+        HttpRequest                      req        = ToRequest(std::move(msg), begun);
+        BeastReply                       reply(stream, cfg, keep_alive, impl->m_Closing);
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
         if (!reply.Sent() || reply.Broken() || !reply.KeepAlive())
@@ -267,6 +296,11 @@
     StopAccepting();
 }
 
+void HttpServer::SetHeadCheck(HttpHeadCheck check)
+{
+    m_Impl->m_HeadCheck = std::move(check);
+}
+
 Status HttpServer::Listen(const Endpoint& at)
 {
     auto strand   = asio::make_strand(m_Impl->m_Ioc);
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -211,9 +211,9 @@
 {
     LogEvent(Event_ProcessDraining);
     m_Draining.store(true);
-    if (m_Hooks.m_Drain)
-        m_Hooks.m_Drain();
     const TimePoint end = Now() + milliseconds(m_Settings.m_DrainMaxMs);
+    if (m_Hooks.m_Drain)
+        m_Hooks.m_Drain(end);
     while (m_Hooks.m_Drained && !m_Hooks.m_Drained() && Now() < end)
         co_await SleepFor(kDrainPoll);
     const bool drained = !m_Hooks.m_Drained || m_Hooks.m_Drained();
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -49,13 +49,13 @@
 
 struct DaemonHooks
 {
-    std::function<bool()>         m_Ready;    // /readyz; also tells the balancer when to send callers elsewhere
-    std::function<void()>         m_Drain;    // SIGTERM: stop taking work; called once
-    std::function<bool()>         m_Drained;  // polled until true or m_DrainMaxMs
-    std::function<void()>         m_CutOff;   // m_DrainMaxMs are over and work is in progress, which the process's end cuts off
-    std::function<json::object()> m_Describe; // extra members of /statusz
-    std::function<void()>         m_Measure;  // sets what /metrics is to tell of now; before it is answered
-    std::function<void()>         m_Reloaded; // SIGHUP or a changed file: the settings structs hold the new values
+    std::function<bool()>          m_Ready;    // /readyz; also tells the balancer when to send callers elsewhere
+    std::function<void(TimePoint)> m_Drain;    // SIGTERM: stop taking work; called once, with the end of the longest drain
+    std::function<bool()>          m_Drained;  // polled until true or m_DrainMaxMs
+    std::function<void()>          m_CutOff;   // m_DrainMaxMs are over and work is in progress, which the process's end cuts off
+    std::function<json::object()>  m_Describe; // extra members of /statusz
+    std::function<void()>          m_Measure;  // sets what /metrics is to tell of now; before it is answered
+    std::function<void()>          m_Reloaded; // SIGHUP or a changed file: the settings structs hold the new values
 };
 
 class Daemon
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -107,7 +107,7 @@
 
     DaemonHooks hooks;
     hooks.m_Ready = [&agent] { return agent.m_Node->Config()->m_Revision > 0; };
-    hooks.m_Drain = [&agent]
+    hooks.m_Drain = [&agent](TimePoint)
     {
         agent.m_Serve->BeginDrain();
         agent.m_Node->AnnounceNow();
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -402,8 +402,12 @@
 DaemonHooks MakeHooks(Router& r)
 {
     DaemonHooks hooks;
-    hooks.m_Ready   = [&r] { return r.m_World.m_Routes && r.m_World.m_ServerListRead; };
-    hooks.m_Drain   = [&r] { r.m_Http->CloseAfterAnswer(); };
+    hooks.m_Ready = [&r] { return r.m_World.m_Routes && r.m_World.m_ServerListRead; };
+    hooks.m_Drain = [&r](TimePoint end)
+    {
+        r.m_Serve->SetEnd(end);
+        r.m_Http->CloseAfterAnswer();
+    };
     hooks.m_Drained = [&r, since = std::make_shared<TimePoint>()]
     {
         if (*since == TimePoint{})
@@ -462,7 +466,8 @@
     r.m_Crashes = std::make_unique<CrashShare>(*r.m_Loads, *r.m_Peers, r.m_Serve->GetCrashHistory());
     r.m_Http    = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                             [&r](HttpRequest& req, HttpReply& reply) { return r.m_Serve->Handle(req, reply); });
-    r.m_Ready   = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
+    r.m_Http->SetHeadCheck([&r](const HttpRequest& head) { return r.m_Serve->RefuseLate(head); });
+    r.m_Ready = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                              [&daemon](HttpRequest&, HttpReply& reply) -> awaitable<void>
                                              {
                                                  const HttpResponse res{daemon.Ready() ? 200u : 503u, {}, {}};
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -14,6 +14,7 @@
 constexpr auto             kNotReadyRetryAfter    = milliseconds(300); // Retry-After of a router that has no declarations yet
 constexpr auto             kBlockedRetryAfter     = seconds(60);       // Retry-After of requests blocked because they crash servers
 constexpr std::string_view kBlockedText           = "servers crash under this request";
+constexpr auto             kEndingRetryAfter      = milliseconds(50);  // Retry-After of a router that ends: others can serve the request at once
 constexpr auto             kCrashCheckPoll        = milliseconds(5);   // interval of polling for the end of a crash check
 constexpr auto             kStalledSearchInterval = milliseconds(500); // between searches for another server while attempts are stalled
 constexpr auto     kLostSearchMinPause  = milliseconds(100);  // first pause between searches after a server was lost; doubles, as many may search
@@ -25,7 +26,7 @@
 
 constexpr std::string_view kFailureCauseNames[]  = {"none",  "silence", "closed",   "refused",    "unreachable",
                                                     "fault", "spoilt",  "deadline", "caller-gone"};
-constexpr std::string_view kNoRetryReasonNames[] = {"no", "no-server", "attempts", "budget", "no-time", "runs-once", "crashes"};
+constexpr std::string_view kNoRetryReasonNames[] = {"no", "no-server", "attempts", "budget", "no-time", "runs-once", "crashes", "router-ends"};
 
 Counter& OutcomeCounter(std::string_view outcome)
 {
@@ -159,6 +160,28 @@
         co_await SleepFor(kCrashCheckPoll);
 }
 
+bool DirectServe::Impl::CanAnswerBeforeEnd(const Service& service, const CallerRequest& caller, Duration left, TimePoint now) const
+{
+    if (m_EndsAt == TimePoint::max())
+        return true;
+    const auto times = m_AnswerTimes.find(service.m_Name);
+    return CanAnswerInTime(times != m_AnswerTimes.end() ? times->second.Expected(caller.m_MaxAnswerTokens) : std::nullopt, left, m_EndsAt - now);
+}
+
+// One that may have run, or whose answer has begun, goes on: refusing it would be untrue or lose what its caller has.
+bool DirectServe::Impl::MustRefuseLate(const Call& call, TimePoint now) const
+{
+    return !call.m_MayHaveRun && !call.m_HeadSent && call.m_StalledAttempts.empty() &&
+           !CanAnswerBeforeEnd(*call.m_Service, call.m_Caller, call.TimeLeft(now), now);
+}
+
+void DirectServe::Impl::NoteAnswerTimes(const Call& call, TimePoint now)
+{
+    if (call.m_FirstByteAt != TimePoint{})
+        m_AnswerTimes[call.m_Service->m_Name].OnAnswered(call.m_Caller.m_MaxAnswerTokens, call.m_FirstByteAt - call.m_StartedAt,
+                                                         now - call.m_StartedAt);
+}
+
 //-----------------------------------------------------------------------------
 // Identify
 //-----------------------------------------------------------------------------
@@ -208,6 +231,8 @@
     call.m_Deadline       = begun + limit; // a slow upload of the body counts against the deadline
     if (limit > kMinTimeForAttempt && call.TimeLeft(call.m_StartedAt) < kMinTimeForAttempt)
         return Refuse(call, 408, "request arrived too slowly for its deadline", {});
+    if (MustRefuseLate(call, call.m_StartedAt))
+        return Refuse(call, 503, kEndingText, kEndingRetryAfter);
     return std::nullopt;
 }
 
@@ -351,13 +376,14 @@
         call.m_NoRetryReason = NoRetryReason_NoServer;
     while ((server || !call.m_StalledAttempts.empty()) && !call.m_Abort.Aborted())
     {
-        if (server && CheckBlockedSince(call, Now()))
+        const bool blocked = server && CheckBlockedSince(call, Now());
+        if (server && (blocked || MustRefuseLate(call, Now())))
         {
             server.reset();
             if (!call.m_Tried.empty())
                 Budget(call.m_Service->m_Name).ReturnToken();
-            call.m_NoRetryReason = NoRetryReason_CrashBlocked;
-            call.m_FailureText   = kBlockedText;
+            call.m_NoRetryReason = blocked ? NoRetryReason_CrashBlocked : NoRetryReason_RouterEnds;
+            call.m_FailureText   = blocked ? kBlockedText : kEndingText;
             continue;
         }
         call.m_AttemptCount += server ? 1 : 0;
@@ -378,6 +404,8 @@
     }
     if (call.m_Abort.Aborted())
         end = AttemptEnd_CallerGone;
+    if (end == AttemptEnd_Answered || call.m_Cause == FailureCause_Deadline)
+        NoteAnswerTimes(call, Now());
     if (end == AttemptEnd_Answered)
     {
         // A server refuses a request as invalid without beginning an answer on its prompt.
@@ -411,6 +439,15 @@
                                   {"left_ms", ToMs(call.TimeLeft(Now()))}});
 }
 
+static Duration RetryAfterOf(const Call& call)
+{
+    if (call.m_NoRetryReason == NoRetryReason_CrashBlocked)
+        return kBlockedRetryAfter;
+    if (call.m_NoRetryReason == NoRetryReason_RouterEnds)
+        return kEndingRetryAfter;
+    return call.m_Choice.m_RetryAfter > Duration::zero() ? call.m_Choice.m_RetryAfter : Duration(kNotReadyRetryAfter);
+}
+
 awaitable<void> DirectServe::Impl::SendFinalAnswer(Call& call, AttemptEnd end)
 {
     if (end == AttemptEnd_Answered || end == AttemptEnd_CallerGone)
@@ -434,10 +471,8 @@
         co_await SendAnswer(call, res);
         co_return;
     }
-    const Duration     waits = call.m_Choice.m_RetryAfter > Duration::zero() ? call.m_Choice.m_RetryAfter : Duration(kNotReadyRetryAfter);
-    const Duration     retry = call.m_NoRetryReason == NoRetryReason_CrashBlocked ? Duration(kBlockedRetryAfter) : waits;
-    const HttpResponse res   = m_Protocol.MakeLocalResponse(call.m_Caller, 503, call.m_FailureText, retry);
-    if (call.m_NoRetryReason != NoRetryReason_CrashBlocked)
+    const HttpResponse res = m_Protocol.MakeLocalResponse(call.m_Caller, 503, call.m_FailureText, RetryAfterOf(call));
+    if (call.m_NoRetryReason != NoRetryReason_CrashBlocked && call.m_NoRetryReason != NoRetryReason_RouterEnds)
         RecordRefusal(call);
     co_await SendAnswer(call, res);
 }
@@ -632,21 +667,48 @@
     return m_Impl->m_InFlight.size();
 }
 
-void DirectServe::LogCutOff() const
+void DirectServe::SetEnd(TimePoint at)
+{
+    m_Impl->m_EndsAt = at;
+}
+
+std::optional<HttpResponse> DirectServe::RefuseLate(const HttpRequest& head) const
 {
+    const auto        caller  = m_Impl->m_Protocol.DecodeRequest(head);
+    const RouteTable* routes  = m_Impl->m_World.m_Routes.get();
+    const Route*      route   = caller && routes != nullptr ? routes->FindRoute(caller.value().m_Host, head.Path()) : nullptr;
+    const Service*    service = route != nullptr ? routes->FindService(PickTarget(*route, caller.value().m_Id).m_Service) : nullptr;
+    if (service == nullptr)
+        return std::nullopt; // Identify() judges it once it is whole
     const TimePoint now   = Now();
-    const auto      since = [now](TimePoint at) { return at == TimePoint{} ? -1 : ToMs(now - at); };
+    const Duration  limit = std::min(route->m_Timeout, caller.value().m_Remaining.value_or(route->m_Timeout));
+    if (m_Impl->CanAnswerBeforeEnd(*service, caller.value(), head.m_BegunAt + limit - now, now))
+        return std::nullopt;
+    OutcomeCounter("refused").Add(1);
+    LogEvent(Event_RequestRefused,
+             {{"id", caller.value().m_Id}, {"route", route->m_Name}, {"why", kEndingText}, {"upload_ms", ToMs(now - head.m_BegunAt)}});
+    return m_Impl->m_Protocol.MakeLocalResponse(caller.value(), 503, kEndingText, kEndingRetryAfter);
+}
+
+static void LogRequestCutOff(const Call& call, TimePoint now)
+{
+    const auto since = [now](TimePoint at) { return at == TimePoint{} ? -1 : ToMs(now - at); };
+    LogEvent(Event_RequestCutOff, {{"id", call.m_Caller.m_Id},
+                                   {"route", call.m_Route != nullptr ? call.m_Route->m_Name : std::string()},
+                                   {"ms", since(call.m_StartedAt)},
+                                   {"upload_ms", call.m_Request.m_BegunAt == TimePoint{} ? -1 : ToMs(call.m_StartedAt - call.m_Request.m_BegunAt)},
+                                   {"left_ms", call.m_Deadline == TimePoint{} ? -1 : ToMs(call.TimeLeft(now))},
+                                   {"servers", TriedIds(call)},
+                                   {"attempt_ms", since(call.m_LastSentAt)},
+                                   {"quiet_ms", since(std::max(call.m_LastSentAt, call.m_LastEventAt))},
+                                   {"events", call.m_EventsSent}});
+}
+
+void DirectServe::LogCutOff() const
+{
+    const TimePoint now = Now();
     for (const Call* call : m_Impl->m_InFlight)
-        LogEvent(Event_RequestCutOff,
-                 {{"id", call->m_Caller.m_Id},
-                  {"route", call->m_Route != nullptr ? call->m_Route->m_Name : std::string()},
-                  {"ms", since(call->m_StartedAt)},
-                  {"upload_ms", call->m_Request.m_BegunAt == TimePoint{} ? -1 : ToMs(call->m_StartedAt - call->m_Request.m_BegunAt)},
-                  {"left_ms", ToMs(call->TimeLeft(now))},
-                  {"servers", TriedIds(*call)},
-                  {"attempt_ms", since(call->m_LastSentAt)},
-                  {"quiet_ms", since(std::max(call->m_LastSentAt, call->m_LastEventAt))},
-                  {"events", call->m_EventsSent}});
+        LogRequestCutOff(*call, now);
 }
 
 } // namespace aldervale
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -69,15 +69,17 @@
 
     void UsePlaceChannel(PlaceChannel& places, uint16_t port); // asks boxes for places, at that UDP port; without it only load reports decide
     void UseRefusalChannel(RefusalChannel& refusals); // recognizes retries where the time left doesn't tell; without it they count as first attempts
-    awaitable<void> Handle(HttpRequest& req, HttpReply& reply);
-    void            OnReport(const asio::ip::address& box, const LoadReport& report); // load report from the agent on that box
-    void            OnServersChanged();                                               // call also when the declarations changed
-    void            SetSettings(const DirectServeSettings& s);                        // on a reload of the settings file
-    uint64_t        InFlight() const;
-    void            LogCutOff() const;   // the process ends: one line for each request in flight
-    ServerLimits&   GetServerLimits();   // merged with the limits of other routers
-    uint32_t        RoutersHint() const; // number of routers that share the servers, as last reported; 0: unknown
-    CrashHistory&   GetCrashHistory();   // merged with the crash records of other routers
+    awaitable<void>             Handle(HttpRequest& req, HttpReply& reply);
+    void                        OnReport(const asio::ip::address& box, const LoadReport& report); // load report from the agent on that box
+    void                        OnServersChanged();                                               // call also when the declarations changed
+    void                        SetSettings(const DirectServeSettings& s);                        // on a reload of the settings file
+    uint64_t                    InFlight() const;
+    void                        SetEnd(TimePoint at); // the process ends then: requests that can't be answered by then are refused
+    std::optional<HttpResponse> RefuseLate(const HttpRequest& head) const; // the refusal of a request whose body is coming; nullopt: none so far
+    void                        LogCutOff() const;                         // the process ends: one line for each request in flight
+    ServerLimits&               GetServerLimits();                         // merged with the limits of other routers
+    uint32_t                    RoutersHint() const;                       // number of routers that share the servers, as last reported; 0: unknown
+    CrashHistory&               GetCrashHistory();                         // merged with the crash records of other routers
 
     struct Impl;
 
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -6,6 +6,7 @@
 #include "request/crash_detector.h"
 #include "request/crash_history.h"
 #include "request/direct_serve.h"
+#include "request/drain_admission.h"
 #include "request/event_splitter.h"
 #include "request/held_answers.h"
 #include "request/return_guess.h"
@@ -48,10 +49,13 @@
     NoRetryReason_DeadlineNear,  // less than kMinTimeForAttempt is left ("no-time")
     NoRetryReason_NotRepeatable, // the request may have run, and its route forbids a second run ("runs-once")
     NoRetryReason_CrashBlocked,  // the request is blocked because it crashed servers ("crashes")
+    NoRetryReason_RouterEnds,    // this process ends before the answer would be whole
 };
 
 constexpr auto kMinTimeForAttempt = milliseconds(40); // no attempt is started with less time before the deadline
 
+constexpr std::string_view kEndingText = "this router ends before it could answer";
+
 std::string_view FailureCauseName(FailureCause c);
 std::string_view NoRetryReasonName(NoRetryReason r);
 
@@ -154,18 +158,20 @@
 
 struct DirectServe::Impl
 {
-    Daemon&                        m_Daemon;               //
-    DirectServeSettings            m_Settings;             //
-    HeldAnswers                    m_HeldAnswers;          // of all attempts
-    RoutingState&                  m_World;                //
-    const RequestProtocol&         m_Protocol;             //
-    HttpClient                     m_Client;               //
-    ServerChoice                   m_Choice;               //
-    ServerLimits                   m_Limits{RandomSeed()}; // this router's shares of the servers' rate limits
-    CrashDetector                  m_CrashDetector;        //
-    CrashHistory                   m_CrashHistory{Duration(kTrialStaggerMax) * (RandomSeed() % 1000) / 1000}; // merged with other routers' records
-    std::map<std::string, Urgency> m_Urgency;                                                                 // by model service
-    RetryEstimate                  m_RetryEstimate;                              // which callers of model services were refused before
+    Daemon&                m_Daemon;               //
+    DirectServeSettings    m_Settings;             //
+    HeldAnswers            m_HeldAnswers;          // of all attempts
+    RoutingState&          m_World;                //
+    const RequestProtocol& m_Protocol;             //
+    HttpClient             m_Client;               //
+    ServerChoice           m_Choice;               //
+    ServerLimits           m_Limits{RandomSeed()}; // this router's shares of the servers' rate limits
+    CrashDetector          m_CrashDetector;        //
+    CrashHistory           m_CrashHistory{Duration(kTrialStaggerMax) * (RandomSeed() % 1000) / 1000}; // merged with other routers' records
+    TimePoint              m_EndsAt = TimePoint::max();                          // the process ends then; max: it wasn't told to end
+    std::map<std::string, AnswerTimes>                  m_AnswerTimes;           // by service
+    std::map<std::string, Urgency>                      m_Urgency;               // by model service
+    RetryEstimate                                       m_RetryEstimate;         // which callers of model services were refused before
     std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;               // retry budgets by service
     uint32_t                                            m_BudgetRouterCount = 0; // router count that m_Budgets were built for; 0: kAssumedRouters
     PlaceChannel*                                       m_PlaceChannel      = nullptr; // null: boxes aren't asked for places
@@ -190,6 +196,9 @@
     bool                         CheckBlockedSince(Call& call, TimePoint now); // by what was learned after CheckBlocked(); logs the refusal
     void                         LogBlocked(Call& call, TimePoint now) const;
     RetryBudget&                 Budget(const std::string& service);
+    bool                         CanAnswerBeforeEnd(const Service& service, const CallerRequest& caller, Duration left, TimePoint now) const;
+    bool                         MustRefuseLate(const Call& call, TimePoint now) const; // it wasn't passed on, and can't be answered any more
+    void                         NoteAnswerTimes(const Call& call, TimePoint now);
     awaitable<void>              AwaitCrashCheck(Call& call) const;
     awaitable<void>              Serve(Call& call);
 
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -4,7 +4,10 @@
 flight. A request counts as in flight only once its head and body have come whole. One whose body was still on its way was dropped with the process,
 though the platform leaves a router 8 s: its caller saw a reset.
 
-A real router on loopback; the store and the server are stand-ins.
+The other way round, a request that it can't answer any more is refused as not run. Such requests were passed on and cut off with the process: 30 of 400 in
+a trial with bodies of 3.5 s and answers of 5 s.
+
+A real router on loopback; the store and the servers are stand-ins.
 
   tests/test_router_drain.py FOLDER_OF_PROGRAMS [NAME_OF_TEST ...]
 """
@@ -22,33 +25,48 @@
 
 NOTICE_S = 3.2  # after SIGTERM: longer than the router waits for the balancer, and less than half of its grace
 CALLERS = 300   # that send at the moment of the signal
+LATE_S = 4.5    # after SIGTERM: the router has less than SLOW_S left
+SLOW_S = 3.5    # that answers of the slow service take
 LIMIT_S = 60    # only what never comes takes so long
 LOOK_S = 0.05   # between two looks
 
 RNG = standin.seeded(os.getpid())  # of ports: runs beside each other must not meet
 PROGRAMS = sys.argv.pop(1) if len(sys.argv) > 1 else "build/release/bin"
-DECLARED = {"Version": 1, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}],
+DECLARED = {"Version": 1, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}, {"Name": "slow", "HealthPath": "/health"}],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 30000, "IdleTimeoutMs": 30000},
-            "Routes": [standin.route("page", "safe", "web", TimeoutMs=20000), standin.route("once", "unsafe", "web", TimeoutMs=20000)]}
+            "Routes": [standin.route("page", "safe", "web", TimeoutMs=20000), standin.route("once", "unsafe", "web", TimeoutMs=20000),
+                       standin.route("slow", "unsafe", "slow", TimeoutMs=20000), standin.route("hang", "unsafe", "slow", TimeoutMs=20000),
+                       standin.route("stream", "streaming", "slow", TimeoutMs=20000, Resumable=True)]}
+
+
+class SlowBackend(standin.Backend):
+    async def execute(self, req, ident, run, writer, gone):
+        if req.path.startswith("/stream/"):
+            event = b"id: 1\ndata: first\n\n"
+            head = f"HTTP/1.1 200 X\r\nX-Request-Id: {ident}\r\nContent-Type: text/event-stream\r\nX-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
+            await self.send(run, writer, head.encode() + f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await standin.work(SLOW_S if req.path.startswith("/slow/") else LIMIT_S, gone)
+        await super().execute(req, ident, run, writer, gone)
 
 
 class RouterDrain(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         folder = os.path.join(os.path.dirname(os.path.abspath(PROGRAMS)), "logs", self._testMethodName)
         os.makedirs(folder, exist_ok=True)
-        self.http, ready, internal, backend, port = standin.free_ports(5, RNG)
+        self.http, ready, internal, backend, slow, port = standin.free_ports(6, RNG)
         self.record = standin.Record()
-        web = standin.Backend("web-1", "web", backend, self.record, RNG)
-        await web.listen()
         store = standin.Store()
         await store.listen(port)
-        store.put("servers", web.id, web.row())
+        for server in (standin.Backend("web-1", "web", backend, self.record, RNG), SlowBackend("slow-1", "slow", slow, self.record, RNG)):
+            await server.listen()
+            store.put("servers", server.id, server.row())
         store.put("op", "config", DECLARED)
         path = os.path.join(folder, "router.toml")
         with open(path, "w") as f:
             f.write(f'name = "router"\ndata_centre = "dc-1"\nstore = "127.0.0.1:{port}"\nthreads = 1\nhttp_listen = "127.0.0.1:{self.http}"\n'
                     f'ready_listen = "127.0.0.1:{ready}"\n[internal]\nip = "127.0.0.1"\nport = {internal}\n')
-        with open(os.path.join(folder, "router.log"), "wb") as log:
+        self.log = os.path.join(folder, "router.log")
+        with open(self.log, "wb") as log:
             command = [os.path.join(PROGRAMS, "aldervale-platform-router"), "--settings", path]
             self.router = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.addCleanup(self.stop)
@@ -64,9 +82,9 @@
             self.assertLess(time.monotonic(), end, "the router never serves")
             await asyncio.sleep(LOOK_S)
 
-    async def status_of(self, body, rest=b"", between=None):
+    async def status_of(self, body, rest=b"", between=None, path="/page/x", ident="r"):
         """Of a request whose body comes in two parts; 0: no answer."""
-        head = f"POST /page/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: r\r\nContent-Length: {len(body) + len(rest)}\r\n\r\n"
+        head = f"POST {path} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {ident}\r\nContent-Length: {len(body) + len(rest)}\r\n\r\n"
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.http)
             writer.write(head.encode() + body)
@@ -122,6 +140,21 @@
         lost = [n for n, status in enumerate(statuses) if status == 0 and self.record.runs.get(f"last-{n}")]
         self.assertEqual(lost, [], "requests that ran and have no answer")
 
+    async def terminate_and_wait(self):
+        await asyncio.sleep(LOOK_S)  # the first part is at the router
+        self.router.send_signal(signal.SIGTERM)
+        await asyncio.sleep(LATE_S)
+
+    async def test_a_request_that_could_not_be_answered_before_the_router_ends_does_not_run(self):
+        """Its body ends when the router has less time left than such an answer takes."""
+        self.assertEqual(await self.status_of(b"", path="/slow/x", ident="before"), 200)  # from it the router knows how long answers take
+        self.assertEqual(await self.status_of(b"first", b"last", self.terminate_and_wait, path="/slow/x", ident="late"), 503)
+        self.assertEqual(self.record.runs.get("late"), None)
+
+    async def test_a_request_that_can_be_answered_before_the_router_ends_is_served_as_late_as_that(self):
+        self.assertEqual(await self.status_of(b"", path="/slow/x", ident="before"), 200)
+        self.assertEqual(await self.status_of(b"first", b"last", self.terminate_and_wait, ident="late"), 200)
+
 
 if __name__ == "__main__":
     logging.getLogger("asyncio").setLevel(logging.ERROR)
