Requests in progress as a router ends get an answer where none has begun

What callers saw: a connection that just closed, 7.4 s after a SIGTERM of their router, under a request whose server was silent or which still waited.

Cause: the process ended with whatever was in progress; nothing told the callers.

Why this works: when the longest drain is over, all attempts are cancelled as if their callers had left, but their callers are told: 503 if no server may have run the request, else 502; a stream that has begun ends without its last chunk, as before, and is logged with the cause router-ends. The process ends 250 ms later at most, within its grace. A cancelled attempt counts neither as a failure of its server nor as a crash.

--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr auto kDrainPoll     = milliseconds(50);
+constexpr auto kCutOffMax     = milliseconds(250); // for callers to be told that their requests were cut off
 constexpr auto kSettingsWatch = seconds(2);        // between looks at the settings file's time of change
 constexpr auto kStallLook     = milliseconds(250); // between looks whether the process was held up
 constexpr auto kStallLeast    = milliseconds(250); // a shorter hold-up ends no wait of ours that matters
@@ -207,6 +208,17 @@
         m_Hooks.m_Reloaded();
 }
 
+awaitable<bool> Daemon::AwaitDrained(TimePoint until)
+{
+    while (m_Hooks.m_Drained && !m_Hooks.m_Drained())
+    {
+        if (Now() >= until)
+            co_return false;
+        co_await SleepFor(kDrainPoll);
+    }
+    co_return true;
+}
+
 awaitable<void> Daemon::DrainAndStop()
 {
     LogEvent(Event_ProcessDraining);
@@ -214,11 +226,12 @@
     const TimePoint end = Now() + milliseconds(m_Settings.m_DrainMaxMs);
     if (m_Hooks.m_Drain)
         m_Hooks.m_Drain(end);
-    while (m_Hooks.m_Drained && !m_Hooks.m_Drained() && Now() < end)
-        co_await SleepFor(kDrainPoll);
-    const bool drained = !m_Hooks.m_Drained || m_Hooks.m_Drained();
+    const bool drained = co_await AwaitDrained(end);
     if (!drained && m_Hooks.m_CutOff)
+    {
         m_Hooks.m_CutOff();
+        co_await AwaitDrained(Now() + kCutOffMax);
+    }
     LogEvent(Event_ProcessStopped, {{"drained", drained}});
     m_Ioc.stop();
 }
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -52,7 +52,7 @@
     std::function<bool()>          m_Ready;    // /readyz; also tells the balancer when to send callers elsewhere
     std::function<void(TimePoint)> m_Drain;    // SIGTERM: stop taking work; called once, with the end of the longest drain
     std::function<bool()>          m_Drained;  // polled until true or m_DrainMaxMs
-    std::function<void()>          m_CutOff;   // m_DrainMaxMs are over and work is in progress, which the process's end cuts off
+    std::function<void()>          m_CutOff;   // m_DrainMaxMs are over and work is in progress: end it; the process ends shortly after
     std::function<json::object()>  m_Describe; // extra members of /statusz
     std::function<void()>          m_Measure;  // sets what /metrics is to tell of now; before it is answered
     std::function<void()>          m_Reloaded; // SIGHUP or a changed file: the settings structs hold the new values
@@ -81,6 +81,7 @@
     awaitable<void> WatchSettings(); // the file may change without a signal
     awaitable<void> WatchStalls();   // tells when the process was held up
     void            Reload(std::string_view why);
+    awaitable<bool> AwaitDrained(TimePoint until); // false: work is in progress then
     awaitable<void> DrainAndStop();
 
     DaemonSettings                             m_Settings;        //
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -417,7 +417,7 @@
         r.m_Http->StopAccepting();
         return r.m_Http->Busy() == 0; // one whose body is still coming is not in flight yet, and has its grace all the same
     };
-    hooks.m_CutOff   = [&r] { r.m_Serve->LogCutOff(); };
+    hooks.m_CutOff   = [&r] { r.m_Serve->CutOff(); };
     hooks.m_Measure  = [&r] { Measure(r); };
     hooks.m_Reloaded = [&r] { r.m_Serve->SetSettings(ServeSettings(r)); };
     hooks.m_Describe = [&r]
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -315,10 +315,14 @@
 AttemptEnd DirectServe::Impl::FinishAttempt(Call& call, const RequestAttempt& attempt, AttemptEnd end, bool reached)
 {
     const EventTiming& timing = attempt.m_Timing;
-    if (call.m_Abort.Aborted())
+    if (call.CallerGone())
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_CallerGone)
         call.m_Cause = FailureCause_CallerGone;
+    if (call.m_CutOff && end == AttemptEnd_Stalled)
+        end = AttemptEnd_MayHaveRun;
+    if (call.m_CutOff && end != AttemptEnd_Answered)
+        RecordFailure(call, FailureCause_RouterEnds, std::string(kEndingText));
     if (end == AttemptEnd_MayHaveRun || end == AttemptEnd_ServerError)
         call.m_MayHaveRun = true;
     if (end == AttemptEnd_MayHaveRun && call.m_Cause == FailureCause_Closed)
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -24,8 +24,8 @@
 constexpr double   kBudgetShare         = 0.8;                // part of the declared budget that all routers use together: its windows slide
 constexpr double   kBudgetReserveShare  = 0.25;               // part of that reserved for answers that have begun
 
-constexpr std::string_view kFailureCauseNames[]  = {"none",  "silence", "closed",   "refused",    "unreachable",
-                                                    "fault", "spoilt",  "deadline", "caller-gone"};
+constexpr std::string_view kFailureCauseNames[]  = {"none",  "silence", "closed",   "refused",     "unreachable",
+                                                    "fault", "spoilt",  "deadline", "caller-gone", "router-ends"};
 constexpr std::string_view kNoRetryReasonNames[] = {"no", "no-server", "attempts", "budget", "no-time", "runs-once", "crashes", "router-ends"};
 
 Counter& OutcomeCounter(std::string_view outcome)
@@ -402,7 +402,7 @@
             LogEvent(Event_RequestRetried,
                      {{"id", call.m_Caller.m_Id}, {"server", server->m_Id}, {"why", call.m_FailureText}, {"events", call.m_EventsSent}});
     }
-    if (call.m_Abort.Aborted())
+    if (call.CallerGone())
         end = AttemptEnd_CallerGone;
     if (end == AttemptEnd_Answered || call.m_Cause == FailureCause_Deadline)
         NoteAnswerTimes(call, Now());
@@ -544,7 +544,7 @@
     whole.Record(ToSeconds(now - call.m_StartedAt));
     if (call.m_FirstByteAt != TimePoint{})
         first.Record(ToSeconds(call.m_FirstByteAt - call.m_StartedAt));
-    Counter& c = call.m_Abort.Aborted()                                               ? gone
+    Counter& c = call.CallerGone()                                                    ? gone
                  : call.m_Status == 503                                               ? refused
                  : call.m_Status >= 400 && call.m_Status < 500                        ? denied
                  : call.m_Status >= 500 || call.m_Status == 0 || call.m_AnswerAborted ? failed
@@ -690,7 +690,7 @@
     return m_Impl->m_Protocol.MakeLocalResponse(caller.value(), 503, kEndingText, kEndingRetryAfter);
 }
 
-static void LogRequestCutOff(const Call& call, TimePoint now)
+static void LogCutOff(const Call& call, TimePoint now)
 {
     const auto since = [now](TimePoint at) { return at == TimePoint{} ? -1 : ToMs(now - at); };
     LogEvent(Event_RequestCutOff, {{"id", call.m_Caller.m_Id},
@@ -704,11 +704,18 @@
                                    {"events", call.m_EventsSent}});
 }
 
-void DirectServe::LogCutOff() const
+void DirectServe::CutOff()
 {
     const TimePoint now = Now();
-    for (const Call* call : m_Impl->m_InFlight)
-        LogRequestCutOff(*call, now);
+    for (Call* call : m_Impl->m_InFlight)
+    {
+        LogCutOff(*call, now);
+        call->m_CutOff        = true;
+        call->m_MayHaveRun    = call->m_MayHaveRun || !call->m_StalledAttempts.empty();
+        call->m_NoRetryReason = NoRetryReason_RouterEnds;
+        call->m_FailureText   = kEndingText;
+        call->m_Abort.Abort(); // attempts end with an error, and SendFinalAnswer() tells the caller
+    }
 }
 
 } // namespace aldervale
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -76,10 +76,10 @@
     uint64_t                    InFlight() const;
     void                        SetEnd(TimePoint at); // the process ends then: requests that can't be answered by then are refused
     std::optional<HttpResponse> RefuseLate(const HttpRequest& head) const; // the refusal of a request whose body is coming; nullopt: none so far
-    void                        LogCutOff() const;                         // the process ends: one line for each request in flight
-    ServerLimits&               GetServerLimits();                         // merged with the limits of other routers
-    uint32_t                    RoutersHint() const;                       // number of routers that share the servers, as last reported; 0: unknown
-    CrashHistory&               GetCrashHistory();                         // merged with the crash records of other routers
+    void                        CutOff();            // the process ends: requests in flight are logged, and answered if their answers weren't begun
+    ServerLimits&               GetServerLimits();   // merged with the limits of other routers
+    uint32_t                    RoutersHint() const; // number of routers that share the servers, as last reported; 0: unknown
+    CrashHistory&               GetCrashHistory();   // merged with the crash records of other routers
 
     struct Impl;
 
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -38,6 +38,7 @@
     FailureCause_InvalidAnswer, // the answer exceeds the size bound ("spoilt")
     FailureCause_Deadline,      // the deadline of the request was reached
     FailureCause_CallerGone,    // the caller disconnected
+    FailureCause_RouterEnds,    // this process ends
 };
 
 enum NoRetryReason // why no other server was tried after the last attempt; logged by NoRetryReasonName()
@@ -109,6 +110,7 @@
     std::vector<ServerLife> m_Tried;                 // servers that the request was sent to
     bool                    m_MayHaveRun    = false; // some server may have run it
     bool                    m_AnswerAborted = false; // the answer was begun and cut off
+    bool                    m_CutOff        = false; // all attempts were cancelled because the process ends; m_Abort is set, too
     bool                    m_HeadSent      = false; // the head of the answer was sent to the caller
     bool                    m_LikelyRetry   = false; // estimate: the caller was refused before and retries
     bool                    m_KnownRetry    = false; // its refusal is on record (refusal_records.h)
@@ -154,6 +156,7 @@
     unsigned         UrgencyLevel() const { return LevelOf(Priority(), m_Route->m_Priority); }
     std::string_view AccountName() const { return m_Account != nullptr ? std::string_view(m_Account->m_Name) : std::string_view(); }
     bool             IsStream() const { return m_Route->m_Kind == RouteKind_Stream; }
+    bool             CallerGone() const { return m_Abort.Aborted() && !m_CutOff; }
 };
 
 struct DirectServe::Impl
@@ -177,7 +180,7 @@
     PlaceChannel*                                       m_PlaceChannel      = nullptr; // null: boxes aren't asked for places
     uint16_t                                            m_PlacePort         = 0;       // port at which the boxes answer m_PlaceChannel
     RefusalChannel*                                     m_Refusals          = nullptr; // null: retries aren't recognized by records
-    std::set<const Call*>                               m_InFlight;                    // requests that were read whole and aren't settled
+    std::set<Call*>                                     m_InFlight;                    // requests that were read whole and aren't settled
 
     Impl(Daemon& daemon, const DirectServeSettings& s, RoutingState& world, const RequestProtocol& protocol);
 
--- a/src/request/drain_admission.h
+++ b/src/request/drain_admission.h
@@ -1,11 +1,11 @@
 // aldervale: whether a router that was told to end can still answer a request
 //
-// Pure logic without I/O or clocks. Input: how long answers took, and times. Output: admitted or refused. A router ends some seconds after it was told
-// to, whatever is in progress. A request that it passes on and can't answer by then runs at a server, and its caller gets a cut answer; refused as not
-// run, the request is served by another router at once.
+// Pure logic without I/O or clocks. Input: how long answers took, and times. Output: admitted or refused. A router ends some seconds after it was
+// told to, whatever is in progress. A request that it passes on and can't answer by then runs at a server, and its caller gets a cut answer; refused
+// as not run, the request is served by another router at once.
 //
-// Load pattern: requests that are whole seconds after the signal, as their bodies come slowly; callers that the balancer goes on sending, as it hasn't
-// asked for readiness yet or as most routers of the data centre drain at once; answers from milliseconds up to longer than the whole drain.
+// Load pattern: requests that are whole seconds after the signal, as their bodies come slowly; callers that the balancer goes on sending, as it
+// hasn't asked for readiness yet or as most routers of the data centre drain at once; answers from milliseconds up to longer than the whole drain.
 //
 // How it decides:
 //   - The time that an answer takes is expected from the last answers of the service: kAnswerQuantile of their times to the first byte, and of the
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -4,14 +4,15 @@
 flight. A request counts as in flight only once its head and body have come whole. One whose body was still on its way was dropped with the process,
 though the platform leaves a router 8 s: its caller saw a reset.
 
-The other way round, a request that it can't answer any more is refused as not run. Such requests were passed on and cut off with the process: 30 of 400 in
-a trial with bodies of 3.5 s and answers of 5 s.
+The other way round, a request that it can't answer any more is refused as not run, and what is in progress at its end is told so and logged. Such requests
+were passed on and cut off with the process: 30 of 400 in a trial with bodies of 3.5 s and answers of 5 s.
 
 A real router on loopback; the store and the servers are stand-ins.
 
   tests/test_router_drain.py FOLDER_OF_PROGRAMS [NAME_OF_TEST ...]
 """
 import asyncio
+import json
 import logging
 import os
 import signal
@@ -145,6 +146,11 @@
         self.router.send_signal(signal.SIGTERM)
         await asyncio.sleep(LATE_S)
 
+    def logged(self, event):
+        """The lines of an event, by request id."""
+        with open(self.log) as f:
+            return {line["id"]: line for line in map(json.loads, f) if line["name"] == event}
+
     async def test_a_request_that_could_not_be_answered_before_the_router_ends_does_not_run(self):
         """Its body ends when the router has less time left than such an answer takes."""
         self.assertEqual(await self.status_of(b"", path="/slow/x", ident="before"), 200)  # from it the router knows how long answers take
@@ -155,6 +161,30 @@
         self.assertEqual(await self.status_of(b"", path="/slow/x", ident="before"), 200)
         self.assertEqual(await self.status_of(b"first", b"last", self.terminate_and_wait, ident="late"), 200)
 
+    async def test_requests_in_progress_as_the_router_ends_are_answered_and_logged(self):
+        """Their servers are silent. 502 makes no promise; a stream that has begun can't be told, and is cut off."""
+        async def read_stream():
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.http)
+            writer.write(b"POST /stream/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: stream\r\nContent-Length: 0\r\n\r\n")
+            return await asyncio.wait_for(reader.read(), LIMIT_S)
+
+        stream = asyncio.create_task(read_stream())
+        whole = asyncio.create_task(self.status_of(b"", path="/hang/x", ident="whole"))
+        end = time.monotonic() + LIMIT_S
+        while not all(self.record.runs.get(ident) for ident in ("whole", "stream")):
+            self.assertLess(time.monotonic(), end, "the requests don't reach their server")
+            await asyncio.sleep(LOOK_S)
+        self.router.send_signal(signal.SIGTERM)
+        self.assertEqual(await whole, 502)
+        answer = await stream
+        self.assertIn(b"first", answer)
+        self.assertFalse(answer.endswith(b"\r\n0\r\n\r\n"), "a cut stream looks complete")
+        await asyncio.get_running_loop().run_in_executor(None, self.router.wait, LIMIT_S)
+        cut_off = self.logged("RequestCutOff")
+        self.assertEqual(sorted(cut_off), ["stream", "whole"])
+        self.assertEqual((cut_off["stream"]["events"], cut_off["stream"]["servers"]), (1, ["slow-1"]))
+        self.assertEqual(self.logged("AnswerBroken")["stream"]["cause"], "router-ends")
+
 
 if __name__ == "__main__":
     logging.getLogger("asyncio").setLevel(logging.ERROR)
