A draining router goes on until its callers have their answers

Cause: an answer counted as delivered once it lay in the send buffer. On a narrow link (20 to 24 Mbit/s between regions for everything, 7.3 at a server's box) or with a caller that reads slowly it lies there for seconds, and the process ended meanwhile. A system that outlives the process goes on sending; one whose network ends with it doesn't.

Evidence: router_drain, 'the_router_does_not_end_before_its_callers_have_their_answers': a caller with a small buffer, an answer of 2 MB.

Why this works: while the server closes, a connection counts as busy until its peer has acknowledged all bytes and the end of the stream (SIOCOUTQ), can't any more, or the time limit of a write is over. The drain's own limit holds as before.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -4,7 +4,10 @@
 #include "connection/timed_read.h"
 #include <algorithm>
 #include <boost/beast/http.hpp>
+#include <linux/sockios.h>
+#include <poll.h>
 #include <set>
+#include <sys/ioctl.h>
 
 namespace aldervale
 {
@@ -12,11 +15,12 @@
 namespace beast = boost::beast;
 namespace http  = boost::beast::http;
 
-constexpr auto   kNoThrow     = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kFirstRead   = 4096;              // bytes asked for while a connection is idle
-constexpr auto   kAcceptPause = milliseconds(20);  // after a connection that could not be taken
-constexpr auto   kLinger      = seconds(1);        // for a caller to read why its request was refused
-constexpr auto   kBodyLook    = milliseconds(250); // between looks whether a request whose body is coming is refused
+constexpr auto   kNoThrow      = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kFirstRead    = 4096;              // bytes asked for while a connection is idle
+constexpr auto   kAcceptPause  = milliseconds(20);  // after a connection that could not be taken
+constexpr auto   kLinger       = seconds(1);        // for a caller to read why its request was refused
+constexpr auto   kDeliveryLook = milliseconds(20);  // between looks whether an answer has been delivered
+constexpr auto   kBodyLook     = milliseconds(250); // between looks whether a request whose body is coming is refused
 
 struct HttpServer::Impl
 {
@@ -167,6 +171,21 @@
     }
 }
 
+// Whether the peer's system has acknowledged all that was sent, the end of the stream included, or can't any more.
+bool IsDelivered(tcp::socket& socket)
+{
+    int    unacknowledged = 0;
+    pollfd p              = {socket.native_handle(), 0, 0};
+    return ioctl(p.fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0 || (poll(&p, 1, 0) > 0 && (p.revents & (POLLERR | POLLHUP)) != 0);
+}
+
+// Until then the connection counts as busy: the network of a process may end with it, and take along what is still in the send buffer.
+awaitable<void> AwaitDelivery(tcp::socket& socket, TimePoint until)
+{
+    while (!IsDelivered(socket) && Now() < until)
+        co_await SleepFor(kDeliveryLook);
+}
+
 // False: the connection ended, or sent something that was answered and closes it.
 awaitable<bool> ReadRequest(HttpServer::Impl& impl, const HttpServerConfig& cfg, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
                             Parser& parser, TimePoint& begun)
@@ -230,11 +249,13 @@
     beast::flat_buffer buffer;
     buffer.reserve(std::min<size_t>(8 * 1024, cfg.m_HeadMax)); // Beast reads no more at once than there is room for
     const Registration registration(*impl, stream);
+    bool               answered = false; // the last request was, to its end
     for (;;)
     {
         Parser    parser;
         TimePoint begun;
         cfg             = impl->Config();
+        answered        = false;
         const bool read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, parser, begun);
         if (!read)
             break;
@@ -244,11 +265,14 @@
         BeastReply                       reply(stream, cfg, keep_alive, impl->m_Closing);
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
+        answered = reply.Sent() && !reply.Broken();
         if (!reply.Sent() || reply.Broken() || !reply.KeepAlive())
             break;
     }
     boost::system::error_code ec;
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    if (answered && impl->m_Closing.load())
+        co_await AwaitDelivery(stream.socket(), Now() + cfg.m_SendTimeout);
 }
 
 // A handler that throws loses its own connection only; it is a fault of ours and is logged as one.
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -16,6 +16,7 @@
 import logging
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -28,6 +29,7 @@
 CALLERS = 300   # that send at the moment of the signal
 LATE_S = 4.5    # after SIGTERM: the router has less than SLOW_S left
 SLOW_S = 3.5    # that answers of the slow service take
+BIG = 2_000_000 # bytes of an answer that doesn't fit into its caller's receive buffer
 LIMIT_S = 60    # only what never comes takes so long
 LOOK_S = 0.05   # between two looks
 
@@ -46,6 +48,10 @@
             event = b"id: 1\ndata: first\n\n"
             head = f"HTTP/1.1 200 X\r\nX-Request-Id: {ident}\r\nContent-Type: text/event-stream\r\nX-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
             await self.send(run, writer, head.encode() + f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        if req.path.startswith("/slow/big"):
+            await self.released.wait()
+            await standin.stop_watching(gone)
+            return await self.send(run, writer, standin.answer(200, b"x" * BIG, X_Request_Id=ident, X_Response_Seal="seal"))
         await standin.work(SLOW_S if req.path.startswith("/slow/") else LIMIT_S, gone)
         await super().execute(req, ident, run, writer, gone)
 
@@ -58,7 +64,9 @@
         self.record = standin.Record()
         store = standin.Store()
         await store.listen(port)
-        for server in (standin.Backend("web-1", "web", backend, self.record, RNG), SlowBackend("slow-1", "slow", slow, self.record, RNG)):
+        self.slow = SlowBackend("slow-1", "slow", slow, self.record, RNG)
+        self.slow.released = asyncio.Event()  # for big answers
+        for server in (standin.Backend("web-1", "web", backend, self.record, RNG), self.slow):
             await server.listen()
             store.put("servers", server.id, server.row())
         store.put("op", "config", DECLARED)
@@ -146,6 +154,33 @@
         self.router.send_signal(signal.SIGTERM)
         await asyncio.sleep(LATE_S)
 
+    async def test_the_router_does_not_end_before_its_callers_have_their_answers(self):
+        """The rest of an answer may lie in the send buffer when the handler is done, and be lost with the network of a process that ended."""
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        caller.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(caller, ("127.0.0.1", self.http))
+        await asyncio.get_running_loop().sock_sendall(
+            caller, b"POST /slow/big HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: big\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+        end = time.monotonic() + LIMIT_S
+        while not self.record.runs.get("big"):
+            self.assertLess(time.monotonic(), end, "the request doesn't reach its server")
+            await asyncio.sleep(LOOK_S)
+        self.router.send_signal(signal.SIGTERM)
+        while "ProcessDraining" not in open(self.log).read():
+            await asyncio.sleep(LOOK_S)
+        self.slow.released.set()
+        await asyncio.sleep(NOTICE_S)
+        self.assertIn("big", self.logged("RequestSettled"), "the answer isn't sent; is the send buffer too small for it?")
+        self.assertEqual(self.router.poll(), None)
+        size = 0
+        while data := await asyncio.get_running_loop().sock_recv(caller, 65536):
+            size += len(data)
+        caller.close()
+        self.assertGreater(size, BIG)
+        await asyncio.get_running_loop().run_in_executor(None, self.router.wait, LIMIT_S)
+        self.assertEqual(self.logged("RequestCutOff"), {})
+
     def logged(self, event):
         """The lines of an event, by request id."""
         with open(self.log) as f:
