Ends of answers lost behind closed connections: half-closed callers, callers answered before the signal, callers that sent more

Causes: a connection whose caller had ended its sending side looked reset to the wait for delivery (POLLHUP is also told of one that is shut down on both sides). Connections that were idle, or closed, as the signal came weren't waited for. A connection with unread bytes was closed, which resets it and drops what its send buffer holds.

Why this works: only a connection in the state CLOSE counts as one that can't deliver any more. The wait for delivery, at most 8 s, follows each closing answer, whether a signal has come or not, so Busy() knows of it. Unread bytes are dropped before a connection is closed. A request that is refused while its body is coming is read to its end, so that callers which read only then get the answer.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <boost/beast/http.hpp>
 #include <linux/sockios.h>
-#include <poll.h>
+#include <netinet/tcp.h>
 #include <set>
 #include <sys/ioctl.h>
 
@@ -19,6 +19,7 @@
 constexpr size_t kFirstRead    = 4096;              // bytes asked for while a connection is idle
 constexpr auto   kAcceptPause  = milliseconds(20);  // after a connection that could not be taken
 constexpr auto   kLinger       = seconds(1);        // for a caller to read why its request was refused
+constexpr auto   kDeliveryMax  = seconds(8);        // from an answer's last byte until the system alone sees to it
 constexpr auto   kDeliveryLook = milliseconds(20);  // between looks whether an answer has been delivered
 constexpr auto   kBodyLook     = milliseconds(250); // between looks whether a request whose body is coming is refused
 
@@ -28,8 +29,9 @@
     {
         Connection(ServerStream* stream, bool idle) : m_Stream(stream), m_Idle(idle) {}
 
-        ServerStream*     m_Stream; // null once it ended
-        std::atomic<bool> m_Idle;   // no byte of a request has come since the last answer; written on the stream's strand
+        ServerStream*     m_Stream;            // null once it ended
+        std::atomic<bool> m_Idle;              // no byte of a request has come since the last answer; written on the stream's strand
+        std::atomic<bool> m_Delivering{false}; // the last answer was sent, and the peer hasn't acknowledged all of it
     };
 
     asio::io_context&                     m_Ioc;             //
@@ -157,14 +159,21 @@
     }
 }
 
+// A request that has come and wasn't read yet: closing its connection would reset it.
+bool HasUnread(ServerStream& stream)
+{
+    boost::system::error_code ec;
+    return stream.socket().available(ec) > 0 && !ec;
+}
+
 // Lingering close: closing a connection with unread bytes resets it, and the caller might lose its answer. Drops what still comes.
-awaitable<void> CloseLingering(tcp::socket& socket)
+awaitable<void> CloseLingering(tcp::socket& socket, Duration longest)
 {
     boost::system::error_code ec;
     socket.shutdown(tcp::socket::shutdown_send, ec);
     asio::steady_timer timer(socket.get_executor());
     beast::flat_buffer dropped;
-    for (const TimePoint until = Now() + kLinger; !ec && Now() < until;)
+    for (const TimePoint until = Now() + longest; !ec && Now() < until;)
     {
         ec = co_await ReadSome(socket, timer, dropped, until);
         dropped.clear();
@@ -174,9 +183,13 @@
 // Whether the peer's system has acknowledged all that was sent, the end of the stream included, or can't any more.
 bool IsDelivered(tcp::socket& socket)
 {
-    int    unacknowledged = 0;
-    pollfd p              = {socket.native_handle(), 0, 0};
-    return ioctl(p.fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0 || (poll(&p, 1, 0) > 0 && (p.revents & (POLLERR | POLLHUP)) != 0);
+    int       unacknowledged = 0;
+    tcp_info  info           = {};
+    socklen_t size           = sizeof info;
+    const int fd             = socket.native_handle();
+    if (ioctl(fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0)
+        return true;
+    return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_state == TCP_CLOSE; // reset
 }
 
 // Until then the connection counts as busy: the network of a process may end with it, and take along what is still in the send buffer.
@@ -212,8 +225,9 @@
     HttpResponse res = refusal.m_Response ? *refusal.m_Response : ErrorResponse(MakeError(ErrorCode_Invalid, refusal.m_Message, refusal.m_Field));
     res.m_Status     = refusal.m_Status;
     const bool sent  = co_await bad.Send(res);
+    // A caller that sends its whole body before it reads has to get through with it.
     if (sent)
-        co_await CloseLingering(stream.socket());
+        co_await CloseLingering(stream.socket(), refusal.m_Response ? cfg.m_BodyTimeout : Duration(kLinger));
     co_return false;
 }
 
@@ -249,13 +263,12 @@
     beast::flat_buffer buffer;
     buffer.reserve(std::min<size_t>(8 * 1024, cfg.m_HeadMax)); // Beast reads no more at once than there is room for
     const Registration registration(*impl, stream);
-    bool               answered = false; // the last request was, to its end
+    bool               answered = false; // the last request that was read, to its end
     for (;;)
     {
         Parser    parser;
         TimePoint begun;
         cfg             = impl->Config();
-        answered        = false;
         const bool read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, parser, begun);
         if (!read)
             break;
@@ -266,13 +279,17 @@
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
         answered = reply.Sent() && !reply.Broken();
-        if (!reply.Sent() || reply.Broken() || !reply.KeepAlive())
+        if (!answered || !reply.KeepAlive())
             break;
     }
     boost::system::error_code ec;
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    if (answered && impl->m_Closing.load())
-        co_await AwaitDelivery(stream.socket(), Now() + cfg.m_SendTimeout);
+    if (answered && (buffer.size() > 0 || HasUnread(stream)))
+        co_await CloseLingering(stream.socket(), kLinger);
+    if (!answered)
+        co_return;
+    registration.m_Connection->m_Delivering = true;
+    co_await AwaitDelivery(stream.socket(), Now() + kDeliveryMax);
 }
 
 // A handler that throws loses its own connection only; it is a fault of ours and is logged as one.
@@ -343,13 +360,6 @@
     m_Impl->m_Config = cfg;
 }
 
-// A request that has come and wasn't read yet: closing its connection would reset it.
-static bool HasUnread(ServerStream& stream)
-{
-    boost::system::error_code ec;
-    return stream.socket().available(ec) > 0 && !ec;
-}
-
 void HttpServer::CloseAfterAnswer()
 {
     m_Impl->m_Closing.store(true);
@@ -372,6 +382,13 @@
     return static_cast<size_t>(std::count_if(m_Impl->m_Connections.begin(), m_Impl->m_Connections.end(), busy));
 }
 
+size_t HttpServer::Undelivered() const
+{
+    std::lock_guard lock(m_Impl->m_Mutex);
+    const auto      delivering = [](const auto& connection) { return connection->m_Delivering.load(); };
+    return static_cast<size_t>(std::count_if(m_Impl->m_Connections.begin(), m_Impl->m_Connections.end(), delivering));
+}
+
 void HttpServer::StopAccepting()
 {
     if (m_Impl->m_Stopping.exchange(true) || !m_Impl->m_Acceptor)
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -65,7 +65,7 @@
         store = standin.Store()
         await store.listen(port)
         self.slow = SlowBackend("slow-1", "slow", slow, self.record, RNG)
-        self.slow.released = asyncio.Event()  # for big answers
+        self.slow.released = asyncio.Event()  # for big answers and the end of some streams
         for server in (standin.Backend("web-1", "web", backend, self.record, RNG), self.slow):
             await server.listen()
             store.put("servers", server.id, server.row())
@@ -156,16 +156,41 @@
 
     async def test_the_router_does_not_end_before_its_callers_have_their_answers(self):
         """The rest of an answer may lie in the send buffer when the handler is done, and be lost with the network of a process that ended."""
+        await self.read_late(half_closes=False, answered_before=False)
+
+    async def test_the_router_does_not_end_before_half_closed_callers_have_their_answers(self):
+        """A connection that is shut down on both sides looked to the router as one that was reset."""
+        await self.read_late(half_closes=True, answered_before=False)
+
+    async def test_the_router_does_not_end_before_callers_that_were_answered_before_the_signal_have_their_answers(self):
+        """Their connections are idle then, and are closed at once."""
+        await self.read_late(half_closes=False, answered_before=True)
+
+    async def test_the_router_does_not_end_before_callers_whose_connections_it_closed_before_the_signal_have_their_answers(self):
+        """The router was done with the connection as the signal came."""
+        await self.read_late(half_closes=False, answered_before=True, fields="Connection: close\r\n")
+
+    async def test_an_answer_is_whole_though_its_caller_sent_more(self):
+        """Bytes lay unread as the connection was closed: it was reset, and what was left in the send buffer was lost."""
+        await self.read_late(half_closes=False, answered_before=True, fields="Connection: close\r\n", more=b"\r\n")
+
+    async def read_late(self, half_closes, answered_before, fields="", more=b""):
         caller = socket.socket()
         caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
         caller.setblocking(False)
         await asyncio.get_running_loop().sock_connect(caller, ("127.0.0.1", self.http))
         await asyncio.get_running_loop().sock_sendall(
-            caller, b"POST /slow/big HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: big\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            caller, f"POST /slow/big HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: big\r\n{fields}Content-Length: 0\r\n\r\n".encode() + more)
+        if half_closes:
+            caller.shutdown(socket.SHUT_WR)
         end = time.monotonic() + LIMIT_S
         while not self.record.runs.get("big"):
             self.assertLess(time.monotonic(), end, "the request doesn't reach its server")
             await asyncio.sleep(LOOK_S)
+        if answered_before:
+            self.slow.released.set()
+            while "big" not in self.logged("RequestSettled"):
+                await asyncio.sleep(LOOK_S)
         self.router.send_signal(signal.SIGTERM)
         while "ProcessDraining" not in open(self.log).read():
             await asyncio.sleep(LOOK_S)
