Requests sent behind one whose answer kept the connection are answered in a drain

Cause: whether a connection closes was asked again after its answer, and a drain had begun meanwhile.

Why this works: what the head has promised holds for a request that lies in the buffer or in the socket; its own answer says that the connection closes. With nothing there the connection closes, as before.

--- a/src/connection/http_reply_internal.h
+++ b/src/connection/http_reply_internal.h
@@ -26,6 +26,7 @@
     bool Broken() const { return m_Broken; }
     bool Sent() const { return m_Sent; }
     bool KeepAlive();
+    bool HeadKeptAlive() const { return m_KeepAlive; } // the answer's head promised that the connection takes another request
 
 private:
     bool Outcome(const boost::system::error_code& ec);
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -279,7 +279,10 @@
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
         answered = reply.Sent() && !reply.Broken();
-        if (!answered || !reply.KeepAlive())
+        if (!answered || !reply.HeadKeptAlive())
+            break;
+        // A request that came before its caller could know that the connection closes is answered.
+        if (impl->m_Closing.load() && buffer.size() == 0 && !HasUnread(stream))
             break;
     }
     boost::system::error_code ec;
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -52,6 +52,10 @@
             await self.released.wait()
             await standin.stop_watching(gone)
             return await self.send(run, writer, standin.answer(200, b"x" * BIG, X_Request_Id=ident, X_Response_Seal="seal"))
+        if req.path.startswith("/stream/released"):
+            await self.released.wait()
+            await standin.stop_watching(gone)
+            return await self.send(run, writer, b"0\r\n\r\n")
         await standin.work(SLOW_S if req.path.startswith("/slow/") else LIMIT_S, gone)
         await super().execute(req, ident, run, writer, gone)
 
@@ -174,6 +178,22 @@
         """Bytes lay unread as the connection was closed: it was reset, and what was left in the send buffer was lost."""
         await self.read_late(half_closes=False, answered_before=True, fields="Connection: close\r\n", more=b"\r\n")
 
+    async def test_a_request_that_came_with_the_one_before_it_is_answered(self):
+        """The first answer's head was sent before the signal and keeps the connection; the router closed it behind that answer all the same."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.http)
+        for path, ident in (("/stream/released", "first"), ("/page/x", "second")):
+            writer.write(f"POST {path} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {ident}\r\nContent-Length: 0\r\n\r\n".encode())
+        head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT_S)).lower()
+        self.assertNotIn(b"connection: close", head)
+        await asyncio.wait_for(reader.readuntil(b"data: first\n\n\r\n"), LIMIT_S)
+        self.router.send_signal(signal.SIGTERM)
+        while "ProcessDraining" not in open(self.log).read():
+            await asyncio.sleep(LOOK_S)
+        self.slow.released.set()
+        rest = await asyncio.wait_for(reader.read(), LIMIT_S)
+        self.assertTrue(rest.startswith(b"0\r\n\r\n"), "the first answer isn't whole")
+        self.assertIn(b"HTTP/1.1 200", rest, "the second request has no answer")
+
     async def read_late(self, half_closes, answered_before, fields="", more=b""):
         caller = socket.socket()
         caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
