Requests turned away in a drain without need: expected times by route and size, and without answers so far

What callers saw: 503 from a draining router that could have served them: always from one that had answered nothing of that service yet, for short requests beside long ones of the same service, and for all of a service once four answers of 64 were short or of unknown size.

Cause: the time of an answer was expected by service and in proportion to its tokens; without answers it was the request's time limit.

Why this works: times are kept by route, and by service for routes that have none; only answers with about as many tokens count where there are some, and none is scaled. Without any, a whole answer is expected within the route's latency objective. At the router's end nothing is admitted, also what is past its own time. What was cut off keeps its reason whatever it waited for; requests whose callers had left, and those that were answered, aren't counted as cut off.

--- a/src/common/events.h
+++ b/src/common/events.h
@@ -93,6 +93,8 @@
     X(1511, ServerPaused, Info, "backend server asked for a pause")                                                                                  \
     X(1512, ServerLeaving, Info, "backend server said in an answer that it leaves")                                                                  \
     X(1513, RequestCutOff, Warn, "process ends; request in progress is cut off")                                                                     \
+    X(1514, UploadRefused, Info, "request refused while its body was coming, as this process ends before it could answer")                           \
+    X(1515, ConnectionsCutOff, Warn, "process ends; connections are cut off")                                                                        \
     X(1601, AccountingFlushed, Debug, "accounting window flushed")                                                                                   \
     X(1602, AccountingDelayed, Warn, "accounting window kept: table service can't be reached")
 
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -160,26 +160,38 @@
         co_await SleepFor(kCrashCheckPoll);
 }
 
-bool DirectServe::Impl::CanAnswerBeforeEnd(const Service& service, const CallerRequest& caller, Duration left, TimePoint now) const
+bool DirectServe::Impl::CanAnswerBeforeEnd(const Route& route, const Service& service, const CallerRequest& caller, Duration left,
+                                           TimePoint now) const
 {
     if (m_EndsAt == TimePoint::max())
         return true;
-    const auto times = m_AnswerTimes.find(service.m_Name);
-    return CanAnswerInTime(times != m_AnswerTimes.end() ? times->second.Expected(caller.m_MaxAnswerTokens) : std::nullopt, left, m_EndsAt - now);
+    const auto              of_route   = m_RouteTimes.find(route.m_Name);
+    const auto              of_service = m_ServiceTimes.find(service.m_Name);
+    std::optional<Duration> expected;
+    if (of_route != m_RouteTimes.end())
+        expected = of_route->second.Expected(caller.m_MaxAnswerTokens);
+    else if (of_service != m_ServiceTimes.end())
+        expected = of_service->second.Expected(caller.m_MaxAnswerTokens);
+    return CanAnswerInTime(expected.value_or(route.m_Kind == RouteKind_Stream ? left : route.m_Goal), left, m_EndsAt - now);
 }
 
 // One that may have run, or whose answer has begun, goes on: refusing it would be untrue or lose what its caller has.
 bool DirectServe::Impl::MustRefuseLate(const Call& call, TimePoint now) const
 {
     return !call.m_MayHaveRun && !call.m_HeadSent && call.m_StalledAttempts.empty() &&
-           !CanAnswerBeforeEnd(*call.m_Service, call.m_Caller, call.TimeLeft(now), now);
+           !CanAnswerBeforeEnd(*call.m_Route, *call.m_Service, call.m_Caller, call.TimeLeft(now), now);
 }
 
 void DirectServe::Impl::NoteAnswerTimes(const Call& call, TimePoint now)
 {
-    if (call.m_FirstByteAt != TimePoint{})
-        m_AnswerTimes[call.m_Service->m_Name].OnAnswered(call.m_Caller.m_MaxAnswerTokens, call.m_FirstByteAt - call.m_StartedAt,
-                                                         now - call.m_StartedAt);
+    if (call.m_FirstByteAt == TimePoint{})
+        return;
+    if (m_RouteTimesOf != m_World.m_Routes)
+        m_RouteTimes.clear(); // routes that are gone would stay
+    m_RouteTimesOf = m_World.m_Routes;
+    if (call.m_Routes == m_World.m_Routes)
+        m_RouteTimes[call.m_Route->m_Name].OnAnswered(call.m_Caller.m_MaxAnswerTokens, now - call.m_StartedAt);
+    m_ServiceTimes[call.m_Service->m_Name].OnAnswered(call.m_Caller.m_MaxAnswerTokens, now - call.m_StartedAt);
 }
 
 //-----------------------------------------------------------------------------
@@ -413,6 +425,11 @@
         call.m_Cause         = FailureCause_None;
         call.m_NoRetryReason = NoRetryReason_None;
     }
+    else if (call.m_CutOff)
+    {
+        call.m_NoRetryReason = NoRetryReason_RouterEnds;
+        call.m_FailureText   = kEndingText;
+    }
     CancelStalledAttempts(call);
     co_await SendFinalAnswer(call, end);
 }
@@ -682,7 +699,7 @@
         return std::nullopt; // Identify() judges it once it is whole
     const TimePoint now   = Now();
     const Duration  limit = std::min(route->m_Timeout, caller.value().m_Remaining.value_or(route->m_Timeout));
-    if (m_Impl->CanAnswerBeforeEnd(*service, caller.value(), head.m_BegunAt + limit - now, now))
+    if (m_Impl->CanAnswerBeforeEnd(*route, *service, caller.value(), head.m_BegunAt + limit - now, now))
         return std::nullopt;
     OutcomeCounter("refused").Add(1);
     LogEvent(Event_RequestRefused,
@@ -690,7 +707,7 @@
     return m_Impl->m_Protocol.MakeLocalResponse(caller.value(), 503, kEndingText, kEndingRetryAfter);
 }
 
-static void LogCutOff(const Call& call, TimePoint now)
+static void LogRequestCutOff(const Call& call, TimePoint now)
 {
     const auto since = [now](TimePoint at) { return at == TimePoint{} ? -1 : ToMs(now - at); };
     LogEvent(Event_RequestCutOff, {{"id", call.m_Caller.m_Id},
@@ -709,11 +726,11 @@
     const TimePoint now = Now();
     for (Call* call : m_Impl->m_InFlight)
     {
-        LogCutOff(*call, now);
-        call->m_CutOff        = true;
-        call->m_MayHaveRun    = call->m_MayHaveRun || !call->m_StalledAttempts.empty();
-        call->m_NoRetryReason = NoRetryReason_RouterEnds;
-        call->m_FailureText   = kEndingText;
+        if (call->CallerGone())
+            continue;
+        LogRequestCutOff(*call, now);
+        call->m_CutOff     = true;
+        call->m_MayHaveRun = call->m_MayHaveRun || !call->m_StalledAttempts.empty();
         call->m_Abort.Abort(); // attempts end with an error, and SendFinalAnswer() tells the caller
     }
 }
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -172,7 +172,9 @@
     CrashDetector          m_CrashDetector;        //
     CrashHistory           m_CrashHistory{Duration(kTrialStaggerMax) * (RandomSeed() % 1000) / 1000}; // merged with other routers' records
     TimePoint              m_EndsAt = TimePoint::max();                          // the process ends then; max: it wasn't told to end
-    std::map<std::string, AnswerTimes>                  m_AnswerTimes;           // by service
+    std::map<std::string, AnswerTimes>                  m_RouteTimes;            // by route of m_RouteTimesOf
+    RouteTablePtr                                       m_RouteTimesOf;          // the declarations that m_RouteTimes is kept for
+    std::map<std::string, AnswerTimes>                  m_ServiceTimes;          // by service
     std::map<std::string, Urgency>                      m_Urgency;               // by model service
     RetryEstimate                                       m_RetryEstimate;         // which callers of model services were refused before
     std::map<std::string, std::unique_ptr<RetryBudget>> m_Budgets;               // retry budgets by service
@@ -199,11 +201,11 @@
     bool                         CheckBlockedSince(Call& call, TimePoint now); // by what was learned after CheckBlocked(); logs the refusal
     void                         LogBlocked(Call& call, TimePoint now) const;
     RetryBudget&                 Budget(const std::string& service);
-    bool                         CanAnswerBeforeEnd(const Service& service, const CallerRequest& caller, Duration left, TimePoint now) const;
-    bool                         MustRefuseLate(const Call& call, TimePoint now) const; // it wasn't passed on, and can't be answered any more
-    void                         NoteAnswerTimes(const Call& call, TimePoint now);
-    awaitable<void>              AwaitCrashCheck(Call& call) const;
-    awaitable<void>              Serve(Call& call);
+    bool            CanAnswerBeforeEnd(const Route& route, const Service& service, const CallerRequest& caller, Duration left, TimePoint now) const;
+    bool            MustRefuseLate(const Call& call, TimePoint now) const; // it wasn't passed on, and can't be answered any more
+    void            NoteAnswerTimes(const Call& call, TimePoint now);
+    awaitable<void> AwaitCrashCheck(Call& call) const;
+    awaitable<void> Serve(Call& call);
 
     // Choice of a server (direct_place.cpp)
     struct PlaceQuery;
--- a/src/request/drain_admission.cpp
+++ b/src/request/drain_admission.cpp
@@ -6,7 +6,7 @@
 namespace aldervale
 {
 
-template <class ValueT> static ValueT Quantile(std::vector<ValueT> values)
+static Duration Quantile(std::vector<Duration> values)
 {
     const size_t rank = static_cast<size_t>(std::ceil(kAnswerQuantile * static_cast<double>(values.size()))) - 1;
     const auto   at   = values.begin() + static_cast<std::ptrdiff_t>(rank);
@@ -14,13 +14,12 @@
     return *at;
 }
 
-void AnswerTimes::OnAnswered(double tokens, Duration to_first, Duration whole)
+void AnswerTimes::OnAnswered(double tokens, Duration whole)
 {
-    const Answer answer = {to_first, ToSeconds(std::max<Duration>(whole - to_first, {})) * 1000 / std::max(1.0, tokens)};
     if (m_Last.size() < kAnswersKept)
-        m_Last.push_back(answer);
+        m_Last.push_back({tokens, whole});
     else
-        m_Last[m_Next] = answer;
+        m_Last[m_Next] = {tokens, whole};
     m_Next = (m_Next + 1) % kAnswersKept;
 }
 
@@ -28,21 +27,22 @@
 {
     if (m_Last.empty())
         return std::nullopt;
-    std::vector<Duration> first;
-    std::vector<double>   rest;
+    std::vector<Duration> all;
+    std::vector<Duration> similar;
     for (const Answer& a : m_Last)
     {
-        first.push_back(a.m_ToFirst);
-        rest.push_back(a.m_RestMs);
+        all.push_back(a.m_Whole);
+        if (a.m_Tokens >= tokens / kSimilarFactor && a.m_Tokens <= tokens * kSimilarFactor)
+            similar.push_back(a.m_Whole);
     }
-    return Quantile(std::move(first)) + FromSeconds(Quantile(std::move(rest)) * std::max(1.0, tokens) / 1000);
+    return Quantile(similar.size() >= kSimilarMin ? std::move(similar) : std::move(all));
 }
 
-bool CanAnswerInTime(std::optional<Duration> expected, Duration time_left, Duration until_end)
+bool CanAnswerInTime(Duration expected, Duration time_left, Duration until_end)
 {
-    if (time_left <= until_end)
-        return true;
-    return expected && *expected + kAnswerTransit <= until_end;
+    if (until_end <= Duration::zero())
+        return false;
+    return time_left <= until_end || expected + kAnswerTransit <= until_end;
 }
 
 } // namespace aldervale
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -237,6 +237,13 @@
         self.assertEqual(await self.status_of(b"first", b"last", self.terminate_and_wait, path="/slow/x", ident="late"), 503)
         self.assertEqual(self.record.runs.get("late"), None)
 
+    async def test_a_request_of_a_service_that_has_answered_nothing_here_yet_is_served(self):
+        """A router that has only just started knows no answer's time."""
+        self.router.send_signal(signal.SIGTERM)
+        await asyncio.sleep(LOOK_S)
+        self.slow.released.set()
+        self.assertEqual(await self.status_of(b"", path="/slow/big", ident="first"), 200)
+
     async def test_a_request_that_can_be_answered_before_the_router_ends_is_served_as_late_as_that(self):
         self.assertEqual(await self.status_of(b"", path="/slow/x", ident="before"), 200)
         self.assertEqual(await self.status_of(b"first", b"last", self.terminate_and_wait, ident="late"), 200)
