--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr auto kDrainPoll     = milliseconds(50);
-constexpr auto kCutOffMax     = milliseconds(250); // for callers to be told that their requests were cut off
 constexpr auto kSettingsWatch = seconds(2);        // between looks at the settings file's time of change
 constexpr auto kStallLook     = milliseconds(250); // between looks whether the process was held up
 constexpr auto kStallLeast    = milliseconds(250); // a shorter hold-up ends no wait of ours that matters
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -47,6 +47,8 @@
 // [SECTION] Daemon
 //-----------------------------------------------------------------------------
 
+constexpr auto kCutOffMax = milliseconds(350); // from m_CutOff to the process's end: for callers to be told
+
 struct DaemonHooks
 {
     std::function<bool()>          m_Ready;    // /readyz; also tells the balancer when to send callers elsewhere
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -399,6 +399,16 @@
     return s;
 }
 
+void CutOff(Router& r)
+{
+    const size_t busy        = r.m_Http->Busy();
+    const size_t serving     = r.m_Serve->InFlight();
+    const size_t undelivered = r.m_Http->Undelivered();
+    LogEvent(Event_ConnectionsCutOff,
+             {{"reading", busy - std::min(busy, serving + undelivered)}, {"serving", serving}, {"undelivered", undelivered}});
+    r.m_Serve->CutOff();
+}
+
 DaemonHooks MakeHooks(Router& r)
 {
     DaemonHooks hooks;
@@ -417,7 +427,7 @@
         r.m_Http->StopAccepting();
         return r.m_Http->Busy() == 0; // one whose body is still coming is not in flight yet, and has its grace all the same
     };
-    hooks.m_CutOff   = [&r] { r.m_Serve->CutOff(); };
+    hooks.m_CutOff   = [&r] { CutOff(r); };
     hooks.m_Measure  = [&r] { Measure(r); };
     hooks.m_Reloaded = [&r] { r.m_Serve->SetSettings(ServeSettings(r)); };
     hooks.m_Describe = [&r]
@@ -499,7 +509,7 @@
                      DescribeRouter(router.m_Settings), daemon,
                      [&](Daemon& d)
                      {
-                         d.SetDrainMax(FromSeconds(router.m_Settings.m_Platform.m_GraceS * kGraceUsed));
+                         d.SetDrainMax(LongestDrain(router.m_Settings.m_Platform));
                          return StartRouter(d, router);
                      });
 }
--- a/src/programs/platform_settings.h
+++ b/src/programs/platform_settings.h
@@ -20,6 +20,13 @@
 
 constexpr double kGraceUsed = 0.92; // part of the grace that a drain may take: ending itself takes time too
 
+constexpr auto kEndMargin = 2 * kCutOffMax; // of the grace, after the drain: for callers to be told that it is over, and for the end itself
+
+inline Duration LongestDrain(const PlatformSettings& s)
+{
+    return std::max(Duration::zero(), std::min<Duration>(FromSeconds(s.m_GraceS * kGraceUsed), FromSeconds(s.m_GraceS) - kEndMargin));
+}
+
 inline std::vector<SettingSpec> DescribePlatform(PlatformSettings& s)
 {
     return {
