A router that has seen few answers, or rare long ones, passes on requests in its drain only if the longest would end in time

Cause: a quantile of the last answers admits one request in twenty that takes longer than what is left, and a quantile of one answer says nothing. A request refused without need is served elsewhere; one passed on in vain is lost.

Now the longest of the last 64 answers counts, and with fewer than eight at least what is assumed without any.

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -165,14 +165,16 @@
 {
     if (m_EndsAt == TimePoint::max())
         return true;
-    const auto              of_route   = m_RouteTimes.find(route.m_Name);
-    const auto              of_service = m_ServiceTimes.find(service.m_Name);
-    std::optional<Duration> expected;
-    if (of_route != m_RouteTimes.end())
-        expected = of_route->second.Expected(caller.m_MaxAnswerTokens);
+    const auto               of_route   = m_RouteTimes.find(route.m_Name);
+    const auto               of_service = m_ServiceTimes.find(service.m_Name);
+    static const AnswerTimes none;
+    const AnswerTimes*       times = &none;
+    if (of_route != m_RouteTimes.end() && of_route->second.IsKnown())
+        times = &of_route->second;
     else if (of_service != m_ServiceTimes.end())
-        expected = of_service->second.Expected(caller.m_MaxAnswerTokens);
-    return CanAnswerInTime(expected.value_or(route.m_Kind == RouteKind_Stream ? left : route.m_Goal), left, m_EndsAt - now);
+        times = &of_service->second;
+    const Duration unknown = route.m_Kind == RouteKind_Stream ? left : route.m_Goal;
+    return CanAnswerInTime(times->Expected(caller.m_MaxAnswerTokens, unknown), left, m_EndsAt - now);
 }
 
 // One that may have run, or whose answer has begun, goes on: refusing it would be untrue or lose what its caller has.
--- a/src/request/drain_admission.cpp
+++ b/src/request/drain_admission.cpp
@@ -1,19 +1,10 @@
 // Whether a draining router can still answer a request. See drain_admission.h.
 #include "request/drain_admission.h"
 #include <algorithm>
-#include <cmath>
 
 namespace aldervale
 {
 
-static Duration Quantile(std::vector<Duration> values)
-{
-    const size_t rank = static_cast<size_t>(std::ceil(kAnswerQuantile * static_cast<double>(values.size()))) - 1;
-    const auto   at   = values.begin() + static_cast<std::ptrdiff_t>(rank);
-    std::nth_element(values.begin(), at, values.end());
-    return *at;
-}
-
 void AnswerTimes::OnAnswered(double tokens, Duration whole)
 {
     if (m_Last.size() < kAnswersKept)
@@ -23,19 +14,21 @@
     m_Next = (m_Next + 1) % kAnswersKept;
 }
 
-std::optional<Duration> AnswerTimes::Expected(double tokens) const
+Duration AnswerTimes::Expected(double tokens, Duration unknown) const
 {
-    if (m_Last.empty())
-        return std::nullopt;
-    std::vector<Duration> all;
-    std::vector<Duration> similar;
+    Duration longest{};
+    Duration longest_similar{};
+    size_t   similar = 0;
     for (const Answer& a : m_Last)
     {
-        all.push_back(a.m_Whole);
-        if (a.m_Tokens >= tokens / kSimilarFactor && a.m_Tokens <= tokens * kSimilarFactor)
-            similar.push_back(a.m_Whole);
+        longest = std::max(longest, a.m_Whole);
+        if (a.m_Tokens < tokens / kSimilarFactor || a.m_Tokens > tokens * kSimilarFactor)
+            continue;
+        longest_similar = std::max(longest_similar, a.m_Whole);
+        similar++;
     }
-    return Quantile(similar.size() >= kSimilarMin ? std::move(similar) : std::move(all));
+    const Duration expected = similar >= kSimilarMin ? longest_similar : longest;
+    return IsKnown() ? expected : std::max(expected, unknown);
 }
 
 bool CanAnswerInTime(Duration expected, Duration time_left, Duration until_end)
--- a/src/request/drain_admission.h
+++ b/src/request/drain_admission.h
@@ -9,15 +9,18 @@
 // routers that have only just started.
 //
 // How it decides:
-//   - The time that an answer takes is expected from the last answers of its route, or of its service while the route has none: kAnswerQuantile of
-//     those that were allowed about as many tokens, or of all while there are hardly any such.
-//   - Without answers so far a whole answer is expected within the route's latency objective, and a stream may use the request's whole time limit.
+//   - An answer is expected to take as long as the longest of the last answers of its route, or of its service while the route has too few. Of those
+//     only the ones that were allowed about as many tokens count, unless there are hardly any such. Refused without need, a request is served
+//     elsewhere; passed on in vain, it is lost.
+//   - While hardly any answers were seen, a whole answer is expected within the route's latency objective at least, and a stream may use the
+//   request's
+//     whole time limit.
 //   - A request whose time limit ends before the router does is admitted, however long answers take.
 //
 // Usage:
 //   AnswerTimes times;                                       // one for each route, and one for each service
 //   times.OnAnswered(tokens, whole);
-//   if (!CanAnswerInTime(times.Expected(tokens).value_or(unknown), time_left, until_end)) ...the request is refused
+//   if (!CanAnswerInTime(times.Expected(tokens, unknown), time_left, until_end)) ...the request is refused
 
 #pragma once
 #include "common/clock.h"
@@ -26,18 +29,19 @@
 namespace aldervale
 {
 
-constexpr size_t kAnswersKept    = 64;                // last answers that count
-constexpr double kAnswerQuantile = 0.95;              // share of them that took no longer than what is expected
-constexpr size_t kSimilarMin     = 4;                 // answers with about as many tokens from which on only such count
-constexpr double kSimilarFactor  = 2;                 // about as many: up to so many times more or less
-constexpr auto   kAnswerTransit  = milliseconds(100); // beyond what this router saw of an answer: until its caller has the last byte
+constexpr size_t kAnswersKept   = 64;                // last answers that count
+constexpr size_t kAnswersMin    = 8;                 // with fewer, none says how long others may take
+constexpr size_t kSimilarMin    = 4;                 // answers with about as many tokens from which on only such count
+constexpr double kSimilarFactor = 2;                 // about as many: up to so many times more or less
+constexpr auto   kAnswerTransit = milliseconds(100); // beyond what this router saw of an answer: until its caller has the last byte
 
 class AnswerTimes
 {
 public:
     // tokens: most that the answer may have; 0: unknown. whole: from the whole request to the last byte of the answer.
-    void                    OnAnswered(double tokens, Duration whole);
-    std::optional<Duration> Expected(double tokens) const; // nullopt: no answers so far
+    void     OnAnswered(double tokens, Duration whole);
+    bool     IsKnown() const { return m_Last.size() >= kAnswersMin; }
+    Duration Expected(double tokens, Duration unknown) const; // unknown: at least this is expected while hardly any answers were seen
 
 private:
     struct Answer
