--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -183,6 +183,7 @@
     resumed_after: int
     event_at: float = 0.0  # when its last event, or its answer, was sent
     until_close: bool = False  # its answer has no length
+    over: float = 0.0      # when its work ended; 0: at work
     end: str = ""          # "" while at work, FINISHED, CUT_BY_ROUTER, or the fault by which the server broke it off
 
 
@@ -312,6 +313,7 @@
             run.end = run.end or ("crash" if self.crashed else CUT_BY_ROUTER)
             raise
         finally:
+            run.over = time.monotonic()
             gone.cancel()
 
     def own_fields(self):
@@ -336,8 +338,11 @@
         if self.until_close and self.rng.random() < self.until_close:
             run.until_close = True
             reset_on_close(writer, True)
-        if req.path.startswith("/stream/"):
-            return await self.stream(ident, run, writer, gone)
+        answer_s = float(req.path.rpartition("/")[2]) if req.path.startswith(("/late/", "/flow/")) else 0.0
+        if req.path.startswith(("/stream/", "/flow/")):
+            return await self.stream(ident, run, writer, gone, answer_s / EVENTS)
+        if answer_s:
+            await work(answer_s, gone)
         await stop_watching(gone)
         body = f"{ident} by {self.id}".encode()
         if self.leaving:
@@ -377,7 +382,7 @@
         if self.still_until > time.monotonic():
             await work(self.still_until - time.monotonic(), gone)
 
-    async def stream(self, ident, run, writer, gone):
+    async def stream(self, ident, run, writer, gone, between_s=0.0):
         pause_before = self.rng.randint(0, EVENTS) if self.rng.random() < self.pause else -1  # 0: before the head
         await self.stand_still(pause_before == 0, gone)
         head = f"HTTP/1.1 200 X\r\nX-Request-Id: {ident}\r\nContent-Type: text/event-stream\r\nX-Response-Seal: seal-{self.id}-{ident}\r\n"
@@ -398,7 +403,7 @@
                 self.break_off_event(run, writer)
             await self.send(run, writer, before + event + after)
             run.event_at = time.monotonic()
-            await work(self.rng.uniform(0.001, 0.02), gone)
+            await work(self.rng.uniform(0.001, 0.02) + between_s, gone)
         await stop_watching(gone)
         if run.until_close:
             return self.close_in_order(run, writer)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,7 @@
 """Fault soak of the platform's router: real processes on loopback, faults from outside them, promises checked from both ends.
 
   scripts/soak --seed N [--seconds S] [--routers R] [--servers K] [--clients C] [--bounds] [--half-close] [--slow-bodies] [--pauses] [--leaving]
-             [--crash-parts] [--until-close] [--model]
+             [--crash-parts] [--until-close] [--model] [--late]
 
 Exit status 0: every promise held. Promises without a clock are always checked:
   TWICE     a request that may run once runs at most once
@@ -27,6 +27,9 @@
 With --until-close some answers have no length and end with their connection, and some of these are broken off; MIXED, ORDER and LOST hold for them, too.
 With --model some callers ask model servers for more than these can serve, and send a refused request again, with a new id and mostly to another router; TWICE, REFUSED
 and LOST hold for each attempt.
+With --late more callers send requests that may outlast a drain: bodies that take up to 6 s, whole answers and streams of 1 to 5 s, a time limit of 12 s. Two routers
+drain at once and get more of SIGTERM and SIGHUP meanwhile, while declarations change. LOST holds for these requests as for all others, also for those that reached no
+server; excused are only those whose last byte was sent no later than 3 s after the SIGTERM and whose server was still at work in the last sixth of the grace.
 """
 import argparse
 import asyncio
@@ -75,6 +78,16 @@
 MODEL_TIME_S = (2, 3.6)  # a caller's time, under its route's: then the time left doesn't tell a retry (return_guess.h)
 MODEL_LEFT_S = 0.5     # a request with less time isn't sent again: its router may give up just before that
 MODEL_RETRIES = 20     # that a run with --model must have sent
+LATE_KINDS = ("late", "flow")  # routes of whole answers and of streams, with --late
+LATE_CALLERS = 48      # who call these
+LATE_TIME_S = 12.0     # a caller's time for a request and its route's
+LATE_BODIES = 0.5      # share of their requests whose bodies take time
+LATE_BODY_S = 6.0      # longest of these
+LATE_PARTS = 12        # of a body; the pauses between them are shorter than the declared HeaderTimeoutMs
+LATE_ANSWER_S = (1, 5)  # that an answer takes
+DRAINS_EACH = 8        # of faults is a drain of two routers
+SENT_BY_S = 3.0        # from SIGTERM to the last byte of a request that may be cut off
+AT_WORK_S = GRACE_S * 5 / 6  # from SIGTERM until its server must still be at work for that
 REVERT_S = 0.25        # requests sent within this of each other may be handled by either version
 
 
@@ -110,6 +123,7 @@
     time_s: float = TIME_S
     retry_after: float = 0.0
     again: bool = False  # an attempt of it was refused before
+    sent: float = float("inf")  # its last byte
 
 
 @dataclass
@@ -167,6 +181,7 @@
     drained: dict = field(default_factory=dict)   # id -> when it was named as draining
     configs: list = field(default_factory=list)   # (when, version)
     hits: list = field(default_factory=list)      # (router, from, to): it was ended or stopped by a signal that leaves it no time
+    terminated: dict = field(default_factory=dict)  # (router, life) -> its first SIGTERM
     sent: list = field(default_factory=list)
     broken: list = field(default_factory=list)    # (rule, text)
     crashing: dict = field(default_factory=dict)  # id -> Sent, of requests with the part that crashes servers
@@ -178,6 +193,7 @@
     statements: int = 0                           # of servers, heard by a router
     late: int = 0                                 # requests with the part that reached servers although it must be blocked
     shares: list = field(default_factory=list)    # of sound requests answered, before and after crashes by the part
+    outlasting: int = 0                           # requests in progress in a drain later than SENT_BY_S
     retries: int = 0                              # model requests that were sent again after a refusal
     over: bool = False                            # clients stop; wait_for() of Python 3.11 can lose a cancellation
     counter: int = 0
@@ -213,6 +229,8 @@
     async def end(self, r, sig):
         r.ending = True
         hit = time.monotonic()
+        if sig == signal.SIGTERM:
+            self.terminated[r.name, r.life] = hit
         r.process.send_signal(sig)
         for _ in range(int(GRACE_S / 0.05)):
             if r.process.poll() is not None:
@@ -248,6 +266,11 @@
     def change_config(self):
         version = self.configs[-1][1] + 1 if self.configs else 1
         declared = standin.declarations(version)
+        if self.args.late:
+            more = {"TimeoutMs": LATE_TIME_S * 1000, "GoalMs": 6000}
+            declared["Services"].append({"Name": "late", "HealthPath": "/health"})
+            declared["Routes"] += [standin.route("late", "unsafe", "late", **more),
+                                   standin.route("flow", "streaming", "late", Resumable=True, gap_aim_ms=2000, **more)]
         declared["Routes"].append(standin.route("model", "unsafe", "model"))
         self.store.put("op", "config", declared)
         self.configs.append((time.monotonic(), version))
@@ -272,8 +295,7 @@
         await self.add_server(b.service, b.port)
 
     # ------------------------------------------------------------------ clients
-    async def client(self, number):
-        kinds = ["once", "safe", "stream", "flip"]
+    async def client(self, number, kinds=("once", "safe", "stream", "flip")):
         while not self.over:
             r = self.rng.choice(self.routers)
             try:
@@ -284,6 +306,8 @@
             try:
                 while not self.over:  # the connection is used until it is gone
                     s = await self.call(r, reader, writer, self.rng.choice(kinds), number)
+                    if s.kind in LATE_KINDS and s.status == 503:
+                        await asyncio.sleep(s.retry_after)
                     if not s.keep:
                         break
                     await asyncio.sleep(self.rng.uniform(0, 0.04))
@@ -337,6 +361,24 @@
         parts = parts or (SHARED_PART, f"d{self.rng.randrange(3)}")
         return "X-Prompt-Prefix: " + ",".join(f"{part}:{self.rng.randint(20, 400)}" for part in (*parts, f"{self.counter:x}")) + "\r\n"
 
+    async def send_late(self, reader, writer, s, prompt):
+        """Comes back with its answer under way. Reads while it sends: a refusal that came before the end of the body must not be lost with the connection."""
+        s.time_s, path = LATE_TIME_S, f"{self.rng.uniform(*LATE_ANSWER_S):.2f}"
+        s.slow = self.rng.random() < LATE_BODIES
+        pause = self.rng.uniform(0, LATE_BODY_S) / LATE_PARTS if s.slow else 0
+        writer.write((f"POST /{s.kind}/{path} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {s.ident}\r\nX-Deadline-Remaining: {s.time_s * 1000:.0f}\r\n"
+                      f"{prompt}Content-Length: {4 * LATE_PARTS}\r\n\r\n").encode())
+        reading = asyncio.ensure_future(self.read_answer(reader, s))
+        for _ in range(LATE_PARTS):
+            if s.slow:
+                await asyncio.wait([reading], timeout=pause)
+            if reading.done() or writer.is_closing():
+                return reading
+            writer.write(b"work")
+        s.sent = time.monotonic()
+        self.half_close(s, writer)
+        return reading
+
     async def call(self, r, reader, writer, kind, number, crash_parts=(), model=None):
         self.counter += 1
         s = Sent(f"c{number}-{self.counter}", kind, r.name, r.life, time.monotonic())
@@ -350,6 +392,9 @@
         if model:
             method, body, s.time_s, s.again = "POST", model.name.encode(), model.time_s, model.again
             prompt = f"X-Prompt-Prefix: {SHARED_PART}:100,{model.name}:20\r\n"
+        if kind in LATE_KINDS:
+            reading = await self.send_late(reader, writer, s, prompt)
+            return await self.finish(s, reading, LATE_TIME_S + LATE_BODY_S)
         s.slow = bool(body) and not model and not crash_parts and self.args.slow_bodies and self.rng.random() < SLOW_BODIES
         writer.write((f"{method} /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {s.ident}\r\nX-Deadline-Remaining: {s.time_s * 1000:.0f}\r\n"
                       f"{prompt}Content-Length: {len(body)}\r\n\r\n").encode())
@@ -359,11 +404,17 @@
             if reader.at_eof() or reader.exception():
                 break
         writer.write(b"" if s.slow else body)
+        self.half_close(s, writer)
+        return await self.finish(s, self.read_answer(reader, s), ANSWER_S)
+
+    def half_close(self, s, writer):
         if self.args.half_close and self.rng.random() < HALF_CLOSED:
             s.half_closed = True
             writer.write_eof()
+
+    async def finish(self, s, reading, longest):
         try:
-            keep = await asyncio.wait_for(self.read_answer(reader, s), ANSWER_S)
+            keep = await asyncio.wait_for(reading, longest)
         finally:
             s.ended = time.monotonic()
         s.keep = keep and not s.half_closed
@@ -414,6 +465,29 @@
         if kind != "hup":
             self.disturbances.append((r.name, begun, r.disturbed))
 
+    async def drain_router(self, r):
+        begun, r.disturbed, process = time.monotonic(), float("inf"), r.process
+        end = asyncio.create_task(self.end(r, signal.SIGTERM))
+        for _ in range(self.rng.randint(1, 5)):
+            await asyncio.sleep(self.rng.uniform(0.05, 2))
+            if process.poll() is None:
+                process.send_signal(self.rng.choice([signal.SIGTERM, signal.SIGHUP, signal.SIGHUP]))
+        await end
+        r.disturbed = time.monotonic()
+        self.disturbances.append((r.name, begun, r.disturbed))
+
+    async def fault_drains(self):
+        """Two routers of the data centre drain at once, or shortly after each other, with more signals and new declarations meanwhile."""
+        able = [r for r in self.routers if not r.ending and r.disturbed < float("inf")]
+        drains = []
+        for r in self.rng.sample(able, min(2, len(able))):
+            if not r.ending:  # since another fault chose it
+                r.ending = True
+                drains.append(asyncio.create_task(self.drain_router(r)))
+            await asyncio.sleep(self.rng.choice([0, self.rng.uniform(0, 3)]))
+        await self.fault_config()
+        await asyncio.gather(*drains)
+
     async def fault_store(self):
         if self.store.fault:
             return
@@ -512,7 +586,7 @@
                   self.fault_config] + [self.fault_pauses] * self.args.pauses + [self.fault_leave] * self.args.leaving
         while True:
             self.faults += 1
-            fault = self.rng.choice(faults)
+            fault = self.fault_drains if self.args.late and self.faults % DRAINS_EACH == 0 else self.rng.choice(faults)
             task = asyncio.create_task(self.timed(fault))
             running.add(task)
             task.add_done_callback(running.discard)
@@ -521,7 +595,7 @@
     # ------------------------------------------------------------------ checks
     def check_answer(self, s):
         runs = self.record.runs.get(s.ident, [])
-        once = s.kind in ("once", "model")
+        once = s.kind in ("once", "model", "late")
         if once and len(runs) > 1:
             self.breach("TWICE", f"{s.ident} ran {len(runs)} times")
         if s.whole and s.status in (503, 429, 408, 421) and once and runs:
@@ -529,7 +603,7 @@
         if s.status != 200 or not s.whole:
             return
         by = {r.server for r in runs}
-        if s.kind == "stream":
+        if s.kind in ("stream", "flow"):
             want = b"".join(f"id: {n}\ndata: {s.ident} {n}\n\n".encode() for n in range(1, standin.EVENTS + 1))
             if s.body != want:
                 self.breach("ORDER", f"{s.ident}: {s.body!r}")
@@ -538,13 +612,20 @@
         elif (s.body, s.seal) not in {(f"{s.ident} by {b}".encode(), f"seal-{b}-{s.ident}") for b in by}:
             self.breach("MIXED", f"{s.ident}: {s.body!r} under {s.seal!r}")
 
+    def cut_is_excused(self, s, kept):
+        signalled = self.terminated.get((s.router, s.life))
+        if s.kind not in LATE_KINDS or signalled is None or s.sent > signalled + SENT_BY_S:
+            return False
+        end = signalled + AT_WORK_S
+        return s.ended >= end and any(not r.end or r.over >= end for r in kept)
+
     def check_lost(self, s):
         kept = self.record.kept(s.ident)
         answered = s.whole and s.status == 200
         time_over = s.ended >= s.at + s.time_s - (0 if s.body and not s.whole else END_SLACK_S)
         hit = any(name == s.router and since <= s.ended and s.at <= until for name, since, until in self.hits)
         unread = s.slow and not s.whole and s.ended >= s.at + CROSSED_S and not self.record.runs.get(s.ident)
-        if (kept and not answered or unread) and not time_over and not hit:
+        if (kept and not answered or unread) and not time_over and not hit and not self.cut_is_excused(s, kept):
             runs = ", ".join(f"{r.server} {r.end or 'at work'}" for r in self.record.runs.get(s.ident, []))
             self.breach("LOST", f"{s.ident} ({s.kind}{', half-closed' if s.half_closed else ''}{', slow' if s.slow else ''}) at {s.router} life {s.life}: status {s.status}, "
                                 f"{len(s.body)} bytes, {s.ended - s.at:.2f} s; runs: {runs}")
@@ -612,6 +693,12 @@
         if self.retries < MODEL_RETRIES:
             self.breach("UNTESTED", f"{self.retries} model requests were sent again after a refusal")
 
+    def check_late(self):
+        late = [s for s in self.sent if s.kind in LATE_KINDS and (s.router, s.life) in self.terminated]
+        self.outlasting = sum(1 for s in late if s.at <= self.terminated[s.router, s.life] + SENT_BY_S < s.ended)
+        if not self.outlasting:
+            self.breach("UNTESTED", "no long request was in progress in a drain")
+
     def named_by(self, when):
         return [version for named_at, version in self.configs if named_at <= when]
 
@@ -701,6 +788,8 @@
         self.change_config()
         for k in range(a.servers):
             await self.add_server("a" if k % 2 else "b")
+        for _ in range(a.servers if a.late else 0):
+            await self.add_server("late")
         for number in range(1, AGENTS + 1):
             await self.launch_agent(number)
         for i in range(a.routers):
@@ -709,6 +798,7 @@
         await self.settle()
         tasks = [asyncio.create_task(self.client(n)) for n in range(a.clients)]
         tasks += [asyncio.create_task(self.model_client(n)) for n in range(MODEL_CALLERS if a.model else 0)]
+        tasks += [asyncio.create_task(self.client(n, LATE_KINDS)) for n in range(LATE_CALLERS if a.late else 0)]
         watch = asyncio.create_task(self.watch())
         if a.crash_parts:
             await asyncio.sleep(CALM_S)
@@ -741,6 +831,8 @@
             self.check_until_close()
         if a.model:
             self.check_model()
+        if a.late:
+            self.check_late()
         if a.bounds:
             self.check_bounds()
 
@@ -767,6 +859,7 @@
     p.add_argument("--crash-parts", action="store_true", help="some requests hold a part of a prompt that crashes servers")
     p.add_argument("--until-close", action="store_true", help="some answers have no length and end with their connection")
     p.add_argument("--model", action="store_true", help="more model requests than can be served, sent again after a refusal")
+    p.add_argument("--late", action="store_true", help="some bodies and answers take seconds, while routers drain together")
     args = p.parse_args()
     folder = tempfile.mkdtemp(prefix="aldervale-soak-")
     soak = Soak(args, standin.seeded(args.seed), folder)
@@ -788,6 +881,10 @@
         model = [s for s in soak.sent if s.kind == "model"]
         print(f"  {len(model)} model requests, {sum(1 for s in model if s.status == 200)} answered, {soak.retries} sent again after a refusal, "
               f"{sum(1 for s in model if s.again and s.status == 200)} of these answered")
+    if args.late:
+        late = [s for s in soak.sent if s.kind in LATE_KINDS]
+        print(f"  {len(late)} long requests, {sum(1 for s in late if s.status == 200)} answered, {soak.outlasting} in progress in a drain later than "
+              f"{SENT_BY_S:.0f} s after its signal")
     print("  runs at servers: " + ", ".join(f"{count} {end}" for end, count in soak.record.ends().most_common()))
     for rule, text in soak.broken[:20]:
         print(f"  {rule}: {text}")
