--- a/tests/test_stalled_agents.cpp
+++ b/tests/test_stalled_agents.cpp
@@ -146,3 +146,42 @@
     BOOST_TEST(Eventually([&] { return confirmed.load(); }));
     BOOST_TEST(boxes.StartedWhole());
 }
+
+// Guards against an agent that trusts weights whose start it didn't confirm: one was killed after its order, and the server went on with a corrupt
+// piece until the next version.
+BOOST_AUTO_TEST_CASE(a_restarted_agent_does_not_trust_weights_that_were_loaded_from_a_corrupt_piece)
+{
+    Boxes       boxes(1);
+    FakeServer& server = boxes.m_Boxes[0]->m_Server;
+    server.Stage(2);
+    server.CorruptStaged(kCorrupted);
+    server.m_Held      = 2;
+    server.m_HeldWhole = false;
+    server.m_Orders    = 1;
+    boxes.Start();
+    boxes.m_Boxes[0]->Declare(2);
+    const auto whole_again = [&]
+    {
+        std::lock_guard lock(server.m_Mutex);
+        return server.m_Held == 2 && server.m_HeldWhole;
+    };
+    BOOST_TEST(Eventually(whole_again));
+}
+
+// The same if the server does hold whole weights: it goes on.
+BOOST_AUTO_TEST_CASE(a_restarted_agent_leaves_a_server_with_whole_weights_alone)
+{
+    std::atomic<bool> serving{false};
+    Boxes             boxes(1); // its thread uses `serving`
+    Box&              box    = *boxes.m_Boxes[0];
+    FakeServer&       server = box.m_Server;
+    server.Stage(2);
+    server.m_Held   = 2;
+    server.m_Orders = 1;
+    server.m_Before = [&](FakeServer::Step, uint32_t)
+    { serving = serving || (box.m_Keeper->Serving() && box.m_Keeper->Describe().at("target") == 2); };
+    boxes.Start();
+    box.Declare(2);
+    BOOST_TEST(Eventually([&] { return serving.load(); }));
+    BOOST_TEST(server.m_Stops == 0);
+}
