--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -105,7 +105,7 @@
     Status Listen(const Endpoint& at);
     void   SetConfig(const HttpServerConfig& cfg); // bounds of requests read from now on; any thread
     void   CloseAfterAnswer();                     // idle connections close; every answer from now on says that its connection closes
-    size_t Busy() const;        // connections of which some of a request has come and whose answer isn't out or, once closing, not delivered
+    size_t Busy() const; // connections of which some of a request has come and whose answer isn't out, or isn't delivered as the connection ends
     size_t Undelivered() const; // how many of these have sent their answer
     void   StopAccepting();     // also: open connections finish their current request and close
 
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -704,8 +704,7 @@
     if (m_Impl->CanAnswerBeforeEnd(*route, *service, caller.value(), head.m_BegunAt + limit - now, now))
         return std::nullopt;
     OutcomeCounter("refused").Add(1);
-    LogEvent(Event_RequestRefused,
-             {{"id", caller.value().m_Id}, {"route", route->m_Name}, {"why", kEndingText}, {"upload_ms", ToMs(now - head.m_BegunAt)}});
+    LogEvent(Event_UploadRefused, {{"id", caller.value().m_Id}, {"route", route->m_Name}, {"upload_ms", ToMs(now - head.m_BegunAt)}});
     return m_Impl->m_Protocol.MakeLocalResponse(caller.value(), 503, kEndingText, kEndingRetryAfter);
 }
 
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -236,6 +236,8 @@
         self.assertEqual(await self.status_of(b"", path="/slow/x", ident="before"), 200)  # from it the router knows how long answers take
         self.assertEqual(await self.status_of(b"first", b"last", self.terminate_and_wait, path="/slow/x", ident="late"), 503)
         self.assertEqual(self.record.runs.get("late"), None)
+        settled = self.logged("RequestSettled").get("late", {})
+        self.assertTrue("late" in self.logged("UploadRefused") or settled.get("status") == 503, "the refusal has no line")
 
     async def test_a_request_of_a_service_that_has_answered_nothing_here_yet_is_served(self):
         """A router that has only just started knows no answer's time."""
