--- a/src/request/drain_admission.h
+++ b/src/request/drain_admission.h
@@ -30,8 +30,8 @@
 {
 
 constexpr size_t kAnswersKept   = 64;                // last answers that count
-constexpr size_t kAnswersMin    = 8;                 // with fewer, none says how long others may take
-constexpr size_t kSimilarMin    = 4;                 // answers with about as many tokens from which on only such count
+constexpr size_t kAnswersMin    = 32;                // with fewer, none says how long others may take
+constexpr size_t kSimilarMin    = 16;                // answers with about as many tokens from which on only such count
 constexpr double kSimilarFactor = 2;                 // about as many: up to so many times more or less
 constexpr auto   kAnswerTransit = milliseconds(100); // beyond what this router saw of an answer: until its caller has the last byte
 
