--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -224,16 +224,19 @@
         caller.close()
         self.assertGreater(size, BIG)
         await asyncio.get_running_loop().run_in_executor(None, self.router.wait, LIMIT_S)
-        with open(self.log) as f:
-            stopped = next(line for line in map(json.loads, f) if line["name"] == "ProcessStopped")
+        stopped = next(line for line in self.log_lines() if line["name"] == "ProcessStopped")
         # A router that is past the longest drain ends all the same; this test may have been starved for so long.
         self.assertTrue(stopped["t"] > read_from or not stopped["drained"], "it ended before its caller read the answer")
         self.assertEqual(self.logged("RequestCutOff"), {})
 
     def logged(self, event):
         """The lines of an event, by request id."""
+        return {line["id"]: line for line in self.log_lines() if line["name"] == event}
+
+    def log_lines(self):
+        """Without what a sanitizer writes of other libraries."""
         with open(self.log) as f:
-            return {line["id"]: line for line in map(json.loads, f) if line["name"] == event}
+            return [json.loads(line) for line in f if line.startswith("{") and line.endswith("}\n")]
 
     async def test_a_request_that_could_not_be_answered_before_the_router_ends_does_not_run(self):
         """Its body ends when the router has less time left than such an answer takes."""
