--- a/src/request/drain_admission.h
+++ b/src/request/drain_admission.h
@@ -12,10 +12,9 @@
 //   - An answer is expected to take as long as the longest of the last answers of its route, or of its service while the route has too few. Of those
 //     only the ones that were allowed about as many tokens count, unless there are hardly any such. Refused without need, a request is served
 //     elsewhere; passed on in vain, it is lost.
-//   - While hardly any answers were seen, a whole answer is expected within the route's latency objective at least, and a stream may use the
-//   request's
-//     whole time limit.
-//   - A request whose time limit ends before the router does is admitted, however long answers take.
+//   - While hardly any answers were seen, an answer that isn't a stream is expected to take the route's latency objective at least, and a stream
+//     until the request's deadline.
+//   - A request whose deadline is before the router's end is admitted, however long answers take.
 //
 // Usage:
 //   AnswerTimes times;                                       // one for each route, and one for each service
