--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,83 +1,82 @@
-"""Clients that upload bodies of the largest size that the desired state allows, and more of them for three seconds at a time. See claim.txt."""
+"""A page that many clients ask for, on a route added later, while all replicas of its service crash once and come back. See claim.txt."""
 import asyncio
 import os
 import sys
+import time
 from collections import Counter
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
 import small
 
-MEMORY_MB = 260        # of a `front` machine; a process that goes over it is killed
-BODY = b"b" * 4194304  # MaxBodyBytes
-CLIENTS = 18           # of each router; each sends its next request when the last one is answered
-BURST = 1.7            # x of the site's burst: so many times the clients
-BURST_S = 3.0          # for_s of it
-BURSTS = 4
-PAUSE_S = 6.0          # between two bursts
-WORK_S = (1.0, 1.2)    # of a request at a replica
-RESTART_S = 0.5        # from a kill until the platform starts the process again
-LOOK_S = 0.02
+REPLICAS = 3
+POLLERS = 24         # clients of each route
+POLL_S = 0.25        # between the requests of one client
+DOWN_S = 4.5         # for_s of the site's srv_crash
+CALM_S = 6.0         # from the return of the replicas until the count begins: ContactMs is 3 s
+COUNT_S = 12.0       # requests sent in this time count
+FIRST, LATER = "loans", "notices"
 
 
 class Counts:
     def __init__(self):
-        self.answers = Counter()
-        self.lost = 0  # requests that a replica ran, and whose clients got no answer
+        self.on = False
+        self.by_route = {FIRST: Counter(), LATER: Counter()}
 
 
-async def client(deployment, counts, router, number, until):
-    channel = small.Channel(deployment, deployment.ips[router])
-    while until is None or asyncio.get_running_loop().time() < until:
-        ident, status = await channel.ask("POST", f"/upload/{router}-{number}", BODY, limit_s=8.0)
-        counts.answers[status] += 1
-        counts.lost += status == 0 and ident in deployment.runs
-        if status != 200:
-            await asyncio.sleep(0.2)
-    channel.close()
-
-
-async def watch_memory(deployment, router, kills, peaks):
-    """The platform: it kills a process that goes over the memory of its machine, and starts it again."""
-    while True:
-        used = deployment.memory_mb(router)
-        peaks[router] = max(peaks[router], used)
-        if used > MEMORY_MB:
-            deployment.record.say(f"router {router + 1} uses {used:.0f} MB of {MEMORY_MB} MB: the platform kills it")
-            kills[router] += 1
-            deployment.processes[router].kill()
-            deployment.processes[router].wait()
-            await asyncio.sleep(RESTART_S)
-            deployment.launch(router)
-        await asyncio.sleep(LOOK_S)
+async def poll(deployment, counts, route, number):
+    channel = small.Channel(deployment, deployment.ips[number % len(deployment.ips)])
+    await asyncio.sleep(deployment.rng.uniform(0, POLL_S))
+    for n in range(10**6):
+        # Each client of the first route asks for its own things; those of the later one all ask for the same page.
+        path = f"/{FIRST}/{number}-{n}" if route == FIRST else f"/{LATER}/board"
+        counted = counts.on
+        _, status = await channel.ask("GET", path)
+        if counted:
+            counts.by_route[route][status] += 1
+        await asyncio.sleep(POLL_S)
 
 
 async def main(deployment):
-    for _ in range(3):
-        await small.Replica(deployment, "app", slots=48, work_s=WORK_S).start()
-    deployment.store.put("op", "config", small.config(1, [small.route("upload", "unsafe", "app", TimeoutMs=8000)], ["app"], body_max=len(BODY)))
+    replicas = [small.Replica(deployment, "app") for _ in range(REPLICAS)]
+    for replica in replicas:
+        await replica.start()
+    first = small.route(FIRST, "safe", "app")
+    deployment.store.put("op", "config", small.config(1, [first], ["app"]))
     await deployment.start()
     await deployment.wait_ready()
-    counts, kills, peaks = Counts(), Counter(), Counter()
-    routers = range(len(deployment.ips))
-    for router in routers:
-        asyncio.ensure_future(watch_memory(deployment, router, kills, peaks))
-        for n in range(CLIENTS):
-            asyncio.ensure_future(client(deployment, counts, router, n, None))
-    for _ in range(BURSTS):
-        await asyncio.sleep(PAUSE_S)
-        deployment.record.say(f"before a burst: at most {max(peaks.values()):.0f} MB, {sum(kills.values())} kills")
-        if small.trouble():
-            until = asyncio.get_running_loop().time() + BURST_S
-            for router in routers:
-                for n in range(CLIENTS, round(CLIENTS * BURST)):
-                    asyncio.ensure_future(client(deployment, counts, router, n, until))
-        await asyncio.sleep(BURST_S)
-    await asyncio.sleep(PAUSE_S)
-    deployment.record.say(f"at most {max(peaks.values()):.0f} MB; answers {dict(sorted(counts.answers.items()))}; {counts.lost} requests were run and not answered")
-    deployment.record.say("processes ended over their memory: " + ", ".join(f"router {n + 1} {kills[n]} times" for n in routers))
-    broken = sum(kills[n] >= 3 for n in routers) >= 2
-    deployment.record.say("Fault: processes of two machines end on their own three times" if broken else "no Fault")
+    counts = Counts()
+    tasks = [asyncio.ensure_future(poll(deployment, counts, FIRST, n)) for n in range(POLLERS)]
+    await asyncio.sleep(2)
+    deployment.store.put("op", "config", small.config(2, [first, small.route(LATER, "safe", "app")], ["app"]))
+    deployment.record.say("a route is added")
+    await asyncio.sleep(4)
+    tasks += [asyncio.ensure_future(poll(deployment, counts, LATER, n)) for n in range(POLLERS)]
+    await asyncio.sleep(4)
+    if small.trouble():
+        deployment.record.say(f"all {REPLICAS} replicas crash")
+        for replica in replicas:
+            replica.crash()
+        await asyncio.sleep(DOWN_S)
+        for replica in replicas:
+            replica.unlist()
+            await small.Replica(deployment, "app").start()
+        deployment.record.say("they are back")
+    await asyncio.sleep(CALM_S)
+    counts.on = True
+    await asyncio.sleep(COUNT_S)
+    counts.on = False
+    await asyncio.sleep(1)
+    for task in tasks:
+        task.cancel()
+    share = {}
+    for route, by_status in counts.by_route.items():
+        sent = sum(by_status.values())
+        share[route] = by_status[200] / max(1, sent)
+        deployment.record.say(f"/{route}/: {sent} requests sent in calm seconds, answers {dict(sorted(by_status.items()))}, served {share[route]:.3f}")
+    later = sum(counts.by_route[LATER].values())
+    broken = later >= 20 and share[LATER] < share[FIRST] / 4
+    deployment.record.say("CONFIG broken: the later route is served less than a quarter as often as the first one" if broken else "CONFIG held")
     return broken
 
 
