--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -103,14 +103,14 @@
         self.agents.append(await self.launch("agent", number, ip, own))
         return self.agents[-1]
 
-    async def start_with(self, servers, routes, services=()):
-        """Lists the servers, declares the routes to their service, `web`, and starts. `services`: further ones to declare."""
+    async def start_with(self, servers, routes, services=(), limits=None):
+        """Lists the servers, declares the routes to their service, `web`, and starts. `services`: further ones to declare. `limits`: of clients."""
         for server in servers:
             await server.listen()
             self.store.put("servers", server.id, server.row())
         self.store.put("op", "config", {
             "Version": 1, "Tenants": [], "Services": [{"Name": "web", "HealthPath": "/health"}, standin.ModelServer.SERVICE, *services],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}, "Routes": routes})
+            "Limits": limits or {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}, "Routes": routes})
         await self.start()
 
     async def launch(self, kind, number, ip, own_settings):
