HTTP server: a chunk's size line and trailers are bounded like a head

Callers that sent trailers, one trailer field or a chunk's extension without end had a router hold all that they sent: 200 of them, 2 MiB each, brought it to 419 to 431 MiB (bound 96), and the platform kills a router over its memory with all that it had passed on.

Cause: Beast bounds heads and bodies. It parses a chunk's size line and trailers only once they are whole, and until then they lie in the buffer, which nothing bounded. Each read also searched that rest from its begin.

What isn't parsed after a head is now bounded by m_HeadMax, which the declarations set as MaxHeaderBytes; more gets 431. The body is read as it comes, so only these two can be left over, and a client inside its limits sends neither.

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -70,7 +70,7 @@
 
 struct HttpServerConfig
 {
-    size_t   m_HeadMax     = 16 * 1024;       // bytes of request line and fields; more: 431
+    size_t   m_HeadMax     = 16 * 1024;       // bytes of request line and fields, of a chunk's size line and of trailers; more: 431
     size_t   m_BodyMax     = 4 * 1024 * 1024; // bytes; more: 413
     Duration m_ReadTimeout = seconds(30);     // for a request's head from its first byte on, and for a pause in its body
     Duration m_BodyTimeout = seconds(60);     // for a request from its first byte on; more: 408
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -142,6 +142,8 @@
             co_return RefusalOf(ec);
         if (parser.is_done())
             co_return ReadRefusal{};
+        if (parser.is_header_done() && buffer.size() > cfg.m_HeadMax) // Beast parses a chunk's size line and trailers only once they are whole
+            co_return ReadRefusal{431, "chunk size line or trailers over their bound", "body"};
         const TimePoint now = Now();
         if (parser.is_header_done() && now > head_by && !slow)
             slow.emplace(impl.m_Slow, cfg.m_SlowMax);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -197,6 +197,10 @@
     HttpFixture f(cfg);
     BOOST_CHECK(f.Raw("GET / HTTP/1.1\r\nHost: x\r\nBig: " + std::string(5000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
     BOOST_CHECK(f.Raw("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'x')).starts_with("HTTP/1.1 413"));
+    const std::string chunked = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    BOOST_CHECK(f.Raw(chunked + "4;" + std::string(5000, 'x')).starts_with("HTTP/1.1 431"));
+    BOOST_CHECK(f.Raw(chunked + "4\r\nbody\r\n0\r\nTrailer: " + std::string(5000, 'x')).starts_with("HTTP/1.1 431"));
+    BOOST_CHECK(f.Raw(chunked + "4;" + std::string(500, 'x') + "\r\nbody\r\n0\r\nTrailer: x\r\n\r\n").ends_with("body|"));
     const std::string bad = f.Raw("NOT HTTP AT ALL\r\n\r\n");
     BOOST_CHECK(bad.starts_with("HTTP/1.1 400"));
     BOOST_CHECK(bad.find("not-run") != std::string::npos);
