HTTP server: one budget for the memory of all clients

Callers that stopped just short of their body's end, or sent a body over the limit, had a router hold up to MaxBodyBytes for each of them: 200 callers with bodies of 1 MiB brought it to 216 to 218 MiB (bound 96), and the platform kills a router over its memory with all that it had passed on.

Cause: body_limit is a bound for each request; nothing counted the sum over connections.

One budget (client_memory.h, pure) counts the buffer, head and body of each request before they are allocated: a body that is announced takes its length when its head is there. It is a quarter of memory_mb, a new setting that the platform renders from the machine's memory; default 256. Once it is spent, the connection whose bytes times age is greatest is evicted and gets 503, not-run, with a Retry-After: nothing of its request was handed on. A request that came whole is never evicted. An eighth of the budget is for connections that hold little.

A read that is cancelled now ends with operation_aborted instead of waiting on.

Evidence: client_crowd_oversized_chunked_bodies, _unfinished_large_chunks, _unfinished_small_chunks, _unfinished_announced_bodies and _all_forms_at_once failed before and peak at 18 to 42 MiB now; ordinary requests beside and after them get 200, a whole body at the limit too.

--- /dev/null
+++ b/src/connection/client_memory.h
@@ -0,0 +1,104 @@
+// aldervale: memory that a process holds for its clients
+//
+// Pure. One budget for the bytes of all client connections: requests that are being received, requests and answers that are being processed, and
+// answers that their clients haven't read. When it is spent, room is made: of the connections that receive a request or send an answer, the one whose
+// bytes times age is greatest is evicted, be it the one that asks for more. What is being processed is never evicted, as it may have run. The last
+// part of the budget is for connections that hold little.
+//
+// Load pattern: a crowd of clients that send much and don't finish their requests, or don't read their answers, beside clients with short requests.
+//
+// Usage:
+//   ClientMemory memory(bytes);
+//   MemoryShare  share(memory, [] { ... });               // of one connection; evicted: to be posted to where it is served
+//   switch (share.Resize(bytes, Now())) ...               // taken before memory is allocated; what has no room is refused
+//   if (!share.SetPhase(MemoryPhase_Processing, Now())) ... // evicted before: it is refused, too
+
+#pragma once
+#include "common/clock.h"
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <set>
+
+namespace aldervale
+{
+
+constexpr size_t kMemoryPart     = 4;         // one part in so many of a process's memory is its budget: it holds much else, and allocators need room
+constexpr size_t kSmallShareMax  = 64 * 1024; // bytes up to which a connection may use all of the budget
+constexpr size_t kSmallSharePart = 8;         // one part in so many of the budget is for these
+
+enum MemoryPhase
+{
+    MemoryPhase_Receiving,  // a request comes, or none does
+    MemoryPhase_Processing, // a request came whole and may be run
+    MemoryPhase_Sending,    // its answer is complete and is being sent
+};
+
+enum MemoryGrant
+{
+    MemoryGrant_Taken,   //
+    MemoryGrant_Wait,    // evicted connections haven't given theirs back yet: to be asked for again in a moment
+    MemoryGrant_Refused, // there is no room, or the connection was evicted itself
+};
+
+class MemoryShare;
+
+class ClientMemory // any thread
+{
+public:
+    explicit ClientMemory(size_t max) : m_Max(max) {}
+
+    static ClientMemory OfProcess(double mib) { return ClientMemory(static_cast<size_t>(mib * 1024 * 1024) / kMemoryPart); }
+
+    size_t   Max() const { return m_Max; }
+    size_t   MaxOfLarge() const { return m_Max - m_Max / kSmallSharePart; } // while a connection holds more than kSmallShareMax
+    size_t   Held() const;
+    uint64_t Refused() const { return m_Refused.load(std::memory_order_relaxed); } // requests for more that found no room
+    uint64_t Evicted() const { return m_Evictions.load(std::memory_order_relaxed); }
+
+private:
+    friend class MemoryShare;
+
+    MemoryGrant  MakeRoom(MemoryShare& asking, size_t bytes, TimePoint now); // m_Mutex is held
+    MemoryShare* FindVictim(const MemoryShare& asking, size_t bytes, TimePoint now) const;
+
+    const size_t           m_Max;          // bytes
+    mutable std::mutex     m_Mutex;        // guards all of this and what shares hold, but for the counters
+    std::set<MemoryShare*> m_Shares;       // those that hold something
+    size_t                 m_Held    = 0;  // bytes of all shares
+    size_t                 m_Leaving = 0;  // how many of these are of evicted ones, which give them back soon
+    std::atomic<uint64_t>  m_Refused{0};   //
+    std::atomic<uint64_t>  m_Evictions{0}; //
+};
+
+class MemoryShare // of one connection
+{
+public:
+    // `on_evicted` is called at most once, by any thread that asks for memory, and must only post: locks are held.
+    MemoryShare(ClientMemory& memory, std::function<void()> on_evicted) : m_Memory(memory), m_OnEvicted(std::move(on_evicted)) {}
+    ~MemoryShare() { Release(); }
+    MemoryShare(const MemoryShare&)            = delete;
+    MemoryShare& operator=(const MemoryShare&) = delete;
+
+    MemoryGrant Resize(size_t bytes, TimePoint now);         // nothing changed unless it was taken; less is always taken
+    void        Overdraw(size_t more);                       // in any case: for what has a bound of its own
+    void        Release();                                   // all bytes; the next ones begin a new age
+    bool        SetPhase(MemoryPhase phase, TimePoint now);  // begins a new age; false: it was evicted
+    size_t      Bytes() const { return m_Bytes; }            // on the thread that changes it
+    bool        Evicted() const { return m_Evicted.load(); } // never goes back to false
+
+private:
+    friend class ClientMemory;
+
+    void Set(size_t bytes); // m_Memory.m_Mutex is held
+
+    ClientMemory&         m_Memory;                        // outlives this
+    std::function<void()> m_OnEvicted;                     //
+    size_t                m_Bytes = 0;                     //
+    MemoryPhase           m_Phase = MemoryPhase_Receiving; //
+    TimePoint             m_Since{};                       // begin of its age: when it took its first byte in this phase
+    std::atomic<bool>     m_Evicted{false};                //
+};
+
+} // namespace aldervale
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -21,6 +21,7 @@
 // [SECTION] Client
 
 #pragma once
+#include "connection/client_memory.h"
 #include "connection/link.h"
 #include <boost/json.hpp>
 #include <map>
@@ -90,6 +91,7 @@
     virtual void            Abort()                                          = 0; // close without the end mark: the caller sees a broken answer
     virtual bool            CallerGone()                                     = 0; // not merely the end of its sending side
     virtual void            OnCallerGone(std::function<void()> callback)     = 0; // at most once, while the handler runs; on its strand
+    virtual MemoryShare&    Memory()                                         = 0; // of the connection; given back once the answer is out
 };
 
 using HttpHandler   = std::function<awaitable<void>(HttpRequest&, HttpReply&)>;
@@ -101,6 +103,7 @@
     HttpServer(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler);
     ~HttpServer();
 
+    void   SetMemory(ClientMemory& memory);   // before Listen(); outlives this and its connections; without it memory has no bound
     void   SetHeadCheck(HttpHeadCheck check); // before Listen(); asked from CloseAfterAnswer() on, again and again while a request's body is coming
     Status Listen(const Endpoint& at);
     void   SetConfig(const HttpServerConfig& cfg); // bounds of requests read from now on; any thread
--- a/src/connection/http_reply.cpp
+++ b/src/connection/http_reply.cpp
@@ -29,8 +29,8 @@
 
 } // namespace
 
-BeastReply::BeastReply(ServerStream& stream, const HttpServerConfig& cfg, bool keep_alive, const std::atomic<bool>& closing)
-    : m_Stream(stream), m_Config(cfg), m_KeepAlive(keep_alive), m_Closing(closing), m_Watch(stream.socket())
+BeastReply::BeastReply(ServerStream& stream, const HttpServerConfig& cfg, bool keep_alive, const std::atomic<bool>& closing, MemoryShare& memory)
+    : m_Stream(stream), m_Config(cfg), m_KeepAlive(keep_alive), m_Closing(closing), m_Memory(memory), m_Watch(stream.socket())
 {
 }
 
--- a/src/connection/http_reply_internal.h
+++ b/src/connection/http_reply_internal.h
@@ -13,7 +13,7 @@
 class BeastReply : public HttpReply // used on the stream's strand
 {
 public:
-    BeastReply(ServerStream& stream, const HttpServerConfig& cfg, bool keep_alive, const std::atomic<bool>& closing);
+    BeastReply(ServerStream& stream, const HttpServerConfig& cfg, bool keep_alive, const std::atomic<bool>& closing, MemoryShare& memory);
 
     awaitable<bool> Send(const HttpResponse& res) override;
     awaitable<bool> Start(unsigned status, const HttpFields& fields) override;
@@ -22,6 +22,7 @@
     void            Abort() override;
     bool            CallerGone() override { return m_Broken || m_Watch.Gone(); }
     void            OnCallerGone(std::function<void()> callback) override { m_Watch.Start(std::move(callback)); }
+    MemoryShare&    Memory() override { return m_Memory; }
 
     bool Broken() const { return m_Broken; }
     bool Sent() const { return m_Sent; }
@@ -35,6 +36,7 @@
     const HttpServerConfig&  m_Config;         //
     bool                     m_KeepAlive;      // as the answer's head said, once it was sent
     const std::atomic<bool>& m_Closing;        // of the server
+    MemoryShare&             m_Memory;         // of the connection
     bool                     m_Broken = false; // a write failed or Abort() was called
     bool                     m_Sent   = false; // an answer was begun
     CallerWatch              m_Watch;          // of m_Stream
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,5 +1,6 @@
 // HTTP server over Boost.Beast. See http.h.
 #include "common/log.h"
+#include "common/metrics.h"
 #include "connection/http_reply_internal.h"
 #include "connection/timed_read.h"
 #include <algorithm>
@@ -22,6 +23,10 @@
 constexpr auto   kDeliveryMax  = seconds(8);        // from an answer's last byte until the system alone sees to it
 constexpr auto   kDeliveryLook = milliseconds(20);  // between looks whether an answer has been delivered
 constexpr auto   kBodyLook     = milliseconds(250); // between looks whether a request whose body is coming is refused
+constexpr size_t kReadMost     = 8 * 1024;          // bytes read at once, and of a buffer that rests
+constexpr auto   kMemoryRetry  = seconds(1);        // Retry-After of a request that there was no memory for
+constexpr auto   kMemoryPoll   = milliseconds(1);   // between looks whether evicted connections have given back their memory
+constexpr auto   kMemoryLog    = seconds(1);        // between log lines about such requests
 
 struct HttpServer::Impl
 {
@@ -34,16 +39,19 @@
         std::atomic<bool> m_Delivering{false}; // the last answer was sent, and the peer hasn't acknowledged all of it
     };
 
-    asio::io_context&                     m_Ioc;             //
-    HttpHandler                           m_Handler;         //
-    HttpHeadCheck                         m_HeadCheck;       // may be empty; set before the first connection
-    std::mutex                            m_Mutex;           // guards m_Config and m_Connections
-    HttpServerConfig                      m_Config;          //
-    std::set<std::shared_ptr<Connection>> m_Connections;     // an entry is there as long as its stream
-    std::optional<tcp::acceptor>          m_Acceptor;        // none when not listening; set once, before the first connection
-    std::atomic<bool>                     m_Stopping{false}; // never goes back to false
-    std::atomic<bool>                     m_Closing{false};  // answers close their connections; never goes back to false
-    std::atomic<size_t>                   m_Slow{0};         // requests that have been coming for longer than m_ReadTimeout
+    asio::io_context&                     m_Ioc;                      //
+    HttpHandler                           m_Handler;                  //
+    HttpHeadCheck                         m_HeadCheck;                // may be empty; set before the first connection
+    std::mutex                            m_Mutex;                    // guards m_Config and m_Connections
+    HttpServerConfig                      m_Config;                   //
+    std::set<std::shared_ptr<Connection>> m_Connections;              // an entry is there as long as its stream
+    std::optional<tcp::acceptor>          m_Acceptor;                 // none when not listening; set once, before the first connection
+    std::atomic<bool>                     m_Stopping{false};          // never goes back to false
+    std::atomic<bool>                     m_Closing{false};           // answers close their connections; never goes back to false
+    std::atomic<size_t>                   m_Slow{0};                  // requests that have been coming for longer than m_ReadTimeout
+    ClientMemory                          m_OwnMemory{SIZE_MAX};      //
+    ClientMemory*                         m_Memory = &m_OwnMemory;    // of all connections; set before the first one
+    std::atomic<TimePoint>                m_MemoryLogAt{TimePoint{}}; // no log line about memory before
 
     Impl(asio::io_context& ioc, const HttpServerConfig& cfg, HttpHandler handler) : m_Ioc(ioc), m_Handler(std::move(handler)), m_Config(cfg) {}
 
@@ -52,6 +60,18 @@
         std::lock_guard lock(m_Mutex);
         return m_Config;
     }
+
+    void LogMemorySpent()
+    {
+        static Counter& refused = Metrics().GetCounter("aldervale_clients_without_memory_total");
+        refused.Add(1);
+        const TimePoint now    = Now();
+        TimePoint       log_at = m_MemoryLogAt.load();
+        if (now < log_at || !m_MemoryLogAt.compare_exchange_strong(log_at, now + kMemoryLog))
+            return;
+        LogEvent(Event_ClientMemorySpent,
+                 {{"held", m_Memory->Held()}, {"max", m_Memory->Max()}, {"refused", m_Memory->Refused()}, {"evicted", m_Memory->Evicted()}});
+    }
 };
 
 namespace
@@ -82,6 +102,7 @@
     std::string                 m_Message;    //
     std::string                 m_Field;      // part of the request that is at fault
     std::optional<HttpResponse> m_Response{}; // sent in place of one made of the others
+    bool                        m_NoMemory = false;
 };
 
 ReadRefusal RefusalOf(const boost::system::error_code& ec)
@@ -93,6 +114,13 @@
     return {400, "malformed HTTP: " + ec.message(), "head"};
 }
 
+ReadRefusal NoMemory()
+{
+    Error e          = MakeError(ErrorCode_Unavailable, "memory for requests is used up", {}, Verdict_NotRun);
+    e.m_RetryAfterMs = ToMs(kMemoryRetry);
+    return {503, {}, {}, ErrorResponse(e), true};
+}
+
 struct SlowRequestSlot // one of HttpServerConfig::m_SlowMax
 {
     SlowRequestSlot(std::atomic<size_t>& count, size_t max) : m_Count(count), m_Allowed(count.fetch_add(1) < max) {}
@@ -106,6 +134,29 @@
 
 using Parser = http::request_parser<http::string_body>;
 
+// What a request takes once the buffer's bytes are parsed and the next ones are read. A body that comes in chunks doubles its room when it is full.
+size_t BytesNeeded(const beast::flat_buffer& buffer, const Parser& parser, size_t head)
+{
+    const std::string& body = parser.get().body();
+    size_t             room = std::max<size_t>(body.capacity(), parser.content_length().value_or(0));
+    const size_t       full = body.size() + (parser.chunked() ? buffer.size() : 0);
+    if (full > room)
+        room = std::max(2 * room, full);
+    return std::max(buffer.capacity(), buffer.size() + kReadMost) + room + head;
+}
+
+// False: there is no memory for it.
+awaitable<bool> Reserve(MemoryShare& memory, size_t bytes)
+{
+    MemoryGrant grant = memory.Resize(bytes, Now());
+    while (grant == MemoryGrant_Wait)
+    {
+        co_await SleepFor(kMemoryPoll);
+        grant = memory.Resize(bytes, Now());
+    }
+    co_return grant == MemoryGrant_Taken;
+}
+
 // Waits for more of a request until `until`. While the server closes, a request whose body is still coming may be refused meanwhile.
 awaitable<boost::system::error_code> ReadMore(HttpServer::Impl& impl, tcp::socket& socket, asio::steady_timer& timer, beast::flat_buffer& buffer,
                                               const Parser& parser, TimePoint begun, TimePoint until, std::optional<HttpResponse>& refused)
@@ -125,24 +176,38 @@
 
 // Reads one request from `begun` on, when its first byte came. Its head has one bound; its body may take longer as long as it keeps coming.
 awaitable<ReadRefusal> ReadWhole(HttpServer::Impl& impl, const HttpServerConfig& cfg, tcp::socket& socket, beast::flat_buffer& buffer, Parser& parser,
-                                 TimePoint begun)
+                                 TimePoint begun, MemoryShare& memory)
 {
     const ReadRefusal              too_slow = {408, "request came too slowly", "body"};
     const TimePoint                head_by  = begun + cfg.m_ReadTimeout;
     const TimePoint                body_by  = std::max(head_by, begun + cfg.m_BodyTimeout);
     asio::steady_timer             timer(socket.get_executor());
     std::optional<SlowRequestSlot> slow;
-    parser.eager(true);
+    size_t                         head = 0; // bytes
+    parser.eager(false);
     for (;;)
     {
-        boost::system::error_code ec = http::error::need_more;
+        const bool reserved = co_await Reserve(memory, BytesNeeded(buffer, parser, head));
+        if (!reserved)
+            co_return NoMemory();
+        const bool                in_head = !parser.is_header_done();
+        boost::system::error_code ec      = http::error::need_more;
         if (buffer.size() > 0)
-            buffer.consume(parser.put(buffer.data(), ec));
+        {
+            const size_t parsed = parser.put(buffer.data(), ec);
+            buffer.consume(parsed);
+            head += in_head ? parsed : 0;
+        }
         if (ec && ec != http::error::need_more)
             co_return RefusalOf(ec);
         if (parser.is_done())
             co_return ReadRefusal{};
-        if (parser.is_header_done() && buffer.size() > cfg.m_HeadMax) // Beast parses a chunk's size line and trailers only once they are whole
+        if (in_head && parser.is_header_done())
+        {
+            parser.eager(true); // from here on, as the body's memory is known now
+            continue;
+        }
+        if (!in_head && buffer.size() > cfg.m_HeadMax) // Beast parses a chunk's size line and trailers only once they are whole
             co_return ReadRefusal{431, "chunk size line or trailers over their bound", "body"};
         const TimePoint now = Now();
         if (parser.is_header_done() && now > head_by && !slow)
@@ -153,7 +218,9 @@
         std::optional<HttpResponse> refused;
         ec = co_await ReadMore(impl, socket, timer, buffer, parser, begun, until, refused);
         if (refused)
-            co_return ReadRefusal{refused->m_Status, {}, {}, std::move(refused)};
+            co_return ReadRefusal{refused->m_Status, {}, {}, std::move(refused), false};
+        if (memory.Evicted())
+            co_return NoMemory();
         if (ec == kNothingCame && parser.is_header_done())
             co_return too_slow;
         if (ec)
@@ -203,7 +270,7 @@
 
 // False: the connection ended, or sent something that was answered and closes it.
 awaitable<bool> ReadRequest(HttpServer::Impl& impl, const HttpServerConfig& cfg, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
-                            Parser& parser, TimePoint& begun)
+                            Parser& parser, TimePoint& begun, MemoryShare& memory)
 {
     ServerStream& stream = *connection.m_Stream;
     parser.header_limit(static_cast<uint32_t>(cfg.m_HeadMax));
@@ -220,16 +287,24 @@
     }
     begun = Now();
     stream.expires_never();
-    const ReadRefusal refusal = co_await ReadWhole(impl, cfg, stream.socket(), buffer, parser, begun);
+    ReadRefusal refusal = co_await ReadWhole(impl, cfg, stream.socket(), buffer, parser, begun, memory);
+    if (refusal.m_Status == 0 && parser.is_done() && !memory.SetPhase(MemoryPhase_Processing, Now()))
+        refusal = NoMemory();
     if (refusal.m_Status == 0)
         co_return parser.is_done();
-    BeastReply   bad(stream, cfg, false, impl.m_Closing);
+    if (refusal.m_NoMemory)
+        impl.LogMemorySpent();
+    std::string().swap(parser.get().body());
+    buffer.clear();
+    buffer.shrink_to_fit();
+    memory.Release();
+    BeastReply   bad(stream, cfg, false, impl.m_Closing, memory);
     HttpResponse res = refusal.m_Response ? *refusal.m_Response : ErrorResponse(MakeError(ErrorCode_Invalid, refusal.m_Message, refusal.m_Field));
     res.m_Status     = refusal.m_Status;
     const bool sent  = co_await bad.Send(res);
     // A caller that sends its whole body before it reads has to get through with it.
     if (sent)
-        co_await CloseLingering(stream.socket(), refusal.m_Response ? cfg.m_BodyTimeout : Duration(kLinger));
+        co_await CloseLingering(stream.socket(), refusal.m_Response && !refusal.m_NoMemory ? cfg.m_BodyTimeout : Duration(kLinger));
     co_return false;
 }
 
@@ -256,6 +331,20 @@
     std::shared_ptr<HttpServer::Impl::Connection> m_Connection; //
 };
 
+// Ends what the connection waits for: bytes of a request, or for its peer to read.
+std::function<void()> CancelOf(std::shared_ptr<HttpServer::Impl::Connection> connection, const asio::any_io_executor& executor)
+{
+    return [connection = std::move(connection), executor]
+    {
+        asio::post(executor,
+                   [connection]
+                   {
+                       if (connection->m_Stream != nullptr)
+                           connection->m_Stream->cancel();
+                   });
+    };
+}
+
 awaitable<void> ServeConnection(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
 {
     boost::system::error_code opt_ec;
@@ -263,26 +352,32 @@
     ServerStream       stream(std::move(socket));
     HttpServerConfig   cfg = impl->Config();
     beast::flat_buffer buffer;
-    buffer.reserve(std::min<size_t>(8 * 1024, cfg.m_HeadMax)); // Beast reads no more at once than there is room for
+    buffer.reserve(std::min<size_t>(kReadMost, cfg.m_HeadMax)); // Beast reads no more at once than there is room for
     const Registration registration(*impl, stream);
+    MemoryShare        memory(*impl->m_Memory, CancelOf(registration.m_Connection, stream.get_executor()));
     bool               answered = false; // the last request that was read, to its end
     for (;;)
     {
         Parser    parser;
         TimePoint begun;
         cfg             = impl->Config();
-        const bool read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, parser, begun);
+        const bool read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, parser, begun, memory);
         if (!read)
             break;
         http::request<http::string_body> msg        = parser.release();
         const bool                       keep_alive = msg.keep_alive() && !impl->m_Stopping.load();
         HttpRequest                      req        = ToRequest(std::move(msg), begun);
-        BeastReply                       reply(stream, cfg, keep_alive, impl->m_Closing);
+        BeastReply                       reply(stream, cfg, keep_alive, impl->m_Closing, memory);
         stream.expires_never();
         co_await impl->m_Handler(req, reply);
         answered = reply.Sent() && !reply.Broken();
-        if (!answered || !reply.HeadKeptAlive())
+        if (memory.Evicted())
+            impl->LogMemorySpent();
+        if (!answered || !reply.HeadKeptAlive() || !memory.SetPhase(MemoryPhase_Receiving, Now()))
             break;
+        memory.Release();
+        if (buffer.capacity() > kReadMost)
+            buffer.shrink_to_fit();
         // A request that came before its caller could know that the connection closes is answered.
         if (impl->m_Closing.load() && buffer.size() == 0 && !HasUnread(stream))
             break;
@@ -342,6 +437,11 @@
     StopAccepting();
 }
 
+void HttpServer::SetMemory(ClientMemory& memory)
+{
+    m_Impl->m_Memory = &memory;
+}
+
 void HttpServer::SetHeadCheck(HttpHeadCheck check)
 {
     m_Impl->m_HeadCheck = std::move(check);
--- a/src/connection/timed_read.cpp
+++ b/src/connection/timed_read.cpp
@@ -16,8 +16,8 @@
     bool m_Late = false; // the time was up first
 };
 
-// False: the time was up.
-awaitable<bool> Readable(tcp::socket& socket, asio::steady_timer& timer, TimePoint until)
+// kNothingCame: the time was up. operation_aborted: somebody cancelled the wait.
+awaitable<boost::system::error_code> Readable(tcp::socket& socket, asio::steady_timer& timer, TimePoint until)
 {
     const auto wait = std::make_shared<Wait>();
     timer.expires_at(until);
@@ -33,7 +33,9 @@
     const auto [ec] = co_await socket.async_wait(tcp::socket::wait_read, kNoThrow);
     wait->m_Over    = true;
     timer.cancel();
-    co_return !ec || !wait->m_Late;
+    if (ec && wait->m_Late)
+        co_return kNothingCame;
+    co_return ec == asio::error::operation_aborted ? ec : boost::system::error_code{};
 }
 
 } // namespace
@@ -49,9 +51,9 @@
         buffer.commit(ec ? 0 : got);
         if (ec != asio::error::would_block && ec != asio::error::try_again)
             co_return ec;
-        const bool readable = co_await Readable(socket, timer, until);
-        if (!readable)
-            co_return kNothingCame;
+        const boost::system::error_code waited = co_await Readable(socket, timer, until);
+        if (waited)
+            co_return waited;
     }
 }
 
--- a/src/connection/timed_read.h
+++ b/src/connection/timed_read.h
@@ -17,7 +17,7 @@
 constexpr auto kNothingCame = asio::error::try_again; // until the time was up
 
 // Takes what lies in the socket into `buffer`, or waits for it until `until`. Bytes that lie there count before any time that is up: this process may
-// have stood still. Cancels the socket's other pending operations when the time is up.
+// have stood still. Cancels the socket's other pending operations when the time is up. operation_aborted: its own wait was cancelled.
 awaitable<boost::system::error_code> ReadSome(tcp::socket& socket, asio::steady_timer& timer, boost::beast::flat_buffer& buffer, TimePoint until);
 
 } // namespace aldervale
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -95,12 +95,13 @@
         {"log.level", SettingText{&s.m_LogLevel, {"debug", "info", "warn", "error"}, false}, "lowest level written"},
         {"threads", SettingInt{&s.m_Threads, 1, 64}, "I/O threads"},
         {"drain_max_ms", SettingInt{&s.m_DrainMaxMs, 0, 3'600'000}, "longest drain after SIGTERM, ms"},
+        {"memory_mb", SettingReal{&s.m_MemoryMb, 1, 1e9}, "memory that the process may take, MiB; a quarter of it may be held for clients"},
     };
 }
 
 Daemon::Daemon(const DaemonSettings& s, std::string_view program)
-    : m_Settings(s), m_Program(program), m_Incarnation(RandomSeed() >> 1), m_Ioc(static_cast<int>(s.m_Threads)),
-      m_Signals(m_Ioc, SIGTERM, SIGINT, SIGHUP)
+    : m_Settings(s), m_Program(program), m_Incarnation(RandomSeed() >> 1), m_Memory(ClientMemory::OfProcess(s.m_MemoryMb)),
+      m_Ioc(static_cast<int>(s.m_Threads)), m_Signals(m_Ioc, SIGTERM, SIGINT, SIGHUP)
 {
 }
 
@@ -127,6 +128,7 @@
     }
     else if (path == "/metrics")
     {
+        Metrics().GetGauge("aldervale_client_memory_bytes").Set(static_cast<double>(m_Memory.Held()));
         if (m_Hooks.m_Measure)
             m_Hooks.m_Measure();
         res.m_Body = Metrics().Prometheus();
@@ -168,6 +170,7 @@
         }
     };
     m_Ops = std::make_unique<HttpServer>(m_Ioc, HttpServerConfig{}, handler);
+    m_Ops->SetMemory(m_Memory);
     return m_Ops->Listen(ParseEndpoint(m_Settings.m_OpsListen).value());
 }
 
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -39,6 +39,7 @@
     std::string m_LogLevel   = "info"; // [log.level]
     int64_t     m_Threads    = 2;      // I/O threads [threads]
     int64_t     m_DrainMaxMs = 30'000; // longest drain after SIGTERM [drain_max_ms]
+    double      m_MemoryMb   = 256;    // memory that the process may take; a quarter of it may be held for clients [memory_mb]
 };
 
 std::vector<SettingSpec> DescribeDaemon(DaemonSettings& s);
@@ -69,6 +70,7 @@
     const DaemonSettings& Settings() const { return m_Settings; }
     uint64_t              Incarnation() const { return m_Incarnation; } // differs at every start
     bool                  Draining() const { return m_Draining.load(); }
+    ClientMemory&         Memory() { return m_Memory; }                                                 // of all clients of the process
     void                  SetDrainMax(Duration d) { m_Settings.m_DrainMaxMs = ToMs(d); }                // before Run()
     void                  SetHooks(DaemonHooks hooks) { m_Hooks = std::move(hooks); }                   // before Run()
     bool                  Ready() const;                                                                // takes new work
@@ -89,6 +91,7 @@
     DaemonSettings                             m_Settings;        //
     std::string                                m_Program;         //
     uint64_t                                   m_Incarnation;     //
+    ClientMemory                               m_Memory;          //
     asio::io_context                           m_Ioc;             //
     asio::signal_set                           m_Signals;         //
     DaemonHooks                                m_Hooks;           //
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -484,6 +484,7 @@
     r.m_Crashes = std::make_unique<CrashShare>(*r.m_Loads, *r.m_Peers, r.m_Serve->GetCrashHistory());
     r.m_Http    = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                             [&r](HttpRequest& req, HttpReply& reply) { return r.m_Serve->Handle(req, reply); });
+    r.m_Http->SetMemory(daemon.Memory());
     r.m_Http->SetHeadCheck([&r](const HttpRequest& head) { return r.m_Serve->RefuseLate(head); });
     r.m_Ready = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                              [&daemon](HttpRequest&, HttpReply& reply) -> awaitable<void>
@@ -491,6 +492,7 @@
                                                  const HttpResponse res{daemon.Ready() ? 200u : 503u, {}, {}};
                                                  co_await reply.Send(res);
                                              });
+    r.m_Ready->SetMemory(daemon.Memory());
     daemon.SetHooks(MakeHooks(r));
     r.m_Loads->SetMeetingPoints(MeetingPoints(r));
     const Status loads = r.m_Loads->Listen(internal.value());
--- a/src/programs/router.cpp
+++ b/src/programs/router.cpp
@@ -210,6 +210,7 @@
             co_await router.m_Serve->Handle(req, reply);
     };
     router.m_Http = std::make_unique<HttpServer>(daemon.Ioc(), http, handler);
+    router.m_Http->SetMemory(daemon.Memory());
 
     DaemonHooks hooks;
     hooks.m_Ready   = [&router, &daemon] { return CheckReady(router, daemon); };
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -137,6 +137,7 @@
         self.fleet = platform_fleet.Fleet(platform_fleet.log_folder(self._testMethodName), routers=1, agents=0, backends=SERVERS)
         self.addCleanup(self.fleet.stop)
         servers = [LongAnswers(n, port) for n, port in enumerate(self.fleet.backend_ports)]
+        self.fleet.router_settings = f"memory_mb = {MACHINE_BYTES >> 20}\n"
         await self.fleet.start_with(servers, [standin.route("page", "safe", "web", TimeoutMs=60_000)], limits=LIMITS)
         self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/page/x"))
         self.router = self.fleet.routers[0]
