Router: answers that aren't read count as memory for clients

An ordinary caller whose answer has 1 MiB got 502 while 200 others, who had asked for such answers, read none of theirs; the router took 163 MiB meanwhile (bound 96).

Cause: answers had a budget of their own of 64 MiB, whatever the machine has, which those who don't read took up: nothing made them give it back. BeastReply copied each answer once more to send it, and the copy wasn't counted.

Answers now take their bytes of the one budget for clients, by the share of their caller's connection. While an answer is being sent its connection may be evicted, so a caller that doesn't read is closed when others need the memory. An answer is sent from where it is held.

--- a/src/connection/client_memory.h
+++ b/src/connection/client_memory.h
@@ -28,6 +28,8 @@
 constexpr size_t kSmallShareMax  = 64 * 1024; // bytes up to which a connection may use all of the budget
 constexpr size_t kSmallSharePart = 8;         // one part in so many of the budget is for these
 
+constexpr auto kMemoryPoll = milliseconds(1); // between tries of who has to wait for memory
+
 enum MemoryPhase
 {
     MemoryPhase_Receiving,  // a request comes, or none does
--- a/src/connection/http_reply.cpp
+++ b/src/connection/http_reply.cpp
@@ -1,6 +1,7 @@
 // The answer to one request on a caller's connection, by Boost.Beast. See http.h.
 #include "connection/http_reply_internal.h"
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 namespace aldervale
 {
@@ -36,15 +37,19 @@
 
 awaitable<bool> BeastReply::Send(const HttpResponse& res)
 {
-    http::response<http::string_body> msg(http::int_to_status(res.m_Status), 11);
+    using Body = http::span_body<const char>; // of `res`: a long answer is held once
+    http::response<Body> msg(http::int_to_status(res.m_Status), 11);
     msg.result(res.m_Status);
     CopyFields(res.m_Fields, msg);
-    msg.body() = res.m_Body;
+    msg.body() = Body::value_type(res.m_Body.data(), res.m_Body.size());
     msg.keep_alive(KeepAlive());
     msg.prepare_payload();
     m_Sent = true;
-    const CallerWatch::Writing                   writing(m_Watch);
-    http::response_serializer<http::string_body> rest(msg);
+    if (res.m_Body.size() > m_Memory.Bytes()) // made here, not held before
+        m_Memory.Overdraw(res.m_Body.size() - m_Memory.Bytes());
+    m_Memory.SetPhase(MemoryPhase_Sending, Now());
+    const CallerWatch::Writing      writing(m_Watch);
+    http::response_serializer<Body> rest(msg);
     SkipBytes(rest, m_Watch.Early().HeadBytes());
     m_Watch.Early().OnHead(false);
     while (!rest.is_done()) // each write has its own time: a caller that reads on a narrow link is not one that doesn't read
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -25,7 +25,6 @@
 constexpr auto   kBodyLook     = milliseconds(250); // between looks whether a request whose body is coming is refused
 constexpr size_t kReadMost     = 8 * 1024;          // bytes read at once, and of a buffer that rests
 constexpr auto   kMemoryRetry  = seconds(1);        // Retry-After of a request that there was no memory for
-constexpr auto   kMemoryPoll   = milliseconds(1);   // between looks whether evicted connections have given back their memory
 constexpr auto   kMemoryLog    = seconds(1);        // between log lines about such requests
 
 struct HttpServer::Impl
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -162,7 +162,7 @@
     const TimePoint       sent_at  = Now();
     const HttpRequest     forward  = m_Protocol.Forward(call.m_Request, ForwardFieldsFor(call, server.m_Id, sent_at));
     const HttpCallOptions options  = CallOptionsFor(call);
-    RequestAttemptPtr     attempt  = std::make_unique<RequestAttempt>(server.Life(), server.m_Address, m_HeldAnswers);
+    RequestAttemptPtr     attempt  = std::make_unique<RequestAttempt>(server.Life(), server.m_Address, call.m_Reply.Memory());
     attempt->m_WeightsVersion      = call.m_Choice.m_Weights;
     attempt->m_PredictedFirstEvent = call.m_Choice.m_Predicted;
     attempt->m_InFlight            = call.m_Choice.m_InFlight;
@@ -413,6 +413,18 @@
     co_return co_await RelayWhole(call, attempt);
 }
 
+// False: the answer is too long, or there is no memory for it.
+static awaitable<bool> Hold(HeldAnswer& answer, std::string_view bytes)
+{
+    MemoryGrant grant = answer.Append(bytes, Now());
+    while (grant == MemoryGrant_Wait)
+    {
+        co_await SleepFor(kMemoryPoll);
+        grant = answer.Append(bytes, Now());
+    }
+    co_return grant == MemoryGrant_Taken;
+}
+
 awaitable<AttemptEnd> DirectServe::Impl::RelayWhole(Call& call, RequestAttempt& attempt)
 {
     HttpStream& stream = *attempt.m_Stream;
@@ -428,9 +440,10 @@
             co_return AttemptEnd_Stalled;
         if (piece.value().m_Done)
             break;
-        if (!attempt.m_Body.Append(piece.value().m_Bytes))
+        const bool held = co_await Hold(attempt.m_Body, piece.value().m_Bytes);
+        if (!held)
         {
-            RecordFailure(call, FailureCause_InvalidAnswer, "answer exceeds the size limit");
+            RecordFailure(call, FailureCause_InvalidAnswer, "answer exceeds the size limit, or memory for answers is used up");
             co_return AttemptEnd_MayHaveRun;
         }
     }
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -72,7 +72,7 @@
 
 struct RequestAttempt // one exchange with one server, from the sending of the request on
 {
-    RequestAttempt(ServerLife server, Endpoint address, HeldAnswers& held) : m_Server(std::move(server)), m_Address(address), m_Body(held) {}
+    RequestAttempt(ServerLife server, Endpoint address, MemoryShare& memory) : m_Server(std::move(server)), m_Address(address), m_Body(memory) {}
 
     ServerLife    m_Server;                 // the incarnation that the request was sent to
     Endpoint      m_Address;                // address of m_Server
@@ -163,7 +163,6 @@
 {
     Daemon&                m_Daemon;               //
     DirectServeSettings    m_Settings;             //
-    HeldAnswers            m_HeldAnswers;          // of all attempts
     RoutingState&          m_World;                //
     const RequestProtocol& m_Protocol;             //
     HttpClient             m_Client;               //
