HTTP client: a status that HTTP doesn't know is no answer

Servers in trouble answered with statuses such as 000. Callers got 600 and 999 as answers, with the server's seal. 000 to 099 with a reason were taken for interim answers: the router waited for the next one until the request's deadline and sent 504, also for requests that another server could have answered.

Cause: Beast takes any three digits as a status, and all below 200 were passed over as interim.

A status below 100 or above 599 is now an error of the exchange like any other malformed head: what may repeat goes to another server, the rest gets 502.

Evidence: platform_odd_statuses (new) failed 31 checks before: 504, 600 or 999 in place of 200 or 502, for requests that may and may not repeat, for streams, and on kept connections; it passes now, in 0.2 s in place of 216. Interim answers and all statuses from 200 to 599 go through as before.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -273,6 +273,8 @@
                 co_return ec;
         }
         TakeHead();
+        if (m_Head.m_Status < 100 || m_Head.m_Status > 599) // Beast takes any three digits
+            co_return http::error::bad_status;
         const bool interim = m_Head.m_Status < 200;
         m_OwnHead          = !interim && (!m_Options.m_IsOurs || m_Options.m_IsOurs(m_Head));
         m_Dropping         = !m_OwnHead;
