HTTP server: connections of clients leave descriptors for others

While clients held all descriptors of a router with heads that they didn't finish, an ordinary caller waited until the time for a head was over, and the router could open no connection to a server.

Cause: nothing bounded the number of connections; the accept loop waited until one ended by itself.

The budget for clients has a bound on connections, too: three quarters of descriptors_max, a new setting that the platform renders; by default the system's limit. Beyond it one goes by the same rule as for memory, each counting 4 KiB in any case, so that connections that have rested go before requests that are coming. One that is evicted inside its head isn't lingered on.

Evidence: client_crowd_few_descriptors (new): 200 clients with unfinished heads, a router with 128 descriptors. Before: all 128 taken, no answer for the ordinary caller within the test's 60 s; now 112 at most and 200. client_memory has two new cases.

--- a/src/common/events.h
+++ b/src/common/events.h
@@ -96,7 +96,8 @@
     X(1513, RequestCutOff, Warn, "process ends; request in progress is cut off")                                                                     \
     X(1514, UploadRefused, Info, "request refused while its body was coming, as this process ends before it could answer")                           \
     X(1515, ConnectionsCutOff, Warn, "process ends; connections are cut off")                                                                        \
-    X(1516, ClientMemorySpent, Warn, "memory for clients is used up; requests are refused, or connections that wait for their clients are closed")   \
+    X(1516, ClientMemorySpent, Warn,                                                                                                                 \
+      "memory or connections for clients are used up; requests are refused, or connections that wait for their clients closed")                      \
     X(1601, AccountingFlushed, Debug, "accounting window flushed")                                                                                   \
     X(1602, AccountingDelayed, Warn, "accounting window kept: table service can't be reached")
 
--- a/src/connection/client_memory.h
+++ b/src/connection/client_memory.h
@@ -8,8 +8,8 @@
 // Load pattern: a crowd of clients that send much and don't finish their requests, or don't read their answers, beside clients with short requests.
 //
 // Usage:
-//   ClientMemory memory(bytes);
-//   MemoryShare  share(memory, [] { ... });               // of one connection; evicted: to be posted to where it is served
+//   ClientMemory memory(bytes, connections);
+//   MemoryShare  share(memory, [] { ... }, Now());               // of one connection; evicted: to be posted to where it is served
 //   switch (share.Resize(bytes, Now())) ...               // taken before memory is allocated; what has no room is refused
 //   if (!share.SetPhase(MemoryPhase_Processing, Now())) ... // evicted before: it is refused, too
 
@@ -24,9 +24,10 @@
 namespace aldervale
 {
 
-constexpr size_t kMemoryPart     = 4;         // one part in so many of a process's memory is its budget: it holds much else, and allocators need room
-constexpr size_t kSmallShareMax  = 64 * 1024; // bytes up to which a connection may use all of the budget
-constexpr size_t kSmallSharePart = 8;         // one part in so many of the budget is for these
+constexpr size_t kMemoryPart      = 4; // one part in so many of a process's memory is its budget: it holds much else, and allocators need room
+constexpr size_t kSmallShareMax   = 64 * 1024; // bytes up to which a connection may use all of the budget
+constexpr size_t kSmallSharePart  = 8;         // one part in so many of the budget is for these
+constexpr size_t kConnectionBytes = 4 * 1024;  // that a connection counts in any case when one of too many is to go
 
 constexpr auto kMemoryPoll = milliseconds(1); // between tries of who has to wait for memory
 
@@ -49,9 +50,13 @@
 class ClientMemory // any thread
 {
 public:
-    explicit ClientMemory(size_t max) : m_Max(max) {}
+    explicit ClientMemory(size_t max, size_t connections_max = SIZE_MAX) : m_Max(max), m_ConnectionsMax(connections_max) {}
 
-    static ClientMemory OfProcess(double mib) { return ClientMemory(static_cast<size_t>(mib * 1024 * 1024) / kMemoryPart); }
+    // Connections may take three quarters of the descriptors: the others are for servers, the store and other processes.
+    static ClientMemory OfProcess(double mib, size_t descriptors)
+    {
+        return ClientMemory(static_cast<size_t>(mib * 1024 * 1024) / kMemoryPart, descriptors / 4 * 3);
+    }
 
     size_t   Max() const { return m_Max; }
     size_t   MaxOfLarge() const { return m_Max - m_Max / kSmallSharePart; } // while a connection holds more than kSmallShareMax
@@ -63,23 +68,29 @@
     friend class MemoryShare;
 
     MemoryGrant  MakeRoom(MemoryShare& asking, size_t bytes, TimePoint now); // m_Mutex is held
-    MemoryShare* FindVictim(const MemoryShare& asking, size_t bytes, TimePoint now) const;
-
-    const size_t           m_Max;          // bytes
-    mutable std::mutex     m_Mutex;        // guards all of this and what shares hold, but for the counters
-    std::set<MemoryShare*> m_Shares;       // those that hold something
-    size_t                 m_Held    = 0;  // bytes of all shares
-    size_t                 m_Leaving = 0;  // how many of these are of evicted ones, which give them back soon
-    std::atomic<uint64_t>  m_Refused{0};   //
-    std::atomic<uint64_t>  m_Evictions{0}; //
+    void         Evict(MemoryShare& victim);
+    void         Add(MemoryShare& share, TimePoint now);
+    void         Remove(MemoryShare& share);
+    MemoryShare* FindVictim(const MemoryShare& asking, double cost, size_t least, TimePoint now) const;
+
+    const size_t           m_Max;               // bytes
+    mutable std::mutex     m_Mutex;             // guards all of this and what shares hold, but for the counters
+    const size_t           m_ConnectionsMax;    //
+    std::set<MemoryShare*> m_Shares;            //
+    size_t                 m_SharesLeaving = 0; // how many of these were evicted
+    size_t                 m_Held          = 0; // bytes of all shares
+    size_t                 m_Leaving       = 0; // how many of these are of evicted ones, which give them back soon
+    std::atomic<uint64_t>  m_Refused{0};        //
+    std::atomic<uint64_t>  m_Evictions{0};      //
 };
 
 class MemoryShare // of one connection
 {
 public:
-    // `on_evicted` is called at most once, by any thread that asks for memory, and must only post: locks are held.
-    MemoryShare(ClientMemory& memory, std::function<void()> on_evicted) : m_Memory(memory), m_OnEvicted(std::move(on_evicted)) {}
-    ~MemoryShare() { Release(); }
+    // `on_evicted` is called at most once, by any thread that asks for memory, and must only post: locks are held. A share may be evicted from the
+    // start, when there are too many connections and none can go for it.
+    MemoryShare(ClientMemory& memory, std::function<void()> on_evicted, TimePoint now);
+    ~MemoryShare();
     MemoryShare(const MemoryShare&)            = delete;
     MemoryShare& operator=(const MemoryShare&) = delete;
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -108,7 +108,7 @@
 
 ReadRefusal NoMemory()
 {
-    Error e          = MakeError(ErrorCode_Unavailable, "memory for requests is used up", {}, Verdict_NotRun);
+    Error e          = MakeError(ErrorCode_Unavailable, "memory or connections for clients are used up", {}, Verdict_NotRun);
     e.m_RetryAfterMs = ToMs(kMemoryRetry);
     return {503, {}, {}, ErrorResponse(e), true};
 }
@@ -307,8 +307,8 @@
     HttpResponse res = refusal.m_Response ? *refusal.m_Response : ErrorResponse(MakeError(ErrorCode_Invalid, refusal.m_Message, refusal.m_Field));
     res.m_Status     = refusal.m_Status;
     const bool sent  = co_await bad.Send(res);
-    // A caller that sends its whole body before it reads has to get through with it.
-    if (sent)
+    // A caller that sends its whole body before it reads has to get through with it. One that was evicted in its head has hardly sent more.
+    if (sent && (!refusal.m_NoMemory || parser.is_header_done()))
         co_await CloseLingering(stream.socket(), refusal.m_Response && !refusal.m_NoMemory ? cfg.m_BodyTimeout : Duration(kLinger));
     co_return false;
 }
@@ -359,7 +359,7 @@
     beast::flat_buffer buffer;
     buffer.reserve(std::min<size_t>(kReadMost, cfg.m_HeadMax)); // Beast reads no more at once than there is room for
     const Registration registration(*impl, stream);
-    MemoryShare        memory(*impl->m_Memory, CancelOf(registration.m_Connection, stream.get_executor()));
+    MemoryShare        memory(*impl->m_Memory, CancelOf(registration.m_Connection, stream.get_executor()), Now());
     bool               answered = false; // the last request that was read, to its end
     for (;;)
     {
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -7,6 +7,7 @@
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
+#include <sys/resource.h>
 #include <thread>
 
 namespace aldervale
@@ -49,6 +50,14 @@
     return std::visit(Visitor{}, v);
 }
 
+size_t DescriptorsMax(const DaemonSettings& s)
+{
+    rlimit limit = {};
+    if (s.m_DescriptorsMax > 0 || getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return static_cast<size_t>(s.m_DescriptorsMax);
+    return limit.rlim_cur;
+}
+
 struct CommandLine
 {
     std::string              m_File;              // of the settings; empty: none
@@ -96,11 +105,13 @@
         {"threads", SettingInt{&s.m_Threads, 1, 64}, "I/O threads"},
         {"drain_max_ms", SettingInt{&s.m_DrainMaxMs, 0, 3'600'000}, "longest drain after SIGTERM, ms"},
         {"memory_mb", SettingReal{&s.m_MemoryMb, 1, 1e9}, "memory that the process may take, MiB; a quarter of it may be held for clients"},
+        {"descriptors_max", SettingReal{&s.m_DescriptorsMax, 0, 1e9},
+         "descriptors that the process may have; three quarters of them may be connections of clients; 0: the system's limit"},
     };
 }
 
 Daemon::Daemon(const DaemonSettings& s, std::string_view program)
-    : m_Settings(s), m_Program(program), m_Incarnation(RandomSeed() >> 1), m_Memory(ClientMemory::OfProcess(s.m_MemoryMb)),
+    : m_Settings(s), m_Program(program), m_Incarnation(RandomSeed() >> 1), m_Memory(ClientMemory::OfProcess(s.m_MemoryMb, DescriptorsMax(s))),
       m_Ioc(static_cast<int>(s.m_Threads)), m_Signals(m_Ioc, SIGTERM, SIGINT, SIGHUP)
 {
 }
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -40,6 +40,8 @@
     int64_t     m_Threads    = 2;      // I/O threads [threads]
     int64_t     m_DrainMaxMs = 30'000; // longest drain after SIGTERM [drain_max_ms]
     double      m_MemoryMb   = 256;    // memory that the process may take; a quarter of it may be held for clients [memory_mb]
+    double      m_DescriptorsMax =
+        0; // that the process may have; three quarters of them may be connections of clients; 0: the system's limit [descriptors_max]
 };
 
 std::vector<SettingSpec> DescribeDaemon(DaemonSettings& s);
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import socket
 import time
 import unittest
@@ -132,13 +133,25 @@
         writer.close()
 
 
-class ClientCrowds(unittest.IsolatedAsyncioTestCase):
+class Crowd(unittest.IsolatedAsyncioTestCase):
+    limits = LIMITS
+    descriptors_max = None  # of the router, lowered
+
     async def asyncSetUp(self):
+        if self.descriptors_max:
+            before = resource.getrlimit(resource.RLIMIT_NOFILE)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors_max, before[1]))
+            self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, before)
+        await self.start()
+        if self.descriptors_max:
+            resource.setrlimit(resource.RLIMIT_NOFILE, before)
+
+    async def start(self):
         self.fleet = platform_fleet.Fleet(platform_fleet.log_folder(self._testMethodName), routers=1, agents=0, backends=SERVERS)
         self.addCleanup(self.fleet.stop)
         servers = [LongAnswers(n, port) for n, port in enumerate(self.fleet.backend_ports)]
         self.fleet.router_settings = f"memory_mb = {MACHINE_BYTES >> 20}\n"
-        await self.fleet.start_with(servers, [standin.route("page", "safe", "web", TimeoutMs=60_000)], limits=LIMITS)
+        await self.fleet.start_with(servers, [standin.route("page", "safe", "web", TimeoutMs=60_000)], limits=self.limits)
         self.assertTrue(await self.fleet.wait_until_all_answer("GET", "/page/x"))
         self.router = self.fleet.routers[0]
         self.idle_descriptors = self.descriptors()
@@ -223,6 +236,8 @@
         await asyncio.gather(*[self.send(f"crowd-{n}", form) for n in range(CROWD)])
         await self.check()
 
+
+class ClientCrowds(Crowd):
     async def test_endless_trailers(self):
         await self.play(endless_trailers)
 
@@ -265,5 +280,15 @@
         await self.check("/page/long")
 
 
+class FewDescriptors(Crowd):
+    """Fewer than the crowd has clients, who stay for longer than the ordinary caller waits."""
+
+    descriptors_max = 128
+    limits = LIMITS | {"HeaderTimeoutMs": 10 * LIMIT_S * 1000}
+
+    async def test_unfinished_heads(self):
+        await self.play(unfinished_heads)
+
+
 if __name__ == "__main__":
     platform_fleet.main()
--- a/tests/test_client_memory.cpp
+++ b/tests/test_client_memory.cpp
@@ -15,7 +15,8 @@
 struct Connection
 {
     Connection(ClientMemory& memory, size_t bytes, MemoryPhase phase = MemoryPhase_Receiving, TimePoint since = kStart)
-        : m_Share(memory, [this] { m_Told++; })
+        : m_Share(
+              memory, [this] { m_Told++; }, since)
     {
         BOOST_TEST(m_Share.SetPhase(phase, since));
         BOOST_TEST(m_Share.Resize(bytes, since) == MemoryGrant_Taken);
@@ -96,6 +97,34 @@
     BOOST_TEST(lone.m_Share.Resize(memory.MaxOfLarge() + 1, kStart) == MemoryGrant_Refused);
 }
 
+BOOST_AUTO_TEST_CASE(of_too_many_connections_one_that_has_rested_goes_and_what_is_processed_stays)
+{
+    ClientMemory     memory(kMax, 3);
+    const Connection processed(memory, 1, MemoryPhase_Processing, kStart - seconds(60));
+    const Connection rested(memory, 0, MemoryPhase_Receiving, kStart - seconds(1));
+    const Connection recent(memory, kConnectionBytes, MemoryPhase_Receiving, kStart);
+    BOOST_TEST(memory.Evicted() == 0u);
+    const Connection next(memory, 0, MemoryPhase_Receiving, kStart + milliseconds(1));
+    BOOST_TEST(rested.m_Share.Evicted());
+    BOOST_TEST(rested.m_Told == 1);
+    const Connection another(memory, 0, MemoryPhase_Receiving, kStart + milliseconds(2));
+    BOOST_TEST(recent.m_Share.Evicted());
+    BOOST_TEST(!processed.m_Share.Evicted());
+    BOOST_TEST(!next.m_Share.Evicted());
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_none_can_go_for_is_evicted_itself)
+{
+    ClientMemory      memory(kMax, 1);
+    const Connection  processed(memory, 1, MemoryPhase_Processing);
+    int               told = 0;
+    const MemoryShare next(
+        memory, [&] { told++; }, kStart);
+    BOOST_TEST(next.Evicted());
+    BOOST_TEST(told == 1);
+    BOOST_TEST(!processed.m_Share.Evicted());
+}
+
 // Whatever connections do, no more is taken than there is, apart from what is overdrawn, and all of it comes back.
 BOOST_AUTO_TEST_CASE(no_more_is_taken_than_there_is)
 {
--- a/tests/test_rendered_settings.py
+++ b/tests/test_rendered_settings.py
@@ -16,13 +16,13 @@
 FIELDS = {
     "NodeName": "box-1", "Zone": "dc-1", "Region": "north", "Zones": {"dc-1": "north", "dc-2": "south"}, "Ip": "127.0.0.1", "app": "127.0.0.1:9001", "Service": "model", "Contracts": ["fleet", "pool"],
     "Listen": {"Front": "127.0.0.1:9002", "Ready": "127.0.0.1:9003"}, "InternalPorts": [9004, 9005], "Seeds": ["127.0.0.1:9007", "127.0.0.2:9007"], "Platform": {"Address": "127.0.0.1:9006"},
-    "Limits": {"LinkMbps": "7.3", "MemoryMb": "260"}, "Bounds": {"GraceS": "8", "RetryBudgetRatio": "0.2", "BudgetExtra": "654", "version_ms": "10000"},
+    "Limits": {"LinkMbps": "7.3", "MemoryMb": "260", "MaxFds": "4100"}, "Bounds": {"GraceS": "8", "RetryBudgetRatio": "0.2", "BudgetExtra": "654", "version_ms": "10000"},
 }
 
 NUMBERS = ("1", "0.5", "34.4", "34.0", "1e3", "1E3", "2.5e+2", "1e-3", "0", "0.0", "100000", "3600000.0")
 IN_RANGE = {"Bounds.GraceS": lambda x: x <= 3600, "Bounds.RetryBudgetRatio": lambda x: x <= 1000, "Bounds.BudgetExtra": lambda x: True,
             "Bounds.version_ms": lambda x: True, "Limits.LinkMbps": lambda x: x <= 1e6,
-            "Limits.MemoryMb": lambda x: x >= 1}
+            "Limits.MemoryMb": lambda x: x >= 1, "Limits.MaxFds": lambda x: True}
 PROGRAMS = {"router": "aldervale-platform-router", "agent": "aldervale-platform-agent"}
 
 
