Tests: whole bodies at servers that stall

200 callers with whole bodies of 1 MiB for servers that don't read them.: 538 MiB of 96, and 417 descriptors, as each had a connection to a server.

--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -13,6 +13,7 @@
 import socket
 import time
 import unittest
+from dataclasses import dataclass
 
 import platform_fleet
 import platform_standin as standin
@@ -110,11 +111,31 @@
     yield HEAD.format(ident).encode() + b"Padding: " + b"x" * (MAX_HEAD // 2)
 
 
+def whole_at_stalled_servers(ident):
+    yield announced_head(ident, MAX_BODY).replace(b"/page/x", b"/page/stalled")
+    yield from [b"x" * PIECE] * (MAX_BODY // PIECE)
+
+
+@dataclass
+class Rejoined:
+    """A reader whose head was read before."""
+
+    head: bytes
+    reader: asyncio.StreamReader
+
+    async def readuntil(self, _):
+        return self.head
+
+    async def readexactly(self, size):
+        return await self.reader.readexactly(size)
+
+
 class LongAnswers:
-    """A server that answers /page/long with a long body, and all else with a short one."""
+    """A server that answers /page/long with a long body, and all else with a short one. It stalls before the body of /page/stalled."""
 
     def __init__(self, number, port):
         self.id, self.port = f"web-{number}", port
+        self.stalled = asyncio.Event()  # never set
 
     def row(self):
         return {"Service": "web", "Address": f"127.0.0.1:{self.port}", "Zone": "dc-1", "Version": "1", "Slots": 16, "State": "ready", "ColdLeftMs": 0,
@@ -126,7 +147,10 @@
     async def serve(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
-                req = await standin.read_request(reader)
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"/page/stalled" in head:
+                    await self.stalled.wait()
+                req = await standin.read_request(Rejoined(head, reader))
                 body = b"x" * ANSWER if req.path == "/page/long" else b"%d" % len(req.body)
                 writer.write(standin.answer(200, body, X_Request_Id=req.fields.get("x-request-id", ""), X_Response_Seal="seal"))
                 await writer.drain()
@@ -268,6 +292,9 @@
     async def test_unfinished_heads(self):
         await self.play(unfinished_heads)
 
+    async def test_whole_bodies_at_stalled_servers(self):
+        await self.play(whole_at_stalled_servers)
+
     async def test_all_forms_at_once(self):
         forms = (endless_trailers, endless_trailer_field, endless_chunk_extension, oversized_chunked, oversized_announced, unfinished_large_chunks,
                  unfinished_small_chunks, unfinished_announced, unfinished_heads)
