--- a/src/connection/client_memory.h
+++ b/src/connection/client_memory.h
@@ -1,16 +1,17 @@
-// aldervale: memory that a process holds for its clients
+// aldervale: memory and connections that a process holds for its clients
 //
 // Pure. One budget for the bytes of all client connections: requests that are being received, requests and answers that are being processed, and
 // answers that their clients haven't read. When it is spent, room is made: of the connections that receive a request or send an answer, the one whose
 // bytes times age is greatest is evicted, be it the one that asks for more. What is being processed is never evicted, as it may have run. The last
-// part of the budget is for connections that hold little.
+// part of the budget is for connections that hold little. A bound on the number of connections is kept by the same rule: each counts kConnectionBytes
+// in any case, so one that has rested for long goes before a short request that is coming.
 //
 // Load pattern: a crowd of clients that send much and don't finish their requests, or don't read their answers, beside clients with short requests.
 //
 // Usage:
 //   ClientMemory memory(bytes, connections);
-//   MemoryShare  share(memory, [] { ... }, Now());               // of one connection; evicted: to be posted to where it is served
-//   switch (share.Resize(bytes, Now())) ...               // taken before memory is allocated; what has no room is refused
+//   MemoryShare  share(memory, [] { ... }, Now());          // of one connection; evicted: to be posted to where it is served
+//   switch (share.Resize(bytes, Now())) ...                 // taken before memory is allocated; what has no room is refused
 //   if (!share.SetPhase(MemoryPhase_Processing, Now())) ... // evicted before: it is refused, too
 
 #pragma once
@@ -67,16 +68,18 @@
 private:
     friend class MemoryShare;
 
-    MemoryGrant  MakeRoom(MemoryShare& asking, size_t bytes, TimePoint now); // m_Mutex is held
-    void         Evict(MemoryShare& victim);
-    void         Add(MemoryShare& share, TimePoint now);
-    void         Remove(MemoryShare& share);
+    void Add(MemoryShare& share, TimePoint now);
+    void Remove(MemoryShare& share);
+
+    // m_Mutex is held
+    MemoryGrant  MakeRoom(MemoryShare& asking, size_t bytes, TimePoint now);
     MemoryShare* FindVictim(const MemoryShare& asking, double cost, size_t least, TimePoint now) const;
+    void         Evict(MemoryShare& victim);
 
     const size_t           m_Max;               // bytes
-    mutable std::mutex     m_Mutex;             // guards all of this and what shares hold, but for the counters
     const size_t           m_ConnectionsMax;    //
-    std::set<MemoryShare*> m_Shares;            //
+    mutable std::mutex     m_Mutex;             // guards what follows and what shares hold, but for atomics
+    std::set<MemoryShare*> m_Shares;            // of all connections
     size_t                 m_SharesLeaving = 0; // how many of these were evicted
     size_t                 m_Held          = 0; // bytes of all shares
     size_t                 m_Leaving       = 0; // how many of these are of evicted ones, which give them back soon
@@ -110,7 +113,7 @@
     std::function<void()> m_OnEvicted;                     //
     size_t                m_Bytes = 0;                     //
     MemoryPhase           m_Phase = MemoryPhase_Receiving; //
-    TimePoint             m_Since{};                       // begin of its age: when it took its first byte in this phase
+    TimePoint             m_Since;                         // begin of its age: of this phase, or when it took the first byte in it
     std::atomic<bool>     m_Evicted{false};                //
 };
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -90,11 +90,11 @@
 
 struct ReadRefusal // the answer to a request that isn't read to its end
 {
-    unsigned                    m_Status = 0; // 0: none, the connection just ends
-    std::string                 m_Message;    //
-    std::string                 m_Field;      // part of the request that is at fault
-    std::optional<HttpResponse> m_Response{}; // sent in place of one made of the others
-    bool                        m_NoMemory = false;
+    unsigned                    m_Status = 0;       // 0: none, the connection just ends
+    std::string                 m_Message;          //
+    std::string                 m_Field;            // part of the request that is at fault
+    std::optional<HttpResponse> m_Response{};       // sent in place of one made of the others
+    bool                        m_NoMemory = false; // of ClientMemory
 };
 
 ReadRefusal RefusalOf(const boost::system::error_code& ec)
@@ -376,7 +376,10 @@
         co_await impl->m_Handler(req, reply);
         answered = reply.Sent() && !reply.Broken();
         if (memory.Evicted())
+        {
             impl->LogMemorySpent();
+            stream.socket().set_option(asio::socket_base::linger(!answered, 0), opt_ec); // what the system still holds for its peer goes, too
+        }
         if (!answered || !reply.HeadKeptAlive() || !memory.SetPhase(MemoryPhase_Receiving, Now()))
             break;
         memory.Release();
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -52,10 +52,10 @@
 
 size_t DescriptorsMax(const DaemonSettings& s)
 {
-    rlimit limit = {};
-    if (s.m_DescriptorsMax > 0 || getrlimit(RLIMIT_NOFILE, &limit) != 0)
+    if (s.m_DescriptorsMax > 0)
         return static_cast<size_t>(s.m_DescriptorsMax);
-    return limit.rlim_cur;
+    rlimit limit = {};
+    return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : SIZE_MAX;
 }
 
 struct CommandLine
