HTTP server: an answer that was sent holds no memory of the budget

A connection that closes waits up to 8 s until its answer is delivered, and its bytes counted until then, though the system has them: who needed that memory would have evicted the connection and waited as long.

The bytes are given back before the wait, which ends when the connection is evicted for one of its descriptor. Found by reading; an_answer_that_was_sent_holds_no_memory (platform_slow_callers) failed before: 73,899 bytes held.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -266,9 +266,9 @@
 }
 
 // Until then the connection counts as busy: the network of a process may end with it, and take along what is still in the send buffer.
-awaitable<void> AwaitDelivery(tcp::socket& socket, TimePoint until)
+awaitable<void> AwaitDelivery(tcp::socket& socket, TimePoint until, const MemoryShare& memory)
 {
-    while (!IsDelivered(socket) && Now() < until)
+    while (!IsDelivered(socket) && Now() < until && !memory.Evicted())
         co_await SleepFor(kDeliveryLook);
 }
 
@@ -389,6 +389,7 @@
         if (impl->m_Closing.load() && buffer.size() == 0 && !HasUnread(stream))
             break;
     }
+    memory.Release(); // the system has the rest of the answer
     boost::system::error_code ec;
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     if (answered && (buffer.size() > 0 || HasUnread(stream)))
@@ -396,7 +397,7 @@
     if (!answered)
         co_return;
     registration.m_Connection->m_Delivering = true;
-    co_await AwaitDelivery(stream.socket(), Now() + kDeliveryMax);
+    co_await AwaitDelivery(stream.socket(), Now() + kDeliveryMax, memory);
 }
 
 // A handler that throws loses its own connection only; it is a fault of ours and is logged as one.
