HTTP server: reading from a peer that floods lets other connections have their turn

While clients went on sending bodies that had been refused, a router stood still for 0.4 to 0.8 s at a time: every other caller waited.

Cause: a read that finds bytes doesn't wait, so the loop that drops what a refused caller still sends, and the one that reads a body, kept the thread as long as bytes came faster than they were read: up to the whole second of a lingering close, 512 bytes at a time.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -156,6 +156,12 @@
     co_return grant == MemoryGrant_Taken;
 }
 
+// Lets other connections have their turn: while a peer sends faster than its bytes are read, no read has to wait.
+awaitable<void> Yield(tcp::socket& socket)
+{
+    co_await asio::post(socket.get_executor(), use_awaitable);
+}
+
 // Waits for more of a request until `until`. While the server closes, a request whose body is still coming may be refused meanwhile.
 awaitable<boost::system::error_code> ReadMore(HttpServer::Impl& impl, tcp::socket& socket, asio::steady_timer& timer, beast::flat_buffer& buffer,
                                               const IncomingRequest& in, TimePoint until, std::optional<HttpResponse>& refused)
@@ -229,6 +235,8 @@
             co_return too_slow;
         if (ec)
             co_return ReadRefusal{};
+        if (parser.is_header_done())
+            co_await Yield(socket);
     }
 }
 
@@ -246,10 +254,12 @@
     socket.shutdown(tcp::socket::shutdown_send, ec);
     asio::steady_timer timer(socket.get_executor());
     beast::flat_buffer dropped;
+    dropped.reserve(kReadMost);
     for (const TimePoint until = Now() + longest; !ec && Now() < until;)
     {
         ec = co_await ReadSome(socket, timer, dropped, until);
         dropped.clear();
+        co_await Yield(socket);
     }
 }
 
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -8,9 +8,11 @@
 """
 import asyncio
 import contextlib
+import itertools
 import os
 import resource
 import socket
+import threading
 import time
 import unittest
 from dataclasses import dataclass
@@ -22,6 +24,7 @@
 CROWD = 200               # clients
 MACHINE_BYTES = 96 << 20  # memory of the router's machine
 SPARE_DESCRIPTORS = 64    # of the router, for servers, the store and connections that are being closed
+FLOODS = 8                # clients that send without end
 SERVERS = 3
 AT_ONCE = 8               # requests of the crowd that wait for an answer's first byte
 
@@ -82,6 +85,16 @@
     yield from repeated(b"x", 2 * MAX_BODY)
 
 
+def endless_announced(ident):
+    yield announced_head(ident, 4 << 30)
+    yield from itertools.repeat(b"x" * PIECE, (4 << 30) // PIECE)  # the router closes before
+
+
+def endless_chunked(ident):
+    yield chunked_head(ident)
+    yield from itertools.repeat(chunk(b"x" * PIECE), (4 << 30) // PIECE)
+
+
 def unfinished_large_chunks(ident):
     yield chunked_head(ident)
     yield from [chunk(b"x" * PIECE)] * (MAX_BODY // PIECE - 1)
@@ -277,6 +290,12 @@
     async def test_oversized_announced_bodies(self):
         await self.play(oversized_announced)
 
+    async def test_endless_announced_bodies(self):
+        await self.play(endless_announced)
+
+    async def test_endless_chunked_bodies(self):
+        await self.play(endless_chunked)
+
     async def test_unfinished_large_chunks(self):
         await self.play(unfinished_large_chunks)
 
@@ -301,6 +320,28 @@
         await asyncio.gather(*[self.send(f"crowd-{n}", forms[n % len(forms)]) for n in range(CROWD)])
         await self.check()
 
+    async def test_floods_that_come_again(self):
+        floods = [threading.Thread(target=self.flood, args=(f"flood-{n}",)) for n in range(FLOODS)]
+        self.flooding = True
+        self.addCleanup(self.end_floods, floods)
+        for flood in floods:
+            flood.start()
+        await self.check()
+
+    def end_floods(self, floods):
+        self.flooding = False
+        for flood in floods:
+            flood.join()
+
+    def flood(self, ident):
+        """Sends a body without end, again as soon as the router has closed the connection."""
+        while self.flooding and not self.fleet.ended():
+            with contextlib.suppress(OSError), socket.create_connection((self.router.ip, self.fleet.http), timeout=LIMIT_S) as connection:
+                for piece in endless_announced(ident):
+                    connection.sendall(piece)
+                    if not self.flooding:
+                        break
+
     async def test_unread_answers(self):
         turns = asyncio.Semaphore(AT_ONCE)
         await asyncio.gather(*[self.send_without_reading(f"crowd-{n}", turns) for n in range(CROWD)])
