--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -39,9 +39,9 @@
     std::string m_LogLevel   = "info"; // [log.level]
     int64_t     m_Threads    = 2;      // I/O threads [threads]
     int64_t     m_DrainMaxMs = 30'000; // longest drain after SIGTERM [drain_max_ms]
-    double      m_MemoryMb   = 256;    // memory that the process may take; a quarter of it may be held for clients [memory_mb]
-    double      m_DescriptorsMax =
-        0; // that the process may have; three quarters of them may be connections of clients; 0: the system's limit [descriptors_max]
+    double      m_MemoryMb   = 256;    // memory that the process may take; clients may hold a quarter of it [memory_mb]
+
+    double m_DescriptorsMax = 0; // that the process may have; three quarters may be clients' connections; 0: the system's limit [descriptors_max]
 };
 
 std::vector<SettingSpec> DescribeDaemon(DaemonSettings& s);
--- a/src/request/held_answers.h
+++ b/src/request/held_answers.h
@@ -27,7 +27,7 @@
     explicit HeldAnswer(MemoryShare& memory) : m_Memory(memory) {}
     HeldAnswer(const HeldAnswer&)            = delete;
     HeldAnswer& operator=(const HeldAnswer&) = delete;
-    ~HeldAnswer() { m_Memory.Resize(m_Memory.Bytes() - m_Counted, {}); }
+    ~HeldAnswer() { m_Memory.Resize(m_Memory.Bytes() - m_Counted, {}); } // less: the time doesn't count
 
     MemoryGrant Append(std::string_view bytes, TimePoint now) // nothing was appended unless it was taken
     {
