HTTP server: what a request needs is asked of the parser only once it has the head

Test programs of the address sanitizer's build ended in the first request: Beast asserts that the length of a body isn't asked for before the head is whole. Release builds are without the assertion and counted no body then, so callers saw nothing.

Cause: BytesNeeded() asked for it at once. Until the head is there the buffer and the head are counted. The executor that Yield() posts to has a name now, as GCC 12 destroys some temporaries in a co_await expression twice (docs/HOUSE-STYLE.md).

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -136,12 +136,15 @@
 // What a request takes once the buffer's bytes are parsed and the next ones are read. A body that comes in chunks doubles its room when it is full.
 size_t BytesNeeded(const beast::flat_buffer& buffer, const Parser& parser, size_t head)
 {
+    const size_t buffered = std::max(buffer.capacity(), buffer.size() + kReadMost);
+    if (!parser.is_header_done())
+        return buffered + head;
     const std::string& body = parser.get().body();
     size_t             room = std::max<size_t>(body.capacity(), parser.content_length().value_or(0));
     const size_t       full = body.size() + (parser.chunked() ? buffer.size() : 0);
     if (full > room)
         room = std::max(2 * room, full);
-    return std::max(buffer.capacity(), buffer.size() + kReadMost) + room + head;
+    return buffered + room + head;
 }
 
 // False: there is no memory for it.
@@ -159,7 +162,8 @@
 // Lets other connections have their turn: while a peer sends faster than its bytes are read, no read has to wait.
 awaitable<void> Yield(tcp::socket& socket)
 {
-    co_await asio::post(socket.get_executor(), use_awaitable);
+    const asio::any_io_executor executor = socket.get_executor();
+    co_await asio::post(executor, use_awaitable);
 }
 
 // Waits for more of a request until `until`. While the server closes, a request whose body is still coming may be refused meanwhile.
