--- a/src/programs/crash_share.h
+++ b/src/programs/crash_share.h
@@ -6,7 +6,7 @@
 //
 // Usage (platform_router.cpp):
 //   CrashShare share(loads, peers, serve.GetCrashHistory());
-//   share.Look(now);                                         // about every 100 ms
+//   share.Look(now);                                         // about every 100 ms, and as a trial begins: trials of others are held back by it
 
 #pragma once
 #include "process/declarations_peers.h"
--- a/src/programs/platform_router.cpp
+++ b/src/programs/platform_router.cpp
@@ -482,7 +482,8 @@
     r.m_Peers->SetOnBelief([&r] { OnBelief(r); });
     r.m_Limits  = std::make_unique<LimitShare>(*r.m_Loads, *r.m_Peers, r.m_Serve->GetServerLimits());
     r.m_Crashes = std::make_unique<CrashShare>(*r.m_Loads, *r.m_Peers, r.m_Serve->GetCrashHistory());
-    r.m_Http    = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
+    r.m_Serve->SetOnTrial([&r] { r.m_Crashes->Look(Now()); });
+    r.m_Http = std::make_unique<HttpServer>(daemon.Ioc(), HttpServerConfig{},
                                             [&r](HttpRequest& req, HttpReply& reply) { return r.m_Serve->Handle(req, reply); });
     r.m_Http->SetMemory(daemon.Memory());
     r.m_Http->SetHeadCheck([&r](const HttpRequest& head) { return r.m_Serve->RefuseLate(head); });
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -157,6 +157,14 @@
     return std::min(end_at, stalled_at);
 }
 
+// The server may run the request from now on.
+void DirectServe::Impl::NoteReached(Call& call, const RequestAttempt& attempt)
+{
+    call.m_Tried.push_back(attempt.m_Server);
+    if (!m_CrashHistory.Empty() && m_CrashHistory.OnTrialSent(call.Suspects(), call.m_BlockCheckedAt) && m_OnTrial)
+        m_OnTrial();
+}
+
 awaitable<AttemptEnd> DirectServe::Impl::Attempt(Call& call, ServerEntry server)
 {
     const TimePoint       sent_at  = Now();
@@ -184,10 +192,10 @@
         const bool reached = sent.error().m_Verdict != Verdict_NotRun; // the request may have reached the server
         RecordFailure(call, FailureCauseOf(sent.error()), sent.error().m_Message);
         if (reached)
-            call.m_Tried.push_back(attempt->m_Server);
+            NoteReached(call, *attempt);
         co_return FinishAttempt(call, *attempt, reached ? AttemptEnd_MayHaveRun : AttemptEnd_NotRun, reached);
     }
-    call.m_Tried.push_back(attempt->m_Server);
+    NoteReached(call, *attempt);
     call.m_LastSentAt = sent_at;
     NoteWeights(call, *attempt);
     attempt->m_Stream = std::move(sent.value());
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr auto             kNotReadyRetryAfter    = milliseconds(300); // Retry-After of a router that has no declarations yet
-constexpr auto             kBlockedRetryAfter     = seconds(60);       // Retry-After of requests blocked because they crash servers
 constexpr std::string_view kBlockedText           = "servers crash under this request";
 constexpr auto             kEndingRetryAfter      = milliseconds(50);  // Retry-After of a router that ends: others can serve the request at once
 constexpr auto             kCrashCheckPoll        = milliseconds(5);   // interval of polling for the end of a crash check
@@ -124,7 +123,7 @@
     call.m_BlockCheckedAt = now;
     if (m_CrashHistory.Empty() || !m_CrashHistory.CheckBlocked(call.Suspects(), now))
         return false;
-    LogBlocked(call, now);
+    NoteBlocked(call, now);
     return true;
 }
 
@@ -132,15 +131,22 @@
 {
     if (m_CrashHistory.Empty() || !m_CrashHistory.IsBlockedSince(call.Suspects(), call.m_BlockCheckedAt, now))
         return false;
-    LogBlocked(call, now);
+    NoteBlocked(call, now);
     return true;
 }
 
-void DirectServe::Impl::LogBlocked(Call& call, TimePoint now) const
+void DirectServe::Impl::WithdrawTrial(Call& call, AttemptEnd end)
+{
+    if (!m_CrashHistory.Empty())
+        m_CrashHistory.WithdrawTrial(call.Suspects(), call.m_BlockCheckedAt, end == AttemptEnd_NotRun);
+}
+
+void DirectServe::Impl::NoteBlocked(Call& call, TimePoint now) const
 {
     static Counter& blocked = Metrics().GetCounter("aldervale_requests_blocked_total");
     blocked.Add(1);
     const CrashRecord& record = *m_CrashHistory.FindBlocked(call.Suspects(), now);
+    call.m_BlockedRetryAfter  = m_CrashHistory.RetryAfter(record, now);
     LogEvent(Event_RequestBlocked, {{"id", call.m_Caller.m_Id},
                                     {"hash", record.m_Request},
                                     {"part", record.m_Kind == SuspectKind_PromptPart},
@@ -238,8 +244,6 @@
     call.m_Service = call.m_Routes->FindService(PickTarget(*call.m_Route, call.m_Caller.m_Id).m_Service);
     if (call.m_Service == nullptr)
         return Refuse(call, 503, "route names a service that isn't declared", kNotReadyRetryAfter);
-    if (CheckBlocked(call, call.m_StartedAt))
-        return Refuse(call, 503, kBlockedText, kBlockedRetryAfter);
     const Duration  limit = std::min(call.m_Route->m_Timeout, call.m_Caller.m_Remaining.value_or(call.m_Route->m_Timeout));
     const TimePoint begun = call.m_Request.m_BegunAt != TimePoint{} ? call.m_Request.m_BegunAt : call.m_StartedAt;
     call.m_Deadline       = begun + limit; // a slow upload of the body counts against the deadline
@@ -247,6 +251,8 @@
         return Refuse(call, 408, "request arrived too slowly for its deadline", {});
     if (MustRefuseLate(call, call.m_StartedAt))
         return Refuse(call, 503, kEndingText, kEndingRetryAfter);
+    if (CheckBlocked(call, call.m_StartedAt)) // last, as a request that it lets through may be a trial
+        return Refuse(call, 503, kBlockedText, call.m_BlockedRetryAfter);
     return std::nullopt;
 }
 
@@ -320,6 +326,7 @@
     if (end == AttemptEnd_Answered || end == AttemptEnd_CallerGone || call.m_Abort.Aborted())
         return false;
     call.m_NoRetryReason = FindNoRetryReason(call, end, now);
+    WithdrawTrial(call, end);
     if (call.m_NoRetryReason == NoRetryReason_None && CheckBlocked(call, now))
         call.m_NoRetryReason = NoRetryReason_CrashBlocked;
     if (call.m_NoRetryReason != NoRetryReason_None)
@@ -432,6 +439,7 @@
         call.m_NoRetryReason = NoRetryReason_RouterEnds;
         call.m_FailureText   = kEndingText;
     }
+    WithdrawTrial(call, end);
     CancelStalledAttempts(call);
     co_await SendFinalAnswer(call, end);
 }
@@ -461,7 +469,7 @@
 static Duration RetryAfterOf(const Call& call)
 {
     if (call.m_NoRetryReason == NoRetryReason_CrashBlocked)
-        return kBlockedRetryAfter;
+        return call.m_BlockedRetryAfter;
     if (call.m_NoRetryReason == NoRetryReason_RouterEnds)
         return kEndingRetryAfter;
     return call.m_Choice.m_RetryAfter > Duration::zero() ? call.m_Choice.m_RetryAfter : Duration(kNotReadyRetryAfter);
@@ -671,6 +679,11 @@
     return m_Impl->m_CrashHistory;
 }
 
+void DirectServe::SetOnTrial(std::function<void()> on_trial)
+{
+    m_Impl->m_OnTrial = std::move(on_trial);
+}
+
 ServerLimits& DirectServe::GetServerLimits()
 {
     return m_Impl->m_Limits;
--- a/src/request/direct_serve.h
+++ b/src/request/direct_serve.h
@@ -80,6 +80,7 @@
     ServerLimits&               GetServerLimits();   // merged with the limits of other routers
     uint32_t                    RoutersHint() const; // number of routers that share the servers, as last reported; 0: unknown
     CrashHistory&               GetCrashHistory();   // merged with the crash records of other routers
+    void SetOnTrial(std::function<void()> on_trial); // called as a server has a trial of GetCrashHistory(), to tell other routers
 
     struct Impl;
 
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -147,6 +147,7 @@
     std::optional<Duration>       m_WeightsTimeLeft;                    // from its sending until newer weights' deadline; none: they have none
     unsigned                      m_StallCount = 0;                     // stalls after which another server was searched for
     TimePoint                     m_BlockCheckedAt{};                   // when CheckBlocked() last let it through
+    Duration                      m_BlockedRetryAfter{};                // Retry-After of a request that was blocked
     std::vector<Suspect>          m_Suspects;                           // computed on first use
 
     Duration                 TimeLeft(TimePoint now) const { return m_Deadline - now; }
@@ -170,6 +171,7 @@
     ServerLimits           m_Limits{RandomSeed()}; // this router's shares of the servers' rate limits
     CrashDetector          m_CrashDetector;        //
     CrashHistory           m_CrashHistory{Duration(kTrialStaggerMax) * (RandomSeed() % 1000) / 1000}; // merged with other routers' records
+    std::function<void()>  m_OnTrial;                                            // as a server has a trial of m_CrashHistory; may be empty
     TimePoint              m_EndsAt = TimePoint::max();                          // the process ends then; max: it wasn't told to end
     std::map<std::string, AnswerTimes>                  m_RouteTimes;            // by route of m_RouteTimesOf
     RouteTablePtr                                       m_RouteTimesOf;          // the declarations that m_RouteTimes is kept for
@@ -198,7 +200,8 @@
     void                         UpdateColdServers(TimePoint now);
     bool                         CheckBlocked(Call& call, TimePoint now);      // logs the refusal; call once for each attempt
     bool                         CheckBlockedSince(Call& call, TimePoint now); // by what was learned after CheckBlocked(); logs the refusal
-    void                         LogBlocked(Call& call, TimePoint now) const;
+    void                         NoteBlocked(Call& call, TimePoint now) const;
+    void                         WithdrawTrial(Call& call, AttemptEnd end); // unless a server may have run it since CheckBlocked()
     RetryBudget&                 Budget(const std::string& service);
     bool            CanAnswerBeforeEnd(const Route& route, const Service& service, const CallerRequest& caller, Duration left, TimePoint now) const;
     bool            MustRefuseLate(const Call& call, TimePoint now) const; // it wasn't passed on, and can't be answered any more
@@ -225,6 +228,7 @@
     Endpoint                        PlaceEndpoint(const ServerEntry& server) const;
 
     // One attempt (direct_attempt.cpp)
+    void                     NoteReached(Call& call, const RequestAttempt& attempt);
     awaitable<AttemptEnd>    Attempt(Call& call, ServerEntry server);
     bool                     MayResend(Call& call, const RequestAttempt& attempt); // takes a token of the retry budget
     awaitable<bool>          Resend(Call& call, RequestAttempt& attempt);          // to the same server on a new connection; false: not sent
