HTTP server: a connection that rested is judged by the newest limits

What callers saw: 413 for bodies that the newest desired state allows, on every kept connection that rested as the limit was raised. Clients don't repeat after 413.

Cause: the settings were copied, and the parser's limits set, before the wait for the first byte of the next request. Limits of heads, times for head and body, and the time to rest were held in the same copy; lowered limits held on as well.

Change: the settings are read once the first byte has come. A change of the time to rest wakes connections at rest; it counts from when they came to rest.

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -106,7 +106,7 @@
     void   SetMemory(ClientMemory& memory);   // before Listen(); outlives this and its connections; without it memory has no bound
     void   SetHeadCheck(HttpHeadCheck check); // before Listen(); asked from CloseAfterAnswer() on, again and again while a request's body is coming
     Status Listen(const Endpoint& at);
-    void   SetConfig(const HttpServerConfig& cfg); // bounds of requests read from now on; any thread
+    void   SetConfig(const HttpServerConfig& cfg); // bounds of requests whose first byte comes from now on, and of connections at rest; any thread
     void   CloseAfterAnswer();                     // idle connections close; every answer from now on says that its connection closes
     size_t Busy() const; // connections of which some of a request has come and whose answer isn't out, or isn't delivered as the connection ends
     size_t Undelivered() const; // how many of these have sent their answer
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -33,9 +33,10 @@
     {
         Connection(ServerStream* stream, bool idle) : m_Stream(stream), m_Idle(idle) {}
 
-        ServerStream*     m_Stream;            // null once it ended
-        std::atomic<bool> m_Idle;              // no byte of a request has come since the last answer; written on the stream's strand
-        std::atomic<bool> m_Delivering{false}; // the last answer was sent, and the peer hasn't acknowledged all of it
+        ServerStream*     m_Stream;                  // null once it ended
+        std::atomic<bool> m_Idle;                    // no byte of a request has come since the last answer; written on the stream's strand
+        std::atomic<bool> m_Delivering{false};       // the last answer was sent, and the peer hasn't acknowledged all of it
+        bool              m_IdleTimeChanged = false; // the read of an idle connection was cancelled to begin with another bound; on the strand
     };
 
     asio::io_context&                     m_Ioc;                      //
@@ -286,26 +287,44 @@
         co_await SleepFor(kDeliveryLook);
 }
 
-// False: the connection ended, or sent something that was answered and closes it.
-awaitable<bool> ReadRequest(HttpServer::Impl& impl, const HttpServerConfig& cfg, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
+// Waits for the first byte of a request. The bound on that may change meanwhile, and counts from when the connection came to rest. False: none came.
+awaitable<bool> AwaitFirstByte(HttpServer::Impl& impl, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
+                               const MemoryShare& memory)
+{
+    ServerStream&   stream  = *connection.m_Stream;
+    const TimePoint rest_at = Now();
+    for (;;)
+    {
+        stream.expires_at(rest_at + impl.Config().m_IdleTimeout);
+        connection.m_Idle            = true;
+        connection.m_IdleTimeChanged = false;
+        auto [ec, n]                 = co_await stream.async_read_some(buffer.prepare(kFirstRead), kNoThrow);
+        connection.m_Idle            = false;
+        buffer.commit(n);
+        if (!ec)
+            co_return true;
+        if (ec != asio::error::operation_aborted || !connection.m_IdleTimeChanged || impl.m_Closing.load() || memory.Evicted())
+            co_return false;
+    }
+}
+
+// False: the connection ended, or sent something that was answered and closes it. `cfg` is set to what holds as the first byte of the request comes.
+awaitable<bool> ReadRequest(HttpServer::Impl& impl, HttpServerConfig& cfg, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
                             IncomingRequest& in, MemoryShare& memory)
 {
     ServerStream& stream = *connection.m_Stream;
     Parser&       parser = in.m_Parser;
-    parser.header_limit(static_cast<uint32_t>(cfg.m_HeadMax));
-    parser.body_limit(cfg.m_BodyMax);
     if (buffer.size() == 0) // idle: the time for reading counts from the first byte
     {
-        stream.expires_after(cfg.m_IdleTimeout);
-        connection.m_Idle = true;
-        auto [ec, n]      = co_await stream.async_read_some(buffer.prepare(kFirstRead), kNoThrow);
-        connection.m_Idle = false;
-        buffer.commit(n);
-        if (ec)
+        const bool came = co_await AwaitFirstByte(impl, connection, buffer, memory);
+        if (!came)
             co_return false;
     }
     in.m_Request.m_BegunAt = Now();
     stream.expires_never();
+    cfg = impl.Config();
+    parser.header_limit(static_cast<uint32_t>(cfg.m_HeadMax));
+    parser.body_limit(cfg.m_BodyMax);
     ReadRefusal refusal = co_await ReadWhole(impl, cfg, stream.socket(), buffer, in, memory);
     if (refusal.m_Status == 0 && parser.is_done() && !memory.SetPhase(MemoryPhase_Processing, Now()))
         refusal = NoMemory();
@@ -378,8 +397,7 @@
     for (;;)
     {
         IncomingRequest in;
-        cfg             = impl->Config();
-        const bool read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, in, memory);
+        const bool      read = co_await ReadRequest(*impl, cfg, *registration.m_Connection, buffer, in, memory);
         if (!read)
             break;
         HttpRequest req       = std::move(in.m_Request);
@@ -484,7 +502,19 @@
 void HttpServer::SetConfig(const HttpServerConfig& cfg)
 {
     std::lock_guard lock(m_Impl->m_Mutex);
-    m_Impl->m_Config = cfg;
+    const bool      idle_time_changed = cfg.m_IdleTimeout != m_Impl->m_Config.m_IdleTimeout;
+    m_Impl->m_Config                  = cfg;
+    if (!idle_time_changed)
+        return;
+    for (const auto& connection : m_Impl->m_Connections)
+        asio::post(connection->m_Stream->get_executor(),
+                   [connection]
+                   {
+                       if (connection->m_Stream == nullptr || !connection->m_Idle)
+                           return;
+                       connection->m_IdleTimeChanged = true;
+                       connection->m_Stream->cancel();
+                   });
 }
 
 void HttpServer::CloseAfterAnswer()
