Router: the search for another server ends with the request

What callers saw: streams that had begun and lost all servers were kept open and silent until 3.90 s of a time limit of 3.0 s.

Cause: between searches the router sleeps 0.1 to 1.6 s, and longer where callers tolerate it. Time was looked at only as a pause began; neither the time limit, nor the caller's leaving, nor the router's end cut it short.

Change: the pause ends with the caller's tolerance or the time limit, and with the abort of the call.

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -122,7 +122,7 @@
 // [SECTION] Client
 //-----------------------------------------------------------------------------
 
-// Ends calls from outside the coroutine that makes them, on the same strand. Safe to call at any time, also before and after the calls.
+// Ends calls and waits from outside the coroutine that makes them, on the same strand. Safe to call at any time, also before and after the calls.
 class HttpAbort
 {
 public:
@@ -136,6 +136,8 @@
     bool                                         m_Aborted = false; // never goes back to false
 };
 
+awaitable<void> SleepUntil(TimePoint until, HttpAbort& abort); // or until it is aborted
+
 struct HttpCallOptions
 {
     Duration                                 m_ConnectMax = milliseconds(2000); // for a new connection
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -390,6 +390,16 @@
         close();
 }
 
+awaitable<void> SleepUntil(TimePoint until, HttpAbort& abort)
+{
+    if (abort.Aborted())
+        co_return;
+    asio::steady_timer timer(co_await asio::this_coro::executor, until);
+    abort.Arm(&timer, [&timer] { timer.cancel(); });
+    co_await timer.async_wait(kNoThrow);
+    abort.Disarm(&timer);
+}
+
 HttpClient::HttpClient() : m_Impl(std::make_shared<Impl>())
 {
 }
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -360,10 +360,14 @@
 // tenths of a second, and otherwise the caller would lose what it has received. Requests that haven't begun are refused instead.
 bool DirectServe::Impl::MayKeepSearching(const Call& call, TimePoint now) const
 {
-    const bool refused      = call.m_NoRetryReason == NoRetryReason_NoServer || call.m_NoRetryReason == NoRetryReason_Budget;
-    const bool caller_waits = now - call.m_LastEventAt < MaxToleratedPause(call.m_Route->m_Goal, call.m_Route->m_MaxGap);
-    return refused && caller_waits && call.m_HeadSent && call.m_StalledAttempts.empty() && call.m_Route->MayRepeat() &&
-           call.TimeLeft(now) > kMinTimeForAttempt + kLostSearchMinPause;
+    const bool refused = call.m_NoRetryReason == NoRetryReason_NoServer || call.m_NoRetryReason == NoRetryReason_Budget;
+    return refused && call.m_HeadSent && call.m_StalledAttempts.empty() && call.m_Route->MayRepeat() && now < SearchEnd(call);
+}
+
+TimePoint DirectServe::Impl::SearchEnd(const Call& call)
+{
+    const TimePoint caller_waits_until = call.m_LastEventAt + MaxToleratedPause(call.m_Route->m_Goal, call.m_Route->m_MaxGap);
+    return std::min<TimePoint>(caller_waits_until, call.m_Deadline - kMinTimeForAttempt - kLostSearchMinPause);
 }
 
 awaitable<std::optional<ServerEntry>> DirectServe::Impl::FindNextServerWithWait(Call& call, AttemptEnd end)
@@ -372,7 +376,7 @@
     // The pause doubles because each search asks up to nine boxes.
     for (Duration pause = kLostSearchMinPause; !server && !call.m_Abort.Aborted() && MayKeepSearching(call, Now()); pause *= 2)
     {
-        co_await SleepFor(pause);
+        co_await SleepUntil(std::min<TimePoint>(Now() + pause, SearchEnd(call)), call.m_Abort);
         server = co_await FindNextServer(call, end);
     }
     co_return server;
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -256,6 +256,7 @@
     awaitable<std::optional<ServerEntry>> FindNextServer(Call& call, AttemptEnd end);         // nullopt: no retry is allowed, or no server takes it
     awaitable<std::optional<ServerEntry>> FindNextServerWithWait(Call& call, AttemptEnd end); // repeats it while MayKeepSearching()
     bool                                  MayKeepSearching(const Call& call, TimePoint now) const;
+    static TimePoint                      SearchEnd(const Call& call); // by then its caller has given up, or its time is over
     awaitable<void>                       SendFinalAnswer(Call& call, AttemptEnd end);
     awaitable<void>                       SendAnswer(Call& call, HttpResponse res);
     bool                                  TakeRetry(Call& call, AttemptEnd end, TimePoint now); // true: allowed, and the budget is charged
