Router: a claim in a box's queue ends with its request

What callers saw: a request with little time left could stand in a box's queue past its time limit; one whose caller had left stood on and could be granted a place that others were waiting for.

Cause: a claim's wait was a share of the latency objective only, and its timer knew of no abort.

Change: ClaimQueueWait() is bounded by the request's time, less 40 ms that it needs to be of use. Claim() takes the call's abort: it lets all boxes go. An aborted call is counted neither as admitted nor as refused.

Evidence: a_claim_waits_no_longer_than_its_request_has_time: four checks failed before. a_claim_whose_caller_leaves_goes_from_the_queue: failed with the abort left out of Claim().

--- a/src/connection/place_channel.cpp
+++ b/src/connection/place_channel.cpp
@@ -61,7 +61,7 @@
     m_Datagrams.TellOutcome(box, outcome);
 }
 
-awaitable<ClaimOutcome> PlaceChannel::Claim(std::vector<Endpoint> boxes, PlaceWanted wanted)
+awaitable<ClaimOutcome> PlaceChannel::Claim(std::vector<Endpoint> boxes, PlaceWanted wanted, HttpAbort& abort)
 {
     static HistogramMetric& took   = Metrics().GetHistogram("aldervale_place_claim_seconds");
     const TimePoint         began  = Now();
@@ -75,8 +75,12 @@
         m_Datagrams.ClaimPlace(box, {{{}, number}, wanted.m_Most, wanted.m_Wait, wanted.m_ReadingMs, per_second, wanted.m_Rank});
     }
     c.m_Timer.expires_after(wanted.m_Wait + kPlaceAnswerMax);
-    if (c.m_Open > 0)
+    abort.Arm(&c, [&c] { c.m_Timer.cancel(); });
+    if (c.m_Open > 0 && !abort.Aborted())
         co_await c.m_Timer.async_wait(kNoThrow);
+    abort.Disarm(&c);
+    if (abort.Aborted()) // nobody will use the place
+        c.m_Outcome.m_Granted.reset();
     m_Claiming.erase(number);
     for (const Endpoint& box : boxes)
         if (c.m_Outcome.m_Granted != box.m_Address)
--- a/src/connection/place_channel.h
+++ b/src/connection/place_channel.h
@@ -9,9 +9,10 @@
 // Usage (src/request/direct_place.cpp):
 //   std::vector<PlaceAnswer> answers = co_await channel.Ask(boxes);
 //   channel.Take(box, reading_ms);             // where the request goes
-//   auto granted = co_await channel.Claim(boxes, wanted);       // in its place: nobody else gets this place
+//   auto granted = co_await channel.Claim(boxes, wanted, abort); // in its place: nobody else gets this place
 
 #pragma once
+#include "connection/http.h"
 #include "connection/load_channel.h"
 #include <map>
 #include <optional>
@@ -53,8 +54,8 @@
     void                                Take(const Endpoint& box, double reading_ms);
     void                                Tell(const Endpoint& box, const ServedOutcome& outcome); // how an answer of its server went
 
-    // The place is taken with the grant; the other boxes are let go.
-    awaitable<ClaimOutcome> Claim(std::vector<Endpoint> boxes, PlaceWanted wanted);
+    // The place is taken with the grant; the other boxes are let go, and all are when it is aborted first.
+    awaitable<ClaimOutcome> Claim(std::vector<Endpoint> boxes, PlaceWanted wanted, HttpAbort& abort);
 
 private:
     struct Asked // by one request; lives in its Ask()
--- a/src/request/direct_place.cpp
+++ b/src/request/direct_place.cpp
@@ -136,10 +136,12 @@
     for (const Choice& c : candidates)
         if (c.m_ColdPerSecond > 0)
             wanted.m_MaxPerSecond[PlaceEndpoint(*c.m_Server)] = c.m_ColdPerSecond;
-    const ClaimOutcome outcome = co_await m_PlaceChannel->Claim(boxes, wanted);
+    const ClaimOutcome outcome = co_await m_PlaceChannel->Claim(boxes, wanted, call.m_Abort);
     const TimePoint    now     = Now();
     call.m_BoxesClaimed        = boxes.size();
     call.m_ClaimDuration       = now - began;
+    if (call.m_Abort.Aborted()) // no decision: nobody waits for one
+        co_return Choice{};
     if (!outcome.m_Heard && query.m_Best.m_ColdPerSecond == 0) // agents without support for claims, or lost datagrams: the earlier answers decide
         co_return m_Choice.Decide(query.m_Best, need, now);
     const std::vector<const ServerEntry*> usable = UsableServers(call, query); // a server may have been removed meanwhile
@@ -240,7 +242,7 @@
     else
         call.m_Choice = m_Choice.Decide(query.m_Best, need, Now());
     std::optional<ServerEntry> chosen;
-    if (call.m_Choice.m_Server != nullptr)
+    if (call.m_Choice.m_Server != nullptr && !call.m_Abort.Aborted())
         chosen = *call.m_Choice.m_Server;
     if (chosen && !call.m_ClaimGranted && m_PlaceChannel != nullptr && call.m_Service->m_Engine)
         m_PlaceChannel->Take(PlaceEndpoint(*chosen), ReadingMs(*call.m_Service->m_Engine, call.m_Caller.m_PromptTokens));
@@ -254,6 +256,8 @@
     const RequestNeed                  need      = NeedOf(call, deadlines, Now());
     call.m_Rank                                  = need.m_Rank;
     std::optional<ServerEntry> server            = co_await FindServer(call, need);
+    if (call.m_Abort.Aborted())
+        co_return std::nullopt;
     if (call.m_Service->m_Engine && !call.m_AdmittedAsRetry)
         CountDecision(call, server.has_value());
     if (!server && call.m_Service->m_Engine &&
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -272,8 +272,9 @@
         return {};
     const double   objective = ToSeconds(StrictestObjective(need));
     const Duration usual     = best.m_Predicted - FromMs(ExtraPromptMs(need));
+    const Duration in_time   = std::max<Duration>(need.m_TimeToDeadline - kClaimedTimeMin, Duration::zero());
     return std::clamp(FromSeconds(objective * m_Config.m_Admission.m_FirstAttemptShare) - usual, Duration::zero(),
-                      FromSeconds(objective * m_Config.m_QueueWaitMaxShare));
+                      std::min(FromSeconds(objective * m_Config.m_QueueWaitMaxShare), in_time));
 }
 
 Choice ServerChoice::OnClaimGranted(const Choice& granted, const RequestNeed& need, TimePoint now)
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -117,6 +117,8 @@
     ServerOutcome_Cancelled,   // ended by the caller or by a deadline of this router: says nothing about the server
 };
 
+constexpr auto kClaimedTimeMin = milliseconds(40); // that a request must have left when its claim is granted
+
 struct RequestNeed
 {
     const Service*                   m_Service      = nullptr;      //
--- a/tests/test_place_channel.cpp
+++ b/tests/test_place_channel.cpp
@@ -70,7 +70,8 @@
 
 ClaimOutcome Claim(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes, const PlaceWanted& wanted)
 {
-    return Finish<ClaimOutcome>(ioc, [&] { return router.m_Places.Claim(boxes, wanted); });
+    HttpAbort never;
+    return Finish<ClaimOutcome>(ioc, [&] { return router.m_Places.Claim(boxes, wanted, never); });
 }
 
 // Asks until a box answers within the channel's timeout, which a busy machine may miss; gives up after a time that only a hang reaches.
@@ -154,8 +155,9 @@
     std::optional<ClaimOutcome> got;
     const std::vector<Endpoint> boxes  = {On(1, port)};
     const PlaceWanted           wanted = {12, milliseconds(2000), 50};
+    HttpAbort                   never;
     asio::co_spawn(
-        ioc, [&]() -> awaitable<void> { got = co_await router.m_Places.Claim(boxes, wanted); }, asio::detached);
+        ioc, [&]() -> awaitable<void> { got = co_await router.m_Places.Claim(boxes, wanted, never); }, asio::detached);
     const TimePoint end = Now() + seconds(60);
     while (!box.m_Answers.HasQueue() && Now() < end)
         ioc.run_for(milliseconds(2));
@@ -169,6 +171,32 @@
     BOOST_TEST(!box.m_Answers.HasQueue());
 }
 
+// Guards against claims that wait on though their callers have left, and get places that others could use.
+BOOST_AUTO_TEST_CASE(a_claim_whose_caller_leaves_goes_from_the_queue)
+{
+    asio::io_context ioc;
+    const uint16_t   port = FreeEndpoint().m_Port;
+    TestBox          box(ioc, On(1, port));
+    TestRouter       router(ioc, On(10, port));
+    box.m_Load.m_Running = 12;
+    std::optional<ClaimOutcome> got;
+    HttpAbort                   abort;
+    const std::vector<Endpoint> boxes  = {On(1, port)};
+    const PlaceWanted           wanted = {12, seconds(600), 50};
+    asio::co_spawn(
+        ioc, [&]() -> awaitable<void> { got = co_await router.m_Places.Claim(boxes, wanted, abort); }, asio::detached);
+    const TimePoint end = Now() + seconds(60); // before the claim's own
+    while (!box.m_Answers.HasQueue() && Now() < end)
+        ioc.run_for(milliseconds(2));
+    BOOST_TEST(box.m_Answers.HasQueue());
+    abort.Abort();
+    while ((!got || box.m_Answers.HasQueue()) && Now() < end)
+        ioc.run_for(milliseconds(2));
+    BOOST_REQUIRE(got.has_value());
+    BOOST_TEST(!got->m_Granted.has_value());
+    BOOST_TEST(!box.m_Answers.HasQueue());
+}
+
 BOOST_AUTO_TEST_CASE(unresponsive_boxes_cost_a_short_wait_and_leave_no_state)
 {
     asio::io_context ioc;
--- a/tests/test_server_choice.cpp
+++ b/tests/test_server_choice.cpp
@@ -682,6 +682,23 @@
     BOOST_TEST(!choice.NeedsClaim(choice.Best(servers, need, kStart + seconds(3)), need)); // it is warm
 }
 
+// Guards against requests that wait in a box's queue past their time limits.
+BOOST_AUTO_TEST_CASE(a_claim_waits_no_longer_than_its_request_has_time)
+{
+    const ServerChoice choice({}, 1);
+    const Service      model    = ModelService();
+    RequestNeed        need     = Need(model);
+    const Duration     patience = choice.ClaimQueueWait({}, need);
+    BOOST_TEST((patience > kClaimedTimeMin));
+    need.m_TimeToDeadline = patience;
+    BOOST_TEST((choice.ClaimQueueWait({}, need) == patience - kClaimedTimeMin));
+    for (const Duration none : {Duration(kClaimedTimeMin), Duration::zero(), Duration(milliseconds(-5))})
+    {
+        need.m_TimeToDeadline = none;
+        BOOST_TEST((choice.ClaimQueueWait({}, need) == Duration::zero()));
+    }
+}
+
 // Guards against a server that is filled up to its slots where its box found that it serves fewer requests well, and against a capacity that counts
 // in a deployment without the setting.
 BOOST_AUTO_TEST_CASE(a_learned_capacity_takes_the_place_of_the_slots_only_where_it_is_used)
