Router: late in a drain only the deadline admits what would be lost

What callers saw: in a planned stop, requests whose last byte came 3.2 to 6.5 s after SIGTERM were passed on and cut at the router's end, 11 of 40 (streams broken off; work that may not be repeated ran and got 502).

Cause: a request was admitted if the longest of the last 64 answers fitted into the time left. Answers of others bound nothing: they had taken 60 ms, these took 2.5 s.

Change: for streams and for what may not be repeated the guess counts only in the first two fifths of the drain, and the latter need twice the time. Whole answers that may be repeated go on being judged by the guess: their callers are told, and send them again.

--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -179,8 +179,9 @@
         times = &of_route->second;
     else if (of_service != m_ServiceTimes.end())
         times = &of_service->second;
-    const Duration unknown = route.m_Kind == RouteKind_Stream ? left : route.m_Goal;
-    return CanAnswerInTime(times->Expected(caller.m_MaxAnswerTokens, unknown), left, m_EndsAt - now);
+    const Duration       unknown = route.m_Kind == RouteKind_Stream ? left : route.m_Goal;
+    const DrainedRequest request = {times->Expected(caller.m_MaxAnswerTokens, unknown), left, route.m_Kind == RouteKind_Stream, route.MayRepeat()};
+    return CanAnswerInTime(request, m_EndsAt - now, m_EndsAt - m_DrainBeganAt);
 }
 
 // One that may have run, or whose answer has begun, goes on: refusing it would be untrue or lose what its caller has.
@@ -705,7 +706,8 @@
 
 void DirectServe::SetEnd(TimePoint at)
 {
-    m_Impl->m_EndsAt = at;
+    m_Impl->m_DrainBeganAt = Now();
+    m_Impl->m_EndsAt       = at;
 }
 
 std::optional<HttpResponse> DirectServe::RefuseLate(const HttpRequest& head) const
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -173,6 +173,7 @@
     CrashHistory           m_CrashHistory{Duration(kTrialStaggerMax) * (RandomSeed() % 1000) / 1000}; // merged with other routers' records
     std::function<void()>  m_OnTrial;                                            // as a server has a trial of m_CrashHistory; may be empty
     TimePoint              m_EndsAt = TimePoint::max();                          // the process ends then; max: it wasn't told to end
+    TimePoint              m_DrainBeganAt{};                                     // when it was told to
     std::map<std::string, AnswerTimes>                  m_RouteTimes;            // by route of m_RouteTimesOf
     RouteTablePtr                                       m_RouteTimesOf;          // the declarations that m_RouteTimes is kept for
     std::map<std::string, AnswerTimes>                  m_ServiceTimes;          // by service
--- a/src/request/drain_admission.cpp
+++ b/src/request/drain_admission.cpp
@@ -31,11 +31,15 @@
     return IsKnown() ? expected : std::max(expected, unknown);
 }
 
-bool CanAnswerInTime(Duration expected, Duration time_left, Duration until_end)
+bool CanAnswerInTime(const DrainedRequest& request, Duration until_end, Duration drain)
 {
     if (until_end <= Duration::zero())
         return false;
-    return time_left <= until_end || expected + kAnswerTransit <= until_end;
+    if (request.m_TimeLeft <= until_end)
+        return true;
+    const bool losable   = request.m_IsStream || !request.m_MayRepeat;
+    const bool may_guess = !losable || ToSeconds(until_end) >= ToSeconds(drain) * (1 - kGuessShare);
+    return may_guess && request.m_Expected * (request.m_MayRepeat ? 1 : kOnceMargin) + kAnswerTransit <= until_end;
 }
 
 } // namespace aldervale
--- a/src/request/drain_admission.h
+++ b/src/request/drain_admission.h
@@ -15,11 +15,16 @@
 //   - While hardly any answers were seen, an answer that isn't a stream is expected to take the route's latency objective at least, and a stream
 //     until the request's deadline.
 //   - A request whose deadline is before the router's end is admitted, however long answers take.
+//   - How long others took is a guess, not a bound: answers may take longer from one moment to the next. A wrong guess costs a whole answer that may
+//   be
+//     repeated its time: its caller is told, and sends it again. A stream breaks off inside its answer, and work that may not be repeated is lost.
+//     For these the guess counts only at the begin of the drain (kGuessShare), while callers still come; afterwards the deadline alone decides. Where
+//     nothing may be repeated there has to be twice the time.
 //
 // Usage:
 //   AnswerTimes times;                                       // one for each route, and one for each service
 //   times.OnAnswered(tokens, whole);
-//   if (!CanAnswerInTime(times.Expected(tokens, unknown), time_left, until_end)) ...the request is refused
+//   if (!CanAnswerInTime({times.Expected(tokens, unknown), time_left, is_stream, may_repeat}, until_end, drain)) ...the request is refused
 
 #pragma once
 #include "common/clock.h"
@@ -32,6 +37,8 @@
 constexpr size_t kAnswersMin    = 32;                // with fewer, none says how long others may take
 constexpr size_t kSimilarMin    = 16;                // answers with about as many tokens from which on only such count
 constexpr double kSimilarFactor = 2;                 // about as many: up to so many times more or less
+constexpr double kGuessShare    = 0.4;               // of the drain, from its begin: in which a guess counts for streams and what may not be repeated
+constexpr int    kOnceMargin    = 2;                 // times the expected time that must be left for what may not be repeated
 constexpr auto   kAnswerTransit = milliseconds(100); // beyond what this router saw of an answer: until its caller has the last byte
 
 class AnswerTimes
@@ -53,7 +60,15 @@
     size_t              m_Next = 0; // index of the one that is replaced next
 };
 
-// time_left: until the request's deadline. until_end: of the router.
-bool CanAnswerInTime(Duration expected, Duration time_left, Duration until_end);
+struct DrainedRequest // one that a draining router may pass on
+{
+    Duration m_Expected{};        // AnswerTimes::Expected()
+    Duration m_TimeLeft{};        // until its deadline
+    bool     m_IsStream  = false; //
+    bool     m_MayRepeat = false; //
+};
+
+// until_end: of the router. drain: from when it was told to end until then.
+bool CanAnswerInTime(const DrainedRequest& request, Duration until_end, Duration drain);
 
 } // namespace aldervale
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -5,7 +5,8 @@
 though the platform leaves a router 8 s: its caller saw a reset.
 
 The other way round, a request that it can't answer any more is refused as not run, and what is in progress at its end is told so and logged. Such requests
-were passed on and cut off with the process: 30 of 400 in a trial with bodies of 3.5 s and answers of 5 s.
+were passed on and cut off with the process: 30 of 400 in a trial with bodies of 3.5 s and answers of 5 s. How long answers took before doesn't say that: where
+they had taken 60 ms and then took 2.5 s, 11 of 40 were cut off.
 
 A real router on loopback; the store and the servers are stand-ins.
 
@@ -29,6 +30,10 @@
 CALLERS = 300   # that send at the moment of the signal
 LATE_S = 4.5    # after SIGTERM: the router has less than SLOW_S left
 SLOW_S = 3.5    # that answers of the slow service take
+USUAL_S = 0.02  # that answers of the routes `turn` and `flow` take before the signal
+LONGER_S = 2.5  # and after it
+USUAL = 40      # so many of them come before: enough for the router to know their time
+LAST_BYTES_S = (3.3, 4.2, 5.2, 6.2)  # after SIGTERM: last bytes of requests whose heads came before it
 BIG = 2_000_000 # bytes of an answer that doesn't fit into its caller's receive buffer
 SLOW_TIME_S = 120  # time limit of its requests; a test that is starved must not reach it
 LIMIT_S = 60    # only what never comes takes so long
@@ -40,11 +45,19 @@
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 30000, "IdleTimeoutMs": 30000},
             "Routes": [standin.route("page", "safe", "web", TimeoutMs=20000), standin.route("once", "unsafe", "web", TimeoutMs=20000),
                        standin.route("slow", "unsafe", "slow", TimeoutMs=SLOW_TIME_S * 1000), standin.route("hang", "unsafe", "slow", TimeoutMs=SLOW_TIME_S * 1000),
+                       standin.route("turn", "unsafe", "slow", TimeoutMs=SLOW_TIME_S * 1000),
+                       standin.route("flow", "streaming", "slow", TimeoutMs=SLOW_TIME_S * 1000, Resumable=True),
                        standin.route("stream", "streaming", "slow", TimeoutMs=SLOW_TIME_S * 1000, Resumable=True)]}
 
 
 class SlowBackend(standin.Backend):
     async def execute(self, req, ident, run, writer, gone):
+        if req.path.startswith("/turn/"):
+            await standin.work(self.answer_s, gone)
+            await standin.stop_watching(gone)
+            return await self.send(run, writer, standin.answer(200, b"done", X_Request_Id=ident, X_Response_Seal="seal"))
+        if req.path.startswith("/flow/"):
+            return await self.stream(ident, run, writer, gone, self.answer_s / standin.EVENTS)
         if req.path.startswith("/stream/"):
             event = b"id: 1\ndata: first\n\n"
             head = f"HTTP/1.1 200 X\r\nX-Request-Id: {ident}\r\nContent-Type: text/event-stream\r\nX-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -71,6 +84,7 @@
         await store.listen(port)
         self.slow = SlowBackend("slow-1", "slow", slow, self.record, RNG)
         self.slow.released = asyncio.Event()  # for big answers and the end of some streams
+        self.slow.answer_s = USUAL_S
         for server in (standin.Backend("web-1", "web", backend, self.record, RNG), self.slow):
             await server.listen()
             store.put("servers", server.id, server.row())
@@ -246,6 +260,42 @@
         settled = self.logged("RequestSettled").get("late", {})
         self.assertTrue("late" in self.logged("UploadRefused") or settled.get("status") == 503, "the refusal has no line")
 
+    async def answer_to(self, path, ident, last_byte_s):
+        """Returns the status of a request that begins now, and whether its answer is whole; (0, False): there is none."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.http)
+            writer.write(f"POST {path} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {ident}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbo".encode())
+            await asyncio.sleep(last_byte_s)
+            writer.write(b"dy")
+            answer = await asyncio.wait_for(reader.read(), LIMIT_S)
+            writer.close()
+            head, _, body = answer.partition(b"\r\n\r\n")
+            length = next((int(line.split(b":")[1]) for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")), None)
+            whole = body.endswith(b"0\r\n\r\n") if length is None else len(body) == length
+            return int(answer.split()[1]), whole
+        except (OSError, IndexError):
+            return 0, False
+
+    async def check_longer_answers(self, path):
+        for n in range(USUAL):
+            self.assertEqual(await self.answer_to(path, f"usual-{n}", 0), (200, True))
+        late = [asyncio.ensure_future(self.answer_to(path, f"late-{n}", s)) for n, s in enumerate(LAST_BYTES_S)]
+        await asyncio.sleep(LOOK_S)  # their heads are at the router
+        self.router.send_signal(signal.SIGTERM)
+        early = await self.answer_to(path, "early", 0)
+        self.slow.answer_s = LONGER_S
+        answers = await asyncio.gather(*late)
+        lost = [n for n, (status, whole) in enumerate(answers) if self.record.runs.get(f"late-{n}") and (status != 200 or not whole)]
+        self.assertEqual(lost, [], f"ran and have no whole answer; all: {answers}")
+        self.assertEqual([status for status, _ in answers if status not in (200, 503)], [])
+        self.assertEqual(early, (200, True), "refused though the router had time for many such answers")
+
+    async def test_requests_that_may_not_be_repeated_do_not_run_late_though_answers_were_short(self):
+        await self.check_longer_answers("/turn/x")
+
+    async def test_streams_are_not_begun_late_though_answers_were_short(self):
+        await self.check_longer_answers("/flow/x")
+
     async def test_a_request_of_a_service_that_has_answered_nothing_here_yet_is_served(self):
         """A router that has only just started knows no answer's time."""
         self.router.send_signal(signal.SIGTERM)
