HTTP client: reading from a server that floods lets others have their turn

What callers saw: while the servers of one service sent bodies without end, requests of another service took up to 1.57 s, and a twelfth of the usual number was answered; ProcessStalled told of 407 ms.

Cause: a read takes what lies in the socket without a wait. A server that sends faster than it is read never has a read wait, so one answer was read up to its bound of 64 MiB before anything else ran on the router's thread.

Change: after every 256 KiB of an answer the executor runs what else is due.

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -155,7 +155,7 @@
 // An answer that is read as it comes: its head, then its body piece by piece. A read that ends at `quiet_until` because nothing came loses nothing:
 // the next one goes on where it stopped, so a server that pauses need not be given up to look elsewhere. After an error nothing more is read.
 // A server may send bytes without end: heads, chunk sizes and trailers are bounded, and once the deadline is over no more is read than may have
-// lain in the socket by then. Who keeps the bytes of a body bounds them.
+// lain in the socket by then. Who keeps the bytes of a body bounds them. Other coroutines of the executor have their turn while bytes keep coming.
 class HttpStream
 {
 public:
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -25,6 +25,7 @@
 constexpr auto   kFlowingMax      = seconds(15);        // that an answer whose bytes keep coming may take beyond its deadline, if that is allowed
 constexpr size_t kUnparsedMax     = 64 * 1024;          // bytes of a head, a chunk's size line or trailers
 constexpr size_t kLateBytesMax    = 8 * 1024 * 1024;    // read after the deadline: they may have lain in the socket while this process stood still
+constexpr size_t kTurnBytes       = 256 * 1024;         // read of one answer until others have their turn
 constexpr int    kSkippedMax      = 2;                  // answers to other requests skipped on one connection before it is given up
 
 using ClientStream = beast::basic_stream<tcp, asio::any_io_executor>;
@@ -242,6 +243,11 @@
                 co_return http::error::buffer_overflow;
             if (m_LateBytes > kLateBytesMax)
                 co_return beast::error::timeout;
+            if (m_TurnBytes >= kTurnBytes) // a peer that sends faster than its bytes are read never has a read wait
+            {
+                m_TurnBytes = 0;
+                co_await asio::post(Stream().get_executor(), use_awaitable);
+            }
             const size_t before = buffer.size();
             ec                  = co_await ReadSome(Stream().socket(), m_Timer, buffer, std::min(quiet_until, deadline));
             if (ec == kNothingCame && Now() >= deadline)
@@ -251,6 +257,7 @@
             if (ec)
                 co_return ec;
             m_LateBytes += Now() >= deadline ? buffer.size() - before : 0;
+            m_TurnBytes += buffer.size() - before;
         }
     }
 
@@ -343,6 +350,7 @@
     std::vector<char>                 m_Piece;                        //
     TimePoint                         m_HeadBy    = TimePoint::max(); // ends the wait for the head early
     size_t                            m_LateBytes = 0;                // read after the deadline of their read
+    size_t                            m_TurnBytes = 0;                // read since others had their turn
     bool                              m_Reset     = false;            // before a FIN, as the writing of the request showed
     bool                              m_OwnHead   = false;            // m_Head is of the answer to this request
     bool                              m_Dropping  = false;            // the answer being read is to another request
