--- a/src/request/drain_admission.h
+++ b/src/request/drain_admission.h
@@ -18,8 +18,8 @@
 //   - How long others took is a guess, not a bound: answers may take longer from one moment to the next. A wrong guess costs a whole answer that may
 //   be
 //     repeated its time: its caller is told, and sends it again. A stream breaks off inside its answer, and work that may not be repeated is lost.
-//     For these the guess counts only at the begin of the drain (kGuessShare), while callers still come; afterwards the deadline alone decides. Where
-//     nothing may be repeated there has to be twice the time.
+//     For these the guess counts only at the beginning of the drain (kGuessShare), while callers still come; afterwards the deadline alone decides.
+//     Where nothing may be repeated there has to be twice the time.
 //
 // Usage:
 //   AnswerTimes times;                                       // one for each route, and one for each service
@@ -33,12 +33,12 @@
 namespace aldervale
 {
 
-constexpr size_t kAnswersKept   = 64;                // last answers that count
-constexpr size_t kAnswersMin    = 32;                // with fewer, none says how long others may take
-constexpr size_t kSimilarMin    = 16;                // answers with about as many tokens from which on only such count
-constexpr double kSimilarFactor = 2;                 // about as many: up to so many times more or less
-constexpr double kGuessShare    = 0.4;               // of the drain, from its begin: in which a guess counts for streams and what may not be repeated
-constexpr int    kOnceMargin    = 2;                 // times the expected time that must be left for what may not be repeated
+constexpr size_t kAnswersKept   = 64;  // last answers that count
+constexpr size_t kAnswersMin    = 32;  // with fewer, none says how long others may take
+constexpr size_t kSimilarMin    = 16;  // answers with about as many tokens from which on only such count
+constexpr double kSimilarFactor = 2;   // about as many: up to so many times more or less
+constexpr double kGuessShare    = 0.4; // of the drain, from its beginning, in which a guess counts for streams and what may not be repeated
+constexpr int    kOnceMargin    = 2;   // times the expected time that must be left for what may not be repeated
 constexpr auto   kAnswerTransit = milliseconds(100); // beyond what this router saw of an answer: until its caller has the last byte
 
 class AnswerTimes
