Tests: the routers of servers_crash_together know each other

Traced by the routers' logs: the trial of router-2 (75 ms before its server's crash at 0 s) was followed by one of router-1 at 1.0 s, which had no record of that crash; the same again 12 s later. The test's fleet had neither agents nor seeds, so its routers never heard of each other, and each made the two trials that are allowed in that time. Machines in touch were meant.

The fleet has seeds now; bounds and checks are unchanged.

--- a/tests/test_servers_crash_together.py
+++ b/tests/test_servers_crash_together.py
@@ -70,7 +70,7 @@
 
 class Fleet(platform_fleet.Fleet):
     def __init__(self, folder):
-        super().__init__(folder, ROUTERS, 0, backends=SERVERS)
+        super().__init__(folder, ROUTERS, 0, backends=SERVERS, seeds=ROUTERS)  # without agents routers know each other by these
         self.page_crashes = self.page_silent = False
         self.page_arrivals, self.crashes = [], []  # when
         self.servers = [Server(self, n, port) for n, port in enumerate(self.backend_ports)]
