Tests: the early request of router_drain comes once the drain has begun

Traced by the router's log: it has no line of that request, and neither did the server. Its connection was opened before the router handled the signal, and rested as the drain began, so it was closed before the request's bytes came, as connections at rest are.

The test waits for the drain's begin first, as its other cases do; checks are unchanged.

--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -282,6 +282,8 @@
         late = [asyncio.ensure_future(self.answer_to(path, f"late-{n}", s)) for n, s in enumerate(LAST_BYTES_S)]
         await asyncio.sleep(LOOK_S)  # their heads are at the router
         self.router.send_signal(signal.SIGTERM)
+        while "ProcessDraining" not in open(self.log).read():  # a connection of before that rests may be closed
+            await asyncio.sleep(LOOK_S)
         early = await self.answer_to(path, "early", 0)
         self.slow.answer_s = LONGER_S
         answers = await asyncio.gather(*late)
