HTTP client: connecting to a server ends as the caller leaves

What callers saw: nothing, as they had left; the request went on connecting for up to server.connect_ms (0.3 s, 10 s at most) for nobody, and held up a router that cuts off.

Cause: the abort of a call was looked at only once the connection was there.

Change: ConnectTcp() takes the abort and closes its socket with it. The abort isn't of HTTP alone (claims, waits, connecting): it is CallAbort now, beside ConnectTcp() and SleepUntil().

--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -122,28 +122,12 @@
 // [SECTION] Client
 //-----------------------------------------------------------------------------
 
-// Ends calls and waits from outside the coroutine that makes them, on the same strand. Safe to call at any time, also before and after the calls.
-class HttpAbort
-{
-public:
-    void Abort();
-    bool Aborted() const { return m_Aborted; }
-    void Arm(const void* call, std::function<void()> close) { m_Close[call] = std::move(close); } // by the client: what ends that call
-    void Disarm(const void* call) { m_Close.erase(call); }                                        // by the client: it is over
-
-private:
-    std::map<const void*, std::function<void()>> m_Close;           // of calls under way
-    bool                                         m_Aborted = false; // never goes back to false
-};
-
-awaitable<void> SleepUntil(TimePoint until, HttpAbort& abort); // or until it is aborted
-
 struct HttpCallOptions
 {
     Duration                                 m_ConnectMax = milliseconds(2000); // for a new connection
     Duration                                 m_IdleMax    = seconds(10);        // a kept connection that rested longer isn't used
     std::function<bool(const HttpResponse&)> m_IsOurs;                          // false for an answer to another request: it is skipped
-    HttpAbort*                               m_Abort = nullptr;                 // must outlive the call and its stream
+    CallAbort*                               m_Abort = nullptr;                 // must outlive the call and its stream
     bool                                     m_Keep  = true;                    // the connection is kept for later calls; else closed after this one
     bool                                     m_Fresh = false;                   // on a new connection, not on a kept one
     Duration                                 m_PauseMax{}; // over zero: Call() reads past its deadline while bytes come, none of its pauses longer
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -391,23 +391,6 @@
 
 } // namespace
 
-void HttpAbort::Abort()
-{
-    m_Aborted = true;
-    for (const auto& [call, close] : m_Close)
-        close();
-}
-
-awaitable<void> SleepUntil(TimePoint until, HttpAbort& abort)
-{
-    if (abort.Aborted())
-        co_return;
-    asio::steady_timer timer(co_await asio::this_coro::executor, until);
-    abort.Arm(&timer, [&timer] { timer.cancel(); });
-    co_await timer.async_wait(kNoThrow);
-    abort.Disarm(&timer);
-}
-
 HttpClient::HttpClient() : m_Impl(std::make_shared<Impl>())
 {
 }
@@ -459,7 +442,7 @@
             co_return sent;
     }
     const Duration left   = std::min<Duration>(deadline - Now(), options.m_ConnectMax);
-    auto           socket = co_await ConnectTcp(to, left);
+    auto           socket = co_await ConnectTcp(to, left, std::nullopt, options.m_Abort);
     if (!socket)
         co_return socket.error();
     m_Impl->m_Connects++;
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -309,8 +309,10 @@
 
 // When the connection and the limit's end are found together, the coroutine may end before the limit's handler runs. That one must not touch what is
 // gone by then: some two of 1,000 routers ended so on a day on which the store went silent.
-awaitable<Result<tcp::socket>> ConnectTcp(Endpoint to, Duration timeout, std::optional<asio::any_io_executor> owner)
+awaitable<Result<tcp::socket>> ConnectTcp(Endpoint to, Duration timeout, std::optional<asio::any_io_executor> owner, CallAbort* abort)
 {
+    if (abort != nullptr && abort->Aborted())
+        co_return MakeError(ErrorCode_Unavailable, "call ended before it connected to " + to.ToString());
     const asio::any_io_executor ex = co_await asio::this_coro::executor;
     const auto                  c  = std::make_shared<Connecting>(owner ? *owner : ex); // until it is returned only this strand touches the socket
     asio::steady_timer          timer(ex, timeout);
@@ -322,8 +324,17 @@
             c->m_TimedOut = true;
             c->m_Socket.close(wait_ec);
         });
+    const auto close = [c]
+    {
+        boost::system::error_code ignored;
+        c->m_Socket.close(ignored);
+    };
+    if (abort != nullptr)
+        abort->Arm(c.get(), close);
     const auto [ec] = co_await c->m_Socket.async_connect(tcp::endpoint(to.m_Address, to.m_Port), kNoThrow);
     c->m_Over       = true;
+    if (abort != nullptr)
+        abort->Disarm(c.get());
     timer.cancel();
     if (ec || c->m_TimedOut)
         co_return MakeError(ErrorCode_Unavailable, "can't connect to " + to.ToString());
@@ -347,6 +358,23 @@
     return acceptor;
 }
 
+void CallAbort::Abort()
+{
+    m_Aborted = true;
+    for (const auto& [call, close] : m_Close)
+        close();
+}
+
+awaitable<void> SleepUntil(TimePoint until, CallAbort& abort)
+{
+    if (abort.Aborted())
+        co_return;
+    asio::steady_timer timer(co_await asio::this_coro::executor, until);
+    abort.Arm(&timer, [&timer] { timer.cancel(); });
+    co_await timer.async_wait(kNoThrow);
+    abort.Disarm(&timer);
+}
+
 awaitable<void> SleepFor(Duration d)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, d);
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -25,6 +25,7 @@
 #include <boost/asio.hpp>
 #include <deque>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
@@ -150,6 +151,20 @@
 // [SECTION] Connecting and listening
 //-----------------------------------------------------------------------------
 
+// Ends calls and waits from outside the coroutine that makes them, on the same strand. Safe to call at any time, also before and after the calls.
+class CallAbort
+{
+public:
+    void Abort();
+    bool Aborted() const { return m_Aborted; }
+    void Arm(const void* call, std::function<void()> close) { m_Close[call] = std::move(close); } // by the client: what ends that call
+    void Disarm(const void* call) { m_Close.erase(call); }                                        // by the client: it is over
+
+private:
+    std::map<const void*, std::function<void()>> m_Close;           // of calls under way
+    bool                                         m_Aborted = false; // never goes back to false
+};
+
 struct Endpoint
 {
     asio::ip::address m_Address;  // IP number
@@ -161,7 +176,8 @@
 
 Result<Endpoint>               ParseEndpoint(std::string_view text); // "127.0.0.1:7000"; names are refused
 awaitable<Result<tcp::socket>> ConnectTcp(Endpoint to, Duration timeout,
-                                          std::optional<asio::any_io_executor> owner = std::nullopt); // owner: executor of the socket
+                                          std::optional<asio::any_io_executor> owner = std::nullopt, // executor of the socket
+                                          CallAbort*                           abort = nullptr);                               // ends it early
 Result<tcp::acceptor>          ListenTcp(asio::any_io_executor ex, const Endpoint& at);
 
 //-----------------------------------------------------------------------------
@@ -170,5 +186,6 @@
 
 // Suspends the calling coroutine.
 awaitable<void> SleepFor(Duration d);
+awaitable<void> SleepUntil(TimePoint until, CallAbort& abort); // or until it is aborted
 
 } // namespace aldervale
--- a/src/connection/place_channel.cpp
+++ b/src/connection/place_channel.cpp
@@ -61,7 +61,7 @@
     m_Datagrams.TellOutcome(box, outcome);
 }
 
-awaitable<ClaimOutcome> PlaceChannel::Claim(std::vector<Endpoint> boxes, PlaceWanted wanted, HttpAbort& abort)
+awaitable<ClaimOutcome> PlaceChannel::Claim(std::vector<Endpoint> boxes, PlaceWanted wanted, CallAbort& abort)
 {
     static HistogramMetric& took   = Metrics().GetHistogram("aldervale_place_claim_seconds");
     const TimePoint         began  = Now();
--- a/src/connection/place_channel.h
+++ b/src/connection/place_channel.h
@@ -12,7 +12,6 @@
 //   auto granted = co_await channel.Claim(boxes, wanted, abort); // in its place: nobody else gets this place
 
 #pragma once
-#include "connection/http.h"
 #include "connection/load_channel.h"
 #include <map>
 #include <optional>
@@ -55,7 +54,7 @@
     void                                Tell(const Endpoint& box, const ServedOutcome& outcome); // how an answer of its server went
 
     // The place is taken with the grant; the other boxes are let go, and all are when it is aborted first.
-    awaitable<ClaimOutcome> Claim(std::vector<Endpoint> boxes, PlaceWanted wanted, HttpAbort& abort);
+    awaitable<ClaimOutcome> Claim(std::vector<Endpoint> boxes, PlaceWanted wanted, CallAbort& abort);
 
 private:
     struct Asked // by one request; lives in its Ask()
--- a/src/request/direct_serve_internal.h
+++ b/src/request/direct_serve_internal.h
@@ -106,7 +106,7 @@
     const Route*            m_Route   = nullptr;     //
     const ClientAccount*    m_Account = nullptr;     // null: the route is public, or no account needs a key
     const Service*          m_Service = nullptr;     //
-    HttpAbort               m_Abort;                 // cancels all attempts when the caller disconnects
+    CallAbort               m_Abort;                 // cancels all attempts when the caller disconnects
     std::vector<ServerLife> m_Tried;                 // servers that the request was sent to
     bool                    m_MayHaveRun    = false; // some server may have run it
     bool                    m_AnswerAborted = false; // the answer was begun and cut off
--- a/tests/test_place_channel.cpp
+++ b/tests/test_place_channel.cpp
@@ -70,7 +70,7 @@
 
 ClaimOutcome Claim(asio::io_context& ioc, TestRouter& router, const std::vector<Endpoint>& boxes, const PlaceWanted& wanted)
 {
-    HttpAbort never;
+    CallAbort never;
     return Finish<ClaimOutcome>(ioc, [&] { return router.m_Places.Claim(boxes, wanted, never); });
 }
 
@@ -98,7 +98,7 @@
     TestRouter                  m_Router;
     const std::vector<Endpoint> m_Boxes;
     const PlaceWanted           m_Wanted;
-    HttpAbort                   m_Abort;
+    CallAbort                   m_Abort;
     std::optional<ClaimOutcome> m_Got;
     const TimePoint             m_End = Now() + seconds(60); // only a hang takes so long
 };
