Router: the last waits of a request end with its time limit

What callers saw: a request whose server refuses it, and doesn't end the refusal, was held for server.connect_ms, whatever time it had left: 0.3 s by default, 10 s at most. By reading for the same cause: the check whether a server crashed (0.35 s), and memory that evicted connections give back.

Cause: these waits had bounds of their own, and not the request's.

Change: the rest of a refusal and an answer's memory are waited for until the attempt's deadline, a crash check until the time limit, memory for a request until its bound for head or body. Waits for memory of an answer and for the crash check end with the call's abort, too.

For the crash check and for memory there is no failing test.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -148,11 +148,11 @@
     return buffered + room + head;
 }
 
-// False: there is no memory for it.
-awaitable<bool> Reserve(MemoryShare& memory, size_t bytes)
+// False: there is no memory for it until then.
+awaitable<bool> Reserve(MemoryShare& memory, size_t bytes, TimePoint until)
 {
     MemoryGrant grant = memory.Resize(bytes, Now());
-    while (grant == MemoryGrant_Wait)
+    while (grant == MemoryGrant_Wait && Now() < until)
     {
         co_await SleepFor(kMemoryPoll);
         grant = memory.Resize(bytes, Now());
@@ -199,7 +199,7 @@
     parser.eager(false);
     for (;;)
     {
-        const bool reserved = co_await Reserve(memory, BytesNeeded(buffer, parser, head));
+        const bool reserved = co_await Reserve(memory, BytesNeeded(buffer, parser, head), parser.is_header_done() ? body_by : head_by);
         if (!reserved)
             co_return NoMemory();
         const bool                in_head = !parser.is_header_done();
--- a/src/request/direct_attempt.cpp
+++ b/src/request/direct_attempt.cpp
@@ -413,7 +413,7 @@
     if (answer.m_NotRun)
     {
         RecordFailure(call, FailureCause_Refused, "server " + attempt.m_Server.m_Id + " refused with " + std::to_string(status));
-        co_await ReadToEnd(*attempt.m_Stream, Now() + milliseconds(m_Settings.m_ConnectMs));
+        co_await ReadToEnd(*attempt.m_Stream, std::min<TimePoint>(Now() + milliseconds(m_Settings.m_ConnectMs), AttemptDeadline(call, attempt)));
         co_return AttemptEnd_NotRun;
     }
     if (answer.m_Stream && status == 200)
@@ -422,12 +422,12 @@
 }
 
 // False: the answer is too long, or there is no memory for it.
-static awaitable<bool> Hold(HeldAnswer& answer, std::string_view bytes)
+static awaitable<bool> Hold(HeldAnswer& answer, std::string_view bytes, TimePoint until, CallAbort& abort)
 {
     MemoryGrant grant = answer.Append(bytes, Now());
-    while (grant == MemoryGrant_Wait)
+    while (grant == MemoryGrant_Wait && Now() < until && !abort.Aborted())
     {
-        co_await SleepFor(kMemoryPoll);
+        co_await SleepUntil(Now() + kMemoryPoll, abort);
         grant = answer.Append(bytes, Now());
     }
     co_return grant == MemoryGrant_Taken;
@@ -448,7 +448,7 @@
             co_return AttemptEnd_Stalled;
         if (piece.value().m_Done)
             break;
-        const bool held = co_await Hold(attempt.m_Body, piece.value().m_Bytes);
+        const bool held = co_await Hold(attempt.m_Body, piece.value().m_Bytes, AttemptDeadline(call, attempt), call.m_Abort);
         if (!held)
         {
             RecordFailure(call, FailureCause_InvalidAnswer, "answer exceeds the size limit, or memory for answers is used up");
--- a/src/request/direct_serve.cpp
+++ b/src/request/direct_serve.cpp
@@ -162,8 +162,9 @@
         co_return;
     if (!m_CrashHistory.OneCrashFromBlock(call.Suspects()))
         co_return;
-    while (m_CrashDetector.CheckPending(call.m_LastServer) && !call.m_Abort.Aborted())
-        co_await SleepFor(kCrashCheckPoll);
+    const TimePoint until = AttemptEndTime(call.m_Deadline, call.m_HeadSent);
+    while (m_CrashDetector.CheckPending(call.m_LastServer) && !call.m_Abort.Aborted() && Now() < until)
+        co_await SleepUntil(Now() + kCrashCheckPoll, call.m_Abort);
 }
 
 bool DirectServe::Impl::CanAnswerBeforeEnd(const Route& route, const Service& service, const CallerRequest& caller, Duration left,
