HTTP server: limits that are raised while a head comes hold for its request

What callers saw: 413 or 431 for a request that the newest declarations allow, if its first bytes had come before them. Found by a test.

Cause: the parser's limits were those of the first byte, for the whole request.

Change: as long as the head comes the parser's limits follow the declared ones upwards. Lowered limits hold for the next request.

Two further cases passed at once: lowered limits and the request behind, keys that change.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -184,9 +184,18 @@
     }
 }
 
+// Limits that are raised while a head comes hold for its request, too; lowered ones only for the next.
+void SetLimits(Parser& parser, HttpServerConfig& cfg, const HttpServerConfig& newest)
+{
+    cfg.m_HeadMax = std::max(cfg.m_HeadMax, newest.m_HeadMax);
+    cfg.m_BodyMax = std::max(cfg.m_BodyMax, newest.m_BodyMax);
+    parser.header_limit(static_cast<uint32_t>(cfg.m_HeadMax));
+    parser.body_limit(cfg.m_BodyMax);
+}
+
 // Reads one request, of which some bytes have come. Its head has one bound; its body may take longer as long as it keeps coming.
-awaitable<ReadRefusal> ReadWhole(HttpServer::Impl& impl, const HttpServerConfig& cfg, tcp::socket& socket, beast::flat_buffer& buffer,
-                                 IncomingRequest& in, MemoryShare& memory)
+awaitable<ReadRefusal> ReadWhole(HttpServer::Impl& impl, HttpServerConfig& cfg, tcp::socket& socket, beast::flat_buffer& buffer, IncomingRequest& in,
+                                 MemoryShare& memory)
 {
     Parser&                        parser   = in.m_Parser;
     const TimePoint                begun    = in.m_Request.m_BegunAt;
@@ -204,6 +213,8 @@
             co_return NoMemory();
         const bool                in_head = !parser.is_header_done();
         boost::system::error_code ec      = http::error::need_more;
+        if (in_head)
+            SetLimits(parser, cfg, impl.Config());
         if (buffer.size() > 0)
         {
             const size_t parsed = parser.put(buffer.data(), ec);
@@ -308,7 +319,7 @@
     }
 }
 
-// False: the connection ended, or sent something that was answered and closes it. `cfg` is set to what holds as the first byte of the request comes.
+// False: the connection ended, or sent something that was answered and closes it. `cfg` is set to what holds for the request, from its first byte on.
 awaitable<bool> ReadRequest(HttpServer::Impl& impl, HttpServerConfig& cfg, HttpServer::Impl::Connection& connection, beast::flat_buffer& buffer,
                             IncomingRequest& in, MemoryShare& memory)
 {
@@ -322,9 +333,7 @@
     }
     in.m_Request.m_BegunAt = Now();
     stream.expires_never();
-    cfg = impl.Config();
-    parser.header_limit(static_cast<uint32_t>(cfg.m_HeadMax));
-    parser.body_limit(cfg.m_BodyMax);
+    cfg                 = impl.Config();
     ReadRefusal refusal = co_await ReadWhole(impl, cfg, stream.socket(), buffer, in, memory);
     if (refusal.m_Status == 0 && parser.is_done() && !memory.SetPhase(MemoryPhase_Processing, Now()))
         refusal = NoMemory();
