--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -63,6 +63,27 @@
         return any(mask >> (sig - 1) & 1 for mask in masks)
 
 
+# Resident memory of a program that a sanitizer instruments, by what their manuals say of its shadow and its allocator.
+SANITIZER_FACTORS = {b"__tsan_init": 10, b"__asan_init": 4}
+
+
+def memory_factor(process):
+    with open(process.command[0], "rb") as program:
+        code = program.read()
+    return next((factor for mark, factor in SANITIZER_FACTORS.items() if mark in code), 1)
+
+
+def peak_bytes(process):
+    with open(f"/proc/{process.popen.pid}/status") as status:
+        return next(int(line.split()[1]) * 1024 for line in status if line.startswith("VmHWM:"))
+
+
+def lines_of(process, event):
+    """Of its log."""
+    with open(process.log) as log:
+        return "".join(line for line in log if f'"name":"{event}"' in line)
+
+
 class ReturningServer(standin.Backend):
     """A server of service `web` that comes back at its address after it crashed. Each lifetime has an id of its own."""
 
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -34,8 +34,6 @@
 PIECE = 64 * 1024         # written at once
 SMALL = 16                # bytes of a small chunk
 
-# Resident memory of a program that a sanitizer instruments, by what their manuals say of its shadow and its allocator.
-SANITIZER_FACTORS = {b"__tsan_init": 10, b"__asan_init": 4}
 os.environ["ASAN_OPTIONS"] = os.environ.get("ASAN_OPTIONS", "") + ":quarantine_size_mb=1"  # freed memory that it keeps isn't the program's
 
 HEAD = "POST /page/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {}\r\n"
@@ -203,15 +201,6 @@
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.router.popen.pid}/fd"))
 
-    def peak_bytes(self):
-        with open(f"/proc/{self.router.popen.pid}/status") as status:
-            return next(int(line.split()[1]) * 1024 for line in status if line.startswith("VmHWM:"))
-
-    def memory_bound(self):
-        with open(self.router.command[0], "rb") as program:
-            code = program.read()
-        return MACHINE_BYTES * next((factor for mark, factor in SANITIZER_FACTORS.items() if mark in code), 1)
-
     async def connect(self):
         connection = socket.socket()
         connection.setblocking(False)
@@ -260,7 +249,7 @@
         after = await self.fleet.send_request(self.router, "GET", "/page/x", "after")
         longest = await self.status_of_longest_body()
         self.assertEqual(self.fleet.ended(), [])
-        peak, bound = self.peak_bytes(), self.memory_bound()
+        peak, bound = platform_fleet.peak_bytes(self.router), MACHINE_BYTES * platform_fleet.memory_factor(self.router)
         print(f"{self._testMethodName}: peak {peak >> 20} MiB of {bound >> 20}, descriptors {self.idle_descriptors}, {crowded}, {self.descriptors()}, "
               f"statuses {beside}, {after}, {longest}", flush=True)
         with self.subTest("memory"):
--- a/tests/test_crash_history.cpp
+++ b/tests/test_crash_history.cpp
@@ -344,6 +344,58 @@
                        });
 }
 
+// Guards against routers that each make the trials of all: callers send the request to every router all the time, records come in any order, and two
+// of three are lost.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_servers_reaches_three_more_at_all_routers_together)
+{
+    ALDERVALE_PROPERTY("three more servers at most, whoever hears of which crash when",
+                       []
+                       {
+                           constexpr size_t          kRouters = 4;
+                           std::vector<CrashHistory> routers;
+                           for (size_t i = 0; i < kRouters; i++)
+                               routers.emplace_back(kTrialStaggerMax * static_cast<int>(i) / static_cast<int>(kRouters));
+                           const auto servers = *rc::gen::inRange<uint64_t>(kCrashesToBlock, kManyServers);
+                           for (uint64_t server = 1; server <= servers; server++)
+                               for (const size_t i : {*rc::gen::inRange<size_t>(0, kRouters), *rc::gen::inRange<size_t>(0, kRouters)})
+                                   routers[i].OnCrash(7, server, kStart + milliseconds(*rc::gen::inRange(0, 250)));
+                           const auto exchange = [&](TimePoint now, bool all)
+                           {
+                               for (size_t n = 0; n < kRouters; n++)
+                               {
+                                   CrashHistory& from = routers[*rc::gen::inRange<size_t>(0, kRouters)];
+                                   for (const CrashRecord& r : from.TakeChanged(now))
+                                       for (CrashHistory& to : routers)
+                                           if (all || *rc::gen::inRange(0, 3) == 0)
+                                               to.Merge(r, now);
+                               }
+                               for (CrashHistory& from : routers) // once a second
+                                   for (const CrashRecord& r : from.RecordsToResend())
+                                       if (all)
+                                           for (CrashHistory& to : routers)
+                                               to.Merge(r, now);
+                           };
+                           unsigned reached = 0;
+                           for (int step = 3; step < 7000; step += step < 400 ? 1 : 10) // 100 ms, later 1 s; some 11 minutes
+                           {
+                               const TimePoint now = kStart + milliseconds(100) * step;
+                               exchange(now, step % 10 == 0);
+                               const auto first = *rc::gen::inRange<size_t>(0, kRouters);
+                               for (size_t n = 0; n < kRouters && now >= kStart + seconds(1); n++)
+                               {
+                                   CrashHistory& r = routers[(first + n) % kRouters];
+                                   if (r.CheckBlocked(7, now))
+                                       continue;
+                                   r.OnTrialSent(7, now);
+                                   exchange(now, true); // others are told as a server has it
+                                   r.OnCrash(7, 100 + reached++, now + milliseconds(50));
+                               }
+                           }
+                           RC_ASSERT(reached >= 1u);
+                           RC_ASSERT(reached <= kTrialsMax);
+                       });
+}
+
 BOOST_AUTO_TEST_CASE(a_blocked_request_is_told_to_come_back_as_the_block_ends)
 {
     CrashHistory h;
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -86,7 +86,7 @@
         self.fleet.store.put("op", "config", newest)
         await self.check_served(f"/later-{version}/x")
         self.fleet.store.put("op", "version/m", {"Model": "m", "Version": version})
-        await platform_fleet.wait_for(self, lambda: all(f'"version":{version},' in self.named_at(agent) for agent in self.fleet.agents), "agents don't hear of weights")
+        await platform_fleet.wait_for(self, lambda: all(f'"version":{version},' in platform_fleet.lines_of(agent, "WeightsNamed") for agent in self.fleet.agents), "agents don't hear of weights")
         await self.check_moved_to(self.servers[2])
         await self.check_moved_to(self.servers[1])
         await self.check_moved_to(self.servers[0])
@@ -104,11 +104,6 @@
             await self.check_served("/safe/usual")
             await asyncio.sleep(LOOK_S)
 
-    def named_at(self, agent):
-        """The lines in which the agent tells of weights that are named."""
-        with open(agent.log) as log:
-            return "".join(line for line in log if '"WeightsNamed"' in line)
-
     def configs(self):
         out = []
         for row in self.fleet.store.written:
